--- /dev/null
+++ b/src/base/checksum.h
@@ -0,0 +1,13 @@
+#pragma once
+/// @file
+/// Checksums of stored and sent bytes (XXH3, 64 bits).
+
+#include <cstdint>
+#include <string_view>
+
+namespace cloverbank {
+
+/// @return the XXH3 64-bit hash of `bytes`, mixed with `seed`.
+std::uint64_t Checksum(std::string_view bytes, std::uint64_t seed = 0);
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/base/ids.h
@@ -0,0 +1,71 @@
+#pragma once
+/// @file
+/// Strong types for identifiers and counters, so that one can not be passed for another.
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <string>
+
+namespace cloverbank {
+
+/// A 64-bit number of one meaning. `Tag` only tells types apart.
+template <typename Tag>
+class StrongId {
+ public:
+  constexpr StrongId() = default;
+  constexpr explicit StrongId(std::uint64_t value) : value_(value) {}
+  constexpr std::uint64_t value() const { return value_; }
+  /// Zero is never assigned and means "none".
+  constexpr bool valid() const { return value_ != 0; }
+  constexpr StrongId Next() const { return StrongId(value_ + 1); }
+  constexpr auto operator<=>(const StrongId&) const = default;
+  std::string ToString() const { return std::to_string(value_); }
+
+ private:
+  std::uint64_t value_ = 0;
+};
+
+/// One life of one role on one machine, given out by the coordinators. A restarted queue node gets a
+/// fresh one (RAMCloud page, "Normal Operation Walkthrough" and recovery step 9).
+using NodeId = StrongId<struct NodeIdTag>;
+/// A segment within the log of one queue node.
+using SegmentId = StrongId<struct SegmentIdTag>;
+/// Generation of the set of backups of a log's head segment.
+using HeadEpoch = StrongId<struct HeadEpochTag>;
+/// Version of the routing configuration.
+using ConfigurationVersion = StrongId<struct ConfigurationVersionTag>;
+/// Version of the list of registered servers and partition owners.
+using FleetVersion = StrongId<struct FleetVersionTag>;
+/// Drawn at random at each process start: tells messages of an earlier life apart.
+using Incarnation = StrongId<struct IncarnationTag>;
+/// A batch partition, numbered from 0 to the partition count - 1.
+using PartitionId = StrongId<struct PartitionIdTag>;
+/// Place of an entry in its partition's one order, from 1.
+using PartitionSequence = StrongId<struct PartitionSequenceTag>;
+/// A right to start one batch item.
+using WorkLeaseId = StrongId<struct WorkLeaseIdTag>;
+
+/// An IP address and port. Kept as text, since a machine is known by its IP number.
+struct Endpoint {
+  std::string host;
+  std::uint16_t port = 0;
+  auto operator<=>(const Endpoint&) const = default;
+  bool valid() const { return !host.empty() && port != 0; }
+  std::string ToString() const { return host + ":" + std::to_string(port); }
+};
+
+}  // namespace cloverbank
+
+template <typename Tag>
+struct std::hash<cloverbank::StrongId<Tag>> {
+  std::size_t operator()(const cloverbank::StrongId<Tag>& id) const noexcept {
+    return std::hash<std::uint64_t>{}(id.value());
+  }
+};
+template <>
+struct std::hash<cloverbank::Endpoint> {
+  std::size_t operator()(const cloverbank::Endpoint& endpoint) const noexcept {
+    return std::hash<std::string>{}(endpoint.host) * 31 + endpoint.port;
+  }
+};
--- /dev/null
+++ b/src/base/metrics.h
@@ -0,0 +1,41 @@
+#pragma once
+/// @file
+/// Counters, gauges and histograms with labels, rendered in the Prometheus text format.
+/// prometheus-cpp is kept behind this header. All functions are thread-safe.
+
+#include <initializer_list>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace cloverbank {
+
+/// One label of a metric, e.g. {"reason", "no_ready_replica"}.
+using MetricLabel = std::pair<std::string_view, std::string_view>;
+
+/// The metrics of one process. Names are snake_case with unit suffix (`_total`, `_seconds`, `_bytes`).
+class Metrics {
+ public:
+  Metrics();
+  ~Metrics();
+  Metrics(const Metrics&) = delete;
+  Metrics& operator=(const Metrics&) = delete;
+
+  /// Adds `amount` to the counter `name` with `labels`, creating it at first use.
+  void Increment(std::string_view name, std::initializer_list<MetricLabel> labels = {},
+                 double amount = 1);
+  /// Sets the gauge `name` with `labels`.
+  void SetGauge(std::string_view name, double value, std::initializer_list<MetricLabel> labels = {});
+  /// Records `seconds` in the latency histogram `name`.
+  void ObserveSeconds(std::string_view name, double seconds,
+                      std::initializer_list<MetricLabel> labels = {});
+  /// @return all metrics in the Prometheus text exposition format.
+  std::string Render() const;
+
+ private:
+  struct State;
+  std::unique_ptr<State> state_;
+};
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/consensus/replicated_log.h
@@ -0,0 +1,61 @@
+#pragma once
+/// @file
+/// What the coordinator needs of consensus: a log of commands that a majority has synced, applied in
+/// one order to a `StateMachine` at each member. Implemented by `RaftNode` and by fakes in tests.
+/// Threads: the owner's event loop only.
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/status.h"
+
+namespace cloverbank {
+
+/// The deterministic state that the log drives. Nothing in it reads a clock, a random number or
+/// anything else that differs between members.
+class StateMachine {
+ public:
+  virtual ~StateMachine() = default;
+  /// Applies one committed command. @return its result, handed to the proposer.
+  virtual std::string Apply(std::uint64_t index, const std::string& command) = 0;
+  /// @return the whole state, for log compaction.
+  virtual std::string TakeSnapshot() const = 0;
+  /// Replaces the whole state. @return kCorrupt if `snapshot` can not be read.
+  virtual Status RestoreSnapshot(const std::string& snapshot) = 0;
+};
+
+/// One member as the log knows it.
+struct LogMember {
+  std::uint64_t member_id = 0;
+  Endpoint endpoint;
+  bool learner = false;
+};
+
+class ReplicatedLog {
+ public:
+  virtual ~ReplicatedLog() = default;
+
+  /// Appends `command`; `done` gets the state machine's result once it is committed and applied here.
+  /// kNotLeader: certainly not appended. kUnknownOutcome: leadership was lost while it was under way.
+  virtual void Propose(std::string command, std::function<void(Result<std::string>)> done) = 0;
+
+  /// Whether this member leads and a majority has heard it recently enough that no other can lead
+  /// now (leader lease). Check it immediately before answering from local state.
+  virtual bool HasLeaderLease() const = 0;
+  /// Whether this member believes it leads and has applied an entry of its own term.
+  virtual bool IsReadyLeader() const = 0;
+  virtual std::uint64_t term() const = 0;
+  /// @return the leader's endpoint as far as known; invalid if unknown.
+  virtual Endpoint leader_endpoint() const = 0;
+  virtual std::vector<LogMember> members() const = 0;
+
+  /// `observer(true)` runs when this member becomes a ready leader, `observer(false)` when it stops.
+  virtual void OnLeadershipChange(std::function<void(bool leads)> observer) = 0;
+  /// `observer(index)` runs after commands have been applied, on every member.
+  virtual void OnApplied(std::function<void(std::uint64_t index)> observer) = 0;
+};
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/node/node_agent.h
@@ -0,0 +1,120 @@
+#pragma once
+/// @file
+/// What every role needs of control: registration under a node id, heartbeats that renew its lease,
+/// and a watch on the routing configuration and the fleet. One agent a role on a machine.
+///
+/// The lease counts from the moment the heartbeat that renewed it was *sent*, on the boot clock, so a
+/// process that froze finds it expired when it wakes. Holders call `LeaseValid()` immediately before
+/// each effect.
+///
+/// Threads: the owner's event loop only.
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "proto/configuration.pb.h"
+#include "proto/coordinator.pb.h"
+#include "runtime/environment.h"
+#include "runtime/typed_peer.h"
+
+namespace cloverbank {
+
+struct NodeAgentOptions {
+  proto::Role role = proto::ROLE_UNSPECIFIED;
+  std::string machine;                 ///< Name from the settings.
+  std::string zone;
+  Endpoint client_endpoint;            ///< Gateways: where callers reach it.
+  bool spare = false;                  ///< Backups on front machines.
+  std::string disk_id;                 ///< Backups: id stored on their disk.
+  std::vector<Endpoint> coordinators;  ///< Seeds; replaced by the member list learned from them.
+  Duration heartbeat_hold = milliseconds(800);    ///< How long the leader may hold a heartbeat.
+  Duration heartbeat_deadline = milliseconds(1500);
+  Duration retry_delay = milliseconds(100);       ///< Between tries, with jitter.
+};
+
+/// The servers and partition owners as last heard. Versions never go back.
+struct FleetView {
+  FleetVersion version;
+  std::map<NodeId, proto::Server> servers;             ///< Queue and backup nodes.
+  std::map<PartitionId, proto::Partition> partitions;
+  /// @return the queue node that owns `partition`, or nullptr while nobody does.
+  const proto::Server* OwnerOf(PartitionId partition) const;
+};
+
+class NodeAgent {
+ public:
+  NodeAgent(Environment& environment, NodeAgentOptions options);
+  ~NodeAgent();
+  NodeAgent(const NodeAgent&) = delete;
+  NodeAgent& operator=(const NodeAgent&) = delete;
+
+  /// Begins registering, then heartbeating, for as long as the agent lives.
+  void Start();
+
+  /// @return the id of this life; invalid until registered, and again after `OnFenced`.
+  NodeId node_id() const;
+  Incarnation incarnation() const;
+  std::uint32_t partition_count() const;
+  /// Whether this node still holds the right to act: registered, not fenced, lease not run out.
+  bool LeaseValid() const;
+  /// @return when the lease runs out; a past time if there is none.
+  TimePoint lease_end() const;
+
+  /// The newest configuration held; version 0 until the first arrives. Never goes back.
+  const proto::RoutingConfiguration& configuration() const;
+  const FleetView& fleet() const;
+  /// Current coordinators, best guess of the leader first.
+  std::vector<Endpoint> coordinators() const;
+
+  /// Observers run after a newer configuration or fleet view was taken.
+  void OnConfiguration(std::function<void()> observer);
+  void OnFleet(std::function<void()> observer);
+  /// Runs when the node id became valid (first, and again after each fence).
+  void OnRegistered(std::function<void()> observer);
+  /// Runs when the coordinators refused this node id as dead. The owner must stop every act under the
+  /// old id at once. The agent then registers anew under a fresh id.
+  void OnFenced(std::function<void()> observer);
+
+  /// Told to the coordinators with the next heartbeat, which is sent without delay when `urgent`.
+  void ReportSuspect(NodeId peer);
+  void SetLoad(std::uint64_t free_bytes, std::uint64_t open_items, bool degraded);
+  /// Ends this life and registers under a fresh id (a queue node that was refused as fenced by a
+  /// backup calls it). Runs the `OnFenced` observers.
+  void AbandonNodeId(std::string_view reason);
+
+  /// Calls `method` at the coordinator leader, following kNotLeader hints and trying the other
+  /// members until `deadline`. Only for methods that may safely be repeated (all coordinator.* are:
+  /// they carry an operation id or name the state they want).
+  void CallLeaderRaw(std::string_view method, std::string body, Duration deadline,
+                     PeerReplyCallback done);
+
+  template <typename Response, typename Request>
+  void CallLeader(std::string_view method, const Request& request, Duration deadline,
+                  std::function<void(Result<Response>)> done) {
+    CallLeaderRaw(method, request.SerializeAsString(), deadline,
+                  [done = std::move(done)](PeerReply reply) {
+                    if (!reply.status.ok()) {
+                      done(std::move(reply.status));
+                      return;
+                    }
+                    Response response;
+                    if (!response.ParseFromString(reply.body)) {
+                      done(Status(StatusCode::kInternal, "malformed coordinator answer"));
+                      return;
+                    }
+                    done(std::move(response));
+                  });
+  }
+
+ private:
+  struct State;
+  std::unique_ptr<State> state_;
+};
+
+}  // namespace cloverbank
