--- a/src/base/ids.h
+++ b/src/base/ids.h
@@ -26,8 +26,8 @@
   std::uint64_t value_ = 0;
 };
 
-/// One life of one role on one machine, given out by the coordinators. A restarted queue node gets a
-/// fresh one (RAMCloud page, "Normal Operation Walkthrough" and recovery step 9).
+/// One life of one role on one machine, given out by the coordinators. A restarted queue node gets
+/// a fresh one (RAMCloud page, "Normal Operation Walkthrough" and recovery step 9).
 using NodeId = StrongId<struct NodeIdTag>;
 /// A segment within the log of one queue node.
 using SegmentId = StrongId<struct SegmentIdTag>;
--- a/src/base/logging.cc
+++ b/src/base/logging.cc
@@ -67,8 +67,9 @@
   State().options = options;
   State().logger->set_level(ToSpdlog(options.level));
   State().logger->flush_on(spdlog::level::info);
-  State().logger->set_pattern(options.json ? "{\"time\":\"%Y-%m-%dT%H:%M:%S.%e\",\"level\":\"%l\",%v}"
-                                           : "%Y-%m-%dT%H:%M:%S.%e %l %v");
+  State().logger->set_pattern(options.json
+                                  ? "{\"time\":\"%Y-%m-%dT%H:%M:%S.%e\",\"level\":\"%l\",%v}"
+                                  : "%Y-%m-%dT%H:%M:%S.%e %l %v");
 }
 
 void Log(LogLevel level, std::string_view event, std::initializer_list<LogField> fields) {
--- a/src/base/logging.h
+++ b/src/base/logging.h
@@ -19,8 +19,8 @@
   LogField(std::string_view name, const std::string& text) : key(name), value(text) {}
   LogField(std::string_view name, const char* text) : key(name), value(text) {}
   template <typename Number>
-    requires std::is_arithmetic_v<Number>
-  LogField(std::string_view name, Number number) : key(name), value(std::to_string(number)) {}
+  requires std::is_arithmetic_v<Number> LogField(std::string_view name, Number number)
+      : key(name), value(std::to_string(number)) {}
 
   std::string_view key;
   std::string value;
@@ -29,8 +29,8 @@
 /// How log lines are written. Set once at start, before other threads run.
 struct LoggingOptions {
   LogLevel level = LogLevel::kInfo;
-  bool json = false;       ///< One JSON object a line instead of key=value.
-  std::string node_name;   ///< Added to every line when not empty.
+  bool json = false;      ///< One JSON object a line instead of key=value.
+  std::string node_name;  ///< Added to every line when not empty.
 };
 
 void ConfigureLogging(const LoggingOptions& options);
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -14,7 +14,8 @@
 /// One label of a metric, e.g. {"reason", "no_ready_replica"}.
 using MetricLabel = std::pair<std::string_view, std::string_view>;
 
-/// The metrics of one process. Names are snake_case with unit suffix (`_total`, `_seconds`, `_bytes`).
+/// The metrics of one process. Names are snake_case with unit suffix (`_total`, `_seconds`,
+/// `_bytes`).
 class Metrics {
  public:
   Metrics();
@@ -26,7 +27,8 @@
   void Increment(std::string_view name, std::initializer_list<MetricLabel> labels = {},
                  double amount = 1);
   /// Sets the gauge `name` with `labels`.
-  void SetGauge(std::string_view name, double value, std::initializer_list<MetricLabel> labels = {});
+  void SetGauge(std::string_view name, double value,
+                std::initializer_list<MetricLabel> labels = {});
   /// Records `seconds` in the latency histogram `name`.
   void ObserveSeconds(std::string_view name, double seconds,
                       std::initializer_list<MetricLabel> labels = {});
--- a/src/consensus/replicated_log.h
+++ b/src/consensus/replicated_log.h
@@ -1,8 +1,8 @@
 #pragma once
 /// @file
-/// What the coordinator needs of consensus: a log of commands that a majority has synced, applied in
-/// one order to a `StateMachine` at each member. Implemented by `RaftNode` and by fakes in tests.
-/// Threads: the owner's event loop only.
+/// What the coordinator needs of consensus: a log of commands that a majority has synced, applied
+/// in one order to a `StateMachine` at each member. Implemented by `RaftNode` and by fakes in
+/// tests. Threads: the owner's event loop only.
 
 #include <cstdint>
 #include <functional>
@@ -38,8 +38,9 @@
  public:
   virtual ~ReplicatedLog() = default;
 
-  /// Appends `command`; `done` gets the state machine's result once it is committed and applied here.
-  /// kNotLeader: certainly not appended. kUnknownOutcome: leadership was lost while it was under way.
+  /// Appends `command`; `done` gets the state machine's result once it is committed and applied
+  /// here. kNotLeader: certainly not appended. kUnknownOutcome: leadership was lost while it was
+  /// under way.
   virtual void Propose(std::string command, std::function<void(Result<std::string>)> done) = 0;
 
   /// Whether this member leads and a majority has heard it recently enough that no other can lead
@@ -52,7 +53,8 @@
   virtual Endpoint leader_endpoint() const = 0;
   virtual std::vector<LogMember> members() const = 0;
 
-  /// `observer(true)` runs when this member becomes a ready leader, `observer(false)` when it stops.
+  /// `observer(true)` runs when this member becomes a ready leader, `observer(false)` when it
+  /// stops.
   virtual void OnLeadershipChange(std::function<void(bool leads)> observer) = 0;
   /// `observer(index)` runs after commands have been applied, on every member.
   virtual void OnApplied(std::function<void(std::uint64_t index)> observer) = 0;
--- a/src/gateway/backend_caller.h
+++ b/src/gateway/backend_caller.h
@@ -1,8 +1,8 @@
 #pragma once
 /// @file
-/// How the batch worker and the live calls reach a replica: one interface over replica choice, health
-/// and the HTTP client, so that both are tested against fakes.
-/// Threads: the owner's event loop only.
+/// How the batch worker and the live calls reach a replica: one interface over replica choice,
+/// health and the HTTP client, so that both are tested against fakes. Threads: the owner's event
+/// loop only.
 
 #include <cstdint>
 #include <functional>
@@ -19,9 +19,9 @@
 /// What became of one whole (not streamed) call at a back end.
 struct BackendOutcome {
   proto::Executed executed = proto::EXECUTED_UNSPECIFIED;
-  bool succeeded = false;     ///< A whole, good answer: `answer` is set and executed is yes.
+  bool succeeded = false;  ///< A whole, good answer: `answer` is set and executed is yes.
   proto::CallAnswer answer;
-  proto::CallError error;     ///< Set when not succeeded.
+  proto::CallError error;  ///< Set when not succeeded.
 };
 
 /// One running call at a back end.
@@ -36,16 +36,18 @@
  public:
   virtual ~BackendCaller() = default;
 
-  /// @return how many further batch items may be started now on replicas of `backend`, after the room
-  /// that live calls take and the configured headroom.
+  /// @return how many further batch items may be started now on replicas of `backend`, after the
+  /// room that live calls take and the configured headroom.
   virtual std::uint32_t FreeBatchSlots(const std::string& backend) const = 0;
 
-  /// Runs one batch item at a replica of `route.backend()`. Never retries a route that must not repeat
-  /// once bytes went out. `may_start` is asked immediately before the request leaves; false gives the
-  /// outcome `executed: no`.
-  virtual std::shared_ptr<BackendCall> RunBatchItem(
-      const proto::Route& route, const proto::CallRequest& request, Duration deadline,
-      std::function<bool()> may_start, std::function<void(BackendOutcome)> done) = 0;
+  /// Runs one batch item at a replica of `route.backend()`. Never retries a route that must not
+  /// repeat once bytes went out. `may_start` is asked immediately before the request leaves; false
+  /// gives the outcome `executed: no`.
+  virtual std::shared_ptr<BackendCall> RunBatchItem(const proto::Route& route,
+                                                    const proto::CallRequest& request,
+                                                    Duration deadline,
+                                                    std::function<bool()> may_start,
+                                                    std::function<void(BackendOutcome)> done) = 0;
 };
 
 }  // namespace cloverbank
--- a/src/gateway/http_json.h
+++ b/src/gateway/http_json.h
@@ -1,7 +1,7 @@
 #pragma once
 /// @file
-/// JSON bodies of the HTTP interface: protobuf's own JSON mapping with the field names of the schemas
-/// (snake_case), and one shape for every error.
+/// JSON bodies of the HTTP interface: protobuf's own JSON mapping with the field names of the
+/// schemas (snake_case), and one shape for every error.
 
 #include <memory>
 #include <string>
--- a/src/net/http_types.h
+++ b/src/net/http_types.h
@@ -1,7 +1,7 @@
 #pragma once
 /// @file
-/// HTTP as the adapters see it, free of any library's types. Implemented in net/ over Boost.Beast and
-/// by fakes in tests. All functions and callbacks belong to one event loop.
+/// HTTP as the adapters see it, free of any library's types. Implemented in net/ over Boost.Beast
+/// and by fakes in tests. All functions and callbacks belong to one event loop.
 
 #include <cstdint>
 #include <functional>
@@ -23,9 +23,9 @@
 std::string_view FindHeader(const HttpHeaders& headers, std::string_view name);
 
 struct HttpRequest {
-  std::string method;        ///< "GET", "POST", ...
-  std::string path;          ///< Without the query, decoded.
-  HttpHeaders query;         ///< Decoded query parameters, in order.
+  std::string method;  ///< "GET", "POST", ...
+  std::string path;    ///< Without the query, decoded.
+  HttpHeaders query;   ///< Decoded query parameters, in order.
   HttpHeaders headers;
   std::string body;
   std::string peer_address;  ///< IP number of the caller.
@@ -46,8 +46,8 @@
   virtual void Send(HttpResponse response) = 0;
   /// Sends the head of a chunked answer.
   virtual void StartStream(int status, HttpHeaders headers) = 0;
-  /// Sends one chunk. `written` runs when the caller's socket took it (back-pressure), with false if
-  /// the caller is gone.
+  /// Sends one chunk. `written` runs when the caller's socket took it (back-pressure), with false
+  /// if the caller is gone.
   virtual void WritePiece(std::string piece, std::function<void(bool alive)> written) = 0;
   /// Ends the chunked answer in the regular way.
   virtual void FinishStream() = 0;
@@ -84,7 +84,8 @@
   std::string reason;     ///< For people and logs, e.g. "connect refused", "deadline".
 };
 
-/// Callbacks of a streamed call. `on_head` comes at most once, before pieces; `on_end` exactly once.
+/// Callbacks of a streamed call. `on_head` comes at most once, before pieces; `on_end` exactly
+/// once.
 struct HttpStreamCallbacks {
   std::function<void(int status, const HttpHeaders& headers)> on_head;
   /// One read's worth of body. `more` must be called to receive the next (back-pressure).
--- a/src/node/node_agent.h
+++ b/src/node/node_agent.h
@@ -3,9 +3,9 @@
 /// What every role needs of control: registration under a node id, heartbeats that renew its lease,
 /// and a watch on the routing configuration and the fleet. One agent a role on a machine.
 ///
-/// The lease counts from the moment the heartbeat that renewed it was *sent*, on the boot clock, so a
-/// process that froze finds it expired when it wakes. Holders call `LeaseValid()` immediately before
-/// each effect.
+/// The lease counts from the moment the heartbeat that renewed it was *sent*, on the boot clock, so
+/// a process that froze finds it expired when it wakes. Holders call `LeaseValid()` immediately
+/// before each effect.
 ///
 /// Threads: the owner's event loop only.
 
@@ -27,21 +27,21 @@
 
 struct NodeAgentOptions {
   proto::Role role = proto::ROLE_UNSPECIFIED;
-  std::string machine;                 ///< Name from the settings.
+  std::string machine;  ///< Name from the settings.
   std::string zone;
   Endpoint client_endpoint;            ///< Gateways: where callers reach it.
   bool spare = false;                  ///< Backups on front machines.
   std::string disk_id;                 ///< Backups: id stored on their disk.
   std::vector<Endpoint> coordinators;  ///< Seeds; replaced by the member list learned from them.
-  Duration heartbeat_hold = milliseconds(800);    ///< How long the leader may hold a heartbeat.
+  Duration heartbeat_hold = milliseconds(800);  ///< How long the leader may hold a heartbeat.
   Duration heartbeat_deadline = milliseconds(1500);
-  Duration retry_delay = milliseconds(100);       ///< Between tries, with jitter.
+  Duration retry_delay = milliseconds(100);  ///< Between tries, with jitter.
 };
 
 /// The servers and partition owners as last heard. Versions never go back.
 struct FleetView {
   FleetVersion version;
-  std::map<NodeId, proto::Server> servers;             ///< Queue and backup nodes.
+  std::map<NodeId, proto::Server> servers;  ///< Queue and backup nodes.
   std::map<PartitionId, proto::Partition> partitions;
   /// @return the queue node that owns `partition`, or nullptr while nobody does.
   const proto::Server* OwnerOf(PartitionId partition) const;
@@ -77,8 +77,8 @@
   void OnFleet(std::function<void()> observer);
   /// Runs when the node id became valid (first, and again after each fence).
   void OnRegistered(std::function<void()> observer);
-  /// Runs when the coordinators refused this node id as dead. The owner must stop every act under the
-  /// old id at once. The agent then registers anew under a fresh id.
+  /// Runs when the coordinators refused this node id as dead. The owner must stop every act under
+  /// the old id at once. The agent then registers anew under a fresh id.
   void OnFenced(std::function<void()> observer);
 
   /// Told to the coordinators with the next heartbeat, which is sent without delay when `urgent`.
--- a/src/runtime/environment.h
+++ b/src/runtime/environment.h
@@ -1,7 +1,7 @@
 #pragma once
 /// @file
-/// Everything a service may ask of the world outside it: time, timers, randomness and calls to peers.
-/// The daemon implements it over sockets (net/), the simulator over a seeded event queue
+/// Everything a service may ask of the world outside it: time, timers, randomness and calls to
+/// peers. The daemon implements it over sockets (net/), the simulator over a seeded event queue
 /// (simulation/). Services and cores include no other way out, so the same code runs in both.
 ///
 /// Threads: one `Environment` belongs to one event loop; all its functions are called, and all
--- a/src/runtime/typed_peer.h
+++ b/src/runtime/typed_peer.h
@@ -12,27 +12,29 @@
 namespace cloverbank {
 
 /// Calls `method` at `to` with `request`; `done` gets the decoded response or the typed failure.
-/// @param deadline after which the outcome is kUnknownOutcome (or kUnavailable if nothing was sent).
+/// @param deadline after which the outcome is kUnknownOutcome (or kUnavailable if nothing was
+/// sent).
 template <typename Response, typename Request>
 void CallPeer(Environment& environment, const Endpoint& to, std::string_view method,
               const Request& request, Duration deadline,
               std::function<void(Result<Response>)> done) {
-  environment.CallPeer(to, method, request.SerializeAsString(), deadline,
-                       [done = std::move(done)](PeerReply reply) {
-                         if (!reply.status.ok()) {
-                           done(std::move(reply.status));
-                           return;
-                         }
-                         Response response;
-                         if (!response.ParseFromString(reply.body)) {
-                           done(Status(StatusCode::kUnknownOutcome, "peer sent a malformed answer"));
-                           return;
-                         }
-                         done(std::move(response));
-                       });
+  environment.CallPeer(
+      to, method, request.SerializeAsString(), deadline, [done = std::move(done)](PeerReply reply) {
+        if (!reply.status.ok()) {
+          done(std::move(reply.status));
+          return;
+        }
+        Response response;
+        if (!response.ParseFromString(reply.body)) {
+          done(Status(StatusCode::kUnknownOutcome, "peer sent a malformed answer"));
+          return;
+        }
+        done(std::move(response));
+      });
 }
 
-/// Answers `method` with `handler(request, peer_address, reply)`; malformed bodies are refused here.
+/// Answers `method` with `handler(request, peer_address, reply)`; malformed bodies are refused
+/// here.
 template <typename Request, typename Response>
 void ServePeer(Environment& environment, std::string_view method,
                std::function<void(const Request& request, const std::string& peer_address,
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -1,7 +1,8 @@
 #pragma once
 /// @file
-/// The checked settings of one process, read from a TOML file and overridden by flags. Every mistake
-/// is reported with file, line, key, what was found and what is expected; all of them at once.
+/// The checked settings of one process, read from a TOML file and overridden by flags. Every
+/// mistake is reported with file, line, key, what was found and what is expected; all of them at
+/// once.
 
 #include <cstdint>
 #include <string>
@@ -29,14 +30,15 @@
   std::string zone;         ///< node.zone
   RoleSettings roles;       ///< node.roles = ["coordinator", "gateway", "queue", "backup"]
   std::string data_folder;  ///< node.data_folder; needed by coordinator and backup.
-  bool spare_backup = false;  ///< node.spare_backup: backup used only while store backups are short.
+  bool spare_backup =
+      false;  ///< node.spare_backup: backup used only while store backups are short.
   // [listen]
-  Endpoint client;          ///< listen.address + listen.client_port (callers and operators)
-  Endpoint peer;            ///< listen.address + listen.peer_port
+  Endpoint client;  ///< listen.address + listen.client_port (callers and operators)
+  Endpoint peer;    ///< listen.address + listen.peer_port
   // [seeds]
   std::vector<Endpoint> seeds;  ///< seeds.addresses: peer endpoints of three coordinators.
   // [platform]
-  Endpoint replica_list;    ///< platform.replica_list; needed by gateway.
+  Endpoint replica_list;  ///< platform.replica_list; needed by gateway.
   Duration poll_interval = milliseconds(500);
   // [control]
   Duration election_timeout = milliseconds(400);
@@ -51,7 +53,8 @@
   LoggingOptions logging;
 };
 
-/// One mistake: "deploy/x.toml:12: listen.client_port: found "abc", expected a port from 1 to 65535".
+/// One mistake: "deploy/x.toml:12: listen.client_port: found "abc", expected a port from 1 to
+/// 65535".
 struct SettingsProblem {
   std::string file;
   std::uint32_t line = 0;
@@ -67,7 +70,8 @@
   std::string value;
 };
 
-/// @return the settings, or kInvalidArgument with every problem, one a line, also put in `problems`.
+/// @return the settings, or kInvalidArgument with every problem, one a line, also put in
+/// `problems`.
 Result<Settings> ParseSettings(std::string_view toml, const std::string& file_name,
                                const std::vector<SettingsOverride>& overrides,
                                std::vector<SettingsProblem>* problems);
--- a/src/simulation/simulated_world.h
+++ b/src/simulation/simulated_world.h
@@ -1,8 +1,8 @@
 #pragma once
 /// @file
-/// A deterministic world for the services: machines with a disk and one process each, a network that
-/// delays, loses, duplicates and cuts, and one seeded queue of events. The same seed always gives the
-/// same run, so a failing seed can be replayed. Nothing here reads the real clock.
+/// A deterministic world for the services: machines with a disk and one process each, a network
+/// that delays, loses, duplicates and cuts, and one seeded queue of events. The same seed always
+/// gives the same run, so a failing seed can be replayed. Nothing here reads the real clock.
 
 #include <cstdint>
 #include <functional>
@@ -19,8 +19,8 @@
 struct NetworkBehaviour {
   Duration minimum_delay = milliseconds(1);
   Duration maximum_delay = milliseconds(5);
-  double request_loss = 0;       ///< Probability that a request never arrives.
-  double reply_loss = 0;         ///< Probability that an answer never arrives.
+  double request_loss = 0;         ///< Probability that a request never arrives.
+  double reply_loss = 0;           ///< Probability that an answer never arrives.
   double request_duplication = 0;  ///< Probability that a request is carried out twice.
 };
 
--- a/src/storage/data_folder.h
+++ b/src/storage/data_folder.h
@@ -32,8 +32,8 @@
   /// @return bytes free for new data on this disk (of this folder's quota, if it has one).
   virtual std::uint64_t FreeBytes() = 0;
 
-  /// Appends to the end of the file (created when absent) and syncs. Appends to one file complete in
-  /// the order they were asked for; waiting ones share a sync.
+  /// Appends to the end of the file (created when absent) and syncs. Appends to one file complete
+  /// in the order they were asked for; waiting ones share a sync.
   virtual void Append(const std::string& name, std::string bytes, Done done) = 0;
   /// Writes at `offset` (the file grows when needed) and syncs; grouped like `Append`.
   virtual void WriteAt(const std::string& name, std::uint64_t offset, std::string bytes,
