--- a/src/base/time.h
+++ b/src/base/time.h
@@ -15,6 +15,7 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<BootClock>;
+  // NOLINTNEXTLINE(readability-identifier-naming): the name that std::chrono asks for.
   static constexpr bool is_steady = true;
 };
 
