--- /dev/null
+++ b/src/deployment/deployment.cc
@@ -0,0 +1,230 @@
+#include "deployment/deployment.h"
+
+#include <toml++/toml.h>
+
+#include <fstream>
+#include <iterator>
+#include <set>
+
+#include "settings/settings_reader.h"
+
+namespace cloverbank {
+namespace {
+
+/// Reads one table of the file and records what is wrong with it.
+class TableReader {
+ public:
+  TableReader(const toml::table& table, std::string place, std::vector<std::string>* problems)
+      : table_(table), place_(std::move(place)), problems_(problems) {}
+
+  std::string Text(std::string_view key, bool needed = true) {
+    const auto text = table_[key].value<std::string>();
+    if ((!text || text->empty()) && (needed || table_.contains(key))) {
+      Problem(key, "a text");
+    }
+    return text.value_or("");
+  }
+  std::uint32_t Number(std::string_view key, std::uint32_t fallback) {
+    const auto number = table_[key].value<std::int64_t>();
+    if (!table_.contains(key)) {
+      return fallback;
+    }
+    if (!number || *number < 0 || *number > kMaximumNumber) {
+      Problem(key, "a whole number, not negative");
+      return fallback;
+    }
+    return static_cast<std::uint32_t>(*number);
+  }
+  Endpoint Address(std::string_view key) {
+    const auto endpoint = ParseEndpoint(table_[key].value_or(std::string()));
+    if (!endpoint) {
+      Problem(key, "an IP number and port, such as \"127.0.0.1:9000\"");
+    }
+    return endpoint.value_or(Endpoint{});
+  }
+  Duration Microseconds(std::string_view key, Duration fallback) {
+    const auto count = std::chrono::duration_cast<std::chrono::microseconds>(fallback).count();
+    return std::chrono::microseconds(Number(key, static_cast<std::uint32_t>(count)));
+  }
+  Duration Milliseconds(std::string_view key, Duration fallback) {
+    const auto count = std::chrono::duration_cast<milliseconds>(fallback).count();
+    return milliseconds(Number(key, static_cast<std::uint32_t>(count)));
+  }
+  bool Boolean(std::string_view key) { return table_[key].value_or(false); }
+  std::vector<std::string> Texts(std::string_view key) {
+    std::vector<std::string> texts;
+    if (const auto* array = table_[key].as_array()) {
+      for (const toml::node& element : *array) {
+        texts.push_back(element.value_or(std::string()));
+      }
+    }
+    if (texts.empty()) {
+      Problem(key, "a list of texts");
+    }
+    return texts;
+  }
+  void Problem(std::string_view key, std::string_view expected) {
+    problems_->push_back(place_ + ":" + std::to_string(table_.source().begin.line) + ": " +
+                         std::string(key) + ": expected " + std::string(expected));
+  }
+
+ private:
+  static constexpr std::int64_t kMaximumNumber = 1LL << 31U;
+  const toml::table& table_;
+  std::string place_;
+  std::vector<std::string>* problems_;
+};
+
+DeployedMachine ReadMachine(TableReader reader) {
+  DeployedMachine machine;
+  machine.name = reader.Text("name");
+  machine.address = reader.Text("address");
+  if (!IsIpNumber(machine.address)) {
+    reader.Problem("address", "an IP number");
+  }
+  machine.zone = reader.Text("zone");
+  machine.roles = reader.Texts("roles");
+  machine.spare_backup = reader.Boolean("spare_backup");
+  return machine;
+}
+
+DeployedReplica ReadReplica(TableReader reader) {
+  DeployedReplica replica;
+  replica.id = reader.Text("id");
+  replica.endpoint = reader.Address("endpoint");
+  replica.zone = reader.Text("zone");
+  replica.backend = reader.Text("backend");
+  replica.capacity = reader.Number("capacity", replica.capacity);
+  const std::string kind = reader.Text("kind");
+  if (kind == "model") {
+    replica.kind = proto::BACKEND_KIND_MODEL;
+  } else if (kind == "service") {
+    replica.kind = proto::BACKEND_KIND_SERVICE;
+  } else {
+    reader.Problem("kind", "\"model\" or \"service\"");
+  }
+  return replica;
+}
+
+BackendBehaviour ReadBehaviour(TableReader reader) {
+  BackendBehaviour behaviour;
+  behaviour.prefill_per_token =
+      reader.Microseconds("prefill_us_per_token", behaviour.prefill_per_token);
+  behaviour.decode_step = reader.Microseconds("decode_step_us", behaviour.decode_step);
+  behaviour.decode_step_per_call =
+      reader.Microseconds("decode_step_us_per_call", behaviour.decode_step_per_call);
+  behaviour.load_time = reader.Milliseconds("load_time_ms", behaviour.load_time);
+  behaviour.shared_prefix_tokens =
+      reader.Number("shared_prefix_tokens", behaviour.shared_prefix_tokens);
+  behaviour.prefix_cache_entries =
+      reader.Number("prefix_cache_entries", behaviour.prefix_cache_entries);
+  behaviour.kv_capacity_tokens = reader.Number("kv_capacity_tokens", behaviour.kv_capacity_tokens);
+  behaviour.service_time = reader.Microseconds("service_us", behaviour.service_time);
+  return behaviour;
+}
+
+void CheckUniqueness(const Deployment& deployment, const std::string& file,
+                     std::vector<std::string>* problems) {
+  std::set<std::string> names;
+  std::set<std::string> addresses;
+  for (const DeployedMachine& machine : deployment.machines) {
+    if (!names.insert(machine.name).second) {
+      problems->push_back(file + ": two machines are named " + machine.name);
+    }
+    if (!addresses.insert(machine.address).second) {
+      problems->push_back(file + ": two machines have the address " + machine.address);
+    }
+  }
+  for (const DeployedReplica& replica : deployment.replicas) {
+    if (!names.insert(replica.id).second) {
+      problems->push_back(file + ": the name " + replica.id + " is used twice");
+    }
+  }
+}
+
+void ReadTables(const toml::table& root, const std::string& file, Deployment* deployment,
+                std::vector<std::string>* problems) {
+  if (const auto* section = root["deployment"].as_table()) {
+    TableReader reader(*section, file, problems);
+    deployment->name = reader.Text("name");
+    deployment->platform_list = reader.Address("platform_list");
+    deployment->emulator_admin = reader.Address("emulator_admin");
+    deployment->list_lag = reader.Milliseconds("list_lag_ms", deployment->list_lag);
+  } else {
+    problems->push_back(file + ": the section [deployment] is missing");
+  }
+  if (const auto* machines = root["machine"].as_array()) {
+    for (const toml::node& node : *machines) {
+      if (const auto* table = node.as_table()) {
+        deployment->machines.push_back(ReadMachine({*table, file, problems}));
+      }
+    }
+  }
+  if (const auto* replicas = root["replica"].as_array()) {
+    for (const toml::node& node : *replicas) {
+      if (const auto* table = node.as_table()) {
+        deployment->replicas.push_back(ReadReplica({*table, file, problems}));
+      }
+    }
+  }
+  if (const auto* behaviours = root["behaviour"].as_table()) {
+    for (const auto& [name, node] : *behaviours) {
+      if (const auto* table = node.as_table()) {
+        deployment->behaviours[std::string(name.str())] = ReadBehaviour({*table, file, problems});
+      }
+    }
+  }
+}
+
+}  // namespace
+
+BackendBehaviour Deployment::BehaviourOf(const std::string& backend) const {
+  const auto found = behaviours.find(backend);
+  return found == behaviours.end() ? BackendBehaviour{} : found->second;
+}
+
+const DeployedMachine* Deployment::FindMachine(const std::string& machine_name) const {
+  for (const DeployedMachine& machine : machines) {
+    if (machine.name == machine_name) {
+      return &machine;
+    }
+  }
+  return nullptr;
+}
+
+Result<Deployment> ParseDeployment(std::string_view toml, const std::string& file_name) {
+  toml::table root;
+  try {
+    root = toml::parse(toml, file_name);
+  } catch (const toml::parse_error& error) {
+    return Status(StatusCode::kInvalidArgument, file_name + ":" +
+                                                    std::to_string(error.source().begin.line) +
+                                                    ": " + std::string(error.description()));
+  }
+  Deployment deployment;
+  std::vector<std::string> problems;
+  ReadTables(root, file_name, &deployment, &problems);
+  if (deployment.machines.empty()) {
+    problems.push_back(file_name + ": expected at least one [[machine]]");
+  }
+  CheckUniqueness(deployment, file_name, &problems);
+  if (problems.empty()) {
+    return deployment;
+  }
+  std::string message;
+  for (const std::string& problem : problems) {
+    message += (message.empty() ? "" : "\n") + problem;
+  }
+  return Status(StatusCode::kInvalidArgument, message);
+}
+
+Result<Deployment> LoadDeployment(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  if (!file) {
+    return Status(StatusCode::kInvalidArgument, path + ": no readable file");
+  }
+  const std::string text{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+  return ParseDeployment(text, path);
+}
+
+}  // namespace cloverbank
