--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -29,8 +29,8 @@
   /// Sets the gauge `name` with `labels`.
   void SetGauge(std::string_view name, double value,
                 std::initializer_list<MetricLabel> labels = {});
-  /// Records `seconds` in the latency histogram `name`.
-  void ObserveSeconds(std::string_view name, double seconds,
+  /// Records `value_seconds` in the latency histogram `name`.
+  void ObserveSeconds(std::string_view name, double value_seconds,
                       std::initializer_list<MetricLabel> labels = {});
   /// @return all metrics in the Prometheus text exposition format.
   std::string Render() const;
