Add the simulated world

Services need a world whose faults can be replayed. One seeded event queue drives machines with a disk and one process life each, and a network that delays, loses, duplicates and cuts. Callbacks belong to the life that registered them and are dropped with it. What callers are told is always true: kUnavailable only when no copy of the request reached or can still reach a process.

SimulatedMachine gains SetDiskLimit and FailSyncs for disk faults.

--- /dev/null
+++ b/src/simulation/simulated_machine.cc
@@ -0,0 +1,92 @@
+#include "simulation/simulated_machine.h"
+
+#include <cstdlib>
+#include <utility>
+
+#include "base/logging.h"
+
+namespace cloverbank {
+
+MachineInWorld::MachineInWorld(std::string name, Endpoint endpoint, EventQueue& queue,
+                               SimulatedNetwork& network, const DiskBehaviour& disks,
+                               std::shared_ptr<SimulatedProcess> outside, std::uint64_t seed)
+    : name_(std::move(name)),
+      endpoint_(std::move(endpoint)),
+      queue_(queue),
+      network_(network),
+      disks_(disks),
+      random_(seed),
+      outside_folder_(queue, disk_, disks, std::move(outside), SimulatedFolder::Timing::kImmediate,
+                      random_.Next()) {
+  network_.AddEndpoint(endpoint_, [this] { return process_; });
+}
+
+MachineInWorld::~MachineInWorld() { EndProcess(); }
+
+void MachineInWorld::Start() {
+  if (running() || !program_) {
+    Log(LogLevel::kError, "simulated_machine_can_not_start",
+        {{"machine", name_}, {"why", running() ? "already running" : "no program set"}});
+    std::abort();
+  }
+  disk_.Open();
+  process_ = std::make_shared<SimulatedProcess>();
+  Life life;
+  life.environment =
+      std::make_unique<SimulatedEnvironment>(queue_, network_, process_, endpoint_, random_.Next());
+  life.folder = std::make_unique<SimulatedFolder>(
+      queue_, disk_, disks_, process_, SimulatedFolder::Timing::kDelayed, random_.Next());
+  Environment& environment = *life.environment;
+  DataFolder& folder = *life.folder;
+  lives_.push_back(std::move(life));
+  const std::shared_ptr<SimulatedProcess> process = process_;
+  process->Deliver([this, &process, &environment, &folder] {
+    process->SetProgram(program_(environment, folder));
+  });
+}
+
+void MachineInWorld::EndProcess() {
+  const auto process = std::exchange(process_, nullptr);
+  if (process) {
+    process->End();
+  }
+}
+
+void MachineInWorld::Kill() {
+  if (process_) {
+    process_->BreakIncoming();
+  }
+  EndProcess();
+}
+
+void MachineInWorld::LosePower() {
+  EndProcess();
+  disk_.LosePower(random_, disks_.torn_tails);
+}
+
+void MachineInWorld::LoseDisk() {
+  Kill();
+  disk_.LoseAll();
+}
+
+void MachineInWorld::Freeze() {
+  if (process_) {
+    process_->Freeze();
+  }
+}
+
+void MachineInWorld::Wake() {
+  if (!process_) {
+    return;
+  }
+  for (auto& action : process_->Wake()) {
+    queue_.Schedule(queue_.now(), [weak = std::weak_ptr(process_), action = std::move(action)] {
+      const auto process = weak.lock();
+      if (process) {
+        process->Deliver(action);
+      }
+    });
+  }
+}
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/simulation/simulated_machine.h
@@ -0,0 +1,69 @@
+#pragma once
+/// @file
+/// A machine of the simulated world: its disk and its process lives, one after another.
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "simulation/event_queue.h"
+#include "simulation/seeded_random.h"
+#include "simulation/simulated_disk.h"
+#include "simulation/simulated_environment.h"
+#include "simulation/simulated_folder.h"
+#include "simulation/simulated_network.h"
+#include "simulation/simulated_world.h"
+
+namespace cloverbank {
+
+class MachineInWorld final : public SimulatedMachine {
+ public:
+  /// @param outside the process in whose name tests use the disk.
+  MachineInWorld(std::string name, Endpoint endpoint, EventQueue& queue, SimulatedNetwork& network,
+                 const DiskBehaviour& disks, std::shared_ptr<SimulatedProcess> outside,
+                 std::uint64_t seed);
+  ~MachineInWorld() override;
+  MachineInWorld(const MachineInWorld&) = delete;
+  MachineInWorld& operator=(const MachineInWorld&) = delete;
+
+  const std::string& name() const override { return name_; }
+  const Endpoint& endpoint() const override { return endpoint_; }
+  bool running() const override { return process_ != nullptr; }
+
+  void SetProgram(Program program) override { program_ = std::move(program); }
+  void Start() override;
+  void Kill() override;
+  void LosePower() override;
+  void LoseDisk() override;
+  void Freeze() override;
+  void Wake() override;
+  DataFolder& disk() override { return outside_folder_; }
+  Status FlipBit(const std::string& file, std::uint64_t byte) override {
+    return disk_.FlipBit(file, byte);
+  }
+  void SetDiskLimit(std::uint64_t bytes) override { disk_.SetLimit(bytes); }
+  void FailSyncs(bool fail) override { disk_.FailSyncs(fail); }
+
+ private:
+  /// What a life used. Kept to the world's end, since its program's remains may still refer to it.
+  struct Life {
+    std::unique_ptr<SimulatedEnvironment> environment;
+    std::unique_ptr<SimulatedFolder> folder;
+  };
+  void EndProcess();
+
+  const std::string name_;
+  const Endpoint endpoint_;
+  EventQueue& queue_;
+  SimulatedNetwork& network_;
+  const DiskBehaviour& disks_;
+  SeededRandom random_;
+  SimulatedDisk disk_;
+  SimulatedFolder outside_folder_;
+  Program program_;
+  std::vector<Life> lives_;
+  std::shared_ptr<SimulatedProcess> process_;
+};
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/simulation/simulated_network.cc
@@ -0,0 +1,120 @@
+#include "simulation/simulated_network.h"
+
+#include <cstdlib>
+#include <utility>
+
+#include "base/logging.h"
+
+namespace cloverbank {
+
+void SimulatedNetwork::AddEndpoint(const Endpoint& endpoint, FindProcess find) {
+  endpoints_[endpoint] = std::move(find);
+}
+
+void SimulatedNetwork::Heal(const std::string& host) {
+  std::erase_if(cuts_,
+                [&host](const auto& cut) { return cut.first == host || cut.second == host; });
+}
+
+void SimulatedNetwork::Call(const std::shared_ptr<SimulatedProcess>& caller,
+                            const std::string& from_host, const Endpoint& to,
+                            std::string_view method, std::string body, Duration deadline,
+                            PeerReplyCallback done) {
+  const std::weak_ptr<SimulatedProcess> weak_caller = caller;
+  const std::uint64_t id = caller->AddCall(std::move(done));
+  const auto call = std::make_shared<PendingCall>(
+      PendingCall{weak_caller, id, from_host, to, std::string(method), 1, 0});
+  queue_.Schedule(queue_.now() + deadline, [weak_caller, id] {
+    const auto process = weak_caller.lock();
+    if (process) {
+      process->Deliver([raw = process.get(), id] {
+        raw->FinishCall(id, {Status(StatusCode::kUnknownOutcome, "no answer in time"), {}});
+      });
+    }
+  });
+  if (from_host != to.host && random_.Chance(behaviour_.request_duplication)) {
+    call->copies = 2;
+  }
+  const auto shared_body = std::make_shared<const std::string>(std::move(body));
+  for (int copy = 0; copy < call->copies; ++copy) {
+    Transmit(from_host, to.host, behaviour_.request_loss,
+             [this, call, shared_body] { ArriveRequest(call, shared_body); });
+  }
+}
+
+void SimulatedNetwork::Transmit(const std::string& from, const std::string& to, double loss,
+                                std::function<void()> arrive) {
+  const bool within_host = from == to;
+  if (!within_host && (random_.Chance(loss) || IsCut(from, to))) {
+    return;
+  }
+  const Duration delay = random_.Between(behaviour_.minimum_delay, behaviour_.maximum_delay);
+  queue_.Schedule(queue_.now() + delay, [this, from, to, arrive = std::move(arrive)] {
+    if (!IsCut(from, to)) {
+      arrive();
+    }
+  });
+}
+
+void SimulatedNetwork::ArriveRequest(const CallPointer& call, const Body& body) {
+  const auto found = endpoints_.find(call->to);
+  const auto callee = found == endpoints_.end() ? nullptr : found->second();
+  if (!callee) {
+    SendAnswer(
+        call,
+        {Status(StatusCode::kUnavailable, "connection refused by " + call->to.ToString()), {}});
+    return;
+  }
+  const std::uint64_t incoming = callee->AddIncoming([this, call] {
+    SendToCaller(
+        call,
+        {Status(StatusCode::kUnknownOutcome, "connection reset by " + call->to.ToString()), {}});
+  });
+  callee->Deliver(
+      [this, raw = callee.get(), call, body, incoming] { Serve(*raw, call, body, incoming); });
+}
+
+void SimulatedNetwork::Serve(SimulatedProcess& callee, const CallPointer& call, const Body& body,
+                             std::uint64_t incoming) {
+  const auto answered = std::make_shared<bool>(false);
+  PeerReplyCallback reply = [this, weak_callee = callee.weak_from_this(), call, incoming,
+                             answered](PeerReply answer) {
+    const auto process = weak_callee.lock();
+    if (!process || !process->alive()) {
+      return;
+    }
+    if (std::exchange(*answered, true)) {
+      Log(LogLevel::kError, "peer_method_answered_twice", {{"method", call->method}});
+      std::abort();
+    }
+    process->RemoveIncoming(incoming);
+    SendAnswer(call, std::move(answer));
+  };
+  const std::shared_ptr<PeerHandler> handler = callee.FindHandler(call->method);
+  if (!handler) {
+    reply({Status(StatusCode::kUnavailable, "no such peer method: " + call->method), {}});
+    return;
+  }
+  (*handler)({*body, call->from_host}, std::move(reply));
+}
+
+void SimulatedNetwork::SendAnswer(const CallPointer& call, PeerReply reply) {
+  if (!reply.status.ok()) {
+    ++call->failures;
+    if (call->failures < call->copies) {
+      return;
+    }
+  }
+  SendToCaller(call, std::move(reply));
+}
+
+void SimulatedNetwork::SendToCaller(const CallPointer& call, PeerReply reply) {
+  Transmit(call->to.host, call->from_host, behaviour_.reply_loss, [call, reply = std::move(reply)] {
+    const auto caller = call->caller.lock();
+    if (caller) {
+      caller->Deliver([raw = caller.get(), id = call->id, reply] { raw->FinishCall(id, reply); });
+    }
+  });
+}
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/simulation/simulated_process.h
@@ -0,0 +1,79 @@
+#pragma once
+/// @file
+/// One life of one process. Every callback its program hands out (timers, answers, disk
+/// completions, peer handlers) is kept here and dropped with the life; the event queue holds only
+/// weak references. So nothing of a dead life ever runs, and nothing it captured outlives it.
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+#include "runtime/environment.h"
+#include "storage/data_folder.h"
+
+namespace cloverbank {
+
+class SimulatedProcess : public std::enable_shared_from_this<SimulatedProcess> {
+ public:
+  SimulatedProcess() = default;
+  ~SimulatedProcess();
+  SimulatedProcess(const SimulatedProcess&) = delete;
+  SimulatedProcess& operator=(const SimulatedProcess&) = delete;
+
+  bool alive() const { return alive_; }
+  /// Keeps what the process runs until its end.
+  void SetProgram(std::shared_ptr<void> program) { program_ = std::move(program); }
+
+  /// Runs `action` as this process: now, after `Wake` if it is frozen, never if it is dead.
+  void Deliver(std::function<void()> action);
+  void Freeze() { frozen_ = true; }
+  /// @return what became due while frozen, in order; the caller delivers it.
+  std::deque<std::function<void()>> Wake();
+  /// Ends the life. The program is destroyed at once, or when its running callback returns.
+  void End();
+
+  TimerId AddTimer(std::function<void()> action);
+  void CancelTimer(TimerId timer) { timers_.erase(timer); }
+  void RunTimer(TimerId timer);
+
+  std::uint64_t AddCall(PeerReplyCallback done);
+  /// Runs the callback of a call unless it has run; later answers are ignored.
+  void FinishCall(std::uint64_t call, PeerReply reply);
+
+  std::uint64_t AddDiskOperation(DataFolder::Done done);
+  void FinishDiskOperation(std::uint64_t operation, Status status);
+
+  void SetHandler(std::string_view method, PeerHandler handler);
+  /// @return nullptr if the method is not served.
+  std::shared_ptr<PeerHandler> FindHandler(std::string_view method) const;
+
+  /// Notes a request that came in and is not answered; `broken` runs if the process is killed
+  /// first.
+  std::uint64_t AddIncoming(std::function<void()> broken);
+  void RemoveIncoming(std::uint64_t incoming) { incoming_.erase(incoming); }
+  /// Breaks the connections of all unanswered requests, as the system does when a process dies.
+  void BreakIncoming();
+
+ private:
+  /// Destroys the program and every kept callback.
+  void Dismantle();
+
+  bool alive_ = true;
+  bool frozen_ = false;
+  int running_callbacks_ = 0;
+  std::uint64_t next_id_ = 1;
+  std::shared_ptr<void> program_;
+  std::deque<std::function<void()>> waiting_;  ///< Due while frozen.
+  std::unordered_map<TimerId, std::function<void()>> timers_;
+  std::unordered_map<std::uint64_t, PeerReplyCallback> calls_;
+  std::unordered_map<std::uint64_t, DataFolder::Done> disk_operations_;
+  std::map<std::string, std::shared_ptr<PeerHandler>, std::less<>> handlers_;
+  std::map<std::uint64_t, std::function<void()>> incoming_;
+};
+
+}  // namespace cloverbank
--- a/src/simulation/simulated_world.h
+++ b/src/simulation/simulated_world.h
@@ -62,6 +62,12 @@
   virtual DataFolder& disk() = 0;
   /// Flips one bit of a stored file. @return kNotFound if there is no such file or byte.
   virtual Status FlipBit(const std::string& file, std::uint64_t byte) = 0;
+  /// From now on writes that would make the disk hold more than `bytes` fail with
+  /// kResourceExhausted.
+  virtual void SetDiskLimit(std::uint64_t bytes) = 0;
+  /// While `fail` is set every sync fails with kIoError. A file whose sync failed takes no more
+  /// writes in this process life, and the bytes concerned are gone in the next.
+  virtual void FailSyncs(bool fail) = 0;
 };
 
 class SimulatedWorld {
