--- /dev/null
+++ b/src/storage/record_file.cc
@@ -0,0 +1,91 @@
+#include "storage/record_file.h"
+
+#include "base/checksum.h"
+
+namespace cloverbank {
+
+namespace {
+
+constexpr std::size_t kLengthBytes = 4;
+constexpr std::size_t kChecksumBytes = 8;
+constexpr unsigned kBitsInByte = 8;
+
+void AppendLittleEndian(std::string& target, std::uint64_t value, std::size_t byte_count) {
+  for (std::size_t index = 0; index < byte_count; ++index) {
+    target.push_back(static_cast<char>(value >> (kBitsInByte * index)));
+  }
+}
+
+/// @return the number in all of `bytes`.
+std::uint64_t ReadLittleEndian(std::string_view bytes) {
+  std::uint64_t value = 0;
+  for (std::size_t index = bytes.size(); index > 0; --index) {
+    value = (value << kBitsInByte) | static_cast<unsigned char>(bytes[index - 1]);
+  }
+  return value;
+}
+
+/// @return the length in the header at `position`, if that is whole and the payload could be.
+std::optional<std::size_t> LengthAt(std::string_view bytes, std::size_t position) {
+  if (bytes.size() - position < kRecordHeaderBytes) {
+    return std::nullopt;
+  }
+  const std::uint64_t length = ReadLittleEndian(bytes.substr(position, kLengthBytes));
+  if (length > bytes.size() - position - kRecordHeaderBytes) {
+    return std::nullopt;
+  }
+  return length;
+}
+
+}  // namespace
+
+std::string EncodeRecord(std::string_view payload, std::uint64_t seed) {
+  std::string record;
+  AppendRecord(record, payload, seed);
+  return record;
+}
+
+void AppendRecord(std::string& target, std::string_view payload, std::uint64_t seed) {
+  target.reserve(target.size() + kRecordHeaderBytes + payload.size());
+  AppendLittleEndian(target, payload.size(), kLengthBytes);
+  AppendLittleEndian(target, Checksum(payload, seed), kChecksumBytes);
+  target.append(payload);
+}
+
+std::optional<std::string_view> RecordReader::PayloadAt(std::size_t position) const {
+  const auto length = LengthAt(bytes_, position);
+  if (!length.has_value()) {
+    return std::nullopt;
+  }
+  const std::uint64_t checksum =
+      ReadLittleEndian(bytes_.substr(position + kLengthBytes, kChecksumBytes));
+  const std::string_view payload = bytes_.substr(position + kRecordHeaderBytes, *length);
+  if (checksum != Checksum(payload, seed_)) {
+    return std::nullopt;
+  }
+  return payload;
+}
+
+std::optional<std::string_view> RecordReader::Next() {
+  const auto payload = PayloadAt(position_);
+  if (payload.has_value()) {
+    position_ += kRecordHeaderBytes + payload->size();
+  }
+  return payload;
+}
+
+RecordTail RecordReader::tail() const {
+  const std::string_view rest = bytes_.substr(position_);
+  if (rest.empty()) {
+    return RecordTail::kClean;
+  }
+  if (rest.find_first_not_of('\0') == std::string_view::npos) {
+    return RecordTail::kReserved;
+  }
+  const auto length = LengthAt(bytes_, position_);
+  const bool valid_one_follows =
+      length.has_value() && PayloadAt(position_ + kRecordHeaderBytes + *length).has_value();
+  return valid_one_follows ? RecordTail::kCorrupt : RecordTail::kTorn;
+}
+
+}  // namespace cloverbank
