--- a/src/simulation/simulated_disk.cc
+++ b/src/simulation/simulated_disk.cc
@@ -20,6 +20,9 @@
     case Kind::kAppend:
       return old_size + operation.bytes.size();
     case Kind::kWriteAt:
+      if (operation.bytes.empty()) {
+        return old_size;  // Like pwrite(2): no byte, no growth.
+      }
       return std::max<std::uint64_t>(old_size, operation.position + operation.bytes.size());
     case Kind::kReplace:
       return operation.bytes.size();
@@ -49,8 +52,10 @@
       *content = operation.bytes;
       break;
     case Kind::kWriteAt:
-      content->resize(
-          std::max<std::size_t>(content->size(), operation.position + operation.bytes.size()));
+      if (operation.bytes.empty()) {
+        break;
+      }
+      content->resize(*SizeAfter(content->size(), operation));
       content->replace(operation.position, operation.bytes.size(), operation.bytes);
       break;
     default:
@@ -61,10 +66,6 @@
 
 bool CanTear(Kind kind) { return kind == Kind::kAppend || kind == Kind::kWriteAt; }
 
-Status FailedFile(const std::string& name) {
-  return {StatusCode::kIoError, "sync of " + name + " failed; the file takes no more writes"};
-}
-
 }  // namespace
 
 Status SimulatedDisk::Write(const std::string& name, FileOperation operation,
@@ -72,7 +73,7 @@
   const auto found = files_.find(name);
   const bool known = found != files_.end();
   if (known && found->second.failed) {
-    return FailedFile(name);
+    return FailedFileStatus(name);
   }
   const auto old_size = known ? found->second.visible_size : std::nullopt;
   if (operation.kind == Kind::kTruncate && !old_size.has_value()) {
@@ -101,7 +102,7 @@
     file.failed = true;
   }
   if (file.failed) {
-    return FailedFile(name);
+    return FailedFileStatus(name);
   }
   MakeDurable(file, sequence);
   if (!file.durable.has_value() && file.unsynced.empty()) {
--- a/src/simulation/simulated_disk.h
+++ b/src/simulation/simulated_disk.h
@@ -14,17 +14,10 @@
 
 #include "base/status.h"
 #include "simulation/seeded_random.h"
+#include "storage/file_operation.h"
 
 namespace cloverbank {
 
-/// One change of one file.
-struct FileOperation {
-  enum class Kind : std::uint8_t { kAppend, kWriteAt, kReplace, kTruncate, kReserve, kRemove };
-  Kind kind = Kind::kAppend;
-  std::uint64_t position = 0;  ///< Offset of kWriteAt; size of kTruncate and kReserve.
-  std::string bytes;
-};
-
 class SimulatedDisk {
  public:
   /// Hands an operation to the system: readers see it from now on. On success `sequence` names it.
