Ask may_send immediately before a request leaves

An outgoing call may wait for its connection, or its process may be frozen while it does, and its right (lease, work lease, draining list) may run out meanwhile.

--- a/src/net/http_types.h
+++ b/src/net/http_types.h
@@ -29,6 +29,10 @@
   HttpHeaders headers;
   std::string body;
   std::string peer_address;  ///< IP number of the caller.
+  /// Outgoing calls: asked once, immediately before the first byte leaves (the connection stands by
+  /// then). False ends the call as kNotSent. Empty means always. It lets a right that ran out while
+  /// the connection was being made, or while the process was frozen, stop the call.
+  std::function<bool()> may_send;
 };
 
 struct HttpResponse {
