Add the event loop, HTTP server and client, and the socket environment

Services need the real Environment, and the adapters an HTTP server and client whose failures say exactly what the caller may assume.

--- a/src/base/metrics.cc
+++ b/src/base/metrics.cc
@@ -50,13 +50,13 @@
       .Set(value);
 }
 
-void Metrics::ObserveSeconds(std::string_view name, double seconds,
+void Metrics::ObserveSeconds(std::string_view name, double value,
                              std::initializer_list<MetricLabel> labels) {
   prometheus::BuildHistogram()
       .Name(std::string(name))
       .Register(state_->registry)
       .Add(ToLabels(labels), LatencyBuckets())
-      .Observe(seconds);
+      .Observe(value);
 }
 
 std::string Metrics::Render() const {
--- /dev/null
+++ b/src/net/beast_http_server.cc
@@ -0,0 +1,154 @@
+#include "net/beast_http_server.h"
+
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <utility>
+#include <vector>
+
+#include "base/logging.h"
+#include "net/server_connection.h"
+
+namespace cloverbank {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+/// Pause after a failed accept (out of file descriptors), so that the loop is not kept busy.
+constexpr Duration kAcceptRetryDelay = milliseconds(100);
+/// Connections beyond the limit that are told so; further ones are closed without a word.
+constexpr std::size_t kMaximumRefusalsInProgress = 256;
+
+Status IoError(const std::string& what, const Endpoint& endpoint, const error_code& error) {
+  return {StatusCode::kIoError, what + " " + endpoint.ToString() + ": " + error.message()};
+}
+
+}  // namespace
+
+struct BeastHttpServer::Listener : std::enable_shared_from_this<BeastHttpServer::Listener> {
+  explicit Listener(std::shared_ptr<HttpServerShared> shared_state)
+      : shared(std::move(shared_state)), acceptor(shared->loop.io_context()) {}
+
+  Status Open() {
+    Endpoint& listen = shared->options.listen;
+    error_code error;
+    const auto address = asio::ip::make_address(listen.host, error);
+    if (error) {
+      return {StatusCode::kInvalidArgument, "not an IP number: " + listen.host};
+    }
+    const tcp::endpoint endpoint(address, listen.port);
+    acceptor.open(endpoint.protocol(), error);
+    if (!error) {
+      acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    }
+    if (!error) {
+      acceptor.bind(endpoint, error);
+    }
+    if (!error) {
+      acceptor.listen(asio::socket_base::max_listen_connections, error);
+    }
+    if (error) {
+      return IoError("can not listen on", listen, error);
+    }
+    listen.port = acceptor.local_endpoint(error).port();
+    return Status::Ok();
+  }
+
+  void Accept() {
+    acceptor.async_accept([self = shared_from_this()](const error_code& error, tcp::socket socket) {
+      self->OnAccepted(error, std::move(socket));
+    });
+  }
+
+  void OnAccepted(const error_code& error, tcp::socket socket) {
+    if (!acceptor.is_open()) {
+      return;
+    }
+    if (error) {
+      Log(LogLevel::kWarning, "accept_failed", {{"error", error.message()}});
+      retry_timer = shared->loop.ScheduleAfter(kAcceptRetryDelay,
+                                               [self = shared_from_this()] { self->Accept(); });
+      return;
+    }
+    Serve(std::move(socket));
+    Accept();
+  }
+
+  void Serve(tcp::socket socket) {
+    error_code error;
+    socket.set_option(tcp::no_delay(true), error);
+    const tcp::endpoint peer = socket.remote_endpoint(error);
+    if (error) {
+      return;  // The caller has left already.
+    }
+    const std::size_t limit = shared->options.maximum_connections;
+    const std::size_t open = shared->connections.size();
+    if (open >= limit + kMaximumRefusalsInProgress) {
+      shared->metrics.Increment("http_server_refusals_total", {{"reason", "connection_flood"}});
+      return;
+    }
+    const auto connection =
+        std::make_shared<ServerConnection>(shared, std::move(socket), peer.address().to_string());
+    if (open >= limit) {
+      connection->RefuseAsOverloaded();
+    } else {
+      connection->Start();
+    }
+  }
+
+  void Close() {
+    shared->loop.CancelTimer(std::exchange(retry_timer, 0));
+    error_code ignored;
+    acceptor.close(ignored);
+  }
+
+  std::shared_ptr<HttpServerShared> shared;
+  tcp::acceptor acceptor;
+  TimerId retry_timer = 0;
+};
+
+BeastHttpServer::BeastHttpServer(EventLoop& loop, HttpServerOptions options, Metrics& metrics,
+                                 const FaultInjector* faults)
+    : shared_(std::make_shared<HttpServerShared>(loop, std::move(options), metrics, faults)),
+      listener_(std::make_shared<Listener>(shared_)) {}
+
+BeastHttpServer::~BeastHttpServer() {
+  listener_->Close();
+  const std::vector<ServerConnection*> open(shared_->connections.begin(),
+                                            shared_->connections.end());
+  for (ServerConnection* connection : open) {
+    connection->Close();
+  }
+}
+
+void BeastHttpServer::Handle(std::string_view method, std::string_view pattern,
+                             HttpHandler handler) {
+  shared_->routes.Add(method, pattern, std::move(handler));
+}
+
+Status BeastHttpServer::Listen() {
+  const Status opened = listener_->Open();
+  if (opened.ok()) {
+    listener_->Accept();
+  }
+  return opened;
+}
+
+const Endpoint& BeastHttpServer::endpoint() const { return shared_->options.listen; }
+
+void BeastHttpServer::Drain(std::function<void()> idle) {
+  listener_->Close();
+  shared_->draining = true;
+  shared_->on_idle = std::move(idle);
+  const std::vector<ServerConnection*> open(shared_->connections.begin(),
+                                            shared_->connections.end());
+  for (ServerConnection* connection : open) {
+    connection->Drain();
+  }
+  shared_->NotifyIfIdle();
+}
+
+std::size_t BeastHttpServer::calls_in_progress() const { return shared_->calls_in_progress; }
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/net/client_call.h
@@ -0,0 +1,75 @@
+#pragma once
+/// @file
+/// One outgoing call of `BeastHttpClient`. Internal to net/: it shows Boost types.
+
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "net/connection_pool.h"
+#include "net/http_types.h"
+
+namespace cloverbank {
+
+/// Limits of one call.
+struct ClientCallLimits {
+  Duration deadline{};
+  Duration idle_limit{};           ///< Zero: only the deadline counts.
+  std::uint64_t maximum_body = 0;  ///< Zero: unbounded.
+};
+
+class ClientCall : public HttpCall, public std::enable_shared_from_this<ClientCall> {
+ public:
+  ClientCall(std::shared_ptr<HttpClientShared> shared, Endpoint to, HttpRequest request,
+             ClientCallLimits limits, HttpStreamCallbacks callbacks);
+
+  /// Begins on the next turn of the loop. `may_send` of the request is asked right before writing.
+  void Start();
+  void Cancel() override;
+
+ private:
+  using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
+
+  void Begin();
+  void Connect();
+  void OnConnected(const boost::system::error_code& error);
+  void Write();
+  void OnWritten(const boost::system::error_code& error, std::size_t size);
+  void ReadHead();
+  void OnHead(const boost::system::error_code& error);
+  void ReadBody();
+  void OnBody(const boost::system::error_code& error);
+  void ContinueBody();
+  /// Ends with kUnknown, unless the peer is cut off: then nothing is heard until the deadline.
+  void FailAfterSending(const std::string& reason);
+  void Finish(HttpOutcomeKind kind, std::string reason);
+  void OnDeadline();
+  void ArmStepTimer(Duration timeout, std::function<void()> action);
+  void EndTimers();
+  void CloseConnection();
+
+  std::shared_ptr<HttpClientShared> shared_;
+  Endpoint to_;
+  ClientCallLimits limits_;
+  boost::beast::http::request<boost::beast::http::string_body> request_;
+  std::function<bool()> may_send_;
+  /// Null once the call is over.
+  std::shared_ptr<HttpStreamCallbacks> callbacks_;
+
+  std::unique_ptr<ClientConnection> connection_;
+  std::optional<Parser> parser_;
+  std::vector<char> chunk_;
+  int status_ = 0;
+  bool may_have_sent_ = false;  ///< A byte of the request may have left.
+  bool waiting_for_more_ = false;
+  TimerId deadline_timer_ = 0;
+  TimerId step_timer_ = 0;  ///< Connecting, or silence of the peer.
+};
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/net/connection_pool.h
@@ -0,0 +1,72 @@
+#pragma once
+/// @file
+/// Idle connections of `BeastHttpClient`. Internal to net/: it shows Boost types.
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <deque>
+#include <memory>
+#include <unordered_map>
+
+#include "net/beast_http_client.h"
+
+namespace cloverbank {
+
+struct ClientConnection {
+  explicit ClientConnection(boost::asio::io_context& context) : socket(context) {}
+
+  boost::asio::ip::tcp::socket socket;
+  boost::beast::flat_buffer buffer;
+  TimePoint idle_since;
+  bool reused = false;  ///< Came out of the pool.
+};
+
+class ConnectionPool {
+ public:
+  ConnectionPool(Duration idle_timeout, std::size_t maximum_idle)
+      : idle_timeout_(idle_timeout), maximum_idle_(maximum_idle) {}
+
+  /// @return the connection to `endpoint` used last that the peer has not closed, or nullptr.
+  std::unique_ptr<ClientConnection> Take(const Endpoint& endpoint);
+  /// Keeps a connection whose last call ended in a whole answer.
+  void Put(const Endpoint& endpoint, std::unique_ptr<ClientConnection> connection);
+  /// Closes the idle connections to `endpoint`: one call found it silent.
+  void Forget(const Endpoint& endpoint) { idle_.erase(endpoint); }
+  /// Closes connections that were idle for too long.
+  void Sweep();
+  std::size_t size() const;
+
+ private:
+  Duration idle_timeout_;
+  std::size_t maximum_idle_;
+  std::unordered_map<Endpoint, std::deque<std::unique_ptr<ClientConnection>>> idle_;
+};
+
+/// What the calls of one client share.
+struct HttpClientShared : std::enable_shared_from_this<HttpClientShared> {
+  HttpClientShared(EventLoop& loop_, HttpClientOptions options_, const FaultInjector* faults_)
+      : loop(loop_),
+        options(std::move(options_)),
+        faults(faults_),
+        pool(options.idle_timeout, options.maximum_idle_per_endpoint) {}
+  ~HttpClientShared() { loop.CancelTimer(sweep_timer); }
+  HttpClientShared(const HttpClientShared&) = delete;
+  HttpClientShared& operator=(const HttpClientShared&) = delete;
+
+  bool Blocked(const Endpoint& endpoint) const {
+    return faults != nullptr && faults->Blocked(endpoint.host);
+  }
+  /// Puts a connection back and sees to it that the pool is swept while it holds any.
+  void Recycle(const Endpoint& endpoint, std::unique_ptr<ClientConnection> connection);
+
+  EventLoop& loop;
+  HttpClientOptions options;
+  const FaultInjector* faults;
+  ConnectionPool pool;
+  TimerId sweep_timer = 0;
+
+ private:
+  void ScheduleSweep();
+};
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/net/http_error.h
@@ -0,0 +1,18 @@
+#pragma once
+/// @file
+/// Answers that the transport itself gives, in the one JSON shape of all errors (ErrorBody).
+
+#include <string_view>
+
+#include "net/http_types.h"
+#include "proto/live.pb.h"
+
+namespace cloverbank {
+
+/// @return a JSON answer with an ErrorBody.
+/// @param code stable snake_case name of the error.
+/// @param executed what the caller may assume of its request.
+HttpResponse MakeErrorResponse(int http_status, std::string_view code, std::string_view message,
+                               proto::Executed executed);
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/net/http_types.cc
@@ -0,0 +1,41 @@
+#include "net/http_types.h"
+
+#include <algorithm>
+#include <cctype>
+
+namespace cloverbank {
+namespace {
+
+bool EqualIgnoringCase(std::string_view left, std::string_view right) {
+  return std::equal(left.begin(), left.end(), right.begin(), right.end(), [](char a, char b) {
+    return std::tolower(static_cast<unsigned char>(a)) ==
+           std::tolower(static_cast<unsigned char>(b));
+  });
+}
+
+}  // namespace
+
+std::string_view FindHeader(const HttpHeaders& headers, std::string_view name) {
+  for (const auto& [key, value] : headers) {
+    if (EqualIgnoringCase(key, name)) {
+      return value;
+    }
+  }
+  return {};
+}
+
+std::string_view PathSegment(std::string_view path, std::size_t index) {
+  if (!path.empty() && path.front() == '/') {
+    path.remove_prefix(1);
+  }
+  for (; index > 0; --index) {
+    const std::size_t slash = path.find('/');
+    if (slash == std::string_view::npos) {
+      return {};
+    }
+    path.remove_prefix(slash + 1);
+  }
+  return path.substr(0, path.find('/'));
+}
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/net/server_connection.cc
@@ -0,0 +1,264 @@
+#include "net/server_connection.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/error.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/read.hpp>
+#include <utility>
+
+#include "net/beast_message.h"
+#include "net/http_error.h"
+#include "net/server_responder.h"
+#include "net/url.h"
+
+namespace cloverbank {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+constexpr std::size_t kWatchBytes = 4096;
+constexpr std::size_t kBufferSlackBytes = 64U << 10U;
+constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+
+}  // namespace
+
+void HttpServerShared::NotifyIfIdle() {
+  if (draining && calls_in_progress == 0 && on_idle) {
+    loop.Post(std::exchange(on_idle, nullptr));
+  }
+}
+
+ServerConnection::ServerConnection(std::shared_ptr<HttpServerShared> shared,
+                                   asio::ip::tcp::socket socket, std::string peer_address)
+    : shared_(std::move(shared)),
+      socket_(std::move(socket)),
+      peer_address_(std::move(peer_address)),
+      buffer_(shared_->options.maximum_header_bytes + kBufferSlackBytes) {}
+
+void ServerConnection::Start() {
+  shared_->connections.insert(this);
+  BecomeIdle();
+}
+
+void ServerConnection::RefuseAsOverloaded() {
+  shared_->connections.insert(this);
+  RefuseAndClose(503, "too_many_connections", "the server is at its limit of connections");
+}
+
+void ServerConnection::Drain() {
+  keep_alive_ = false;
+  if (state_ == State::kIdle) {
+    Close();
+  }
+}
+
+// ---- Reading ----
+
+void ServerConnection::WatchForBytes() {
+  watching_ = true;
+  socket_.async_read_some(buffer_.prepare(kWatchBytes),
+                          [self = shared_from_this()](const error_code& error, std::size_t size) {
+                            self->OnWatched(error, size);
+                          });
+}
+
+void ServerConnection::OnWatched(const error_code& error, std::size_t size) {
+  watching_ = false;
+  if (state_ == State::kClosed) {
+    return;
+  }
+  if (error) {
+    Close();
+    return;
+  }
+  buffer_.commit(size);
+  if (state_ == State::kIdle) {
+    ReadHead();
+  } else if (state_ == State::kLingering || state_ == State::kSilent) {
+    buffer_.consume(buffer_.size());
+    WatchForBytes();
+  }
+  // While answering: these are bytes of the next request. They wait, and the watch ends.
+}
+
+void ServerConnection::ReadHead() {
+  state_ = State::kReading;
+  parser_.emplace();
+  parser_->header_limit(shared_->options.maximum_header_bytes);
+  parser_->body_limit(shared_->options.maximum_body_bytes);
+  ArmTimer(shared_->options.header_timeout);
+  http::async_read_header(
+      socket_, buffer_, *parser_,
+      [self = shared_from_this()](const error_code& error, std::size_t) { self->OnHead(error); });
+}
+
+void ServerConnection::OnHead(const error_code& error) {
+  if (state_ == State::kClosed) {
+    return;
+  }
+  if (error) {
+    RefuseRequest(error);
+    return;
+  }
+  ArmTimer(shared_->options.body_timeout);
+  if (!boost::beast::iequals(parser_->get()[http::field::expect], "100-continue")) {
+    ReadBody();
+    return;
+  }
+  asio::async_write(socket_, asio::buffer(kContinue),
+                    [self = shared_from_this()](const error_code& write_error, std::size_t) {
+                      if (write_error) {
+                        self->Close();
+                      } else if (self->state_ == State::kReading) {
+                        self->ReadBody();
+                      }
+                    });
+}
+
+void ServerConnection::ReadBody() {
+  http::async_read(socket_, buffer_, *parser_,
+                   [self = shared_from_this()](const error_code& error, std::size_t) {
+                     self->OnRequest(error);
+                   });
+}
+
+void ServerConnection::OnRequest(const error_code& error) {
+  if (state_ == State::kClosed) {
+    return;
+  }
+  if (error) {
+    RefuseRequest(error);
+    return;
+  }
+  DisarmTimer();
+  if (shared_->Blocked(peer_address_)) {
+    state_ = State::kSilent;
+    ArmTimer(shared_->options.idle_timeout);
+    buffer_.consume(buffer_.size());
+    WatchForBytes();
+    return;
+  }
+  Dispatch();
+}
+
+void ServerConnection::RefuseRequest(const error_code& error) {
+  if (error == http::error::header_limit || error == http::error::buffer_overflow) {
+    RefuseAndClose(431, "headers_too_large", "the headers exceed the server's limit");
+  } else if (error == http::error::body_limit) {
+    RefuseAndClose(413, "body_too_large", "the body exceeds the server's limit");
+  } else if (error.category() == make_error_code(http::error::bad_method).category() &&
+             error != http::error::end_of_stream && error != http::error::partial_message) {
+    RefuseAndClose(400, "malformed_request", error.message());
+  } else {
+    Close();
+  }
+}
+
+void ServerConnection::RefuseAndClose(int http_status, std::string_view code,
+                                      std::string_view message) {
+  shared_->metrics.Increment("http_server_refusals_total", {{"reason", code}});
+  state_ = State::kAnswering;
+  ++call_;
+  ++shared_->calls_in_progress;
+  keep_alive_ = false;
+  head_request_ = false;
+  answer_started_ = false;
+  answer_complete_ = false;
+  HttpResponse response = MakeErrorResponse(http_status, code, message, proto::EXECUTED_NO);
+  if (http_status == 503) {
+    response.headers.emplace_back("Retry-After", "1");
+  }
+  Send(call_, std::move(response));
+}
+
+void ServerConnection::Dispatch() {
+  const http::request<http::string_body>& message = parser_->get();
+  auto target = ParseRequestTarget({message.target().data(), message.target().size()});
+  if (!target) {
+    RefuseAndClose(400, "malformed_request", "the request target is not a well-formed path");
+    return;
+  }
+  const std::string_view method(message.method_string().data(), message.method_string().size());
+  const auto match = shared_->routes.Find(method, target->path);
+  HttpRequest request;
+  request.method = method;
+  request.path = std::move(target->path);
+  request.query = std::move(target->query);
+  request.headers = ToHttpHeaders(message);
+  request.peer_address = peer_address_;
+  keep_alive_ = message.keep_alive() && !shared_->draining;
+  head_request_ = message.method() == http::verb::head;
+  request.body = std::move(parser_->get().body());
+
+  state_ = State::kAnswering;
+  ++call_;
+  ++shared_->calls_in_progress;
+  answer_started_ = false;
+  answer_complete_ = false;
+  if (buffer_.size() == 0) {
+    WatchForBytes();
+  }
+  if (match.handler != nullptr) {
+    (*match.handler)(std::move(request), MakeServerResponder(shared_from_this(), call_));
+    return;
+  }
+  shared_->metrics.Increment("http_server_refusals_total", {{"reason", "no_route"}});
+  Send(call_,
+       match.path_known
+           ? MakeErrorResponse(405, "method_not_allowed",
+                               "this path does not serve " + request.method, proto::EXECUTED_NO)
+           : MakeErrorResponse(404, "not_found", "nothing is served at " + request.path,
+                               proto::EXECUTED_NO));
+}
+
+// ---- Timers and the end ----
+
+void ServerConnection::ArmTimer(Duration timeout) {
+  DisarmTimer();
+  timer_ = shared_->loop.ScheduleAfter(timeout, [self = shared_from_this()] {
+    self->timer_ = 0;
+    self->shared_->metrics.Increment("http_server_timeouts_total");
+    self->Close();
+  });
+}
+
+void ServerConnection::DisarmTimer() { shared_->loop.CancelTimer(std::exchange(timer_, 0)); }
+
+void ServerConnection::Close() {
+  if (state_ == State::kClosed) {
+    return;
+  }
+  const bool answering = state_ == State::kAnswering;
+  const auto self = shared_from_this();
+  state_ = State::kClosed;
+  DisarmTimer();
+  error_code ignored;
+  socket_.close(ignored);
+  shared_->connections.erase(this);
+  FailPendingWrites();
+  if (gone_) {
+    shared_->loop.Post(std::exchange(gone_, nullptr));
+  }
+  if (answering) {
+    --shared_->calls_in_progress;
+  }
+  shared_->NotifyIfIdle();
+}
+
+void ServerConnection::FailPendingWrites() {
+  // The bytes in flight stay: the socket's pending operation may still refer to them.
+  for (auto* parts : {&in_flight_, &queue_}) {
+    for (OutgoingPart& part : *parts) {
+      if (part.written) {
+        shared_->loop.Post(
+            [written = std::exchange(part.written, nullptr)] { written(/*alive=*/false); });
+      }
+    }
+  }
+  queue_.clear();
+}
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/net/server_connection.h
@@ -0,0 +1,130 @@
+#pragma once
+/// @file
+/// One accepted connection of `BeastHttpServer`. Internal to net/: it shows Boost types.
+///
+/// A connection reads one request at a time, hands it to its handler and writes the answer. While
+/// the answer is under way it keeps a read pending, so that it notices a caller that leaves.
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_set>
+
+#include "net/beast_http_server.h"
+#include "net/route_table.h"
+
+namespace cloverbank {
+
+class ServerConnection;
+
+/// What the connections of one server share.
+struct HttpServerShared {
+  HttpServerShared(EventLoop& loop_, HttpServerOptions options_, Metrics& metrics_,
+                   const FaultInjector* faults_)
+      : loop(loop_), options(std::move(options_)), metrics(metrics_), faults(faults_) {}
+
+  bool Blocked(const std::string& address) const {
+    return faults != nullptr && faults->Blocked(address);
+  }
+  /// Runs the drain callback if nothing is left to wait for.
+  void NotifyIfIdle();
+
+  EventLoop& loop;
+  HttpServerOptions options;
+  Metrics& metrics;
+  const FaultInjector* faults;
+  RouteTable routes;
+  std::unordered_set<ServerConnection*> connections;
+  std::size_t calls_in_progress = 0;
+  bool draining = false;
+  std::function<void()> on_idle;
+};
+
+class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
+ public:
+  ServerConnection(std::shared_ptr<HttpServerShared> shared, boost::asio::ip::tcp::socket socket,
+                   std::string peer_address);
+
+  void Start();
+  /// Answers 503 and closes, without reading a request.
+  void RefuseAsOverloaded();
+  /// Closes now. Callbacks of a pending answer run later on the loop.
+  void Close();
+  /// Closes if no answer is under way; otherwise after it.
+  void Drain();
+
+  // Of the responder. `call` numbers the request; calls for any but the current one are ignored.
+  void Send(std::uint64_t call, HttpResponse response);
+  void StartStream(std::uint64_t call, int status, const HttpHeaders& headers);
+  void WritePiece(std::uint64_t call, const std::string& piece,
+                  std::function<void(bool alive)> written);
+  void FinishStream(std::uint64_t call);
+  void Abort(std::uint64_t call);
+  void OnDisconnect(std::uint64_t call, std::function<void()> gone);
+  /// The responder was dropped; breaks the answer if it is not complete.
+  void OnResponderGone(std::uint64_t call);
+
+ private:
+  enum class State : std::uint8_t {
+    kIdle,       ///< Between requests.
+    kReading,    ///< A request is coming in.
+    kAnswering,  ///< A handler has it.
+    kLingering,  ///< Nothing more to write; waits for the caller to close.
+    kSilent,     ///< Cut off by fault injection: reads and drops.
+    kClosed,
+  };
+  using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+  struct OutgoingPart {
+    std::string bytes;
+    std::function<void(bool alive)> written;
+  };
+
+  bool IsCurrent(std::uint64_t call) const;
+  void WatchForBytes();
+  void OnWatched(const boost::system::error_code& error, std::size_t size);
+  void ReadHead();
+  void OnHead(const boost::system::error_code& error);
+  void ReadBody();
+  void OnRequest(const boost::system::error_code& error);
+  void RefuseRequest(const boost::system::error_code& error);
+  void RefuseAndClose(int http_status, std::string_view code, std::string_view message);
+  void Dispatch();
+  void Enqueue(std::string bytes, std::function<void(bool alive)> written);
+  void WriteNext();
+  void OnWritten(const boost::system::error_code& error);
+  void FinishAnswer();
+  void BecomeIdle();
+  void Linger();
+  void FailPendingWrites();
+  void ArmTimer(Duration timeout);
+  void DisarmTimer();
+
+  std::shared_ptr<HttpServerShared> shared_;
+  boost::asio::ip::tcp::socket socket_;
+  std::string peer_address_;
+  State state_ = State::kIdle;
+  boost::beast::flat_buffer buffer_;
+  std::optional<Parser> parser_;
+  bool watching_ = false;  ///< A read is pending in `WatchForBytes`.
+  TimerId timer_ = 0;      ///< Closes the connection when its present state lasts too long.
+
+  std::uint64_t call_ = 0;
+  bool head_request_ = false;
+  bool keep_alive_ = false;
+  bool answer_started_ = false;
+  bool answer_complete_ = false;  ///< All of it is queued.
+  std::function<void()> gone_;
+
+  bool writing_ = false;
+  std::deque<OutgoingPart> in_flight_;  ///< Handed to the socket.
+  std::deque<OutgoingPart> queue_;
+};
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/net/server_connection_answer.cc
@@ -0,0 +1,204 @@
+// The answering half of ServerConnection: what the responder asks for, and the write queue.
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/buffers_to_string.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <utility>
+#include <vector>
+
+#include "net/beast_message.h"
+#include "net/http_error.h"
+#include "net/server_connection.h"
+
+namespace cloverbank {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+constexpr unsigned kHttp11 = 11;
+/// How long a caller may take to close after the last answer of its connection.
+constexpr Duration kLingerTimeout = seconds(2);
+
+http::response<http::empty_body> MakeHead(int status, const HttpHeaders& headers, bool keep_alive) {
+  http::response<http::empty_body> head;
+  head.version(kHttp11);
+  head.result(static_cast<unsigned>(status));
+  AddHeaders(headers, &head);
+  head.keep_alive(keep_alive);
+  return head;
+}
+
+}  // namespace
+
+bool ServerConnection::IsCurrent(std::uint64_t call) const {
+  return state_ == State::kAnswering && call == call_ && !answer_complete_;
+}
+
+void ServerConnection::Send(std::uint64_t call, HttpResponse response) {
+  if (!IsCurrent(call) || answer_started_) {
+    return;
+  }
+  auto head = MakeHead(response.status, response.headers, keep_alive_);
+  head.content_length(response.body.size());
+  answer_started_ = true;
+  answer_complete_ = true;
+  queue_.push_back({SerializeResponseHead(head), nullptr});
+  if (!head_request_ && !response.body.empty()) {
+    queue_.push_back({std::move(response.body), nullptr});
+  }
+  WriteNext();
+}
+
+void ServerConnection::StartStream(std::uint64_t call, int status, const HttpHeaders& headers) {
+  if (!IsCurrent(call) || answer_started_) {
+    return;
+  }
+  auto head = MakeHead(status, headers, keep_alive_);
+  head.chunked(true);
+  answer_started_ = true;
+  Enqueue(SerializeResponseHead(head), nullptr);
+}
+
+void ServerConnection::WritePiece(std::uint64_t call, const std::string& piece,
+                                  std::function<void(bool alive)> written) {
+  if (!IsCurrent(call) || !answer_started_) {
+    if (written) {
+      shared_->loop.Post([written = std::move(written)] { written(/*alive=*/false); });
+    }
+    return;
+  }
+  // An empty chunk would end the answer.
+  std::string chunk;
+  if (!piece.empty()) {
+    chunk = boost::beast::buffers_to_string(http::make_chunk(asio::buffer(piece)));
+  }
+  Enqueue(std::move(chunk), std::move(written));
+}
+
+void ServerConnection::FinishStream(std::uint64_t call) {
+  if (!IsCurrent(call) || !answer_started_) {
+    return;
+  }
+  answer_complete_ = true;
+  Enqueue(boost::beast::buffers_to_string(http::make_chunk_last()), nullptr);
+}
+
+void ServerConnection::Abort(std::uint64_t call) {
+  if (IsCurrent(call)) {
+    gone_ = nullptr;
+    Close();
+  }
+}
+
+void ServerConnection::OnDisconnect(std::uint64_t call, std::function<void()> gone) {
+  if (state_ == State::kClosed && call == call_) {
+    shared_->loop.Post(std::move(gone));
+  } else if (IsCurrent(call)) {
+    gone_ = std::move(gone);
+  }
+}
+
+void ServerConnection::OnResponderGone(std::uint64_t call) {
+  if (!IsCurrent(call)) {
+    return;
+  }
+  shared_->metrics.Increment("http_server_refusals_total", {{"reason", "handler_dropped"}});
+  if (answer_started_) {
+    Abort(call);
+    return;
+  }
+  Send(call,
+       MakeErrorResponse(500, "internal", "the server gave no answer", proto::EXECUTED_UNKNOWN));
+}
+
+void ServerConnection::Enqueue(std::string bytes, std::function<void(bool alive)> written) {
+  queue_.push_back({std::move(bytes), std::move(written)});
+  WriteNext();
+}
+
+void ServerConnection::WriteNext() {
+  if (writing_ || queue_.empty()) {
+    return;
+  }
+  writing_ = true;
+  in_flight_.swap(queue_);
+  ArmTimer(shared_->options.write_timeout);
+  if (shared_->Blocked(peer_address_)) {
+    return;  // Swallowed: as if the caller never took it, until the timer closes the connection.
+  }
+  std::vector<asio::const_buffer> buffers;
+  buffers.reserve(in_flight_.size());
+  for (const OutgoingPart& part : in_flight_) {
+    buffers.emplace_back(part.bytes.data(), part.bytes.size());
+  }
+  asio::async_write(socket_, buffers,
+                    [self = shared_from_this()](const error_code& error, std::size_t) {
+                      self->OnWritten(error);
+                    });
+}
+
+void ServerConnection::OnWritten(const error_code& error) {
+  if (state_ == State::kClosed) {
+    return;
+  }
+  DisarmTimer();
+  if (error) {
+    Close();
+    return;
+  }
+  writing_ = false;
+  std::deque<OutgoingPart> done;
+  done.swap(in_flight_);
+  for (OutgoingPart& part : done) {
+    if (part.written) {
+      part.written(/*alive=*/true);
+    }
+  }
+  if (state_ != State::kAnswering || writing_) {
+    return;
+  }
+  if (!queue_.empty()) {
+    WriteNext();
+  } else if (answer_complete_) {
+    FinishAnswer();
+  }
+}
+
+void ServerConnection::FinishAnswer() {
+  gone_ = nullptr;
+  --shared_->calls_in_progress;
+  if (keep_alive_ && !shared_->draining) {
+    BecomeIdle();
+  } else {
+    Linger();
+  }
+  shared_->NotifyIfIdle();
+}
+
+void ServerConnection::BecomeIdle() {
+  state_ = State::kIdle;
+  if (buffer_.size() > 0) {
+    ReadHead();
+    return;
+  }
+  ArmTimer(shared_->options.idle_timeout);
+  if (!watching_) {
+    WatchForBytes();
+  }
+}
+
+void ServerConnection::Linger() {
+  state_ = State::kLingering;
+  error_code ignored;
+  socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+  ArmTimer(kLingerTimeout);
+  buffer_.consume(buffer_.size());
+  if (!watching_) {
+    WatchForBytes();
+  }
+}
+
+}  // namespace cloverbank
--- /dev/null
+++ b/tests/net/http_limits_test.cc
@@ -0,0 +1,116 @@
+// What one caller can take from the server at most, and how the server stops.
+#include "net/net_fixture.h"
+
+namespace cloverbank {
+namespace {
+
+using ResponderPointer = std::shared_ptr<HttpResponder>;
+using HttpLimitsTest = NetFixture;
+
+TEST_F(HttpLimitsTest, RefusesOversizedHeadersAndBodies) {
+  Restart({.maximum_header_bytes = 1024, .maximum_body_bytes = 1000});
+  HttpRequest large_header = Get("/");
+  large_header.headers.emplace_back("X-Large", std::string(2000, 'h'));
+  EXPECT_EQ(CallAndWait(server_->endpoint(), large_header).response.status, 431);
+  const HttpOutcome large_body =
+      CallAndWait(server_->endpoint(), Post("/", std::string(1001, 'b')));
+  EXPECT_EQ(large_body.response.status, 413);
+  EXPECT_NE(large_body.response.body.find("EXECUTED_NO"), std::string::npos);
+  EXPECT_EQ(client_->idle_connections(), 0U);
+}
+
+TEST_F(HttpLimitsTest, RefusesConnectionsBeyondTheLimit) {
+  Restart({.maximum_connections = 1});
+  const auto first = RawConnect(server_->endpoint());
+  const HttpOutcome refused = CallAndWait(server_->endpoint(), Get("/"));
+  EXPECT_EQ(refused.response.status, 503);
+  EXPECT_EQ(FindHeader(refused.response.headers, "Retry-After"), "1");
+}
+
+TEST_F(HttpLimitsTest, ClosesAConnectionThatSendsItsHeadersTooSlowly) {
+  Restart({.header_timeout = milliseconds(50)});
+  const auto slow = RawConnect(server_->endpoint());
+  slow->Send("GET / HTTP/1.1\r\nHost:");
+  std::string received = "not closed";
+  std::thread reader([&] {
+    received = slow->ReadUntil("");
+    loop_.Stop();
+  });
+  RunUntilStopped();
+  reader.join();
+  EXPECT_EQ(received, "");
+}
+
+TEST_F(HttpLimitsTest, ClosesAConnectionThatNeverTakesItsAnswer) {
+  Restart({.write_timeout = milliseconds(50)});
+  server_->Handle("GET", "/", [this](const HttpRequest&, const ResponderPointer& responder) {
+    responder->OnDisconnect([this] { loop_.Stop(); });
+    responder->Send({200, {}, std::string(64U << 20U, 'x')});
+  });
+  const auto slow = RawConnect(server_->endpoint());
+  slow->Send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  RunUntilStopped();
+  EXPECT_EQ(server_->calls_in_progress(), 0U);
+}
+
+TEST_F(HttpLimitsTest, AsksForABodyThatWaitsToBeAskedFor) {
+  server_->Handle("POST", "/", [](const HttpRequest& request, const ResponderPointer& responder) {
+    responder->Send({200, {}, request.body});
+  });
+  std::string answer;
+  std::thread caller([&] {
+    const auto raw = RawConnect(server_->endpoint());
+    raw->Send("POST / HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\n");
+    raw->ReadUntil("100 Continue\r\n\r\n");
+    raw->Send("body");
+    answer = raw->ReadUntil("body");
+    loop_.Stop();
+  });
+  RunUntilStopped();
+  caller.join();
+  EXPECT_NE(answer.find("200 OK"), std::string::npos);
+}
+
+TEST_F(HttpLimitsTest, AnswersPipelinedRequestsInOrder) {
+  server_->Handle("GET", "/{name}",
+                  [](const HttpRequest& request, const ResponderPointer& responder) {
+                    responder->Send({200, {}, request.path});
+                  });
+  std::string answers;
+  std::thread caller([&] {
+    const auto raw = RawConnect(server_->endpoint());
+    raw->Send("GET /first HTTP/1.1\r\nHost: x\r\n\r\nGET /second HTTP/1.1\r\nHost: x\r\n\r\n");
+    answers = raw->ReadUntil("/second");
+    loop_.Stop();
+  });
+  RunUntilStopped();
+  caller.join();
+  EXPECT_LT(answers.find("/first"), answers.find("/second"));
+  EXPECT_NE(answers.find("/second"), std::string::npos);
+}
+
+TEST_F(HttpLimitsTest, DrainLetsAnswersUnderWayComeToTheirEnd) {
+  std::string events;
+  const auto note = [&](const std::string& event) {
+    events += event;
+    if (events.size() == 3) {
+      loop_.Stop();
+    }
+  };
+  server_->Handle("GET", "/", [&](const HttpRequest&, const ResponderPointer& responder) {
+    server_->Drain([&] { note("i"); });
+    loop_.ScheduleAfter(milliseconds(10), [&note, responder] {
+      note("s");
+      responder->Send({200, {}, "a"});
+    });
+  });
+  client_->Call(server_->endpoint(), Get("/"), seconds(20),
+                [&](const HttpOutcome& outcome) { note(outcome.response.body); });
+  RunUntilStopped();
+  EXPECT_EQ(events.front(), 's') << "idle before the answer was sent";
+  EXPECT_NE(events.find('a'), std::string::npos);
+  EXPECT_EQ(CallAndWait(server_->endpoint(), Get("/")).kind, HttpOutcomeKind::kNotSent);
+}
+
+}  // namespace
+}  // namespace cloverbank
--- /dev/null
+++ b/tests/net/http_stream_test.cc
@@ -0,0 +1,142 @@
+// Streamed answers: order, back-pressure, and ends that are not regular.
+#include "net/net_fixture.h"
+
+namespace cloverbank {
+namespace {
+
+using ResponderPointer = std::shared_ptr<HttpResponder>;
+
+class HttpStreamTest : public NetFixture {
+ protected:
+  /// Serves GET / by handing the responder, with its head sent, to `serve`.
+  void ServeStream(std::function<void(const ResponderPointer&)> serve) {
+    server_->Handle(
+        "GET", "/",
+        [serve = std::move(serve)](const HttpRequest&, const ResponderPointer& responder) {
+          responder->StartStream(200, {{"X-Kind", "stream"}});
+          serve(responder);
+        });
+  }
+
+  /// Streams GET / and runs the loop to the end of the answer.
+  void StreamAndWait(Duration idle_limit = seconds(20)) {
+    HttpStreamCallbacks callbacks;
+    callbacks.on_head = [this](int status, const HttpHeaders& headers) {
+      status_ = status;
+      kind_header_ = FindHeader(headers, "X-Kind");
+    };
+    callbacks.on_bytes = [this](const std::string& bytes, const std::function<void()>& more) {
+      body_ += bytes;
+      more();
+    };
+    callbacks.on_end = [this](HttpOutcome outcome) {
+      outcome_ = std::move(outcome);
+      loop_.Stop();
+    };
+    client_->Stream(server_->endpoint(), Get("/"), seconds(20), idle_limit, callbacks);
+    RunUntilStopped();
+  }
+
+  int status_ = 0;
+  std::string kind_header_;
+  std::string body_;
+  HttpOutcome outcome_;
+};
+
+TEST_F(HttpStreamTest, DeliversPiecesInOrderAndReusesTheConnection) {
+  ServeStream([](const ResponderPointer& responder) {
+    responder->WritePiece("one ", nullptr);
+    responder->WritePiece("", nullptr);
+    responder->WritePiece("two ", [responder](bool alive) {
+      EXPECT_TRUE(alive);
+      responder->WritePiece("three", nullptr);
+      responder->FinishStream();
+    });
+  });
+  StreamAndWait();
+  EXPECT_EQ(outcome_.kind, HttpOutcomeKind::kAnswered);
+  EXPECT_EQ(status_, 200);
+  EXPECT_EQ(kind_header_, "stream");
+  EXPECT_EQ(body_, "one two three");
+  EXPECT_EQ(client_->idle_connections(), 1U);
+}
+
+TEST_F(HttpStreamTest, AReaderThatStopsHoldsTheWriterBack) {
+  constexpr std::size_t kPieceBytes = 1U << 20U;
+  constexpr int kPieces = 64;
+  int written = 0;
+  std::function<void(const ResponderPointer&)> write_next = [&](const ResponderPointer& responder) {
+    responder->WritePiece(std::string(kPieceBytes, 'x'), [&, responder](bool alive) {
+      if (alive && ++written < kPieces) {
+        write_next(responder);
+      } else {
+        responder->FinishStream();
+      }
+    });
+  };
+  ServeStream([&](const ResponderPointer& responder) { write_next(responder); });
+  std::function<void()> held_more;
+  std::size_t received = 0;
+  HttpStreamCallbacks callbacks;
+  callbacks.on_bytes = [&](const std::string& bytes, std::function<void()> more) {
+    received += bytes.size();
+    if (held_more) {
+      more();
+      return;
+    }
+    held_more = std::move(more);
+    loop_.ScheduleAfter(milliseconds(100), [this] { loop_.Stop(); });
+  };
+  callbacks.on_end = [&](const HttpOutcome&) { loop_.Stop(); };
+  client_->Stream(server_->endpoint(), Get("/"), seconds(30), seconds(30), callbacks);
+  RunUntilStopped();
+  EXPECT_LT(written, kPieces) << "the writer ran ahead of a reader that took nothing";
+  held_more();
+  RunUntilStopped();
+  EXPECT_EQ(received, kPieces * kPieceBytes);
+}
+
+TEST_F(HttpStreamTest, AbortedStreamIsUnknown) {
+  ServeStream([](const ResponderPointer& responder) {
+    responder->WritePiece("part", [responder](bool) { responder->Abort(); });
+  });
+  StreamAndWait();
+  EXPECT_EQ(body_, "part");
+  EXPECT_EQ(outcome_.kind, HttpOutcomeKind::kUnknown);
+  EXPECT_EQ(client_->idle_connections(), 0U);
+}
+
+TEST_F(HttpStreamTest, SilenceWithinTheStreamIsUnknown) {
+  ResponderPointer held;
+  ServeStream([&](const ResponderPointer& responder) {
+    held = responder;
+    responder->WritePiece("part", nullptr);
+  });
+  StreamAndWait(milliseconds(50));
+  EXPECT_EQ(body_, "part");
+  EXPECT_EQ(outcome_.kind, HttpOutcomeKind::kUnknown);
+}
+
+TEST_F(HttpStreamTest, WriterLearnsThatTheReaderLeft) {
+  bool gone = false;
+  std::shared_ptr<HttpCall> call;
+  ServeStream([&](const ResponderPointer& responder) {
+    responder->OnDisconnect([&, responder] {
+      gone = true;
+      responder->WritePiece("into the void", [this](bool alive) {
+        EXPECT_FALSE(alive);
+        loop_.Stop();
+      });
+    });
+    responder->WritePiece("part", nullptr);
+  });
+  HttpStreamCallbacks callbacks;
+  callbacks.on_bytes = [&](const std::string&, const std::function<void()>&) { call->Cancel(); };
+  callbacks.on_end = [](const HttpOutcome&) { ADD_FAILURE() << "a cancelled call ended"; };
+  call = client_->Stream(server_->endpoint(), Get("/"), seconds(20), seconds(20), callbacks);
+  RunUntilStopped();
+  EXPECT_TRUE(gone);
+}
+
+}  // namespace
+}  // namespace cloverbank
