Add the emulator, the fleet tool and the command line

The emulator plays every replica of a deployment and its lagging list, and records each start as a witness. The fleet tool runs a deployment on one machine, puts faults on machines and replicas by name and walks through the product.

--- /dev/null
+++ b/apps/emulator/emulated_replica.h
@@ -0,0 +1,75 @@
+#pragma once
+/// @file
+/// One replica of the emulator: the HTTP face of a `ModelReplica` or of a plain service, with the
+/// faults that can be put on it. Threads: the loop's thread only.
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "deployment/deployment.h"
+#include "emulation/model_replica.h"
+#include "emulator/witness_log.h"
+#include "net/beast_http_server.h"
+#include "net/event_loop.h"
+
+namespace cloverbank {
+
+class EmulatedReplica {
+ public:
+  EmulatedReplica(EventLoop& loop, Metrics& metrics, WitnessLog& witness,
+                  const DeployedReplica& description, const BackendBehaviour& behaviour);
+  ~EmulatedReplica();
+  EmulatedReplica(const EmulatedReplica&) = delete;
+  EmulatedReplica& operator=(const EmulatedReplica&) = delete;
+
+  /// Starts a new life: listens, and is cold until its model is loaded.
+  Status Start();
+  /// The process is gone: connections break, nothing listens.
+  void Crash();
+  /// It takes connections and requests and never answers; what runs goes on unheard.
+  void SetDark(bool dark) { dark_ = dark; }
+  /// Multiplies the time of every step.
+  void SetSlowdown(double factor);
+
+  const DeployedReplica& description() const { return description_; }
+  const std::string& instance_id() const { return instance_id_; }
+  bool up() const { return server_ != nullptr; }
+
+ private:
+  struct OpenCall {
+    std::shared_ptr<HttpResponder> responder;
+    std::string call_id;
+    bool head_sent = false;
+  };
+
+  void ServeHealth(const std::shared_ptr<HttpResponder>& responder);
+  void ServeGenerate(const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder);
+  void ServePlain(const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder);
+  void AnswerPlain(const proto::CallRequest& call, const std::shared_ptr<HttpResponder>& responder);
+  void Refuse(const std::shared_ptr<HttpResponder>& responder, int http_status,
+              const std::string& call_id, const std::string& reason);
+  void Emit(const EmittedPiece& emitted);
+  void ScheduleAdvance();
+  HttpHeaders LoadHeader() const;
+
+  EventLoop& loop_;
+  Metrics& metrics_;
+  WitnessLog& witness_;
+  DeployedReplica description_;
+  BackendBehaviour behaviour_;
+  std::unique_ptr<BeastHttpServer> server_;
+  std::unique_ptr<ModelReplica> model_;
+  std::map<std::string, OpenCall> calls_;  ///< Running model calls by their key.
+  TimerId advance_timer_ = 0;
+  std::string instance_id_;
+  std::uint64_t lives_ = 0;
+  std::uint64_t next_call_key_ = 0;
+  std::uint32_t plain_running_ = 0;
+  double slowdown_ = 1;
+  bool dark_ = false;
+  /// Expires with each life, so that timers of an earlier one do nothing.
+  std::shared_ptr<int> life_;
+};
+
+}  // namespace cloverbank
--- /dev/null
+++ b/apps/fleet/demo.cc
@@ -0,0 +1,266 @@
+#include "fleet/demo.h"
+
+#include <cstdio>
+#include <thread>
+
+#include "emulation/model_replica.h"
+#include "json/json.h"
+#include "net/event_loop.h"
+
+namespace cloverbank {
+namespace {
+
+constexpr Duration kReadyLimit = seconds(60);
+constexpr Duration kPatience = seconds(20);
+constexpr Duration kBatchLimit = seconds(90);
+constexpr int kBatchItems = 40;
+constexpr std::uint32_t kBatchTokens = 16;
+constexpr std::uint32_t kResultPage = 15;  // Several pages for 40 items, to use the cursors.
+
+std::string Milliseconds(Duration time) {
+  return std::to_string(std::chrono::duration_cast<milliseconds>(time).count()) + " ms";
+}
+
+DemoRoutes FindRoutes(const proto::ConfigurationTransaction& first) {
+  DemoRoutes routes;
+  for (const proto::ConfigurationChange& change : first.changes()) {
+    const proto::Route& route = change.set_route();
+    if (change.has_set_tenant() && routes.tenant.empty()) {
+      routes.tenant = change.set_tenant().name();
+    }
+    if (!change.has_set_route()) {
+      continue;
+    }
+    if (route.accepts_batches()) {
+      if (!route.idempotent() && routes.batch.empty()) {
+        routes.batch = route.name();
+      }
+    } else if (route.backend_kind() == proto::BACKEND_KIND_SERVICE) {
+      routes.service = route.name();
+    } else if (routes.streamed.empty()) {
+      routes.streamed = route.name();
+    }
+  }
+  return routes;
+}
+
+}  // namespace
+
+Demo::Demo(Fleet& fleet, std::string configuration_json)
+    : fleet_(fleet), configuration_json_(std::move(configuration_json)) {}
+
+void Demo::Report(bool held, const std::string& what) {
+  std::printf("%s %s\n", held ? "  ok  " : " FAIL ", what.c_str());
+  std::fflush(stdout);
+  all_held_ = all_held_ && held;
+}
+
+ApiClient Demo::MakeClient(Duration patience) const { return {fleet_.Gateways(), patience}; }
+
+bool Demo::Run(bool with_failures) {
+  if (BringUp() && ApplyFirstConfiguration()) {
+    LiveCalls();
+    Batch();
+    ConfigurationChange();
+    Refusals();
+    if (with_failures) {
+      LoseLeadingCoordinator();
+      LoseBatchOwner();
+    }
+    CheckWitness();
+  }
+  std::printf("%s\n", all_held_ ? "everything held" : "something did not hold");
+  return all_held_;
+}
+
+bool Demo::BringUp() {
+  const Deployment& deployment = fleet_.deployment();
+  std::printf("== %s: %zu machines, %zu replicas\n", deployment.name.c_str(),
+              deployment.machines.size(), deployment.replicas.size());
+  const TimePoint begin = EventLoop::Now();
+  Status status = fleet_.StartAll();
+  if (status.ok()) {
+    status = fleet_.WaitReady(kReadyLimit);
+  }
+  Report(status.ok(), status.ok()
+                          ? "every machine is ready after " + Milliseconds(EventLoop::Now() - begin)
+                          : status.ToString());
+  return status.ok();
+}
+
+bool Demo::ApplyFirstConfiguration() {
+  proto::ConfigurationTransaction first;
+  if (Status status = FromJson(configuration_json_, &first); !status.ok()) {
+    Report(false, "configuration.json: " + status.message());
+    return false;
+  }
+  routes_ = FindRoutes(first);
+  proto::TransactionResult result;
+  ApiError error;
+  ApiClient client = MakeClient(kPatience);
+  const TimePoint begin = EventLoop::Now();
+  const bool applied = client.Call("POST", "/v1/config/transactions", configuration_json_,
+                                   Repeat::kSafe, &result, &error);
+  Report(applied, applied ? "first configuration is in force as version " +
+                                std::to_string(result.version()) + " after " +
+                                Milliseconds(EventLoop::Now() - begin)
+                          : "first configuration: " + error.error.message());
+  return applied;
+}
+
+bool Demo::StreamedCallIsWhole(const std::string& prompt, std::uint32_t tokens, std::string* text) {
+  proto::CallRequest call;
+  call.set_prompt(prompt);
+  call.set_prefix_key("demo");
+  call.set_max_tokens(tokens);
+  call.set_stream(true);
+  HttpRequest request = MakeRequest("POST", "/v1/call/" + routes_.streamed, ToJson(call));
+  request.headers.emplace_back("x-tenant", routes_.tenant);
+  std::string body;
+  const HttpOutcome outcome =
+      fleet_.http().Stream(fleet_.Gateways().front(), request, kPatience,
+                           [&](const std::string& bytes) { body += bytes; });
+  bool ended = false;
+  std::uint64_t next = 0;
+  std::size_t begin = 0;
+  while (begin < body.size()) {
+    const std::size_t end = std::min(body.find('\n', begin), body.size());
+    proto::StreamPiece piece;
+    const bool read = FromJson(body.substr(begin, end - begin), &piece).ok();
+    if (!read || piece.has_error() || piece.sequence() != next) {
+      *text = body;
+      return false;
+    }
+    ++next;
+    *text += piece.text();
+    ended = ended || piece.end();
+    begin = end + 1;
+  }
+  if (body.empty()) {
+    *text = outcome.reason;
+  }
+  return ended && *text == ExpectedAnswer(prompt, tokens);
+}
+
+bool Demo::ServiceCallWorks(const std::string& prompt, Duration patience) {
+  proto::CallRequest call;
+  call.set_prompt(prompt);
+  proto::CallAnswer answer;
+  ApiError error;
+  ApiClient client = MakeClient(patience);
+  const bool answered = client.Call("POST", "/v1/call/" + routes_.service, ToJson(call),
+                                    Repeat::kSafe, &answer, &error);
+  return answered && answer.text() == ExpectedAnswer(prompt, 1);
+}
+
+void Demo::LiveCalls() {
+  std::printf("== live calls\n");
+  std::string text;
+  const bool whole = StreamedCallIsWhole("Summarise the save of this evening.", 12, &text);
+  Report(whole, "streamed call on " + routes_.streamed + ": " + text);
+  Report(ServiceCallWorks("object-17", kPatience),
+         "idempotent call on " + routes_.service + " answered");
+}
+
+std::string Demo::Submit(const std::string& key, int items, std::uint32_t tokens) {
+  proto::SubmitBatch batch;
+  batch.set_tenant(routes_.tenant);
+  batch.set_idempotency_key(key);
+  batch.set_route(routes_.batch);
+  for (int index = 0; index < items; ++index) {
+    proto::BatchItem* item = batch.add_items();
+    item->set_custom_id("item-" + std::to_string(index));
+    item->set_prompt("Audit shelf " + std::to_string(index) + " of " + key);
+    item->set_prefix_key("audit-instructions");
+    item->set_max_tokens(tokens);
+  }
+  proto::BatchStatus status;
+  ApiError error;
+  ApiClient client = MakeClient(kPatience);
+  const TimePoint begin = EventLoop::Now();
+  const bool accepted =
+      client.Call("POST", "/v1/batches", ToJson(batch), Repeat::kSafe, &status, &error);
+  Report(accepted, accepted
+                       ? "batch of " + std::to_string(items) + " accepted as " + status.batch_id() +
+                             " after " + Milliseconds(EventLoop::Now() - begin)
+                       : "batch: " + error.error.message());
+  return status.batch_id();
+}
+
+bool Demo::WaitFinished(const std::string& batch_id, Duration limit, proto::BatchStatus* status) {
+  const TimePoint give_up = EventLoop::Now() + limit;
+  ApiClient client = MakeClient(kPatience);
+  ApiError error;
+  while (EventLoop::Now() < give_up) {
+    const bool read =
+        client.Call("GET", "/v1/batches/" + batch_id, {}, Repeat::kSafe, status, &error);
+    if (read && status->state() != proto::BATCH_STATE_RUNNING) {
+      return true;
+    }
+    std::this_thread::sleep_for(milliseconds(100));
+  }
+  return false;
+}
+
+std::vector<proto::ItemResult> Demo::ResultsOf(const std::string& batch_id) {
+  std::vector<proto::ItemResult> results;
+  ApiClient client = MakeClient(kPatience);
+  ApiError error;
+  std::string cursor;
+  proto::ResultList page;
+  do {
+    const std::string path = "/v1/batches/" + batch_id +
+                             "/results?limit=" + std::to_string(kResultPage) + "&cursor=" + cursor;
+    if (!client.Call("GET", path, {}, Repeat::kSafe, &page, &error)) {
+      Report(false, "results of " + batch_id + ": " + error.error.message());
+      break;
+    }
+    results.insert(results.end(), page.results().begin(), page.results().end());
+    cursor = page.next_cursor();
+  } while (page.more());
+  return results;
+}
+
+void Demo::CheckResults(const std::string& batch_id, int items,
+                        const std::vector<proto::ItemResult>& seen_before) {
+  const std::vector<proto::ItemResult> results = ResultsOf(batch_id);
+  std::set<std::string> ids;
+  std::map<proto::ItemOutcome, int> outcomes;
+  bool right_text = true;
+  for (const proto::ItemResult& result : results) {
+    ids.insert(result.custom_id());
+    ++outcomes[result.outcome()];
+    const std::string prompt_index = std::to_string(result.item_index());
+    right_text = right_text &&
+                 (result.outcome() != proto::ITEM_OUTCOME_SUCCEEDED || !result.output().empty()) &&
+                 result.custom_id() == "item-" + prompt_index;
+  }
+  bool prefix = results.size() >= seen_before.size();
+  for (std::size_t index = 0; prefix && index < seen_before.size(); ++index) {
+    prefix = ToJson(results[index]) == ToJson(seen_before[index]);
+  }
+  Report(results.size() == static_cast<std::size_t>(items) && ids.size() == results.size(),
+         std::to_string(results.size()) + " results of " + std::to_string(ids.size()) +
+             " items listed by cursor: " + std::to_string(outcomes[proto::ITEM_OUTCOME_SUCCEEDED]) +
+             " succeeded, " + std::to_string(outcomes[proto::ITEM_OUTCOME_UNKNOWN]) + " unknown, " +
+             std::to_string(outcomes[proto::ITEM_OUTCOME_FAILED]) + " failed");
+  Report(right_text, "each result belongs to its item");
+  if (!seen_before.empty()) {
+    Report(prefix, "the " + std::to_string(seen_before.size()) +
+                       " results listed before are the first ones now, unchanged");
+  }
+}
+
+void Demo::Batch() {
+  std::printf("== batch\n");
+  const std::string batch_id = Submit("demo-1", kBatchItems, kBatchTokens);
+  proto::BatchStatus status;
+  const TimePoint begin = EventLoop::Now();
+  const bool finished = !batch_id.empty() && WaitFinished(batch_id, kBatchLimit, &status);
+  Report(finished, "batch finished after " + Milliseconds(EventLoop::Now() - begin));
+  CheckResults(batch_id, kBatchItems, {});
+  Report(Submit("demo-1", kBatchItems, kBatchTokens) == batch_id,
+         "the same batch handed in again is the same batch");
+}
+
+}  // namespace cloverbank
--- a/src/deployment/deployment.cc
+++ b/src/deployment/deployment.cc
@@ -5,6 +5,7 @@
 #include <fstream>
 #include <iterator>
 #include <set>
+#include <sstream>
 
 #include "settings/settings_reader.h"
 
@@ -227,4 +228,58 @@
   return ParseDeployment(text, path);
 }
 
+std::string PrintDeployment(const Deployment& deployment) {
+  const auto microseconds = [](Duration time) {
+    return std::chrono::duration_cast<std::chrono::microseconds>(time).count();
+  };
+  const auto whole_milliseconds = [](Duration time) {
+    return std::chrono::duration_cast<milliseconds>(time).count();
+  };
+  toml::table root;
+  root.insert("deployment", toml::table{{"name", deployment.name},
+                                        {"platform_list", deployment.platform_list.ToString()},
+                                        {"emulator_admin", deployment.emulator_admin.ToString()},
+                                        {"list_lag_ms", whole_milliseconds(deployment.list_lag)}});
+  toml::array machines;
+  for (const DeployedMachine& machine : deployment.machines) {
+    toml::array roles;
+    for (const std::string& role : machine.roles) {
+      roles.push_back(role);
+    }
+    machines.push_back(toml::table{{"name", machine.name},
+                                   {"address", machine.address},
+                                   {"zone", machine.zone},
+                                   {"roles", std::move(roles)},
+                                   {"spare_backup", machine.spare_backup}});
+  }
+  root.insert("machine", std::move(machines));
+  toml::array replicas;
+  for (const DeployedReplica& replica : deployment.replicas) {
+    const bool is_model = replica.kind == proto::BACKEND_KIND_MODEL;
+    replicas.push_back(toml::table{{"id", replica.id},
+                                   {"endpoint", replica.endpoint.ToString()},
+                                   {"zone", replica.zone},
+                                   {"kind", is_model ? "model" : "service"},
+                                   {"backend", replica.backend},
+                                   {"capacity", static_cast<std::int64_t>(replica.capacity)}});
+  }
+  root.insert("replica", std::move(replicas));
+  toml::table behaviours;
+  for (const auto& [name, behaviour] : deployment.behaviours) {
+    behaviours.insert(
+        name, toml::table{{"prefill_us_per_token", microseconds(behaviour.prefill_per_token)},
+                          {"decode_step_us", microseconds(behaviour.decode_step)},
+                          {"decode_step_us_per_call", microseconds(behaviour.decode_step_per_call)},
+                          {"load_time_ms", whole_milliseconds(behaviour.load_time)},
+                          {"shared_prefix_tokens", std::int64_t{behaviour.shared_prefix_tokens}},
+                          {"prefix_cache_entries", std::int64_t{behaviour.prefix_cache_entries}},
+                          {"kv_capacity_tokens", std::int64_t{behaviour.kv_capacity_tokens}},
+                          {"service_us", microseconds(behaviour.service_time)}});
+  }
+  root.insert("behaviour", std::move(behaviours));
+  std::ostringstream text;
+  text << root << "\n";
+  return text.str();
+}
+
 }  // namespace cloverbank
--- a/src/deployment/deployment.h
+++ b/src/deployment/deployment.h
@@ -64,5 +64,7 @@
 /// Reads fleet.toml. @return kInvalidArgument with every problem, one a line, each with its place.
 Result<Deployment> ParseDeployment(std::string_view toml, const std::string& file_name);
 Result<Deployment> LoadDeployment(const std::string& path);
+/// @return `deployment` as a fleet.toml that reads back the same.
+std::string PrintDeployment(const Deployment& deployment);
 
 }  // namespace cloverbank
--- a/src/gateway/http_json.h
+++ b/src/gateway/http_json.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "base/status.h"
+#include "json/json.h"
 #include "net/http_types.h"
 #include "proto/live.pb.h"
 
@@ -16,11 +17,6 @@
 
 namespace cloverbank {
 
-/// @return `message` as JSON with schema field names and default values printed.
-std::string ToJson(const google::protobuf::Message& message);
-/// Reads JSON into `message`. @return kInvalidArgument naming the place and what was expected.
-Status FromJson(const std::string& json, google::protobuf::Message* message);
-
 /// Sends `message` as a JSON answer.
 void SendJson(HttpResponder& responder, int http_status, const google::protobuf::Message& message);
 /// Sends an ErrorBody; sets Retry-After (whole seconds, rounded up) if `retry_after_ms` is set.
--- a/tests/deployment/deployment_test.cc
+++ b/tests/deployment/deployment_test.cc
@@ -33,6 +33,10 @@
   ASSERT_NE(deployment->FindMachine("front"), nullptr);
   EXPECT_EQ(deployment->replicas[0].capacity, 8U);
   EXPECT_EQ(deployment->BehaviourOf("m").decode_step, std::chrono::microseconds(500));
+  const auto again = ParseDeployment(PrintDeployment(*deployment), "printed");
+  ASSERT_TRUE(again.ok()) << again.status().ToString();
+  EXPECT_EQ(PrintDeployment(*again), PrintDeployment(*deployment));
+  EXPECT_EQ(again->replicas[0].endpoint, deployment->replicas[0].endpoint);
   EXPECT_EQ(deployment->BehaviourOf("other").decode_step, BackendBehaviour{}.decode_step);
 }
 
