--- a/tests/simulation/simulated_world_test.cc
+++ b/tests/simulation/simulated_world_test.cc
@@ -46,7 +46,7 @@
 
   void Call(Duration deadline = seconds(1)) {
     replies.clear();
-    a->environment.CallPeer(b->environment.peer_endpoint(), "echo", "hi", deadline,
+    a->environment.CallPeer(world.machine("b").endpoint(), "echo", "hi", deadline,
                             [this](PeerReply reply) { replies.push_back(std::move(reply)); });
   }
   StatusCode OnlyCode() const {
@@ -149,7 +149,7 @@
   int ran = 0;
   a->environment.ScheduleAfter(milliseconds(5), [&ran] { ++ran; });
   a->folder.Append("log", "x", [&ran](const Status&) { ++ran; });
-  a->environment.CallPeer(b->environment.peer_endpoint(), "echo", "", seconds(1),
+  a->environment.CallPeer(world.machine("b").endpoint(), "echo", "", seconds(1),
                           [&ran](const PeerReply&) { ++ran; });
   b->hold = true;
   world.RunFor(milliseconds(0));
