Test acknowledged records over random ends of their process

A small log of numbered records is appended in bursts while the process is killed, loses power or has a failing sync (simulated folder, 20 seeds), or is killed for good and finds a torn tail (real folder, child process). After each start every acknowledged record must be there, in order, without a gap.

--- a/src/storage/data_folder.h
+++ b/src/storage/data_folder.h
@@ -8,6 +8,11 @@
 /// File names are relative, may hold one level of sub-folder ("segments/12-7") and are created on
 /// demand. Reads are synchronous and meant for start-up, recovery and tools.
 ///
+/// A failed operation leaves nothing of itself behind, except that a failed `WriteAt` may have
+/// changed its own range. Operations already asked for on the same file are still carried out: who
+/// needs a run of appends without holes stops at the first failure. After a failed sync the file
+/// takes no more operations (kIoError) until the process starts anew.
+///
 /// Threads: called and calling back on the owner's event loop only.
 
 #include <cstdint>
@@ -25,7 +30,9 @@
   using Done = std::function<void(Status)>;
   virtual ~DataFolder() = default;
 
-  /// @return the names in `folder` ("" is the top), sorted; empty if there is no such folder.
+  /// @return the bare names of the files (not folders) in `folder` ("" is the top), sorted; empty
+  /// if
+  ///   there is no such folder.
   virtual Result<std::vector<std::string>> List(const std::string& folder) = 0;
   /// @return the whole content; kNotFound if the file does not exist.
   virtual Result<std::string> Read(const std::string& name) = 0;
@@ -40,7 +47,7 @@
                        Done done) = 0;
   /// Replaces the file's whole content atomically (temporary file, sync, rename, directory sync).
   virtual void Replace(const std::string& name, std::string bytes, Done done) = 0;
-  /// Cuts the file to `size` bytes and syncs.
+  /// Cuts the file to `size` bytes and syncs; never grows it; kNotFound if it does not exist.
   virtual void Truncate(const std::string& name, std::uint64_t size, Done done) = 0;
   /// Creates the file if absent and reserves `size` bytes of disk; kResourceExhausted when the disk
   /// can not give them. Reserved, unwritten bytes read as zero.
--- a/src/storage/file_group.cc
+++ b/src/storage/file_group.cc
@@ -34,7 +34,7 @@
 
   /// Applies one operation; on failure the file is put back to its size before.
   Status Apply(const FileOperation& operation) {
-    const Status opened = EnsureOpen(operation.kind != Kind::kTruncate);
+    Status opened = EnsureOpen(operation.kind != Kind::kTruncate);
     if (!opened.ok()) {
       return opened;
     }
@@ -42,7 +42,7 @@
     if (!size.ok()) {
       return size.status();
     }
-    const Status written = ApplyAt(operation, *size);
+    Status written = ApplyAt(operation, *size);
     if (written.ok()) {
       wrote_ = true;
     } else {
--- a/tests/storage/folder_conformance_test.cc
+++ b/tests/storage/folder_conformance_test.cc
@@ -57,7 +57,8 @@
   for (const std::string sub_folder : {"", "sub"}) {
     const std::vector<std::string> bare_names = folder.List(sub_folder).value();
     for (const std::string& bare_name : bare_names) {
-      const std::string name = sub_folder.empty() ? bare_name : sub_folder + "/" + bare_name;
+      std::string name = sub_folder;
+      name.append(sub_folder.empty() ? "" : "/").append(bare_name);
       outcome << name << '=' << *folder.Read(name) << ' ';
     }
   }
--- a/tests/storage/record_file_test.cc
+++ b/tests/storage/record_file_test.cc
@@ -43,13 +43,14 @@
     }
     return count;
   };
+  const std::string_view whole_file = bytes;
   for (std::size_t cut = 0; cut <= bytes.size(); ++cut) {
-    RecordReader reader(std::string_view(bytes).substr(0, cut), kSeed);
+    RecordReader reader(whole_file.substr(0, cut), kSeed);
     const std::size_t whole = whole_before(cut);
     EXPECT_EQ(ReadAll(reader),
               std::vector<std::string>(payloads.begin(), payloads.begin() + whole));
     EXPECT_EQ(reader.valid_bytes(), ends[whole]);
-    const std::string_view rest = std::string_view(bytes).substr(ends[whole], cut - ends[whole]);
+    const std::string_view rest = whole_file.substr(ends[whole], cut - ends[whole]);
     const bool zeros = rest.find_first_not_of('\0') == std::string_view::npos;
     const RecordTail unfinished = zeros ? RecordTail::kReserved : RecordTail::kTorn;
     EXPECT_EQ(reader.tail(), rest.empty() ? RecordTail::kClean : unfinished);
--- /dev/null
+++ b/tests/storage/torn_tail_test.cc
@@ -0,0 +1,133 @@
+// Random ends of a process that appends records: whatever was acknowledged is there at the next
+// start.
+#include <gtest/gtest.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <filesystem>
+#include <random>
+
+#include "number_log.h"
+#include "simulation/simulated_world.h"
+#include "storage/posix_data_folder.h"
+#include "temporary_folder.h"
+#include "test_loop.h"
+
+namespace cloverbank {
+namespace {
+
+/// Ends the process in a random way and starts it again.
+void EndAndStart(SimulatedWorld& world, SimulatedMachine& machine) {
+  machine.FailSyncs(false);
+  switch (world.RandomBelow(3)) {
+    case 0:
+      machine.Kill();
+      break;
+    case 1:
+      machine.LosePower();
+      break;
+    default:
+      machine.Kill();
+      machine.LosePower();
+      break;
+  }
+  machine.Start();
+}
+
+class SimulatedTornTailTest : public testing::TestWithParam<std::uint64_t> {};
+
+TEST_P(SimulatedTornTailTest, AcknowledgedRecordsOutliveEveryEnd) {
+  SimulatedWorld world(GetParam());
+  SimulatedMachine& machine = world.AddMachine("a", "10.0.0.1");
+  std::uint64_t acknowledged = 0;
+  std::weak_ptr<NumberLog> current;
+  machine.SetProgram([&](Environment&, DataFolder& folder) {
+    auto started = std::make_shared<NumberLog>(folder, acknowledged);
+    current = started;
+    return started;
+  });
+  machine.Start();
+  constexpr int kSteps = 400;
+  for (int step = 0; step < kSteps && !testing::Test::HasFatalFailure(); ++step) {
+    current.lock()->AppendMore(world.RandomBelow(6));
+    machine.FailSyncs(world.RandomBelow(50) == 0);
+    world.RunFor(milliseconds(world.RandomBelow(6)));
+    if (world.RandomBelow(8) == 0 || current.lock()->failed()) {
+      EndAndStart(world, machine);
+    }
+  }
+  EXPECT_GT(acknowledged, 100U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, SimulatedTornTailTest, testing::Range<std::uint64_t>(1, 21));
+
+/// Appends without end and writes each newly acknowledged number to `acknowledgements`.
+[[noreturn]] void AppendUntilKilled(const std::string& path, std::uint64_t acknowledged,
+                                    int acknowledgements) {
+  TestLoop loop;
+  PosixDataFolder folder(path, loop.poster());
+  if (!folder.Open().ok()) {
+    std::_Exit(1);
+  }
+  NumberLog log(folder, acknowledged);
+  while (!log.failed()) {
+    const std::uint64_t before = acknowledged;
+    log.AppendMore(5);
+    loop.RunUntil([&] { return acknowledged > before || log.failed(); });
+    if (::write(acknowledgements, &acknowledged, sizeof acknowledged) < 0) {
+      std::_Exit(1);
+    }
+  }
+  std::_Exit(1);
+}
+
+/// Runs a process that appends and kills it after `messages` of its acknowledgements.
+/// @return the last number acknowledged, as far as it came to be said.
+std::uint64_t AppendAndKill(const std::string& path, std::uint64_t acknowledged, int messages) {
+  int ends[2];
+  EXPECT_EQ(::pipe(ends), 0);
+  const pid_t child = ::fork();
+  if (child == 0) {
+    ::close(ends[0]);
+    AppendUntilKilled(path, acknowledged, ends[1]);
+  }
+  ::close(ends[1]);
+  std::uint64_t heard = 0;
+  for (int count = 0; ::read(ends[0], &heard, sizeof heard) == sizeof heard; ++count) {
+    acknowledged = heard;
+    if (count == messages) {
+      ::kill(child, SIGKILL);
+    }
+  }
+  int exit_status = 0;
+  EXPECT_EQ(::waitpid(child, &exit_status, 0), child);
+  EXPECT_TRUE(WIFSIGNALED(exit_status));
+  ::close(ends[0]);
+  return acknowledged;
+}
+
+TEST(RealTornTailTest, AcknowledgedRecordsOutliveKillsAndTornTails) {
+  const TemporaryFolder place;
+  const std::string file = place.path() + "/" + NumberLog::kFileName;
+  std::mt19937_64 random(11);
+  std::uint64_t acknowledged = 0;
+  for (int round = 0; round < 8 && !testing::Test::HasFatalFailure(); ++round) {
+    acknowledged = AppendAndKill(place.path(), acknowledged, static_cast<int>(random() % 6));
+    TestLoop loop;
+    PosixDataFolder folder(place.path(), loop.poster());
+    ASSERT_TRUE(folder.Open().ok());
+    NumberLog log(folder, acknowledged);
+    // What a power loss in the middle of the next append would leave.
+    const std::string torn = EncodeRecord("a record cut short", NumberLog::kSeed);
+    bool torn_written = false;
+    folder.Append(NumberLog::kFileName, torn.substr(0, random() % torn.size()),
+                  [&torn_written](const Status& status) { torn_written = status.ok(); });
+    loop.RunUntil([&torn_written] { return torn_written; });
+  }
+  EXPECT_GT(acknowledged, 50U);
+  EXPECT_GT(std::filesystem::file_size(file), 0U);
+}
+
+}  // namespace
+}  // namespace cloverbank
