--- a/src/net/beast_http_server.cc
+++ b/src/net/beast_http_server.cc
@@ -128,7 +128,7 @@
 }
 
 Status BeastHttpServer::Listen() {
-  const Status opened = listener_->Open();
+  Status opened = listener_->Open();
   if (opened.ok()) {
     listener_->Accept();
   }
--- a/src/net/beast_message.cc
+++ b/src/net/beast_message.cc
@@ -30,7 +30,7 @@
 HttpHeaders ToHttpHeaders(const http::fields& fields) {
   HttpHeaders headers;
   for (const auto& field : fields) {
-    headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
+    headers.emplace_back(field.name_string().to_string(), field.value().to_string());
   }
   return headers;
 }
