Let items that left run on when their lease ends, and give late grants back

Cutting an item off at its lease's end stopped nothing at the replica and let a cancelled batch show it as never started; its true result is reported now. A question for work stays open longer than a work lease, so that a late grant is given back instead of leaving an item that must not repeat unknown.

--- a/src/gateway/batch_work_ledger.cc
+++ b/src/gateway/batch_work_ledger.cc
@@ -151,8 +151,7 @@
     Refuse(lease, StartRefusal::kLeaseEnded);
     return EndedAction::kNothing;
   }
-  const bool run_on = item->phase == Phase::kLeft && !item->grant.idempotent();
-  return run_on ? EndedAction::kRunOn : EndedAction::kWithdraw;
+  return item->phase == Phase::kLeft ? EndedAction::kRunOn : EndedAction::kWithdraw;
 }
 
 void BatchWorkLedger::FinishWithdrawn(WorkLeaseId lease) {
@@ -162,8 +161,7 @@
   }
   const bool left = item->phase == Phase::kLeft;
   Complete(*item, left ? proto::WORK_DISPOSITION_UNKNOWN : proto::WORK_DISPOSITION_NOT_RUN,
-           left ? proto::ITEM_OUTCOME_UNKNOWN : proto::ITEM_OUTCOME_UNSPECIFIED, "",
-           "withdrawn: its work lease ended");
+           proto::ITEM_OUTCOME_UNSPECIFIED, "", "withdrawn: its work lease ended");
 }
 
 std::vector<WorkLeaseId> BatchWorkLedger::Waiting() const {
--- a/src/gateway/batch_work_ledger.h
+++ b/src/gateway/batch_work_ledger.h
@@ -13,6 +13,8 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <string_view>
+#include <tuple>
 #include <vector>
 
 #include "base/ids.h"
@@ -43,11 +45,14 @@
   const proto::RoutingConfiguration* configuration = nullptr;
 };
 
-/// What to do with a running item whose lease the queue node ended.
+/// What to do with a running item whose lease the queue node ended (its batch was cancelled, or the
+/// item was given to another gateway). An item that left runs to its end, also an idempotent one,
+/// and its true result is reported: cutting it off would stop nothing at the replica, and a
+/// cancelled batch would show it as never started.
 enum class EndedAction : std::uint8_t {
   kNothing,   ///< Not held, or its result is known already.
-  kWithdraw,  ///< Cancel the call; the item is reported (not run, or unknown if it left).
-  kRunOn,     ///< It left and must not repeat: cutting it off would only lose its true result.
+  kWithdraw,  ///< It has not left: cancel the call; the item is reported as not run.
+  kRunOn,     ///< It left.
 };
 
 struct LedgerLimits {
@@ -62,7 +67,9 @@
 struct ReportAddress {
   NodeId owner;
   NodeId gateway;
-  auto operator<=>(const ReportAddress&) const = default;
+  friend bool operator<(const ReportAddress& left, const ReportAddress& right) {
+    return std::tie(left.owner, left.gateway) < std::tie(right.owner, right.gateway);
+  }
 };
 
 class BatchWorkLedger {
--- a/src/gateway/batch_work_offers.cc
+++ b/src/gateway/batch_work_offers.cc
@@ -19,14 +19,16 @@
     if (asked.under_way || now < asked.next_ask) {
       continue;
     }
-    BatchRoom room = RoomFor(asked, free, nodes.size());
+    BatchRoom room = RoomFor(asked, now, free, nodes.size());
     if (room.empty()) {
       continue;
     }
     asked.under_way = true;
     asked.offered = room;
     asked.next_ask = now + options_.minimum_interval;
-    offers.push_back({node, std::move(room), asked.busy ? Duration::zero() : options_.hold});
+    const Duration hold = asked.busy ? Duration::zero() : options_.hold;
+    asked.offered_until = now + hold + options_.silence_limit;
+    offers.push_back({node, std::move(room), hold});
   }
   ++first_;
   return offers;
@@ -55,7 +57,8 @@
   });
 }
 
-BatchRoom WorkOffers::RoomFor(const Asked& asked, const BatchRoom& free, std::size_t nodes) const {
+BatchRoom WorkOffers::RoomFor(const Asked& asked, TimePoint now, const BatchRoom& free,
+                              std::size_t nodes) const {
   std::size_t sharers = nodes;
   if (asked.busy) {
     sharers = static_cast<std::size_t>(std::count_if(
@@ -66,7 +69,8 @@
     std::uint32_t left = slots;
     for (const auto& [node, other] : asked_) {
       const auto offered = other.offered.find(backend);
-      const bool counts = other.under_way && (other.busy || !asked.busy);
+      const bool counts =
+          other.under_way && now < other.offered_until && (other.busy || !asked.busy);
       if (counts && offered != other.offered.end()) {
         left -= std::min(left, offered->second);
       }
--- a/src/gateway/batch_work_offers.h
+++ b/src/gateway/batch_work_offers.h
@@ -29,6 +29,7 @@
 struct WorkOfferOptions {
   Duration hold = milliseconds(500);             ///< Of nodes that had no work lately.
   Duration minimum_interval = milliseconds(20);  ///< Between two questions to one node.
+  Duration silence_limit = seconds(1);           ///< Beyond the hold, see `offered_until`.
 };
 
 class WorkOffers {
@@ -48,11 +49,13 @@
     bool under_way = false;
     bool busy = false;  ///< Its last answer brought work.
     TimePoint next_ask;
+    TimePoint offered_until;  ///< Later, the room of a silent node goes to others.
     BatchRoom offered;
   };
 
   void Forget(const std::vector<NodeId>& nodes);
-  BatchRoom RoomFor(const Asked& asked, const BatchRoom& free, std::size_t nodes) const;
+  BatchRoom RoomFor(const Asked& asked, TimePoint now, const BatchRoom& free,
+                    std::size_t nodes) const;
 
   WorkOfferOptions options_;
   std::map<NodeId, Asked> asked_;
--- a/src/gateway/batch_worker.h
+++ b/src/gateway/batch_worker.h
@@ -26,7 +26,9 @@
   WorkOfferOptions offers;
   Duration tick = milliseconds(50);
   Duration renewal = milliseconds(500);  ///< Between renewals of running items.
-  Duration acquire_grace = seconds(1);   ///< For an answer, beyond the hold.
+  /// For an answer, beyond the hold. Longer than a work lease: a grant that comes late is given
+  /// back, one that is never read leaves an item that must not repeat unknown.
+  Duration acquire_grace = seconds(6);
   Duration report_deadline = milliseconds(1500);
   Duration retry_delay = milliseconds(200);      ///< After a call that failed.
   Duration grant_patience = milliseconds(300);   ///< For room, before a grant is given back.
--- a/src/gateway/http_json.cc
+++ b/src/gateway/http_json.cc
@@ -46,7 +46,7 @@
   }
   return {StatusCode::kInvalidArgument, "the body is not a valid " +
                                             message->GetDescriptor()->name() + ": " +
-                                            std::string(status.message())};
+                                            status.message().ToString()};
 }
 
 void SendJson(HttpResponder& responder, int http_status, const google::protobuf::Message& message) {
--- a/src/node/node_agent.cc
+++ b/src/node/node_agent.cc
@@ -1,6 +1,7 @@
 #include "node/node_agent.h"
 
 #include <algorithm>
+#include <deque>
 #include <utility>
 
 #include "base/logging.h"
@@ -22,12 +23,13 @@
 constexpr Duration kCallAttemptDeadline = seconds(5);
 constexpr Duration kCallSilenceLimit = seconds(1);
 
-using Observers = std::vector<std::function<void()>>;
+/// A deque, since an observer may add another while it runs.
+using Observers = std::deque<std::function<void()>>;
 
 void RunAll(const Observers& observers) {
-  const Observers copy = observers;  // An observer may add another.
-  for (const auto& observer : copy) {
-    observer();
+  const std::size_t count = observers.size();
+  for (std::size_t index = 0; index < count; ++index) {
+    observers[index]();
   }
 }
 
@@ -122,10 +124,10 @@
 }
 
 void NodeAgent::State::Register() {
-  const std::string body = MakeRegistration().SerializeAsString();
+  std::string body = MakeRegistration().SerializeAsString();
   LeaderCallOptions call;
   call.method = "coordinator.RegisterServer";
-  call.make_body = [body](std::uint32_t /*attempt*/) { return body; };
+  call.make_body = [body = std::move(body)](std::uint32_t /*attempt*/) { return body; };
   call.deadline = kSearchDeadline;
   call.attempt_deadline = options.heartbeat_deadline;
   call.silence_limit = options.heartbeat_deadline / 2;
