--- a/src/gateway/backend_caller.h
+++ b/src/gateway/backend_caller.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "base/status.h"
 #include "base/time.h"
@@ -16,6 +17,10 @@
 
 namespace cloverbank {
 
+/// Code of `BackendOutcome::error` when a replica found the request itself wrong: nothing ran, and
+/// no other replica would take it.
+inline constexpr std::string_view kReplicaRejectedCode = "replica_rejected";
+
 /// What became of one whole (not streamed) call at a back end.
 struct BackendOutcome {
   proto::Executed executed = proto::EXECUTED_UNSPECIFIED;
--- a/src/gateway/batch_work_ledger.cc
+++ b/src/gateway/batch_work_ledger.cc
@@ -36,6 +36,10 @@
 
 }  // namespace
 
+bool WasRejected(const BackendOutcome& outcome) {
+  return outcome.executed == proto::EXECUTED_NO && outcome.error.code() == kReplicaRejectedCode;
+}
+
 std::string_view StartRefusalName(StartRefusal refusal) {
   switch (refusal) {
     case StartRefusal::kNone:
@@ -128,6 +132,10 @@
     return;
   }
   const std::string& message = outcome.error.message();
+  if (WasRejected(outcome)) {
+    Complete(*item, proto::WORK_DISPOSITION_FINISHED, proto::ITEM_OUTCOME_FAILED, "", message);
+    return;
+  }
   switch (outcome.executed) {
     case proto::EXECUTED_YES:
       Complete(*item, proto::WORK_DISPOSITION_FINISHED, proto::ITEM_OUTCOME_FAILED, "", message);
--- a/src/gateway/batch_work_ledger.h
+++ b/src/gateway/batch_work_ledger.h
@@ -38,6 +38,9 @@
 };
 std::string_view StartRefusalName(StartRefusal refusal);
 
+/// @return whether a replica refused the item for good: giving it back would only repeat that.
+bool WasRejected(const BackendOutcome& outcome);
+
 /// What the gateway's state allows at this moment.
 struct StartConditions {
   TimePoint now;
--- a/src/gateway/batch_worker.cc
+++ b/src/gateway/batch_worker.cc
@@ -154,7 +154,7 @@
 void BatchWorker::FinishItem(WorkLeaseId lease, const std::string& backend,
                              const BackendOutcome& outcome) {
   calls_.erase(lease);
-  if (outcome.executed == proto::EXECUTED_NO) {
+  if (outcome.executed == proto::EXECUTED_NO && !WasRejected(outcome)) {
     paused_backends_[backend] = environment_.Now() + options_.retry_delay;
   }
   ledger_.Finish(lease, outcome);
--- a/src/gateway/operator_api.cc
+++ b/src/gateway/operator_api.cc
@@ -164,6 +164,15 @@
 void OperatorApi::Retire(const HttpRequest& request, const Responder& responder) {
   proto::RetireServerRequest retire;
   retire.set_machine(std::string(PathSegment(request.path, kMachineSegment)));
+  const std::string_view cancel = FindHeader(request.query, "cancel");
+  if (!cancel.empty() && cancel != "true" && cancel != "false") {
+    SendStatus(*responder,
+               Status(StatusCode::kInvalidArgument,
+                      "cancel: found \"" + std::string(cancel) + "\", expected true or false"),
+               proto::EXECUTED_NO);
+    return;
+  }
+  retire.set_cancel(cancel == "true");
   agent_.CallLeader<proto::RetireServerResponse>(
       "coordinator.RetireServer", retire, kRetireDeadline,
       [responder](const Result<proto::RetireServerResponse>& result) {
--- a/src/gateway/operator_api.h
+++ b/src/gateway/operator_api.h
@@ -6,7 +6,7 @@
 ///     GET  /v1/config                    configuration and the version in force
 ///     GET  /v1/config/history?limit=N    newest transactions
 ///     POST /v1/config/transactions       several changes under one expected version
-///     POST /v1/stores/{machine}/retire   empties a store machine
+///     POST /v1/stores/{machine}/retire   empties a store machine; ?cancel=true takes it back
 ///
 /// Threads: the owner's event loop only.
 
--- a/tests/gateway/batch_worker_test.cc
+++ b/tests/gateway/batch_worker_test.cc
@@ -325,6 +325,20 @@
   EXPECT_EQ(Disposition(q1, 1), proto::WORK_DISPOSITION_UNKNOWN);
 }
 
+TEST_F(BatchWorkerTest, ItemThatAReplicaRejectsFailsAndOneThatFoundNoRoomIsGivenBack) {
+  Start();
+  gateway->backend.outcome = {};
+  gateway->backend.outcome.executed = proto::EXECUTED_NO;
+  AddWork(1, "unlock");
+  world.RunFor(seconds(1));
+  gateway->backend.outcome.error.set_code(std::string(kReplicaRejectedCode));
+  AddWork(2, "unlock");
+  world.RunFor(seconds(1));
+  EXPECT_EQ(Disposition(q1, 1), proto::WORK_DISPOSITION_NOT_RUN);
+  ASSERT_EQ(Disposition(q1, 2), proto::WORK_DISPOSITION_FINISHED);
+  EXPECT_EQ(q1.reports.at(2).outcome(), proto::ITEM_OUTCOME_FAILED);
+}
+
 TEST_F(BatchWorkerTest, EndedLeaseDoesNotCutOffAnItemThatLeft) {
   Start();
   gateway->backend.run_time = seconds(2);
--- a/tests/gateway/operator_api_test.cc
+++ b/tests/gateway/operator_api_test.cc
@@ -12,6 +12,7 @@
 
 using testing::ElementsAre;
 using testing::HasSubstr;
+using testing::UnorderedElementsAre;
 
 struct OperatorGateway {
   OperatorGateway(Environment& environment, const NodeAgentOptions& options)
@@ -120,6 +121,8 @@
       gateway->http.Send("GET", "/v1/config/history", "", {}, {{"limit", "many"}});
   const auto status = gateway->http.Send("GET", "/v1/status");
   const auto retire = gateway->http.Send("POST", "/v1/stores/store-2/retire");
+  const auto back =
+      gateway->http.Send("POST", "/v1/stores/store-3/retire", "", {}, {{"cancel", "true"}});
   const auto health = gateway->http.Send("GET", "/healthz");
   world.RunFor(seconds(1));
   EXPECT_EQ(config->Body<proto::GetConfigurationResponse>().in_force_version(), 6U);
@@ -128,7 +131,8 @@
   EXPECT_THAT(bad_limit->Error().message(), HasSubstr("\"many\""));
   EXPECT_THAT(status->Body<proto::GetFleetStatusResponse>().problems(), ElementsAre("a problem"));
   EXPECT_THAT(retire->Body<proto::RetireServerResponse>().node_ids(), ElementsAre(8U));
-  EXPECT_THAT(control.retired, ElementsAre("store-2"));
+  EXPECT_THAT(control.retired, UnorderedElementsAre("store-2", "not store-3"));
+  EXPECT_EQ(back->response.status, 200);
   EXPECT_EQ(health->response.status, 200);
 }
 
--- a/tests/node/fake_control.h
+++ b/tests/node/fake_control.h
@@ -102,7 +102,7 @@
         });
     Serve<proto::RetireServerRequest, proto::RetireServerResponse>(
         "coordinator.RetireServer", [this](const auto& request) {
-          control_.retired.push_back(request.machine());
+          control_.retired.push_back((request.cancel() ? "not " : "") + request.machine());
           proto::RetireServerResponse response;
           response.add_node_ids(8);
           return Result<proto::RetireServerResponse>(response);
