Choose replicas by list, zone, health, load and prefix

Pure cores: the platform's list (ready, draining, cold), the load of a replica as one of several gateways can tell it, health (ejection by hard and soft evidence, half-open trial, slow start) and the choice itself (own zone first, rendezvous hashing with bounded load).

--- /dev/null
+++ b/src/gateway/replica_directory.cc
@@ -0,0 +1,93 @@
+#include "gateway/replica_directory.h"
+
+#include <algorithm>
+
+namespace cloverbank {
+namespace {
+
+constexpr std::uint32_t kLargestPort = 65535;
+
+bool WellFormed(const proto::Replica& replica) {
+  const bool reachable = !replica.endpoint().host().empty() && replica.endpoint().port() != 0 &&
+                         replica.endpoint().port() <= kLargestPort;
+  return reachable && !replica.id().empty() && !replica.backend().empty() &&
+         replica.kind() != proto::BACKEND_KIND_UNSPECIFIED;
+}
+
+ReplicaRecord ToRecord(const proto::Replica& replica) {
+  ReplicaRecord record;
+  record.id = replica.id();
+  record.endpoint.host = replica.endpoint().host();
+  record.endpoint.port = static_cast<std::uint16_t>(replica.endpoint().port());
+  record.zone = replica.zone();
+  record.kind = replica.kind();
+  record.backend = replica.backend();
+  record.capacity = std::max(1U, replica.capacity());
+  record.instance_id = replica.instance_id();
+  record.ready = replica.state() == proto::REPLICA_STATE_READY;
+  return record;
+}
+
+bool SameLife(const ReplicaRecord& left, const ReplicaRecord& right) {
+  return left.instance_id == right.instance_id && left.endpoint == right.endpoint;
+}
+
+}  // namespace
+
+Result<DirectoryChange> ReplicaDirectory::Apply(const proto::ReplicaList& list) {
+  if (list.version() == 0) {
+    return Status(StatusCode::kInvalidArgument, "the replica list names no version");
+  }
+  DirectoryChange change;
+  std::map<std::string, ReplicaRecord, std::less<>> records;
+  for (const proto::Replica& replica : list.replicas()) {
+    if (!WellFormed(replica) || records.contains(replica.id())) {
+      ++change.skipped;
+      continue;
+    }
+    records.emplace(replica.id(), ToRecord(replica));
+  }
+  for (const auto& [id, record] : records) {
+    const ReplicaRecord* previous = Find(id);
+    const bool was_ready = previous != nullptr && previous->ready;
+    if (record.ready && (!was_ready || !SameLife(*previous, record))) {
+      change.cold.push_back(id);
+    }
+    if (!record.ready && was_ready) {
+      change.stopped.push_back(id);
+    }
+  }
+  for (const auto& [id, record] : records_) {
+    if (!records.contains(id)) {
+      change.removed.push_back(id);
+    }
+  }
+  records_ = std::move(records);
+  version_ = list.version();
+  loaded_ = true;
+  RebuildIndex();
+  return change;
+}
+
+const ReplicaRecord* ReplicaDirectory::Find(std::string_view id) const {
+  const auto found = records_.find(id);
+  return found == records_.end() ? nullptr : &found->second;
+}
+
+const std::vector<const ReplicaRecord*>& ReplicaDirectory::Ready(proto::BackendKind kind,
+                                                                 const std::string& backend) const {
+  static const std::vector<const ReplicaRecord*> kNone;
+  const auto found = ready_.find(BackendKey(kind, backend));
+  return found == ready_.end() ? kNone : found->second;
+}
+
+void ReplicaDirectory::RebuildIndex() {
+  ready_.clear();
+  for (const auto& [id, record] : records_) {
+    if (record.ready) {
+      ready_[BackendKey(record.kind, record.backend)].push_back(&record);
+    }
+  }
+}
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/gateway/replica_directory.h
@@ -0,0 +1,72 @@
+#pragma once
+/// @file
+/// The platform's list of replicas as last read: who is ready, who is draining, who is new. Pure.
+///
+/// The list lags behind the truth (health is observed apart from it, replica_health.h), but a
+/// replica that it reports as draining, or no longer names, gets no new call from the moment it was
+/// applied.
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/status.h"
+#include "proto/live.pb.h"
+
+namespace cloverbank {
+
+/// One replica of the list.
+struct ReplicaRecord {
+  std::string id;
+  Endpoint endpoint;
+  std::string zone;
+  proto::BackendKind kind = proto::BACKEND_KIND_UNSPECIFIED;
+  std::string backend;         ///< Model or service name.
+  std::uint32_t capacity = 1;  ///< Calls it runs at once; at least 1.
+  std::string instance_id;     ///< New at each start of the replica.
+  bool ready = false;          ///< False while draining.
+  bool operator==(const ReplicaRecord&) const = default;
+};
+
+/// What a newly applied list changed.
+struct DirectoryChange {
+  /// Ids that must be taken as cold: new, restarted (other instance or endpoint), or ready again
+  /// after draining.
+  std::vector<std::string> cold;
+  std::vector<std::string> stopped;  ///< Ids that went from ready to draining.
+  std::vector<std::string> removed;  ///< Ids no longer named.
+  std::uint32_t skipped = 0;         ///< Malformed or repeated entries, which are left out.
+};
+
+class ReplicaDirectory {
+ public:
+  /// Takes a whole list. @return what changed, or kInvalidArgument for a list that names no
+  /// version, in which case the last one stays in use.
+  Result<DirectoryChange> Apply(const proto::ReplicaList& list);
+
+  /// @return the record, or nullptr. Valid until the next `Apply`.
+  const ReplicaRecord* Find(std::string_view id) const;
+  /// @return the ready replicas of a back end, by id. Valid until the next `Apply`.
+  const std::vector<const ReplicaRecord*>& Ready(proto::BackendKind kind,
+                                                 const std::string& backend) const;
+  const std::map<std::string, ReplicaRecord, std::less<>>& records() const { return records_; }
+  /// Whether any list has been applied.
+  bool loaded() const { return loaded_; }
+  std::uint64_t version() const { return version_; }
+
+ private:
+  using BackendKey = std::pair<proto::BackendKind, std::string>;
+
+  void RebuildIndex();
+
+  bool loaded_ = false;
+  std::uint64_t version_ = 0;
+  std::map<std::string, ReplicaRecord, std::less<>> records_;
+  std::map<BackendKey, std::vector<const ReplicaRecord*>> ready_;
+};
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/gateway/replica_health.cc
@@ -0,0 +1,271 @@
+#include "gateway/replica_health.h"
+
+#include <algorithm>
+
+namespace cloverbank {
+namespace {
+
+constexpr std::uint32_t kLargestEjectionDoubling = 10;
+constexpr std::int64_t kLatencyWeight = 5;  // Of the past, against 1 for the newest.
+constexpr std::size_t kFewestPeers = 3;     // A median of fewer says nothing.
+constexpr std::uint32_t kPercent = 100;
+
+}  // namespace
+
+void ReplicaHealth::Reset(const std::string& id, const std::string& backend) {
+  Watch fresh;
+  fresh.backend = backend;
+  if (const Watch* previous = Find(id)) {
+    fresh.in_flight = previous->in_flight;
+  }
+  watches_[id] = fresh;
+}
+
+void ReplicaHealth::Remove(const std::string& id) { watches_.erase(id); }
+
+void ReplicaHealth::OnProbe(const std::string& id, bool answered, std::uint32_t already_running,
+                            TimePoint now) {
+  Watch* watch = Find(id);
+  if (watch == nullptr) {
+    return;
+  }
+  if (!answered) {
+    OnSilence(*watch, now);
+    return;
+  }
+  watch->silences = 0;
+  switch (watch->condition) {
+    case ReplicaCondition::kUnproven:
+      BecomeHealthy(*watch, already_running, now);
+      break;
+    case ReplicaCondition::kSuspect:
+      watch->condition = ReplicaCondition::kHealthy;
+      break;
+    case ReplicaCondition::kEjected:
+      if (now >= watch->ejected_until) {
+        watch->condition = ReplicaCondition::kTrial;
+      }
+      break;
+    case ReplicaCondition::kHealthy:
+    case ReplicaCondition::kTrial:
+      break;
+  }
+}
+
+void ReplicaHealth::OnCallStarted(const std::string& id) {
+  if (Watch* watch = Find(id)) {
+    ++watch->in_flight;
+  }
+}
+
+void ReplicaHealth::OnCallEnded(const std::string& id, CallEnd end, TimePoint now) {
+  Watch* watch = Find(id);
+  if (watch == nullptr) {
+    return;
+  }
+  watch->in_flight -= std::min(watch->in_flight, 1U);
+  switch (end) {
+    case CallEnd::kSuccess:
+      OnGoodCall(*watch, now);
+      break;
+    case CallEnd::kFailed:
+      ++watch->failures;
+      if (watch->condition == ReplicaCondition::kTrial) {
+        Eject(*watch, now);
+      } else if (watch->failures >= options_.failures_to_eject) {
+        EjectSoftly(*watch, now);
+      }
+      break;
+    case CallEnd::kSilent:
+      OnSilence(*watch, now);
+      break;
+    case CallEnd::kNotConnected:
+      Eject(*watch, now);
+      break;
+    case CallEnd::kRefused:
+    case CallEnd::kWithdrawn:
+      break;
+  }
+}
+
+void ReplicaHealth::OnLatency(const std::string& id, Duration latency) {
+  Watch* watch = Find(id);
+  if (watch == nullptr) {
+    return;
+  }
+  const bool first = watch->latency_samples == 0;
+  watch->latency =
+      first ? latency : (watch->latency * kLatencyWeight + latency) / (kLatencyWeight + 1);
+  ++watch->latency_samples;
+}
+
+void ReplicaHealth::Evaluate(TimePoint now) {
+  std::map<std::string_view, std::vector<Watch*>> by_backend;
+  for (auto& [id, watch] : watches_) {
+    const bool healthy = watch.condition == ReplicaCondition::kHealthy;
+    if (healthy && watch.ejections > 0 && now - watch.healthy_since >= options_.forgive_after) {
+      --watch.ejections;
+      watch.healthy_since = now;
+    }
+    if (healthy && watch.latency_samples >= options_.slow_samples) {
+      by_backend[watch.backend].push_back(&watch);
+    }
+  }
+  for (const auto& [backend, peers] : by_backend) {
+    JudgeLatency(peers, now);
+  }
+}
+
+void ReplicaHealth::JudgeLatency(const std::vector<Watch*>& peers, TimePoint now) {
+  if (peers.size() < kFewestPeers) {
+    return;
+  }
+  std::vector<Duration> latencies;
+  latencies.reserve(peers.size());
+  for (const Watch* watch : peers) {
+    latencies.push_back(watch->latency);
+  }
+  const auto middle = latencies.begin() + static_cast<std::ptrdiff_t>(latencies.size() / 2);
+  std::nth_element(latencies.begin(), middle, latencies.end());
+  const auto bound = std::max(options_.slow_floor,
+                              std::chrono::duration_cast<Duration>(*middle * options_.slow_factor));
+  for (Watch* watch : peers) {
+    if (watch->latency > bound) {
+      EjectSoftly(*watch, now);
+    }
+  }
+}
+
+Usability ReplicaHealth::UsabilityOf(const std::string& id, TimePoint now) const {
+  const Watch* watch = Find(id);
+  if (watch == nullptr) {
+    return Usability::kNo;
+  }
+  switch (watch->condition) {
+    case ReplicaCondition::kHealthy:
+      return Usability::kYes;
+    case ReplicaCondition::kSuspect:
+      return Usability::kLastResort;
+    case ReplicaCondition::kTrial: {
+      const bool trial_free = watch->in_flight == 0 && now >= watch->ejected_until;
+      return trial_free ? Usability::kYes : Usability::kNo;
+    }
+    case ReplicaCondition::kUnproven:
+    case ReplicaCondition::kEjected:
+      return Usability::kNo;
+  }
+  return Usability::kNo;
+}
+
+ReplicaCondition ReplicaHealth::ConditionOf(const std::string& id) const {
+  const Watch* watch = Find(id);
+  return watch == nullptr ? ReplicaCondition::kUnproven : watch->condition;
+}
+
+RampLimits ReplicaHealth::LimitsOf(const std::string& id, std::uint32_t capacity,
+                                   TimePoint now) const {
+  const Watch* watch = Find(id);
+  if (watch == nullptr || capacity == 0) {
+    return {};
+  }
+  if (watch->condition == ReplicaCondition::kTrial) {
+    return {1, capacity};
+  }
+  const Duration elapsed = std::min(now - watch->ramp_start, options_.ramp_time);
+  const double share =
+      options_.ramp_time.count() == 0
+          ? 1.0
+          : static_cast<double>(elapsed.count()) / static_cast<double>(options_.ramp_time.count());
+  const auto by_time = static_cast<std::uint32_t>(share * (capacity - 1));
+  const std::uint32_t base = 1 + watch->warm_level;
+  return {std::min(capacity, 1 + watch->successes), std::min(capacity, base + by_time)};
+}
+
+ReplicaHealth::Watch* ReplicaHealth::Find(const std::string& id) {
+  const auto found = watches_.find(id);
+  return found == watches_.end() ? nullptr : &found->second;
+}
+
+const ReplicaHealth::Watch* ReplicaHealth::Find(const std::string& id) const {
+  const auto found = watches_.find(id);
+  return found == watches_.end() ? nullptr : &found->second;
+}
+
+void ReplicaHealth::BecomeHealthy(Watch& watch, std::uint32_t warm_level, TimePoint now) {
+  watch.condition = ReplicaCondition::kHealthy;
+  watch.failures = 0;
+  watch.silences = 0;
+  watch.successes = 0;
+  watch.warm_level = warm_level;
+  watch.ramp_start = now;
+  watch.healthy_since = now;
+}
+
+void ReplicaHealth::OnGoodCall(Watch& watch, TimePoint now) {
+  watch.failures = 0;
+  watch.silences = 0;
+  switch (watch.condition) {
+    case ReplicaCondition::kTrial:
+      BecomeHealthy(watch, 0, now);
+      break;
+    case ReplicaCondition::kSuspect:
+      watch.condition = ReplicaCondition::kHealthy;
+      break;
+    case ReplicaCondition::kUnproven:
+    case ReplicaCondition::kHealthy:
+    case ReplicaCondition::kEjected:
+      break;
+  }
+  ++watch.successes;
+}
+
+void ReplicaHealth::OnSilence(Watch& watch, TimePoint now) {
+  ++watch.silences;
+  const bool proven = watch.condition == ReplicaCondition::kHealthy ||
+                      watch.condition == ReplicaCondition::kSuspect;
+  if (watch.condition == ReplicaCondition::kTrial) {
+    Eject(watch, now);
+  } else if (proven && watch.silences >= options_.silences_to_eject) {
+    Eject(watch, now);
+  } else if (proven) {
+    watch.condition = ReplicaCondition::kSuspect;
+  }
+}
+
+void ReplicaHealth::Eject(Watch& watch, TimePoint now) {
+  if (watch.condition == ReplicaCondition::kUnproven) {
+    return;  // Gets no call before a good probe anyway.
+  }
+  if (watch.condition == ReplicaCondition::kEjected) {
+    return;  // Ends of calls that began before the ejection.
+  }
+  const std::uint32_t doublings = std::min(watch.ejections, kLargestEjectionDoubling);
+  const Duration time = options_.base_ejection * (std::int64_t{1} << doublings);
+  watch.condition = ReplicaCondition::kEjected;
+  watch.ejected_until = now + std::min(time, options_.maximum_ejection);
+  ++watch.ejections;
+  watch.latency_samples = 0;
+}
+
+void ReplicaHealth::EjectSoftly(Watch& watch, TimePoint now) {
+  if (MayEjectSoftly(watch.backend)) {
+    Eject(watch, now);
+  }
+}
+
+bool ReplicaHealth::MayEjectSoftly(const std::string& backend) const {
+  std::uint32_t all = 0;
+  std::uint32_t ejected = 0;
+  for (const auto& [id, watch] : watches_) {
+    if (watch.backend != backend) {
+      continue;
+    }
+    ++all;
+    const bool out = watch.condition == ReplicaCondition::kEjected ||
+                     watch.condition == ReplicaCondition::kTrial;
+    ejected += out ? 1 : 0;
+  }
+  return (ejected + 1) * kPercent <= all * options_.maximum_ejected_percent;
+}
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/gateway/replica_health.h
@@ -0,0 +1,118 @@
+#pragma once
+/// @file
+/// Which replicas can be trusted with a call, and with how many at once: outlier ejection from
+/// passive observation, active probes, half-open trials and slow start. Pure.
+///
+/// States of a replica:
+///
+///     kUnproven --good probe--> kHealthy <--good probe-- kSuspect <--one silence-- kHealthy
+///     any --hard evidence, or enough soft evidence--> kEjected
+///     kEjected --ejection time over and a good probe--> kTrial --one good call--> kHealthy
+///     kTrial --a bad call--> kEjected, for longer
+///
+/// Hard evidence (connect refused, repeated silence) always ejects. Soft evidence (failed or slow
+/// answers) ejects only while no more than a share of the back end's replicas is ejected, since it
+/// may be caused by the requests themselves. Whoever becomes kHealthy ramps up (slow start).
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/time.h"
+
+namespace cloverbank {
+
+struct ReplicaHealthOptions {
+  std::uint32_t failures_to_eject = 4;         ///< Consecutive failed answers (soft).
+  std::uint32_t silences_to_eject = 2;         ///< Consecutive silent calls or probes (hard).
+  std::uint32_t maximum_ejected_percent = 50;  ///< Of a back end's replicas, by soft evidence.
+  Duration base_ejection = seconds(1);         ///< Doubles with each ejection in a row.
+  Duration maximum_ejection = seconds(30);
+  Duration forgive_after = seconds(30);     ///< Healthy time after which one ejection is forgotten.
+  Duration ramp_time = seconds(6);          ///< From one call to full capacity.
+  double slow_factor = 4;                   ///< Times the median of its peers that counts as slow.
+  Duration slow_floor = milliseconds(500);  ///< Never slow below this.
+  std::uint32_t slow_samples = 10;          ///< Answers needed before judging.
+};
+
+/// How a call at a replica ended, as far as health is concerned.
+enum class CallEnd : std::uint8_t {
+  kSuccess,
+  kRefused,       ///< 429 or 503: full or stopping, but alive.
+  kFailed,        ///< An answer that shows a fault (5xx, broken stream).
+  kSilent,        ///< Bytes went out and nothing came back in time.
+  kNotConnected,  ///< The connection was refused or could not be made.
+  kWithdrawn,     ///< Ended by this gateway; says nothing of the replica.
+};
+
+enum class ReplicaCondition : std::uint8_t { kUnproven, kHealthy, kSuspect, kEjected, kTrial };
+
+/// Whether a call may go to a replica now.
+enum class Usability : std::uint8_t {
+  kNo,
+  kLastResort,  ///< Only if no other replica is left.
+  kYes,
+};
+
+/// Bounds of a replica during slow start.
+struct RampLimits {
+  std::uint32_t own = 0;    ///< Calls of this gateway.
+  std::uint32_t total = 0;  ///< Calls of everyone, as far as known.
+};
+
+class ReplicaHealth {
+ public:
+  explicit ReplicaHealth(ReplicaHealthOptions options) : options_(options) {}
+
+  /// Begins to watch a cold replica, or restarts the watch of one that came back.
+  void Reset(const std::string& id, const std::string& backend);
+  void Remove(const std::string& id);
+
+  /// @param already_running calls that it was seen to run when this gateway first heard of it, if
+  /// it was there before this gateway was; it is not cold then. 0 for one that appeared later.
+  void OnProbe(const std::string& id, bool answered, std::uint32_t already_running, TimePoint now);
+  void OnCallStarted(const std::string& id);
+  void OnCallEnded(const std::string& id, CallEnd end, TimePoint now);
+  /// Time to the first byte of an answer.
+  void OnLatency(const std::string& id, Duration latency);
+  /// Judges slowness and lets ejections decay; to be called about once a second.
+  void Evaluate(TimePoint now);
+
+  Usability UsabilityOf(const std::string& id, TimePoint now) const;
+  ReplicaCondition ConditionOf(const std::string& id) const;
+  RampLimits LimitsOf(const std::string& id, std::uint32_t capacity, TimePoint now) const;
+
+ private:
+  struct Watch {
+    std::string backend;
+    ReplicaCondition condition = ReplicaCondition::kUnproven;
+    std::uint32_t failures = 0;   ///< In a row.
+    std::uint32_t silences = 0;   ///< In a row.
+    std::uint32_t ejections = 0;  ///< In a row; decays.
+    std::uint32_t successes = 0;  ///< Since the ramp began.
+    std::uint32_t in_flight = 0;
+    std::uint32_t warm_level = 0;  ///< Calls known to be safe when the ramp began.
+    std::uint32_t latency_samples = 0;
+    Duration latency{};  ///< Moving average.
+    TimePoint ramp_start{};
+    TimePoint ejected_until{};
+    TimePoint healthy_since{};
+  };
+
+  Watch* Find(const std::string& id);
+  const Watch* Find(const std::string& id) const;
+  void BecomeHealthy(Watch& watch, std::uint32_t warm_level, TimePoint now);
+  void Eject(Watch& watch, TimePoint now);
+  void EjectSoftly(Watch& watch, TimePoint now);
+  void OnSilence(Watch& watch, TimePoint now);
+  void OnGoodCall(Watch& watch, TimePoint now);
+  bool MayEjectSoftly(const std::string& backend) const;
+  void JudgeLatency(const std::vector<Watch*>& peers, TimePoint now);
+
+  ReplicaHealthOptions options_;
+  std::map<std::string, Watch, std::less<>> watches_;
+};
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/gateway/replica_load.h
@@ -0,0 +1,68 @@
+#pragma once
+/// @file
+/// How busy a replica is, as far as one gateway can tell: its own calls there, and what the replica
+/// last said of its whole load. Several gateways share each replica without knowing each other, so
+/// the calls of others are what the replica reported beyond the own ones. Pure.
+
+#include <cstdint>
+#include <optional>
+#include <string_view>
+
+#include "base/time.h"
+
+namespace cloverbank {
+
+/// Header in replicas' answers: "<running>/<queued>/<capacity>".
+inline constexpr std::string_view kLoadHeader = "x-cloverbank-load";
+
+/// The whole load of a replica as it reports it.
+struct LoadReport {
+  std::uint32_t running = 0;
+  std::uint32_t queued = 0;
+  std::uint32_t capacity = 0;  ///< Calls it runs at once now; 0 is not told.
+};
+
+/// @return the report, or nothing if `value` is not of the form of `kLoadHeader`.
+std::optional<LoadReport> ParseLoadReport(std::string_view value);
+
+/// How long a replica that refused a call as full is left alone, unless it reports room before.
+inline constexpr Duration kRefusalPause = milliseconds(200);
+
+/// Whose call it is. Batch work gives way to live work.
+enum class WorkKind : std::uint8_t { kLive, kBatch };
+
+class ReplicaLoad {
+ public:
+  void OnStart(WorkKind kind);
+  void OnEnd(WorkKind kind);
+  /// Takes a report that reached this gateway now.
+  void OnReport(const LoadReport& report);
+  /// The replica refused a call as full: it is not asked again for a moment.
+  void OnRefused(TimePoint now);
+  /// Whether it refused a call just now.
+  bool Refusing(TimePoint now) const { return now < refusing_until_; }
+
+  /// Own calls under way.
+  std::uint32_t own() const { return own_live_ + own_batch_; }
+  std::uint32_t own_batch() const { return own_batch_; }
+  /// Calls of others, running or queued, as of the last report.
+  std::uint32_t others() const { return others_; }
+  /// Best estimate of all calls at the replica.
+  std::uint32_t total() const { return own() + others_; }
+  /// @return what it runs at once: the listed capacity, or the reported one if that is smaller.
+  std::uint32_t Capacity(std::uint32_t listed) const;
+  /// Batch items started since the last report: how far the estimate may be shared by others.
+  std::uint32_t batch_started_since_report() const { return batch_started_since_report_; }
+  bool reported() const { return reported_; }
+
+ private:
+  std::uint32_t own_live_ = 0;
+  std::uint32_t own_batch_ = 0;
+  std::uint32_t others_ = 0;
+  std::uint32_t reported_capacity_ = 0;
+  std::uint32_t batch_started_since_report_ = 0;
+  bool reported_ = false;
+  TimePoint refusing_until_{};
+};
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/gateway/router.cc
@@ -0,0 +1,232 @@
+#include "gateway/router.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "base/checksum.h"
+
+namespace cloverbank {
+namespace {
+
+constexpr std::uint32_t kPercent = 100;
+constexpr std::uint32_t kDefaultHeadroomPercent = 70;
+constexpr std::uint32_t kBatchShare = 2;  // At most 1 in this many free slots between two reports.
+
+template <typename List>
+auto FindByName(const List& list, std::string_view name) -> decltype(&*list.begin()) {
+  const auto found =
+      std::lower_bound(list.begin(), list.end(), name,
+                       [](const auto& entry, std::string_view key) { return entry.name() < key; });
+  return found != list.end() && found->name() == name ? &*found : nullptr;
+}
+
+std::uint32_t HeadroomPercent(const proto::RoutingConfiguration& configuration) {
+  const std::uint32_t percent = configuration.batch().live_headroom_percent();
+  return percent == 0 ? kDefaultHeadroomPercent : std::min(percent, kPercent);
+}
+
+}  // namespace
+
+std::string_view RoutingFailureName(RoutingFailure failure) {
+  switch (failure) {
+    case RoutingFailure::kNone:
+      return "none";
+    case RoutingFailure::kNoReadyReplica:
+      return "no_ready_replica";
+    case RoutingFailure::kNoOpenZone:
+      return "no_open_zone";
+    case RoutingFailure::kNoHealthyReplica:
+      return "no_healthy_replica";
+    case RoutingFailure::kNoRoom:
+      return "no_room";
+  }
+  return "none";
+}
+
+const proto::Route* FindRoute(const proto::RoutingConfiguration& configuration,
+                              std::string_view name) {
+  return FindByName(configuration.routes(), name);
+}
+
+const proto::Zone* FindZone(const proto::RoutingConfiguration& configuration,
+                            std::string_view name) {
+  return FindByName(configuration.zones(), name);
+}
+
+const proto::Tenant* FindTenant(const proto::RoutingConfiguration& configuration,
+                                std::string_view name) {
+  return FindByName(configuration.tenants(), name);
+}
+
+bool ZoneServes(const proto::RoutingConfiguration& configuration, const proto::Route& route,
+                std::string_view zone) {
+  const proto::Zone* entry = FindZone(configuration, zone);
+  if (entry == nullptr || entry->state() != proto::ZONE_STATE_OPEN) {
+    return false;
+  }
+  const auto& allowed = route.zones();
+  return allowed.empty() || std::find(allowed.begin(), allowed.end(), zone) != allowed.end();
+}
+
+RoutingChoice Router::Choose(const RoutingQuery& query, TimePoint now) const {
+  RoutingChoice choice;
+  std::vector<Candidate> candidates = Candidates(query, now, &choice.failure);
+  if (candidates.empty()) {
+    return choice;
+  }
+  const auto nearest = std::min_element(candidates.begin(), candidates.end(),
+                                        [](const Candidate& left, const Candidate& right) {
+                                          return std::pair(left.last_resort, left.distance) <
+                                                 std::pair(right.last_resort, right.distance);
+                                        });
+  const bool last_resort = nearest->last_resort;
+  const std::uint32_t distance = nearest->distance;
+  std::erase_if(candidates, [&](const Candidate& candidate) {
+    return candidate.distance != distance || candidate.last_resort != last_resort;
+  });
+  if (!query.prefix_key.empty()) {
+    if (const Candidate* affine = ChooseAffine(candidates, query.prefix_key)) {
+      choice.replica = affine->replica;
+      return choice;
+    }
+  }
+  std::rotate(
+      candidates.begin(),
+      candidates.begin() + static_cast<std::ptrdiff_t>(query.tie_breaker % candidates.size()),
+      candidates.end());
+  const auto least = std::min_element(
+      candidates.begin(), candidates.end(), [](const Candidate& left, const Candidate& right) {
+        return std::uint64_t{left.load} * right.limit < std::uint64_t{right.load} * left.limit;
+      });
+  choice.replica = least->replica;
+  return choice;
+}
+
+std::vector<Router::Candidate> Router::Candidates(const RoutingQuery& query, TimePoint now,
+                                                  RoutingFailure* failure) const {
+  std::vector<Candidate> candidates;
+  bool open = false;
+  bool healthy = false;
+  const auto& ready = directory_.Ready(query.route->backend_kind(), query.route->backend());
+  for (const ReplicaRecord* replica : ready) {
+    if (!ZoneServes(*query.configuration, *query.route, replica->zone)) {
+      continue;
+    }
+    open = true;
+    const Usability usability = health_.UsabilityOf(replica->id, now);
+    if (usability == Usability::kNo) {
+      continue;
+    }
+    healthy = true;
+    Candidate candidate = Examine(*replica, query, now);
+    candidate.last_resort = usability == Usability::kLastResort;
+    if (candidate.has_room) {
+      candidates.push_back(candidate);
+    }
+  }
+  if (!candidates.empty()) {
+    *failure = RoutingFailure::kNone;
+  } else if (healthy) {
+    *failure = RoutingFailure::kNoRoom;
+  } else if (open) {
+    *failure = RoutingFailure::kNoHealthyReplica;
+  } else {
+    *failure = ready.empty() ? RoutingFailure::kNoReadyReplica : RoutingFailure::kNoOpenZone;
+  }
+  return candidates;
+}
+
+Router::Candidate Router::Examine(const ReplicaRecord& replica, const RoutingQuery& query,
+                                  TimePoint now) const {
+  Candidate candidate;
+  candidate.replica = &replica;
+  candidate.distance = Distance(*query.configuration, replica.zone);
+  const auto found = loads_.find(replica.id);
+  const ReplicaLoad load = found == loads_.end() ? ReplicaLoad() : found->second;
+  const std::uint32_t capacity = load.Capacity(replica.capacity);
+  const RampLimits limits = health_.LimitsOf(replica.id, capacity, now);
+  candidate.load = load.total();
+  candidate.limit = std::max(1U, limits.total);
+  const bool excluded = query.excluded != nullptr &&
+                        std::find(query.excluded->begin(), query.excluded->end(), replica.id) !=
+                            query.excluded->end();
+  const bool room = load.own() < limits.own && load.total() < limits.total;
+  candidate.has_room = room && !excluded && !load.Refusing(now);
+  if (query.work == WorkKind::kBatch) {
+    const std::uint32_t headroom = HeadroomPercent(*query.configuration);
+    candidate.has_room = candidate.has_room && BatchRoom(replica, headroom, now) > 0;
+  }
+  return candidate;
+}
+
+const Router::Candidate* Router::ChooseAffine(const std::vector<Candidate>& candidates,
+                                              std::string_view prefix_key) const {
+  double sum = 0;
+  for (const Candidate& candidate : candidates) {
+    sum += candidate.load;
+  }
+  const double average = (sum + 1) / static_cast<double>(candidates.size());
+  const double bound = std::ceil(options_.affinity_bound * average) + options_.affinity_slack;
+  const Candidate* best = nullptr;
+  std::uint64_t best_weight = 0;
+  for (const Candidate& candidate : candidates) {
+    if (candidate.load + 1 > bound) {
+      continue;
+    }
+    const std::uint64_t weight = Checksum(prefix_key, Checksum(candidate.replica->id));
+    if (best == nullptr || weight > best_weight) {
+      best = &candidate;
+      best_weight = weight;
+    }
+  }
+  return best;
+}
+
+std::uint32_t Router::FreeBatchSlots(const proto::RoutingConfiguration& configuration,
+                                     const std::string& backend, TimePoint now) const {
+  std::uint32_t slots = 0;
+  const std::uint32_t headroom = HeadroomPercent(configuration);
+  for (const proto::BackendKind kind : {proto::BACKEND_KIND_MODEL, proto::BACKEND_KIND_SERVICE}) {
+    for (const ReplicaRecord* replica : directory_.Ready(kind, backend)) {
+      const proto::Zone* zone = FindZone(configuration, replica->zone);
+      const bool open = zone != nullptr && zone->state() == proto::ZONE_STATE_OPEN;
+      const bool healthy = health_.UsabilityOf(replica->id, now) == Usability::kYes;
+      slots += open && healthy ? BatchRoom(*replica, headroom, now) : 0;
+    }
+  }
+  return slots;
+}
+
+std::uint32_t Router::BatchRoom(const ReplicaRecord& replica, std::uint32_t headroom_percent,
+                                TimePoint now) const {
+  const auto found = loads_.find(replica.id);
+  if (found == loads_.end() || !found->second.reported()) {
+    return 0;  // Its load is not known.
+  }
+  const ReplicaLoad& load = found->second;
+  const std::uint32_t capacity = load.Capacity(replica.capacity);
+  const RampLimits limits = health_.LimitsOf(replica.id, capacity, now);
+  // At least one, or batches would never run on replicas that take one call at a time.
+  const std::uint32_t headroom = std::max(1U, capacity * headroom_percent / kPercent);
+  const std::uint32_t bound = std::min(limits.total, headroom);
+  const std::uint32_t free = bound - std::min(bound, load.total());
+  const std::uint32_t own_free = limits.own - std::min(limits.own, load.own());
+  const std::uint32_t used = load.batch_started_since_report();
+  // Others share the room that was free at the report, so only a part of it is taken until the
+  // next.
+  const std::uint32_t share = (free + used + kBatchShare - 1) / kBatchShare;
+  return std::min({free, own_free, share - std::min(share, used)});
+}
+
+std::uint32_t Router::Distance(const proto::RoutingConfiguration& configuration,
+                               std::string_view zone) const {
+  if (zone == options_.zone) {
+    return 0;
+  }
+  const proto::Zone* own = FindZone(configuration, options_.zone);
+  const proto::Zone* other = FindZone(configuration, zone);
+  const bool same_region = own != nullptr && other != nullptr && own->region() == other->region();
+  return same_region ? 1 : 2;
+}
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/gateway/router.h
@@ -0,0 +1,110 @@
+#pragma once
+/// @file
+/// Chooses the replica for one call: ready, not draining, in an open zone that the route allows;
+/// healthy; with room; nearest first; then by prefix affinity (rendezvous hashing with bounded
+/// load), or least loaded. Pure: reads the directory, health and load, changes nothing.
+///
+/// Sources: Thaler and Ravishankar, "Using name-based mappings to increase hit rates" (rendezvous
+/// hashing); Mirrokni, Thorup and Zadimoghaddam, "Consistent Hashing with Bounded Loads".
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/time.h"
+#include "gateway/replica_directory.h"
+#include "gateway/replica_health.h"
+#include "gateway/replica_load.h"
+#include "proto/configuration.pb.h"
+
+namespace cloverbank {
+
+/// Load of every known replica, by id.
+using LoadTable = std::map<std::string, ReplicaLoad, std::less<>>;
+
+struct RouterOptions {
+  std::string zone;                  ///< The gateway's own.
+  double affinity_bound = 1.25;      ///< Most load of the affine replica, in times of the average.
+  std::uint32_t affinity_slack = 1;  ///< Calls above the bound that are always allowed.
+};
+
+struct RoutingQuery {
+  const proto::RoutingConfiguration* configuration = nullptr;
+  const proto::Route* route = nullptr;
+  std::string_view prefix_key;                         ///< Empty: no affinity.
+  const std::vector<std::string>* excluded = nullptr;  ///< Replicas tried before; may be null.
+  WorkKind work = WorkKind::kLive;
+  std::uint64_t tie_breaker = 0;  ///< Random number.
+};
+
+/// Why no replica was chosen.
+enum class RoutingFailure : std::uint8_t {
+  kNone,
+  kNoReadyReplica,    ///< The platform lists none that is ready for this back end.
+  kNoOpenZone,        ///< Some are ready, but in no zone that is open and allowed.
+  kNoHealthyReplica,  ///< All that remain are ejected, or not proven yet.
+  kNoRoom,            ///< All that remain are full.
+};
+
+/// @return the stable snake_case name, for metrics and error codes.
+std::string_view RoutingFailureName(RoutingFailure failure);
+
+struct RoutingChoice {
+  const ReplicaRecord* replica = nullptr;  ///< Valid until the directory changes.
+  RoutingFailure failure = RoutingFailure::kNone;
+};
+
+/// @return the object of that name in a list sorted by name, or nullptr.
+const proto::Route* FindRoute(const proto::RoutingConfiguration& configuration,
+                              std::string_view name);
+const proto::Zone* FindZone(const proto::RoutingConfiguration& configuration,
+                            std::string_view name);
+const proto::Tenant* FindTenant(const proto::RoutingConfiguration& configuration,
+                                std::string_view name);
+
+/// @return whether the zone is open and the route allows it.
+bool ZoneServes(const proto::RoutingConfiguration& configuration, const proto::Route& route,
+                std::string_view zone);
+
+class Router {
+ public:
+  Router(RouterOptions options, const ReplicaDirectory& directory, const ReplicaHealth& health,
+         const LoadTable& loads)
+      : options_(std::move(options)), directory_(directory), health_(health), loads_(loads) {}
+
+  RoutingChoice Choose(const RoutingQuery& query, TimePoint now) const;
+
+  /// @return how many further batch items may start on the replicas of a back end, over all
+  /// replicas that some route of it could reach in open zones.
+  std::uint32_t FreeBatchSlots(const proto::RoutingConfiguration& configuration,
+                               const std::string& backend, TimePoint now) const;
+
+ private:
+  struct Candidate {
+    const ReplicaRecord* replica = nullptr;
+    std::uint32_t load = 0;   ///< Estimated calls there, of everyone.
+    std::uint32_t limit = 0;  ///< Most calls there now.
+    bool has_room = false;
+    bool last_resort = false;
+    std::uint32_t distance = 0;  ///< 0 own zone, 1 own region, 2 elsewhere.
+  };
+
+  std::vector<Candidate> Candidates(const RoutingQuery& query, TimePoint now,
+                                    RoutingFailure* failure) const;
+  Candidate Examine(const ReplicaRecord& replica, const RoutingQuery& query, TimePoint now) const;
+  std::uint32_t BatchRoom(const ReplicaRecord& replica, std::uint32_t headroom_percent,
+                          TimePoint now) const;
+  std::uint32_t Distance(const proto::RoutingConfiguration& configuration,
+                         std::string_view zone) const;
+  const Candidate* ChooseAffine(const std::vector<Candidate>& candidates,
+                                std::string_view prefix_key) const;
+
+  RouterOptions options_;
+  const ReplicaDirectory& directory_;
+  const ReplicaHealth& health_;
+  const LoadTable& loads_;
+};
+
+}  // namespace cloverbank
