Decide who comes in, what is retried and which pieces pass

Pure cores: tenant rates, route limits and a bounded queue ordered by priority and deadline; retries under a budget that never repeat what must not be repeated; streams passed only as one unbroken run; answers kept for a caller's key.

--- /dev/null
+++ b/src/gateway/admission_control.cc
@@ -0,0 +1,250 @@
+#include "gateway/admission_control.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cloverbank {
+namespace {
+
+constexpr Duration kPaceWindow = milliseconds(500);
+constexpr double kPaceMemory = 0.5;  // Share of the past in the moving average.
+
+double ToSeconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
+
+Duration FromSeconds(double count) {
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(count));
+}
+
+int UrgencyOf(proto::Priority priority) {
+  return priority == proto::PRIORITY_UNSPECIFIED ? proto::PRIORITY_STANDARD : priority;
+}
+
+}  // namespace
+
+std::string_view RefusalName(Refusal refusal) {
+  switch (refusal) {
+    case Refusal::kTenantRate:
+      return "tenant_rate_exceeded";
+    case Refusal::kRouteLimit:
+      return "route_limit_reached";
+    case Refusal::kQueueFull:
+      return "queue_full";
+    case Refusal::kQueueTooSlow:
+      return "queue_too_slow";
+    case Refusal::kDisplaced:
+      return "displaced";
+    case Refusal::kWaitExpired:
+      return "wait_expired";
+  }
+  return "queue_full";
+}
+
+double TokenBucket::Level(double per_second, double capacity, TimePoint now) const {
+  if (tokens_ < 0) {
+    return capacity;
+  }
+  return std::min(capacity, tokens_ + ToSeconds(now - updated_) * per_second);
+}
+
+Duration TokenBucket::Take(double per_second, Duration burst, TimePoint now) {
+  const double capacity = std::max(1.0, per_second * ToSeconds(burst));
+  tokens_ = Level(per_second, capacity, now);
+  updated_ = now;
+  if (tokens_ >= 1) {
+    tokens_ -= 1;
+    return Duration::zero();
+  }
+  return FromSeconds((1 - tokens_) / per_second) + Duration(1);
+}
+
+bool TokenBucket::Full(double per_second, Duration burst, TimePoint now) const {
+  const double capacity = std::max(1.0, per_second * ToSeconds(burst));
+  return Level(per_second, capacity, now) >= capacity;
+}
+
+std::optional<RefusalNotice> AdmissionControl::Admit(const proto::Route& route,
+                                                     const proto::Tenant* tenant, TimePoint now) {
+  std::uint32_t& in_flight = in_flight_[route.name()];
+  if (route.max_in_flight() != 0 && in_flight >= route.max_in_flight()) {
+    return RefusalNotice{Refusal::kRouteLimit, RetryAfter(route.backend())};
+  }
+  if (tenant != nullptr && tenant->calls_per_second() != 0) {
+    TokenBucket& bucket = buckets_[tenant->name()];
+    const Duration wait = bucket.Take(tenant->calls_per_second(), options_.burst, now);
+    if (wait > Duration::zero()) {
+      return RefusalNotice{Refusal::kTenantRate, std::max(wait, options_.least_retry_after)};
+    }
+  }
+  ++in_flight;
+  return std::nullopt;
+}
+
+void AdmissionControl::Finish(const std::string& route_name) {
+  const auto found = in_flight_.find(route_name);
+  if (found == in_flight_.end()) {
+    return;
+  }
+  if (--found->second == 0) {
+    in_flight_.erase(found);
+  }
+}
+
+std::optional<RefusalNotice> AdmissionControl::Enqueue(const WaitingCall& call, TimePoint now,
+                                                       std::vector<WaitId>* displaced) {
+  Queue& queue = queues_[call.backend];
+  WaitingCall bounded = call;
+  bounded.give_up_at = std::min(call.give_up_at, now + options_.longest_wait);
+  const Rank rank = RankOf(bounded);
+  const std::optional<Duration> wait = ExpectedWait(queue, rank);
+  if (wait && now + *wait >= bounded.give_up_at) {
+    return RefusalNotice{Refusal::kQueueTooSlow, RetryAfter(call.backend)};
+  }
+  if (!MakeRoom(queue, rank, displaced)) {
+    return RefusalNotice{Refusal::kQueueFull, RetryAfter(call.backend)};
+  }
+  if (queue.ranks.empty()) {
+    queue.served_per_second = 0;
+    queue.served_in_window = 0;
+    queue.window_start = now;
+  }
+  queue.ranks.insert(rank);
+  expiries_.emplace(bounded.give_up_at, bounded.id);
+  waiting_.emplace(bounded.id, bounded);
+  return std::nullopt;
+}
+
+bool AdmissionControl::MakeRoom(Queue& queue, const Rank& rank, std::vector<WaitId>* displaced) {
+  const bool room =
+      queue.ranks.size() < options_.queue_length && waiting_.size() < options_.total_queue_length;
+  if (room) {
+    return true;
+  }
+  if (queue.ranks.empty()) {
+    return false;  // Other back ends fill the total: theirs is not ours to take.
+  }
+  const Rank last = *queue.ranks.rbegin();
+  // Only a higher priority displaces: an earlier deadline alone would let a crowd churn the queue.
+  if (std::get<0>(last) <= std::get<0>(rank)) {
+    return false;
+  }
+  const WaitId id = std::get<2>(last);
+  Remove(id);
+  displaced->push_back(id);
+  return true;
+}
+
+std::vector<WaitId> AdmissionControl::FirstWaiting(const std::string& backend,
+                                                   std::size_t count) const {
+  std::vector<WaitId> first;
+  const auto found = queues_.find(backend);
+  if (found == queues_.end()) {
+    return first;
+  }
+  for (const Rank& rank : found->second.ranks) {
+    if (first.size() == count) {
+      break;
+    }
+    first.push_back(std::get<2>(rank));
+  }
+  return first;
+}
+
+bool AdmissionControl::Remove(WaitId id) {
+  const auto found = waiting_.find(id);
+  if (found == waiting_.end()) {
+    return false;
+  }
+  const WaitingCall& call = found->second;
+  queues_[call.backend].ranks.erase(RankOf(call));
+  expiries_.erase({call.give_up_at, id});
+  waiting_.erase(found);
+  return true;
+}
+
+std::vector<WaitId> AdmissionControl::TakeExpired(TimePoint now) {
+  std::vector<WaitId> expired;
+  while (!expiries_.empty() && expiries_.begin()->first <= now) {
+    const WaitId id = expiries_.begin()->second;
+    Remove(id);
+    expired.push_back(id);
+  }
+  return expired;
+}
+
+std::optional<TimePoint> AdmissionControl::NextExpiry() const {
+  if (expiries_.empty()) {
+    return std::nullopt;
+  }
+  return expiries_.begin()->first;
+}
+
+bool AdmissionControl::Serve(WaitId id, TimePoint now) {
+  const auto found = waiting_.find(id);
+  if (found == waiting_.end()) {
+    return false;
+  }
+  Queue& queue = queues_[found->second.backend];
+  ++queue.served_in_window;
+  const Duration elapsed = now - queue.window_start;
+  if (elapsed >= kPaceWindow) {
+    const double pace = static_cast<double>(queue.served_in_window) / ToSeconds(elapsed);
+    const bool known = queue.served_per_second > 0;
+    queue.served_per_second =
+        known ? queue.served_per_second * kPaceMemory + pace * (1 - kPaceMemory) : pace;
+    queue.served_in_window = 0;
+    queue.window_start = now;
+  }
+  return Remove(id);
+}
+
+std::size_t AdmissionControl::Waiting(const std::string& backend) const {
+  const auto found = queues_.find(backend);
+  return found == queues_.end() ? 0 : found->second.ranks.size();
+}
+
+std::vector<std::string> AdmissionControl::BackendsWithWaiting() const {
+  std::vector<std::string> backends;
+  for (const auto& [backend, queue] : queues_) {
+    if (!queue.ranks.empty()) {
+      backends.push_back(backend);
+    }
+  }
+  return backends;
+}
+
+Duration AdmissionControl::RetryAfter(const std::string& backend) const {
+  const auto found = queues_.find(backend);
+  if (found == queues_.end() || found->second.served_per_second <= 0) {
+    return options_.longest_wait;
+  }
+  const double length = static_cast<double>(found->second.ranks.size());
+  const Duration drain = FromSeconds(length / found->second.served_per_second);
+  return std::clamp(drain, options_.least_retry_after, options_.longest_retry_after);
+}
+
+void AdmissionControl::Tidy(const proto::RoutingConfiguration& configuration, TimePoint now) {
+  std::unordered_map<std::string_view, std::uint32_t> rates;
+  for (const proto::Tenant& tenant : configuration.tenants()) {
+    rates.emplace(tenant.name(), tenant.calls_per_second());
+  }
+  std::erase_if(buckets_, [&](const auto& entry) {
+    const auto rate = rates.find(entry.first);
+    const bool limited = rate != rates.end() && rate->second != 0;
+    return !limited || entry.second.Full(rate->second, options_.burst, now);
+  });
+  std::erase_if(queues_, [&](const auto& entry) { return entry.second.ranks.empty(); });
+}
+
+AdmissionControl::Rank AdmissionControl::RankOf(const WaitingCall& call) {
+  return {UrgencyOf(call.priority), call.give_up_at, call.id};
+}
+
+std::optional<Duration> AdmissionControl::ExpectedWait(const Queue& queue, const Rank& rank) const {
+  if (queue.served_per_second <= 0 || queue.ranks.empty()) {
+    return std::nullopt;
+  }
+  const auto ahead = std::distance(queue.ranks.begin(), queue.ranks.lower_bound(rank));
+  return FromSeconds(static_cast<double>(ahead) / queue.served_per_second);
+}
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/gateway/idempotency_cache.cc
@@ -0,0 +1,87 @@
+#include "gateway/idempotency_cache.h"
+
+#include <utility>
+
+namespace cloverbank {
+namespace {
+
+constexpr std::size_t kEntryOverhead = 256;  // Rough cost of an entry beside its text.
+
+}  // namespace
+
+KeyState IdempotencyCache::Begin(const std::string& key, std::uint64_t fingerprint, TimePoint now) {
+  DropOld(now);
+  const auto [place, inserted] = entries_.try_emplace(key);
+  Entry& entry = place->second;
+  if (inserted) {
+    entry.fingerprint = fingerprint;
+    return KeyState::kNew;
+  }
+  if (entry.fingerprint != fingerprint) {
+    return KeyState::kMismatch;
+  }
+  return entry.running ? KeyState::kRunning : KeyState::kFinished;
+}
+
+const KeptAnswer* IdempotencyCache::Find(const std::string& key) const {
+  const auto found = entries_.find(key);
+  const bool finished = found != entries_.end() && !found->second.running;
+  return finished ? &found->second.kept : nullptr;
+}
+
+void IdempotencyCache::Join(const std::string& key, Waiter waiter) {
+  entries_.at(key).waiters.push_back(std::move(waiter));
+}
+
+void IdempotencyCache::Keep(const std::string& key, KeptAnswer answer, TimePoint now) {
+  const auto found = entries_.find(key);
+  if (found == entries_.end()) {
+    return;
+  }
+  Entry& entry = found->second;
+  const std::vector<Waiter> waiters = std::exchange(entry.waiters, {});
+  const KeptAnswer whole = answer;
+  if (answer.answer.text().size() > options_.largest_answer) {
+    answer.answer.clear_text();
+    answer.text_kept = false;
+  }
+  entry.running = false;
+  entry.bytes = kEntryOverhead + key.size() + answer.answer.text().size();
+  entry.kept = std::move(answer);
+  entry.kept_at = now;
+  entry.place = finished_.insert(finished_.end(), key);
+  kept_bytes_ += entry.bytes;
+  while (kept_bytes_ > options_.largest_total) {
+    DropOldest();
+  }
+  for (const Waiter& waiter : waiters) {
+    waiter(whole);
+  }
+}
+
+void IdempotencyCache::Forget(const std::string& key, const KeptAnswer& answer) {
+  const auto found = entries_.find(key);
+  if (found == entries_.end()) {
+    return;
+  }
+  const std::vector<Waiter> waiters = std::exchange(found->second.waiters, {});
+  entries_.erase(found);
+  for (const Waiter& waiter : waiters) {
+    waiter(answer);
+  }
+}
+
+void IdempotencyCache::DropOldest() {
+  const auto found = entries_.find(finished_.front());
+  finished_.pop_front();
+  kept_bytes_ -= found->second.bytes;
+  entries_.erase(found);
+}
+
+void IdempotencyCache::DropOld(TimePoint now) {
+  while (!finished_.empty() && now - entries_.at(finished_.front()).kept_at >= options_.keep) {
+    DropOldest();
+  }
+}
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/gateway/line_reader.h
@@ -0,0 +1,31 @@
+#pragma once
+/// @file
+/// Cuts a body into lines, each bounded in size.
+
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace cloverbank {
+
+class LineReader {
+ public:
+  explicit LineReader(std::size_t largest_line) : largest_line_(largest_line) {}
+
+  void Append(std::string_view bytes) { buffer_.append(bytes); }
+  /// @return the next whole line without its end, skipping empty ones; nothing if there is none
+  /// yet.
+  std::optional<std::string> Next();
+  /// @return what is left after the last line end, once the body has ended.
+  std::string TakeRest();
+  /// Whether the unfinished line is longer than allowed.
+  bool TooLong() const { return buffer_.size() - start_ > largest_line_; }
+
+ private:
+  std::size_t largest_line_;
+  std::string buffer_;
+  std::size_t start_ = 0;
+};
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/gateway/retry_policy.cc
@@ -0,0 +1,71 @@
+#include "gateway/retry_policy.h"
+
+#include <algorithm>
+
+namespace cloverbank {
+namespace {
+
+constexpr std::uint32_t kLargestDoubling = 16;
+
+}  // namespace
+
+void RetryBudget::OnFirstAttempt() { tokens_ = std::min(cap_, tokens_ + ratio_); }
+
+bool RetryBudget::TakeRetry() {
+  if (tokens_ < 1) {
+    return false;
+  }
+  tokens_ -= 1;
+  return true;
+}
+
+void RetryState::OnAttempt() {
+  if (attempts_ == 0) {
+    budget_.OnFirstAttempt();
+  }
+  ++attempts_;
+  ++attempts_since_wait_;
+}
+
+RetryDecision RetryState::Decide(AttemptEnd end, bool repeatable, std::uint64_t random) {
+  const bool attempts_left = attempts_since_wait_ < options_.maximum_attempts;
+  switch (end) {
+    case AttemptEnd::kWhole:
+      executed_ = proto::EXECUTED_YES;
+      return {};
+    case AttemptEnd::kRejected:
+      return {};
+    case AttemptEnd::kNotRun:
+      if (passed_on_) {
+        return {};
+      }
+      if (attempts_left) {
+        return {RetryAction::kSendElsewhere, {}};
+      }
+      attempts_since_wait_ = 0;
+      return {RetryAction::kWaitForRoom, Backoff(random)};
+    case AttemptEnd::kUnknown:
+      executed_ = proto::EXECUTED_UNKNOWN;
+      break;
+    case AttemptEnd::kFailed:
+      executed_ = executed_ == proto::EXECUTED_UNKNOWN ? executed_ : proto::EXECUTED_YES;
+      break;
+  }
+  const bool retries_left = attempts_left && retries_ + 1 < options_.maximum_attempts;
+  if (passed_on_ || !repeatable || !retries_left || !budget_.TakeRetry()) {
+    return {};
+  }
+  ++retries_;
+  return {RetryAction::kSendLater, Backoff(random)};
+}
+
+Duration RetryState::Backoff(std::uint64_t random) const {
+  const std::uint32_t doubling = std::min(retries_, kLargestDoubling);
+  const Duration longest =
+      std::min(options_.maximum_backoff, options_.base_backoff * (std::int64_t{1} << doubling));
+  // Full jitter: spreads the retries of calls that failed together.
+  const auto span = static_cast<std::uint64_t>(longest.count());
+  return Duration(static_cast<std::int64_t>(random % (span + 1)));
+}
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/gateway/retry_policy.h
@@ -0,0 +1,92 @@
+#pragma once
+/// @file
+/// Whether a call may be tried again after an attempt, and what its caller may be told about it.
+/// Pure. `RetryState` is one call's, `RetryBudget` is shared by all calls of a gateway.
+///
+/// The rule that everything hangs on: a call that must not repeat is never sent again after bytes
+/// of it went out, unless the replica itself refused it before running.
+
+#include <cstdint>
+
+#include "base/time.h"
+#include "proto/live.pb.h"
+
+namespace cloverbank {
+
+/// How one attempt at a replica ended.
+enum class AttemptEnd : std::uint8_t {
+  kWhole,     ///< A whole, checked answer.
+  kNotRun,    ///< Certainly not run there: nothing was sent, or the replica refused it.
+  kRejected,  ///< The replica found the request itself wrong; not run, and others would say the
+              ///< same.
+  kUnknown,   ///< Bytes went out, and whether it ran can not be told.
+  kFailed,    ///< It ran there and failed, by the replica's own word.
+};
+
+struct RetryOptions {
+  std::uint32_t maximum_attempts = 3;  ///< Of all kinds together, before waiting in the queue.
+  double budget_ratio = 0.2;           ///< Retries allowed for each first attempt.
+  double budget_reserve = 10;          ///< Retries allowed without any.
+  Duration base_backoff = milliseconds(20);
+  Duration maximum_backoff = milliseconds(500);
+};
+
+/// Keeps retries a bounded share of all calls, so that an outage is not made worse by them.
+class RetryBudget {
+ public:
+  explicit RetryBudget(const RetryOptions& options)
+      : ratio_(options.budget_ratio), cap_(options.budget_reserve), tokens_(cap_) {}
+
+  /// A call was sent for the first time.
+  void OnFirstAttempt();
+  /// @return whether a retry may be made now; takes it from the budget.
+  bool TakeRetry();
+
+ private:
+  double ratio_;
+  double cap_;
+  double tokens_;
+};
+
+enum class RetryAction : std::uint8_t {
+  kFinish,         ///< Answer the caller.
+  kSendElsewhere,  ///< At once, to another replica.
+  kSendLater,      ///< After a backoff.
+  kWaitForRoom,    ///< Not run anywhere so far: back to the queue until a replica has room.
+};
+
+struct RetryDecision {
+  RetryAction action = RetryAction::kFinish;
+  Duration backoff{};
+};
+
+class RetryState {
+ public:
+  RetryState(const RetryOptions& options, RetryBudget& budget)
+      : options_(options), budget_(budget) {}
+
+  /// An attempt is about to be sent.
+  void OnAttempt();
+  /// A piece of the answer was handed to the caller: from now on nothing is retried.
+  void OnPassedOn() { passed_on_ = true; }
+  /// An attempt ended. @param repeatable whether the route allows the call to be carried out twice.
+  /// @param random for the jitter of the backoff.
+  RetryDecision Decide(AttemptEnd end, bool repeatable, std::uint64_t random);
+
+  /// What the caller may be told if the call ends without a whole answer now.
+  proto::Executed executed() const { return executed_; }
+  std::uint32_t attempts() const { return attempts_; }
+
+ private:
+  Duration Backoff(std::uint64_t random) const;
+
+  const RetryOptions& options_;
+  RetryBudget& budget_;
+  std::uint32_t attempts_ = 0;
+  std::uint32_t attempts_since_wait_ = 0;
+  std::uint32_t retries_ = 0;
+  bool passed_on_ = false;
+  proto::Executed executed_ = proto::EXECUTED_NO;
+};
+
+}  // namespace cloverbank
