--- /dev/null
+++ b/src/gateway/call_attempt.cc
@@ -0,0 +1,90 @@
+#include "gateway/call_attempt.h"
+
+#include <algorithm>
+
+#include "gateway/backend_json.h"
+#include "gateway/http_json.h"
+
+namespace cloverbank {
+namespace {
+
+constexpr int kHttpTooManyRequests = 429;
+constexpr int kHttpServiceUnavailable = 503;
+constexpr int kFirstClientError = 400;
+constexpr int kFirstServerError = 500;
+
+proto::CallError ErrorOf(const std::string& code, const std::string& message) {
+  proto::CallError error;
+  error.set_code(code);
+  error.set_message(message);
+  return error;
+}
+
+}  // namespace
+
+FailureReading ReadRefusal(int status, const std::string& body) {
+  proto::ErrorBody parsed;
+  const bool readable = FromBackendJson(body, &parsed).ok() && parsed.has_error();
+  const proto::Executed told = parsed.error().executed();
+  const std::string words = readable ? ": " + parsed.error().message() : "";
+  const std::string message = "the replica answered " + std::to_string(status) + words;
+  const bool ran = told == proto::EXECUTED_YES || told == proto::EXECUTED_UNKNOWN;
+  FailureReading reading;
+  if (status == kHttpTooManyRequests || status == kHttpServiceUnavailable) {
+    reading.health = CallEnd::kRefused;
+    reading.result.end = ran ? AttemptEnd::kUnknown : AttemptEnd::kNotRun;
+    reading.result.error = ErrorOf("replica_refused", message);
+    return reading;
+  }
+  if (status >= kFirstClientError && status < kFirstServerError && !ran) {
+    reading.health = CallEnd::kSuccess;
+    reading.result.end = AttemptEnd::kRejected;
+    reading.result.error = ErrorOf("replica_rejected", message);
+    return reading;
+  }
+  reading.health = CallEnd::kFailed;
+  reading.result.end = AttemptEnd::kUnknown;
+  if (told == proto::EXECUTED_NO) {
+    reading.result.end = AttemptEnd::kNotRun;
+  } else if (told == proto::EXECUTED_YES) {
+    reading.result.end = AttemptEnd::kFailed;
+  }
+  reading.result.error = ErrorOf("replica_failed", message);
+  return reading;
+}
+
+FailureReading ReadSilence(const HttpOutcome& outcome, const SilenceFacts& facts,
+                           const CallOptions& options) {
+  FailureReading reading;
+  if (outcome.kind == HttpOutcomeKind::kNotSent) {
+    reading.health = facts.withheld ? CallEnd::kWithdrawn : CallEnd::kNotConnected;
+    reading.result.end = AttemptEnd::kNotRun;
+    const std::string code = facts.withheld ? "right_ended" : "replica_unreachable";
+    reading.result.error = ErrorOf(code, "nothing was sent: " + outcome.reason);
+    return reading;
+  }
+  // A deadline too short for any replica, or one that cuts off a running answer, blames nobody.
+  const bool hurried = facts.head_came || facts.patience < options.least_patience;
+  const bool blameless = facts.deadline_reached && hurried;
+  reading.health = blameless ? CallEnd::kWithdrawn : CallEnd::kSilent;
+  reading.result.end = AttemptEnd::kUnknown;
+  reading.result.error =
+      ErrorOf("replica_silent", "the replica gave no whole answer: " + outcome.reason);
+  return reading;
+}
+
+HttpRequest MakeReplicaRequest(std::string_view path, const AttemptRequest& request,
+                               Duration remaining) {
+  const auto milliseconds_left = std::chrono::duration_cast<milliseconds>(remaining).count();
+  HttpRequest http;
+  http.method = "POST";
+  http.path = std::string(path);
+  http.headers.emplace_back("Content-Type", "application/json");
+  http.headers.emplace_back("X-Call-Id", request.body.call_id());
+  http.headers.emplace_back("X-Deadline-Ms",
+                            std::to_string(std::max<std::int64_t>(1, milliseconds_left)));
+  http.body = ToJson(request.body);
+  return http;
+}
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/gateway/call_attempt.h
@@ -0,0 +1,92 @@
+#pragma once
+/// @file
+/// One exchange of a call with one replica: a streamed generation (stream_attempt.cc) or one
+/// request and one answer (service_attempt.cc). An attempt tells the pool how it went, decides what
+/// may be said of it, and passes only checked pieces on. Threads: the owner's event loop only.
+
+#include <functional>
+#include <memory>
+
+#include "gateway/gateway_options.h"
+#include "gateway/replica_pool.h"
+#include "gateway/retry_policy.h"
+#include "net/http_types.h"
+#include "proto/live.pb.h"
+#include "runtime/environment.h"
+
+namespace cloverbank {
+
+/// Where and what to send.
+struct AttemptRequest {
+  Endpoint endpoint;
+  ReplicaUse use;
+  proto::CallRequest body;  ///< With call id and model.
+  TimePoint deadline;
+  /// Asked immediately before the first byte leaves. False: certainly not run.
+  std::function<bool()> may_send;
+};
+
+struct AttemptResult {
+  AttemptEnd end = AttemptEnd::kUnknown;
+  proto::CallAnswer answer;  ///< Of a service, when whole.
+  proto::CallError error;    ///< Code and message, when not whole.
+};
+
+struct AttemptCallbacks {
+  /// A checked piece, the regular last one included. `more` asks for the next one.
+  std::function<void(const proto::StreamPiece& piece, std::function<void()> more)> on_piece;
+  /// Runs exactly once unless the attempt is cancelled.
+  std::function<void(AttemptResult)> on_done;
+};
+
+/// What attempts need of the gateway.
+struct AttemptContext {
+  Environment& environment;
+  HttpClient& client;
+  ReplicaPool& pool;
+  const CallOptions& options;
+};
+
+/// How far an attempt was when it was cancelled.
+enum class CancelledWhen : std::uint8_t {
+  kNotUnderWay,  ///< Before its first byte left, or after its end.
+  kMaybeSent,    ///< Bytes may have reached the replica.
+};
+
+class CallAttempt {
+ public:
+  virtual ~CallAttempt() = default;
+  virtual void Start() = 0;
+  /// Closes the connection to the replica; no callback runs after.
+  virtual CancelledWhen Cancel() = 0;
+};
+
+std::shared_ptr<CallAttempt> MakeStreamAttempt(const AttemptContext& context,
+                                               AttemptRequest request, AttemptCallbacks callbacks);
+std::shared_ptr<CallAttempt> MakeServiceAttempt(const AttemptContext& context,
+                                                AttemptRequest request, AttemptCallbacks callbacks);
+
+/// What an answer without success says of the call and of the replica's health.
+struct FailureReading {
+  AttemptResult result;
+  CallEnd health = CallEnd::kFailed;
+};
+
+/// Reads the status and body of an answer other than 200.
+FailureReading ReadRefusal(int status, const std::string& body);
+/// What is known of a call that ended without a whole answer.
+struct SilenceFacts {
+  bool withheld = false;   ///< `may_send` said no.
+  bool head_came = false;  ///< The replica had begun to answer.
+  bool deadline_reached = false;
+  Duration patience{};  ///< How long the replica had.
+};
+
+/// Reads a call that ended without a whole answer.
+FailureReading ReadSilence(const HttpOutcome& outcome, const SilenceFacts& facts,
+                           const CallOptions& options);
+/// @return the request to `path` at a replica.
+HttpRequest MakeReplicaRequest(std::string_view path, const AttemptRequest& request,
+                               Duration remaining);
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/gateway/call_queue.cc
@@ -0,0 +1,119 @@
+#include "gateway/call_queue.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cloverbank {
+namespace {
+
+/// How often the queue is looked at while calls wait: for expiries, and for room that time alone
+/// gives (slow start, pauses after refusals).
+constexpr Duration kTick = milliseconds(20);
+/// How many waiting calls may find no room before the rest of the queue is let be.
+constexpr std::size_t kMisses = 4;
+
+}  // namespace
+
+CallQueue::CallQueue(Environment& environment, AdmissionOptions options)
+    : environment_(environment), admission_(options) {}
+
+CallQueue::~CallQueue() {
+  environment_.CancelTimer(dispatch_timer_);
+  environment_.CancelTimer(tick_timer_);
+}
+
+CallQueue::Waited CallQueue::Wait(const std::string& backend, proto::Priority priority,
+                                  TimePoint give_up_at, std::weak_ptr<WaitingCallOwner> owner) {
+  WaitingCall call;
+  call.id = next_id_++;
+  call.backend = backend;
+  call.priority = priority;
+  call.give_up_at = give_up_at;
+  std::vector<WaitId> displaced;
+  std::optional<RefusalNotice> refusal = admission_.Enqueue(call, environment_.Now(), &displaced);
+  for (const WaitId id : displaced) {
+    GiveUp(id, Refusal::kDisplaced);
+  }
+  if (refusal) {
+    return {0, refusal};
+  }
+  waiters_.emplace(call.id, Waiter{std::move(owner), backend});
+  Refresh();
+  return {call.id, std::nullopt};
+}
+
+void CallQueue::Leave(WaitId id) {
+  admission_.Remove(id);
+  waiters_.erase(id);
+}
+
+void CallQueue::DispatchSoon() {
+  if (dispatch_timer_ != 0 || admission_.waiting() == 0) {
+    return;
+  }
+  dispatch_timer_ = environment_.ScheduleAfter(Duration::zero(), [this] {
+    dispatch_timer_ = 0;
+    Dispatch();
+  });
+}
+
+Duration CallQueue::RetryAfter(const std::string& backend) const {
+  return admission_.RetryAfter(backend);
+}
+
+void CallQueue::Dispatch() {
+  for (const WaitId id : admission_.TakeExpired(environment_.Now())) {
+    GiveUp(id, Refusal::kWaitExpired);
+  }
+  for (const std::string& backend : admission_.BackendsWithWaiting()) {
+    DispatchBackend(backend);
+  }
+  environment_.metrics().SetGauge("gateway_waiting_calls",
+                                  static_cast<double>(admission_.waiting()));
+  Refresh();
+}
+
+void CallQueue::DispatchBackend(const std::string& backend) {
+  while (ServeFirst(backend)) {
+  }
+}
+
+bool CallQueue::ServeFirst(const std::string& backend) {
+  bool served = false;
+  for (const WaitId id : admission_.FirstWaiting(backend, kMisses)) {
+    const auto found = waiters_.find(id);
+    const std::shared_ptr<WaitingCallOwner> owner =
+        found == waiters_.end() ? nullptr : found->second.owner.lock();
+    if (owner != nullptr && owner->ServeFromQueue() == ServeResult::kNoRoom) {
+      continue;
+    }
+    admission_.Serve(id, environment_.Now());
+    Leave(id);
+    served = true;
+  }
+  return served;
+}
+
+void CallQueue::GiveUp(WaitId id, Refusal refusal) {
+  const auto found = waiters_.find(id);
+  if (found == waiters_.end()) {
+    return;
+  }
+  const Waiter waiter = found->second;
+  Leave(id);
+  if (const std::shared_ptr<WaitingCallOwner> owner = waiter.owner.lock()) {
+    owner->OnGivenUp({refusal, admission_.RetryAfter(waiter.backend)});
+  }
+}
+
+void CallQueue::Refresh() {
+  if (tick_timer_ != 0 || admission_.waiting() == 0) {
+    return;
+  }
+  tick_timer_ = environment_.ScheduleAfter(kTick, [this] {
+    tick_timer_ = 0;
+    Dispatch();
+  });
+}
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/gateway/call_runner.cc
@@ -0,0 +1,323 @@
+#include "gateway/call_runner.h"
+
+#include <utility>
+
+#include "base/logging.h"
+
+namespace cloverbank {
+namespace {
+
+constexpr int kHttpBadRequest = 400;
+constexpr int kHttpNotFound = 404;
+constexpr int kHttpBadGateway = 502;
+constexpr int kHttpUnavailable = 503;
+constexpr int kHttpGatewayTimeout = 504;
+constexpr Duration kShortRetryAfter = milliseconds(500);
+constexpr Duration kRetryAfter = seconds(1);
+
+std::uint32_t ToMilliseconds(Duration duration) {
+  return static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(duration).count());
+}
+
+}  // namespace
+
+int HttpStatusOf(proto::Executed executed) {
+  switch (executed) {
+    case proto::EXECUTED_NO:
+      return kHttpUnavailable;
+    case proto::EXECUTED_YES:
+      return kHttpBadGateway;
+    default:
+      return kHttpGatewayTimeout;
+  }
+}
+
+CallRunner::CallRunner(const CallContext& context, CallSpec spec, CallEvents events)
+    : context_(context),
+      spec_(std::move(spec)),
+      events_(std::move(events)),
+      retry_(context.retry_options, context.retry_budget) {}
+
+void CallRunner::Start() {
+  timer_ = context_.attempt.environment.ScheduleAfter(Duration::zero(), [weak = weak_from_this()] {
+    if (const auto self = weak.lock()) {
+      self->timer_ = 0;
+      self->TryNow();
+    }
+  });
+}
+
+proto::Executed CallRunner::Cancel() {
+  if (done_) {
+    return retry_.executed();
+  }
+  done_ = true;
+  context_.attempt.environment.CancelTimer(timer_);
+  if (wait_id_ != 0) {
+    context_.queue.Leave(wait_id_);
+  }
+  const bool under_way = attempt_ != nullptr && attempt_->Cancel() == CancelledWhen::kMaybeSent;
+  return under_way ? proto::EXECUTED_UNKNOWN : retry_.executed();
+}
+
+void CallRunner::TryNow() {
+  if (done_) {
+    return;
+  }
+  const bool others_wait = context_.queue.Waiting(spec_.backend) > 0;
+  if (others_wait || TryForward() == Placement::kNoRoom) {
+    Wait();
+  }
+}
+
+CallRunner::Placement CallRunner::TryForward() {
+  const proto::Route* route = nullptr;
+  if (!CheckRights(&route)) {
+    return Placement::kEnded;
+  }
+  spec_.backend = route->backend();
+  RoutingQuery query;
+  query.configuration = &context_.right.configuration();
+  query.route = route;
+  query.prefix_key = spec_.body.prefix_key();
+  query.excluded = &tried_;
+  query.work = spec_.work;
+  query.tie_breaker = context_.attempt.environment.Random();
+  const RoutingChoice choice = context_.attempt.pool.Choose(query);
+  if (choice.replica != nullptr) {
+    Send(*choice.replica, *route);
+    return Placement::kSent;
+  }
+  const bool passing = choice.failure == RoutingFailure::kNoRoom ||
+                       choice.failure == RoutingFailure::kNoHealthyReplica;
+  if (passing) {
+    return Placement::kNoRoom;
+  }
+  FinishWith(std::string(RoutingFailureName(choice.failure)),
+             "no replica serves this route now; come back later", kRetryAfter);
+  return Placement::kEnded;
+}
+
+bool CallRunner::CheckRights(const proto::Route** route) {
+  if (context_.attempt.environment.Now() >= spec_.deadline) {
+    FinishWith("deadline_reached", "the deadline passed before an answer came", kShortRetryAfter);
+    return false;
+  }
+  if (!context_.right.Valid()) {
+    FinishWith("lease_expired", "this gateway has lost touch with control; try another one",
+               kShortRetryAfter);
+    return false;
+  }
+  if (!context_.attempt.pool.list_usable()) {
+    FinishWith("replica_list_stale", "this gateway has no fresh list of replicas yet",
+               kShortRetryAfter);
+    return false;
+  }
+  *route = FindRoute(context_.right.configuration(), spec_.route);
+  if (*route == nullptr) {
+    FinishWith("unknown_route", "the configuration no longer has this route", Duration::zero());
+    return false;
+  }
+  if (spec_.may_start && !spec_.may_start()) {
+    FinishWith("start_withdrawn", "the right to start this call ran out", Duration::zero());
+    return false;
+  }
+  return true;
+}
+
+void CallRunner::Send(const ReplicaRecord& replica, const proto::Route& route) {
+  AttemptRequest request;
+  request.endpoint = replica.endpoint;
+  request.use = {replica.id, replica.instance_id, spec_.work};
+  request.body = spec_.body;
+  request.body.set_model(route.backend());
+  request.deadline = spec_.deadline;
+  const std::weak_ptr<CallRunner> weak = weak_from_this();
+  request.may_send = [weak, use = request.use] {
+    const auto self = weak.lock();
+    return self != nullptr && self->MaySendNow(use);
+  };
+  AttemptCallbacks callbacks;
+  callbacks.on_piece = [weak](const proto::StreamPiece& piece, std::function<void()> more) {
+    if (const auto self = weak.lock()) {
+      self->OnPiece(piece, std::move(more));
+    }
+  };
+  callbacks.on_done = [weak](AttemptResult result) {
+    if (const auto self = weak.lock()) {
+      self->OnAttemptDone(std::move(result));
+    }
+  };
+  tried_.push_back(replica.id);
+  route_idempotent_ = route.idempotent();
+  collected_.Clear();
+  oversized_ = false;
+  retry_.OnAttempt();
+  const bool streamed = route.backend_kind() == proto::BACKEND_KIND_MODEL;
+  attempt_ = streamed ? MakeStreamAttempt(context_.attempt, std::move(request), callbacks)
+                      : MakeServiceAttempt(context_.attempt, std::move(request), callbacks);
+  attempt_->Start();
+}
+
+bool CallRunner::MaySendNow(const ReplicaUse& use) const {
+  const proto::Route* route = FindRoute(context_.right.configuration(), spec_.route);
+  const bool in_time = context_.attempt.environment.Now() < spec_.deadline;
+  const bool entitled = !spec_.may_start || spec_.may_start();
+  return !done_ && in_time && entitled && context_.right.Valid() && route != nullptr &&
+         context_.attempt.pool.MaySend(use, *route);
+}
+
+void CallRunner::Wait() {
+  if (spec_.work == WorkKind::kBatch) {
+    FinishWith("no_room", "no replica has room for batch work now", kShortRetryAfter);
+    return;
+  }
+  tried_.clear();
+  const TimePoint give_up_at = std::min(spec_.deadline, spec_.wait_until);
+  const CallQueue::Waited waited =
+      context_.queue.Wait(spec_.backend, spec_.priority, give_up_at, weak_from_this());
+  if (waited.refusal) {
+    OnGivenUp(*waited.refusal);
+    return;
+  }
+  wait_id_ = waited.id;
+}
+
+ServeResult CallRunner::ServeFromQueue() {
+  if (done_) {
+    return ServeResult::kServed;
+  }
+  if (TryForward() == Placement::kNoRoom) {
+    return ServeResult::kNoRoom;
+  }
+  wait_id_ = 0;
+  return ServeResult::kServed;
+}
+
+void CallRunner::OnGivenUp(const RefusalNotice& notice) {
+  wait_id_ = 0;
+  FinishWith(std::string(RefusalName(notice.refusal)),
+             "too many calls for the replicas there are; come back later", notice.retry_after);
+}
+
+void CallRunner::OnPiece(const proto::StreamPiece& piece, std::function<void()> more) {
+  if (done_) {
+    return;
+  }
+  if (spec_.pass_on) {
+    retry_.OnPassedOn();
+    events_.on_piece(piece, std::move(more));
+    return;
+  }
+  collected_.set_run_id(piece.run_id());
+  collected_.mutable_text()->append(piece.text());
+  collected_.set_tokens(collected_.tokens() + (piece.text().empty() ? 0 : 1));
+  if (collected_.text().size() > context_.attempt.options.largest_answer) {
+    oversized_ = true;
+    (void)attempt_->Cancel();
+    AttemptResult result;
+    result.end = AttemptEnd::kUnknown;
+    result.error.set_code("answer_too_large");
+    result.error.set_message("the answer is larger than this gateway keeps; ask for a stream");
+    OnAttemptDone(std::move(result));
+    return;
+  }
+  more();
+}
+
+void CallRunner::OnAttemptDone(AttemptResult result) {
+  if (done_) {
+    return;
+  }
+  if (result.end == AttemptEnd::kWhole) {
+    FinishWhole(std::move(result));
+    return;
+  }
+  Environment& environment = context_.attempt.environment;
+  const bool repeatable = Repeatable() && !oversized_;
+  const RetryDecision decision = retry_.Decide(result.end, repeatable, environment.Random());
+  environment.metrics().Increment(
+      "gateway_attempt_failures_total",
+      {{"reason", result.error.code()},
+       {"next", decision.action == RetryAction::kFinish ? "finish" : "retry"}});
+  switch (decision.action) {
+    case RetryAction::kFinish:
+      if (result.end == AttemptEnd::kRejected && retry_.executed() == proto::EXECUTED_NO) {
+        CallResult refused;
+        refused.error = result.error;
+        refused.error.set_executed(proto::EXECUTED_NO);
+        refused.http_status = kHttpBadRequest;
+        Finish(std::move(refused));
+      } else {
+        FinishWith(result.error.code(), result.error.message(), kRetryAfter);
+      }
+      return;
+    case RetryAction::kSendElsewhere:
+      if (TryForward() == Placement::kNoRoom) {
+        Wait();
+      }
+      return;
+    case RetryAction::kSendLater:
+    case RetryAction::kWaitForRoom:
+      if (decision.action == RetryAction::kWaitForRoom && spec_.work == WorkKind::kBatch) {
+        FinishWith(result.error.code(), result.error.message(), kRetryAfter);
+        return;
+      }
+      if (decision.action == RetryAction::kSendLater) {
+        spec_.wait_until = spec_.deadline;  // The wait for room begins anew.
+      }
+      timer_ = environment.ScheduleAfter(decision.backoff, [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+          self->timer_ = 0;
+          self->TryNow();
+        }
+      });
+      return;
+  }
+}
+
+void CallRunner::FinishWhole(AttemptResult result) {
+  CallResult whole;
+  whole.succeeded = true;
+  const bool streamed = result.answer.call_id().empty();
+  whole.answer = streamed ? std::move(collected_) : std::move(result.answer);
+  whole.answer.set_call_id(call_id());
+  Finish(std::move(whole));
+}
+
+void CallRunner::FinishWith(const std::string& code, const std::string& message,
+                            Duration retry_after) {
+  CallResult result;
+  const proto::Executed executed = retry_.executed();
+  result.error.set_code(code);
+  result.error.set_message(message);
+  result.error.set_executed(executed);
+  result.http_status = HttpStatusOf(executed);
+  if (code == "unknown_route" && executed == proto::EXECUTED_NO) {
+    result.http_status = kHttpNotFound;
+  }
+  if (executed == proto::EXECUTED_NO && retry_after > Duration::zero()) {
+    // Up to half as long again, so that a refused crowd does not come back as one.
+    const std::uint64_t half = ToMilliseconds(retry_after) / 2 + 1;
+    const std::uint64_t jitter = context_.attempt.environment.Random() % half;
+    result.error.set_retry_after_ms(ToMilliseconds(retry_after) +
+                                    static_cast<std::uint32_t>(jitter));
+  }
+  Finish(std::move(result));
+}
+
+void CallRunner::Finish(CallResult result) {
+  done_ = true;
+  context_.attempt.environment.CancelTimer(timer_);
+  if (!result.succeeded) {
+    result.error.set_call_id(call_id());
+  }
+  events_.on_done(std::move(result));
+}
+
+bool CallRunner::Repeatable() const {
+  const proto::Route* route = FindRoute(context_.right.configuration(), spec_.route);
+  return spec_.idempotent && route_idempotent_ && route != nullptr && route->idempotent();
+}
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/gateway/gateway_options.h
@@ -0,0 +1,58 @@
+#pragma once
+/// @file
+/// Every bound of the data plane, with its default.
+
+#include <cstddef>
+#include <string>
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "gateway/admission_control.h"
+#include "gateway/idempotency_cache.h"
+#include "gateway/replica_health.h"
+#include "gateway/retry_policy.h"
+
+namespace cloverbank {
+
+/// How the platform's list is read.
+struct ReplicaListOptions {
+  Endpoint endpoint;
+  std::string path = "/replicas";
+  Duration interval = milliseconds(500);
+  Duration deadline = milliseconds(450);
+  /// A list last asked for longer ago is not acted on: the process was frozen meanwhile.
+  Duration stale_after = seconds(2);
+};
+
+/// How replicas are probed.
+struct ProbeOptions {
+  std::string path = "/health";
+  Duration interval = seconds(1);  ///< Of one replica, while few are known.
+  Duration deadline = milliseconds(700);
+  Duration least_gap =
+      milliseconds(20);  ///< Between two probes of this gateway, whatever their number.
+};
+
+/// Bounds of one call.
+struct CallOptions {
+  Duration default_deadline = seconds(30);  ///< When neither the route nor the caller names one.
+  Duration stream_idle_limit = seconds(4);  ///< Longest silence within a replica's stream.
+  /// A shorter wait for a first byte says nothing about the replica's health.
+  Duration least_patience = seconds(1);
+  std::size_t largest_request = std::size_t{1} << 20U;
+  std::size_t largest_piece = std::size_t{256} << 10U;
+  std::size_t largest_answer = std::size_t{8} << 20U;
+};
+
+struct GatewayOptions {
+  std::string zone;  ///< The gateway's own.
+  ReplicaListOptions replica_list;
+  ProbeOptions probe;
+  ReplicaHealthOptions health;
+  AdmissionOptions admission;
+  RetryOptions retry;
+  CallOptions calls;
+  IdempotencyOptions idempotency;
+};
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/gateway/gateway_service.cc
@@ -0,0 +1,118 @@
+#include "gateway/gateway_service.h"
+
+#include <utility>
+
+#include "gateway/call_queue.h"
+#include "gateway/live_call_handler.h"
+#include "gateway/replica_backend_caller.h"
+#include "gateway/replica_pool.h"
+#include "gateway/serving_right.h"
+
+namespace cloverbank {
+namespace {
+
+constexpr Duration kTidyInterval = seconds(10);
+
+/// The node agent's lease and configuration.
+class AgentRight final : public ServingRight {
+ public:
+  explicit AgentRight(const NodeAgent& agent) : agent_(agent) {}
+  bool Valid() const override { return agent_.LeaseValid(); }
+  const proto::RoutingConfiguration& configuration() const override {
+    return agent_.configuration();
+  }
+
+ private:
+  const NodeAgent& agent_;
+};
+
+}  // namespace
+
+struct GatewayService::State {
+  State(Environment& environment_in, HttpClient& client, NodeAgent& agent_in,
+        GatewayOptions options_in)
+      : environment(environment_in),
+        agent(agent_in),
+        options(std::move(options_in)),
+        right(agent),
+        pool(environment, client, right, options),
+        queue(environment, options.admission),
+        retry_budget(options.retry),
+        context{
+            {environment, client, pool, options.calls}, right, queue, retry_budget, options.retry},
+        live(context, options),
+        batch_caller(context) {}
+
+  ~State() { environment.CancelTimer(tidy_timer); }
+
+  void Tidy() {
+    queue.admission().Tidy(agent.configuration(), environment.Now());
+    tidy_timer = environment.ScheduleAfter(kTidyInterval, [this] { Tidy(); });
+  }
+
+  Environment& environment;
+  NodeAgent& agent;
+  GatewayOptions options;
+  AgentRight right;
+  ReplicaPool pool;
+  CallQueue queue;
+  RetryBudget retry_budget;
+  CallContext context;
+  LiveCallHandler live;
+  ReplicaBackendCaller batch_caller;
+  TimerId tidy_timer = 0;
+  bool draining = false;
+  /// Observers of the agent outlive this service; they act only while it lives.
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+GatewayService::GatewayService(Environment& environment, HttpClient& client, HttpRouter& router,
+                               NodeAgent& agent, GatewayOptions options)
+    : state_(std::make_unique<State>(environment, client, agent, std::move(options))) {
+  State* state = state_.get();
+  const std::weak_ptr<bool> alive = state->alive;
+  state->pool.OnRoom([state] { state->queue.DispatchSoon(); });
+  agent.OnConfiguration([state, alive] {
+    if (!alive.expired()) {
+      state->pool.OnConfiguration();
+      state->queue.DispatchSoon();
+    }
+  });
+  state->live.Register(router);
+}
+
+GatewayService::~GatewayService() = default;
+
+void GatewayService::Start() {
+  state_->pool.Start();
+  state_->Tidy();
+}
+
+void GatewayService::Drain() {
+  state_->draining = true;
+  state_->live.Drain();
+  state_->batch_caller.Drain();
+}
+
+bool GatewayService::Ready(std::string* why) const {
+  const char* missing = nullptr;
+  if (state_->draining) {
+    missing = "the gateway is stopping";
+  } else if (!state_->agent.LeaseValid()) {
+    missing = "no lease from the coordinators";
+  } else if (state_->agent.configuration().version() == 0) {
+    missing = "no configuration yet";
+  } else if (!state_->pool.list_usable()) {
+    missing = "no list of replicas yet";
+  }
+  if (missing != nullptr && why != nullptr) {
+    *why = missing;
+  }
+  return missing == nullptr;
+}
+
+std::size_t GatewayService::calls_under_way() const { return state_->live.calls_under_way(); }
+
+BackendCaller& GatewayService::backend_caller() { return state_->batch_caller; }
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/gateway/gateway_service.h
@@ -0,0 +1,41 @@
+#pragma once
+/// @file
+/// The gateway of one process: ties the data plane to the node agent and registers what it serves.
+/// Threads: the owner's event loop only.
+
+#include <memory>
+#include <string>
+
+#include "gateway/backend_caller.h"
+#include "gateway/gateway_options.h"
+#include "net/http_types.h"
+#include "node/node_agent.h"
+#include "runtime/environment.h"
+
+namespace cloverbank {
+
+class GatewayService {
+ public:
+  /// @param router must not serve any more once this is gone.
+  GatewayService(Environment& environment, HttpClient& client, HttpRouter& router, NodeAgent& agent,
+                 GatewayOptions options);
+  ~GatewayService();
+  GatewayService(const GatewayService&) = delete;
+  GatewayService& operator=(const GatewayService&) = delete;
+
+  /// Begins to read the list of replicas, to probe them and to ask for batch work.
+  void Start();
+  /// Refuses new calls and batch items; those under way go on. For a clean stop.
+  void Drain();
+  /// @return whether live calls are served now; if not, `why` (may be null) says what is missing.
+  bool Ready(std::string* why) const;
+  /// Live calls that were admitted and have not ended.
+  std::size_t calls_under_way() const;
+  BackendCaller& backend_caller();
+
+ private:
+  struct State;
+  std::unique_ptr<State> state_;
+};
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/gateway/live_call.cc
@@ -0,0 +1,220 @@
+#include "gateway/live_call.h"
+
+#include <utility>
+
+#include "gateway/http_json.h"
+
+namespace cloverbank {
+namespace {
+
+constexpr int kHttpOk = 200;
+constexpr int kHttpConflict = 409;
+constexpr std::size_t kLargestKeptStream = std::size_t{256} << 10U;
+
+std::string ToLine(const proto::StreamPiece& piece) { return ToJson(piece) + "\n"; }
+
+HttpHeaders StreamHeaders(const std::string& call_id) {
+  return {{"Content-Type", "application/x-ndjson"}, {"X-Call-Id", call_id}};
+}
+
+void SendAnswer(HttpResponder& responder, const proto::CallAnswer& answer) {
+  HttpResponse response;
+  response.status = kHttpOk;
+  response.headers = {{"Content-Type", "application/json"}, {"X-Call-Id", answer.call_id()}};
+  response.body = ToJson(answer);
+  responder.Send(std::move(response));
+}
+
+/// A kept answer as a stream of one text piece and the last one.
+void SendAsStream(HttpResponder& responder, const proto::CallAnswer& answer) {
+  proto::StreamPiece text;
+  text.set_run_id(answer.run_id());
+  text.set_call_id(answer.call_id());
+  text.set_text(answer.text());
+  proto::StreamPiece end;
+  end.set_run_id(answer.run_id());
+  end.set_call_id(answer.call_id());
+  end.set_sequence(1);
+  end.set_end(true);
+  responder.StartStream(kHttpOk, StreamHeaders(answer.call_id()));
+  responder.WritePiece(ToLine(text) + ToLine(end), [](bool) {});
+  responder.FinishStream();
+}
+
+}  // namespace
+
+void SendKept(HttpResponder& responder, const KeptAnswer& kept, bool stream) {
+  if (!kept.succeeded) {
+    SendError(responder, kept.http_status, kept.error);
+    return;
+  }
+  if (!kept.text_kept) {
+    proto::CallError error;
+    error.set_code("answer_not_kept");
+    error.set_message("this request was answered before; the answer was too large to keep");
+    error.set_executed(proto::EXECUTED_YES);
+    error.set_call_id(kept.answer.call_id());
+    SendError(responder, kHttpConflict, error);
+    return;
+  }
+  if (stream) {
+    SendAsStream(responder, kept.answer);
+  } else {
+    SendAnswer(responder, kept.answer);
+  }
+}
+
+KeptAnswer ToKept(const CallResult& result) {
+  KeptAnswer kept;
+  kept.succeeded = result.succeeded;
+  kept.http_status = result.http_status;
+  kept.answer = result.answer;
+  kept.error = result.error;
+  return kept;
+}
+
+LiveCall::LiveCall(const CallContext& context, std::shared_ptr<HttpResponder> responder,
+                   Options options, IdempotencyCache& kept, OverHandler over)
+    : context_(context),
+      responder_(std::move(responder)),
+      options_(std::move(options)),
+      kept_(kept),
+      over_(std::move(over)) {}
+
+void LiveCall::Start(CallSpec spec) {
+  started_at_ = context_.attempt.environment.Now();
+  call_id_ = spec.body.call_id();
+  spec.pass_on = options_.stream;
+  const std::weak_ptr<LiveCall> weak = weak_from_this();
+  CallEvents events;
+  events.on_piece = [weak](const proto::StreamPiece& piece, std::function<void()> more) {
+    if (const auto self = weak.lock()) {
+      self->OnPiece(piece, std::move(more));
+    }
+  };
+  events.on_done = [weak](const CallResult& result) {
+    if (const auto self = weak.lock()) {
+      self->OnDone(result);
+    }
+  };
+  responder_->OnDisconnect([weak] {
+    if (const auto self = weak.lock()) {
+      self->OnCallerGone();
+    }
+  });
+  runner_ = std::make_shared<CallRunner>(context_, std::move(spec), std::move(events));
+  runner_->Start();
+}
+
+void LiveCall::OnPiece(const proto::StreamPiece& piece, std::function<void()> more) {
+  if (!stream_started_) {
+    stream_started_ = true;
+    const Duration waited = context_.attempt.environment.Now() - started_at_;
+    context_.attempt.environment.metrics().ObserveSeconds(
+        "gateway_first_piece_seconds", std::chrono::duration<double>(waited).count());
+    responder_->StartStream(kHttpOk, StreamHeaders(call_id_));
+  }
+  run_id_ = piece.run_id();
+  next_sequence_ = piece.sequence() + 1;
+  CollectPiece(piece);
+  // The replica is read on only when the caller's socket has taken the piece.
+  responder_->WritePiece(ToLine(piece),
+                         [weak = weak_from_this(), more = std::move(more)](bool alive) {
+                           const auto self = weak.lock();
+                           if (self == nullptr) {
+                             return;
+                           }
+                           if (alive) {
+                             more();
+                           } else {
+                             self->OnCallerGone();
+                           }
+                         });
+}
+
+void LiveCall::CollectPiece(const proto::StreamPiece& piece) {
+  if (options_.idempotency_key.empty() || !collecting_) {
+    return;
+  }
+  streamed_.set_run_id(piece.run_id());
+  streamed_.mutable_text()->append(piece.text());
+  collecting_ = streamed_.text().size() <= kLargestKeptStream;
+}
+
+void LiveCall::OnDone(const CallResult& result) {
+  Remember(result);
+  if (caller_gone_) {
+    Over();
+    return;
+  }
+  if (options_.stream && (stream_started_ || result.succeeded)) {
+    FinishStream(result);
+  } else if (result.succeeded) {
+    SendAnswer(*responder_, result.answer);
+  } else {
+    SendError(*responder_, result.http_status, result.error);
+  }
+  Over();
+}
+
+void LiveCall::FinishStream(const CallResult& result) {
+  if (!stream_started_) {  // A service's whole answer to a caller that asked for a stream.
+    SendAsStream(*responder_, result.answer);
+    return;
+  }
+  if (!result.succeeded) {
+    proto::StreamPiece last;
+    last.set_run_id(run_id_);
+    last.set_call_id(call_id_);
+    last.set_sequence(next_sequence_);
+    *last.mutable_error() = result.error;
+    responder_->WritePiece(ToLine(last), [](bool) {});
+  }
+  responder_->FinishStream();
+}
+
+void LiveCall::OnCallerGone() {
+  if (caller_gone_ || runner_ == nullptr) {
+    return;
+  }
+  caller_gone_ = true;
+  context_.attempt.environment.metrics().Increment("gateway_callers_gone_total");
+  if (!options_.idempotency_key.empty() && !options_.stream) {
+    return;  // The caller may come back for the answer under the same key.
+  }
+  const proto::Executed executed = runner_->Cancel();
+  CallResult left;
+  left.error.set_code("caller_left");
+  left.error.set_message("the first request under this key was withdrawn by its caller");
+  left.error.set_executed(executed);
+  left.error.set_call_id(call_id_);
+  left.http_status = HttpStatusOf(executed);
+  Remember(left);
+  Over();
+}
+
+void LiveCall::Remember(const CallResult& result) {
+  if (options_.idempotency_key.empty()) {
+    return;
+  }
+  KeptAnswer kept = ToKept(result);
+  if (!result.succeeded && result.error.executed() == proto::EXECUTED_NO) {
+    kept_.Forget(options_.idempotency_key, kept);
+    return;
+  }
+  if (result.succeeded && stream_started_) {
+    kept.answer = streamed_;
+    kept.answer.set_call_id(call_id_);
+    kept.text_kept = collecting_;
+  }
+  kept_.Keep(options_.idempotency_key, std::move(kept), context_.attempt.environment.Now());
+}
+
+void LiveCall::Over() {
+  runner_ = nullptr;
+  if (const OverHandler over = std::exchange(over_, nullptr)) {
+    over();
+  }
+}
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/gateway/live_call.h
@@ -0,0 +1,60 @@
+#pragma once
+/// @file
+/// One live call's way back to its caller: a whole answer, or a stream of lines under
+/// back-pressure. Threads: the owner's event loop only.
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "gateway/call_runner.h"
+#include "gateway/idempotency_cache.h"
+#include "net/http_types.h"
+
+namespace cloverbank {
+
+/// Sends what a kept or joined request ended with.
+void SendKept(HttpResponder& responder, const KeptAnswer& kept, bool stream);
+/// @return what is kept of a finished call.
+KeptAnswer ToKept(const CallResult& result);
+
+class LiveCall : public std::enable_shared_from_this<LiveCall> {
+ public:
+  struct Options {
+    bool stream = false;
+    std::string idempotency_key;  ///< Full cache key; empty if the caller named none.
+  };
+  /// Runs once, after the caller was answered or left.
+  using OverHandler = std::function<void()>;
+
+  LiveCall(const CallContext& context, std::shared_ptr<HttpResponder> responder, Options options,
+           IdempotencyCache& kept, OverHandler over);
+
+  void Start(CallSpec spec);
+
+ private:
+  void OnPiece(const proto::StreamPiece& piece, std::function<void()> more);
+  void OnDone(const CallResult& result);
+  void FinishStream(const CallResult& result);
+  void OnCallerGone();
+  void Remember(const CallResult& result);
+  void CollectPiece(const proto::StreamPiece& piece);
+  void Over();
+
+  CallContext context_;
+  std::shared_ptr<HttpResponder> responder_;
+  Options options_;
+  IdempotencyCache& kept_;
+  OverHandler over_;
+  std::shared_ptr<CallRunner> runner_;
+  std::string call_id_;
+  std::string run_id_;
+  std::uint64_t next_sequence_ = 0;
+  proto::CallAnswer streamed_;  ///< Text that went out, as far as it may be kept.
+  bool collecting_ = true;
+  bool stream_started_ = false;
+  bool caller_gone_ = false;
+  TimePoint started_at_;
+};
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/gateway/live_call_handler.cc
@@ -0,0 +1,220 @@
+#include "gateway/live_call_handler.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cstdio>
+#include <utility>
+
+#include "base/checksum.h"
+#include "gateway/http_json.h"
+#include "gateway/live_call.h"
+
+namespace cloverbank {
+namespace {
+
+constexpr int kHttpBadRequest = 400;
+constexpr int kHttpNotFound = 404;
+constexpr int kHttpTooLarge = 413;
+constexpr int kHttpKeyReused = 422;
+constexpr int kHttpTooManyRequests = 429;
+constexpr int kHttpUnavailable = 503;
+constexpr std::size_t kRouteSegment = 2;  // Of /v1/call/{route}.
+constexpr std::size_t kLargestKey = 256;
+constexpr Duration kRetryAfter = milliseconds(500);
+constexpr int kHexDigits = 16;
+
+std::optional<milliseconds> ParseDeadline(std::string_view text) {
+  std::int64_t count = 0;
+  const char* end = text.data() + text.size();
+  const auto [stop, error] = std::from_chars(text.data(), end, count);
+  if (error != std::errc() || stop != end || count <= 0) {
+    return std::nullopt;
+  }
+  return milliseconds(count);
+}
+
+std::string ToHex(std::uint64_t number) {
+  std::array<char, kHexDigits> digits{};
+  const auto [stop, error] =
+      std::to_chars(digits.data(), digits.data() + digits.size(), number, kHexDigits);
+  return std::string(digits.data(), stop);
+}
+
+std::string CacheKey(std::string_view tenant, std::string_view route, std::string_view key) {
+  std::string joined;
+  for (const std::string_view part : {tenant, route, key}) {
+    joined += std::to_string(part.size());
+    joined += ':';
+    joined += part;
+  }
+  return joined;
+}
+
+int HttpStatusOfRefusal(Refusal refusal) {
+  return refusal == Refusal::kTenantRate ? kHttpTooManyRequests : kHttpUnavailable;
+}
+
+}  // namespace
+
+LiveCallHandler::LiveCallHandler(const CallContext& context, const GatewayOptions& options)
+    : context_(context),
+      options_(options),
+      kept_(options.idempotency),
+      id_prefix_(context.attempt.environment.Random()) {}
+
+LiveCallHandler::~LiveCallHandler() = default;
+
+void LiveCallHandler::Register(HttpRouter& router) {
+  router.Handle("POST", "/v1/call/{route}",
+                [this](const HttpRequest& request, const Responder& responder) {
+                  Handle(request, responder);
+                });
+}
+
+void LiveCallHandler::Handle(const HttpRequest& request, const Responder& responder) {
+  const proto::Route* route = CheckServing(request, *responder);
+  if (route == nullptr) {
+    return;
+  }
+  if (request.body.size() > options_.calls.largest_request) {
+    Refuse(*responder, kHttpTooLarge, "request_too_large",
+           "the body is larger than " + std::to_string(options_.calls.largest_request) + " bytes",
+           Duration::zero());
+    return;
+  }
+  const std::string_view deadline = FindHeader(request.headers, "X-Deadline-Ms");
+  if (!deadline.empty() && !ParseDeadline(deadline)) {
+    Refuse(*responder, kHttpBadRequest, "invalid_deadline",
+           "X-Deadline-Ms must be a whole number of milliseconds above 0", Duration::zero());
+    return;
+  }
+  proto::CallRequest body;
+  const Status parsed = FromJson(request.body, &body);
+  if (!parsed.ok()) {
+    Refuse(*responder, kHttpBadRequest, "invalid_request", parsed.message(), Duration::zero());
+    return;
+  }
+  StartCall(request, responder, *route, std::move(body));
+}
+
+const proto::Route* LiveCallHandler::CheckServing(const HttpRequest& request,
+                                                  HttpResponder& responder) {
+  if (draining_) {
+    Refuse(responder, kHttpUnavailable, "gateway_stopping",
+           "this gateway is stopping; try another one", kRetryAfter);
+    return nullptr;
+  }
+  if (!context_.right.Valid()) {
+    Refuse(responder, kHttpUnavailable, "lease_expired",
+           "this gateway has lost touch with control; try another one", kRetryAfter);
+    return nullptr;
+  }
+  const std::string_view name = PathSegment(request.path, kRouteSegment);
+  const proto::Route* route = FindRoute(context_.right.configuration(), name);
+  if (route == nullptr) {
+    Refuse(responder, kHttpNotFound, "unknown_route",
+           "there is no route \"" + std::string(name) + "\"", Duration::zero());
+  }
+  return route;
+}
+
+void LiveCallHandler::StartCall(const HttpRequest& request, const Responder& responder,
+                                const proto::Route& route, proto::CallRequest body) {
+  const TimePoint now = context_.attempt.environment.Now();
+  const std::string_view tenant_name = FindHeader(request.headers, "X-Tenant");
+  const std::string_view caller_key = FindHeader(request.headers, "Idempotency-Key");
+  std::string key;
+  if (!caller_key.empty() && caller_key.size() <= kLargestKey) {
+    key = CacheKey(tenant_name, route.name(), caller_key);
+    if (!TakeKey(key, Checksum(request.body), body.stream(), responder)) {
+      return;
+    }
+  }
+  const proto::Tenant* tenant = FindTenant(context_.right.configuration(), tenant_name);
+  const auto refusal = context_.queue.admission().Admit(route, tenant, now);
+  if (refusal) {
+    kept_.Forget(key, {});
+    Refuse(*responder, HttpStatusOfRefusal(refusal->refusal),
+           std::string(RefusalName(refusal->refusal)), "too many calls; come back later",
+           refusal->retry_after);
+    return;
+  }
+  CallSpec spec;
+  spec.route = route.name();
+  spec.backend = route.backend();
+  spec.priority = route.priority();
+  spec.idempotent = route.idempotent();
+  spec.deadline = DeadlineOf(request, route);
+  spec.wait_until = std::min(spec.deadline, now + options_.admission.longest_wait);
+  LiveCall::Options call_options;
+  call_options.stream = body.stream();
+  call_options.idempotency_key = key;
+  spec.body = std::move(body);
+  const std::string call_id = NewCallId();
+  spec.body.set_call_id(call_id);
+  auto call = std::make_shared<LiveCall>(
+      context_, responder, std::move(call_options), kept_,
+      [this, call_id, name = route.name()] { OnCallOver(call_id, name); });
+  calls_.emplace(call_id, call);
+  call->Start(std::move(spec));
+}
+
+bool LiveCallHandler::TakeKey(const std::string& key, std::uint64_t fingerprint, bool stream,
+                              const Responder& responder) {
+  switch (kept_.Begin(key, fingerprint, context_.attempt.environment.Now())) {
+    case KeyState::kNew:
+      return true;
+    case KeyState::kRunning:
+      kept_.Join(
+          key, [responder, stream](const KeptAnswer& kept) { SendKept(*responder, kept, stream); });
+      return false;
+    case KeyState::kFinished:
+      context_.attempt.environment.metrics().Increment("gateway_answers_repeated_total");
+      SendKept(*responder, *kept_.Find(key), stream);
+      return false;
+    case KeyState::kMismatch:
+      Refuse(*responder, kHttpKeyReused, "idempotency_key_reused",
+             "this Idempotency-Key was used for another body; choose a new one", Duration::zero());
+      return false;
+  }
+  return false;
+}
+
+void LiveCallHandler::Refuse(HttpResponder& responder, int http_status, const std::string& code,
+                             const std::string& message, Duration retry_after) {
+  Environment& environment = context_.attempt.environment;
+  environment.metrics().Increment("gateway_refusals_total", {{"reason", code}});
+  proto::CallError error;
+  error.set_code(code);
+  error.set_message(message);
+  error.set_executed(proto::EXECUTED_NO);
+  const auto wait = std::chrono::duration_cast<milliseconds>(retry_after).count();
+  if (wait > 0) {
+    // Up to half as long again, so that a refused crowd does not come back as one.
+    const std::uint64_t jitter = environment.Random() % (static_cast<std::uint64_t>(wait) / 2 + 1);
+    error.set_retry_after_ms(static_cast<std::uint32_t>(wait) + static_cast<std::uint32_t>(jitter));
+  }
+  SendError(responder, http_status, error);
+}
+
+TimePoint LiveCallHandler::DeadlineOf(const HttpRequest& request, const proto::Route& route) const {
+  Duration longest = options_.calls.default_deadline;
+  if (route.deadline_ms() != 0) {
+    longest = milliseconds(route.deadline_ms());
+  }
+  const auto wanted = ParseDeadline(FindHeader(request.headers, "X-Deadline-Ms"));
+  if (wanted && *wanted < longest) {
+    longest = *wanted;
+  }
+  return context_.attempt.environment.Now() + longest;
+}
+
+std::string LiveCallHandler::NewCallId() { return ToHex(id_prefix_) + "-" + ToHex(next_call_++); }
+
+void LiveCallHandler::OnCallOver(const std::string& call_id, const std::string& route) {
+  context_.queue.admission().Finish(route);
+  calls_.erase(call_id);
+}
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/gateway/live_call_handler.h
@@ -0,0 +1,67 @@
+#pragma once
+/// @file
+/// Adapter: live calls over HTTP.
+///
+///     POST /v1/call/{route}
+///         body     CallRequest as JSON
+///         headers  X-Tenant         whose call it is, for rate limits
+///                  X-Deadline-Ms    how long the caller waits; never beyond the route's deadline
+///                  Idempotency-Key  a resend under the same key gets the first answer
+///         answer   CallAnswer, or, with "stream": true, one StreamPiece a line (NDJSON); an error
+///                  before the first piece is an ErrorBody, one after it an error piece
+///
+/// Threads: the owner's event loop only.
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "gateway/call_runner.h"
+#include "gateway/idempotency_cache.h"
+#include "net/http_types.h"
+
+namespace cloverbank {
+
+class LiveCall;
+
+class LiveCallHandler {
+ public:
+  LiveCallHandler(const CallContext& context, const GatewayOptions& options);
+  ~LiveCallHandler();
+  LiveCallHandler(const LiveCallHandler&) = delete;
+  LiveCallHandler& operator=(const LiveCallHandler&) = delete;
+
+  void Register(HttpRouter& router);
+  /// Refuses every call that comes from now on; those under way go on.
+  void Drain() { draining_ = true; }
+  std::size_t calls_under_way() const { return calls_.size(); }
+
+ private:
+  friend class LiveCall;
+  using Responder = std::shared_ptr<HttpResponder>;
+
+  void Handle(const HttpRequest& request, const Responder& responder);
+  /// @return the route, or nullptr after the refusal was sent.
+  const proto::Route* CheckServing(const HttpRequest& request, HttpResponder& responder);
+  void StartCall(const HttpRequest& request, const Responder& responder, const proto::Route& route,
+                 proto::CallRequest body);
+  /// @return whether the call goes on as a new one; else it was answered, or will be.
+  bool TakeKey(const std::string& key, std::uint64_t fingerprint, bool stream,
+               const Responder& responder);
+  void Refuse(HttpResponder& responder, int http_status, const std::string& code,
+              const std::string& message, Duration retry_after);
+  TimePoint DeadlineOf(const HttpRequest& request, const proto::Route& route) const;
+  std::string NewCallId();
+  void OnCallOver(const std::string& call_id, const std::string& route);
+
+  CallContext context_;
+  const GatewayOptions& options_;
+  IdempotencyCache kept_;
+  std::unordered_map<std::string, std::shared_ptr<LiveCall>> calls_;  ///< By call id.
+  std::uint64_t id_prefix_;
+  std::uint64_t next_call_ = 1;
+  bool draining_ = false;
+};
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/gateway/replica_list_poller.h
@@ -0,0 +1,57 @@
+#pragma once
+/// @file
+/// Reads the platform's list of replicas, again and again, whatever control does. A list that can
+/// not be read leaves the last one in use.
+/// Threads: the owner's event loop only.
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "gateway/gateway_options.h"
+#include "net/http_types.h"
+#include "proto/live.pb.h"
+#include "runtime/environment.h"
+
+namespace cloverbank {
+
+class ReplicaListPoller {
+ public:
+  /// @param on_list takes each new list; @return whether it could be used.
+  using ListHandler = std::function<Status(const proto::ReplicaList&)>;
+
+  ReplicaListPoller(Environment& environment, HttpClient& client, ReplicaListOptions options,
+                    ListHandler on_list);
+  ~ReplicaListPoller();
+  ReplicaListPoller(const ReplicaListPoller&) = delete;
+  ReplicaListPoller& operator=(const ReplicaListPoller&) = delete;
+
+  void Start();
+  /// Whether the list was asked for so recently, with or without success, that it may be acted on.
+  /// False after the process was frozen, until the first new poll has ended.
+  bool Fresh() const;
+  /// Whether a list was ever read.
+  bool loaded() const { return loaded_; }
+
+ private:
+  void Poll();
+  void OnOutcome(TimePoint sent_at, HttpOutcome outcome);
+  /// @return "unchanged", "changed", or why the list could not be read.
+  std::string Take(const HttpOutcome& outcome);
+  void ScheduleNext(TimePoint sent_at);
+
+  Environment& environment_;
+  HttpClient& client_;
+  ReplicaListOptions options_;
+  ListHandler on_list_;
+  std::string etag_;
+  bool loaded_ = false;
+  TimePoint last_ended_sent_at_{};
+  bool polled_ = false;
+  TimerId timer_ = 0;
+  std::shared_ptr<HttpCall> call_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/gateway/replica_pool.cc
@@ -0,0 +1,216 @@
+#include "gateway/replica_pool.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/logging.h"
+
+namespace cloverbank {
+namespace {
+
+constexpr Duration kEvaluationInterval = seconds(1);
+
+RouterOptions OptionsOfRouter(const GatewayOptions& options) {
+  RouterOptions router;
+  router.zone = options.zone;
+  return router;
+}
+
+}  // namespace
+
+ReplicaPool::ReplicaPool(Environment& environment, HttpClient& client, const ServingRight& right,
+                         const GatewayOptions& options)
+    : environment_(environment),
+      right_(right),
+      own_zone_(options.zone),
+      health_(options.health),
+      router_(OptionsOfRouter(options), directory_, health_, loads_),
+      poller_(environment, client, options.replica_list,
+              [this](const proto::ReplicaList& list) { return OnList(list); }),
+      prober_(environment, client, options.probe,
+              [this](const std::string& id, const std::string& instance_id, bool answered,
+                     const HttpHeaders& headers) { OnProbe(id, instance_id, answered, headers); }) {
+}
+
+ReplicaPool::~ReplicaPool() { environment_.CancelTimer(evaluation_timer_); }
+
+void ReplicaPool::Start() {
+  poller_.Start();
+  prober_.Start();
+  EvaluateHealth();
+}
+
+void ReplicaPool::OnConfiguration() { RefreshActive({}); }
+
+RoutingChoice ReplicaPool::Choose(const RoutingQuery& query) const {
+  return router_.Choose(query, environment_.Now());
+}
+
+std::uint32_t ReplicaPool::FreeBatchSlots(const std::string& backend) const {
+  return router_.FreeBatchSlots(right_.configuration(), backend, environment_.Now());
+}
+
+bool ReplicaPool::MaySend(const ReplicaUse& use, const proto::Route& route) const {
+  const ReplicaRecord* record = directory_.Find(use.id);
+  const bool listed = record != nullptr && record->ready && record->instance_id == use.instance_id;
+  return list_usable() && listed && ZoneServes(right_.configuration(), route, record->zone);
+}
+
+void ReplicaPool::OnCallStarted(const ReplicaUse& use) {
+  loads_[use.id].OnStart(use.work);
+  health_.OnCallStarted(use.id);
+}
+
+void ReplicaPool::OnCallEnded(const ReplicaUse& use, CallEnd end) {
+  const TimePoint now = environment_.Now();
+  const auto load = loads_.find(use.id);
+  if (load != loads_.end()) {
+    load->second.OnEnd(use.work);
+    if (end == CallEnd::kRefused) {
+      load->second.OnRefused(now);
+    }
+    if (load->second.own() == 0 && directory_.Find(use.id) == nullptr) {
+      loads_.erase(load);
+    }
+  }
+  // What an earlier life of the replica did says nothing of this one.
+  const bool current = IsCurrent(use.id, use.instance_id);
+  health_.OnCallEnded(use.id, current ? end : CallEnd::kWithdrawn, now);
+  NotifyRoom();
+}
+
+void ReplicaPool::OnAnswerHead(const ReplicaUse& use, const HttpHeaders& headers,
+                               Duration latency) {
+  if (!IsCurrent(use.id, use.instance_id)) {
+    return;
+  }
+  TakeReport(use.id, headers);
+  health_.OnLatency(use.id, latency);
+}
+
+Status ReplicaPool::OnList(const proto::ReplicaList& list) {
+  Result<DirectoryChange> change = directory_.Apply(list);
+  if (!change.ok()) {
+    return change.status();
+  }
+  if (change->skipped > 0) {
+    environment_.metrics().Increment("gateway_replica_list_entries_skipped_total", {},
+                                     change->skipped);
+  }
+  for (const std::string& id : change->removed) {
+    const auto load = loads_.find(id);
+    if (load != loads_.end() && load->second.own() == 0) {
+      loads_.erase(load);
+    }
+  }
+  Log(LogLevel::kInfo, "replica_list_changed",
+      {{"version", list.version()},
+       {"cold", change->cold.size()},
+       {"stopped", change->stopped.size()},
+       {"removed", change->removed.size()}});
+  RefreshActive(change->cold);
+  return Status::Ok();
+}
+
+void ReplicaPool::RefreshActive(const std::vector<std::string>& cold) {
+  const proto::RoutingConfiguration& configuration = right_.configuration();
+  std::set<std::string> active;
+  std::vector<std::string> fresh;
+  for (const auto& [id, record] : directory_.records()) {
+    const proto::Zone* zone = FindZone(configuration, record.zone);
+    if (!record.ready || zone == nullptr || zone->state() != proto::ZONE_STATE_OPEN) {
+      continue;
+    }
+    active.insert(id);
+    const bool is_cold = std::find(cold.begin(), cold.end(), id) != cold.end();
+    if (is_cold || !active_.contains(id)) {
+      fresh.push_back(id);
+    }
+  }
+  for (const std::string& id : active_) {
+    if (!active.contains(id)) {
+      health_.Remove(id);
+      preexisting_.erase(id);
+    }
+  }
+  active_ = std::move(active);
+  StartWatching(fresh);
+}
+
+void ReplicaPool::StartWatching(const std::vector<std::string>& fresh) {
+  for (const std::string& id : fresh) {
+    health_.Reset(id, directory_.Find(id)->backend);
+    if (activated_) {
+      preexisting_.erase(id);
+    } else {
+      preexisting_.insert(id);
+    }
+  }
+  activated_ = activated_ || !active_.empty();
+  std::vector<std::string> nearest_first = fresh;
+  std::stable_partition(nearest_first.begin(), nearest_first.end(), [this](const std::string& id) {
+    return directory_.Find(id)->zone == own_zone_;
+  });
+  std::vector<ReplicaProber::Target> targets;
+  targets.reserve(active_.size());
+  for (const std::string& id : active_) {
+    const ReplicaRecord* record = directory_.Find(id);
+    targets.push_back({id, record->endpoint, record->instance_id});
+  }
+  prober_.SetTargets(targets, nearest_first);
+}
+
+void ReplicaPool::OnProbe(const std::string& id, const std::string& instance_id, bool answered,
+                          const HttpHeaders& headers) {
+  if (!active_.contains(id) || !IsCurrent(id, instance_id)) {
+    return;
+  }
+  std::uint32_t already_running = 0;
+  if (answered) {
+    TakeReport(id, headers);
+    // A replica that served others before this gateway started is warm to that extent.
+    already_running = preexisting_.erase(id) > 0 ? loads_[id].others() : 0;
+  }
+  health_.OnProbe(id, answered, already_running, environment_.Now());
+  NotifyRoom();
+}
+
+bool ReplicaPool::IsCurrent(const std::string& id, const std::string& instance_id) const {
+  const ReplicaRecord* record = directory_.Find(id);
+  return record != nullptr && record->instance_id == instance_id;
+}
+
+void ReplicaPool::TakeReport(const std::string& id, const HttpHeaders& headers) {
+  const std::optional<LoadReport> report = ParseLoadReport(FindHeader(headers, kLoadHeader));
+  if (report) {
+    loads_[id].OnReport(*report);
+  }
+}
+
+void ReplicaPool::EvaluateHealth() {
+  health_.Evaluate(environment_.Now());
+  PublishMetrics();
+  evaluation_timer_ = environment_.ScheduleAfter(kEvaluationInterval, [this] { EvaluateHealth(); });
+}
+
+void ReplicaPool::PublishMetrics() {
+  std::uint32_t usable = 0;
+  for (const std::string& id : active_) {
+    const bool yes = health_.UsabilityOf(id, environment_.Now()) == Usability::kYes;
+    usable += yes ? 1 : 0;
+  }
+  Metrics& metrics = environment_.metrics();
+  metrics.SetGauge("gateway_replicas", usable, {{"state", "usable"}});
+  metrics.SetGauge("gateway_replicas", static_cast<double>(active_.size()), {{"state", "active"}});
+  metrics.SetGauge("gateway_replicas", static_cast<double>(directory_.records().size()),
+                   {{"state", "listed"}});
+  metrics.SetGauge("gateway_replica_list_usable", list_usable() ? 1 : 0);
+}
+
+void ReplicaPool::NotifyRoom() {
+  if (on_room_) {
+    on_room_();
+  }
+}
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/gateway/replica_pool.h
@@ -0,0 +1,93 @@
+#pragma once
+/// @file
+/// All replicas as this gateway sees them: ties the platform's list, probes, health, load and the
+/// router together, and is told of every call that goes to a replica.
+/// Threads: the owner's event loop only.
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "gateway/gateway_options.h"
+#include "gateway/replica_directory.h"
+#include "gateway/replica_health.h"
+#include "gateway/replica_list_poller.h"
+#include "gateway/replica_load.h"
+#include "gateway/replica_prober.h"
+#include "gateway/router.h"
+#include "gateway/serving_right.h"
+#include "net/http_types.h"
+#include "runtime/environment.h"
+
+namespace cloverbank {
+
+/// One use of a replica by a call.
+struct ReplicaUse {
+  std::string id;
+  std::string instance_id;
+  WorkKind work = WorkKind::kLive;
+};
+
+class ReplicaPool {
+ public:
+  ReplicaPool(Environment& environment, HttpClient& client, const ServingRight& right,
+              const GatewayOptions& options);
+  ~ReplicaPool();
+  ReplicaPool(const ReplicaPool&) = delete;
+  ReplicaPool& operator=(const ReplicaPool&) = delete;
+
+  void Start();
+  /// To be called when a newer configuration was taken: zones may have opened or closed.
+  void OnConfiguration();
+
+  RoutingChoice Choose(const RoutingQuery& query) const;
+  std::uint32_t FreeBatchSlots(const std::string& backend) const;
+  /// Whether a call of `route` may go to this life of a replica at this very moment: listed as
+  /// ready in a list that is fresh, and in a zone that is open and allowed.
+  bool MaySend(const ReplicaUse& use, const proto::Route& route) const;
+
+  void OnCallStarted(const ReplicaUse& use);
+  void OnCallEnded(const ReplicaUse& use, CallEnd end);
+  /// The head of an answer came, `latency` after the request was sent.
+  void OnAnswerHead(const ReplicaUse& use, const HttpHeaders& headers, Duration latency);
+
+  /// Runs when a replica may have got room that it had not before.
+  void OnRoom(std::function<void()> observer) { on_room_ = std::move(observer); }
+  /// Whether a list was read and is not stale.
+  bool list_usable() const { return poller_.loaded() && poller_.Fresh(); }
+  const ReplicaDirectory& directory() const { return directory_; }
+  const ReplicaHealth& health() const { return health_; }
+  const LoadTable& loads() const { return loads_; }
+
+ private:
+  Status OnList(const proto::ReplicaList& list);
+  void OnProbe(const std::string& id, const std::string& instance_id, bool answered,
+               const HttpHeaders& headers);
+  /// Works out who is to be probed and watched now; `cold` ones begin anew.
+  void RefreshActive(const std::vector<std::string>& cold);
+  void StartWatching(const std::vector<std::string>& fresh);
+  bool IsCurrent(const std::string& id, const std::string& instance_id) const;
+  void TakeReport(const std::string& id, const HttpHeaders& headers);
+  void EvaluateHealth();
+  void PublishMetrics();
+  void NotifyRoom();
+
+  Environment& environment_;
+  const ServingRight& right_;
+  const std::string own_zone_;
+  ReplicaDirectory directory_;
+  ReplicaHealth health_;
+  LoadTable loads_;
+  Router router_;
+  ReplicaListPoller poller_;
+  ReplicaProber prober_;
+  std::set<std::string> active_;       ///< Ready, in an open zone: watched and probed.
+  std::set<std::string> preexisting_;  ///< Not probed yet, and listed before this gateway started.
+  bool activated_ = false;             ///< Whether a list and a configuration were there together.
+  std::function<void()> on_room_;
+  TimerId evaluation_timer_ = 0;
+};
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/gateway/replica_prober.cc
@@ -0,0 +1,102 @@
+#include "gateway/replica_prober.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cloverbank {
+namespace {
+
+constexpr int kFirstServerError = 500;
+constexpr Duration kIdleGap = milliseconds(100);
+
+}  // namespace
+
+ReplicaProber::ReplicaProber(Environment& environment, HttpClient& client, ProbeOptions options,
+                             ResultHandler on_result)
+    : environment_(environment),
+      client_(client),
+      options_(std::move(options)),
+      on_result_(std::move(on_result)) {}
+
+ReplicaProber::~ReplicaProber() {
+  environment_.CancelTimer(timer_);
+  for (const auto& [id, call] : running_) {
+    call->Cancel();
+  }
+}
+
+void ReplicaProber::Start() { Tick(); }
+
+void ReplicaProber::SetTargets(const std::vector<Target>& targets,
+                               const std::vector<std::string>& first) {
+  std::map<std::string, Target> wanted;
+  for (const Target& target : targets) {
+    wanted.emplace(target.id, target);
+    if (!targets_.contains(target.id)) {
+      order_.push_back(target.id);
+    }
+  }
+  targets_ = std::move(wanted);
+  const auto unwanted = [this](const std::string& id) { return !targets_.contains(id); };
+  std::erase_if(order_, unwanted);
+  std::erase_if(urgent_, unwanted);
+  for (const std::string& id : first) {
+    if (targets_.contains(id) && std::find(urgent_.begin(), urgent_.end(), id) == urgent_.end()) {
+      urgent_.push_back(id);
+    }
+  }
+}
+
+void ReplicaProber::Tick() {
+  if (!urgent_.empty()) {
+    const std::string id = std::move(urgent_.front());
+    urgent_.pop_front();
+    Probe(targets_.at(id));
+  } else if (!order_.empty()) {
+    const std::string id = order_.front();
+    order_.pop_front();
+    order_.push_back(id);
+    if (!running_.contains(id)) {
+      Probe(targets_.at(id));
+    }
+  }
+  timer_ = environment_.ScheduleAfter(Gap(), [this] { Tick(); });
+}
+
+Duration ReplicaProber::Gap() const {
+  if (!urgent_.empty()) {
+    return options_.least_gap;
+  }
+  if (order_.empty()) {
+    return kIdleGap;
+  }
+  const Duration even = options_.interval / static_cast<std::int64_t>(order_.size());
+  return std::max(options_.least_gap, std::min(even, kIdleGap * 10));
+}
+
+void ReplicaProber::Probe(const Target& target) {
+  HttpRequest request;
+  request.method = "GET";
+  request.path = options_.path;
+  const std::weak_ptr<bool> alive = alive_;
+  const std::string id = target.id;
+  const std::string instance_id = target.instance_id;
+  if (const auto previous = running_.find(id); previous != running_.end()) {
+    previous->second->Cancel();  // It asked an earlier life of the replica.
+  }
+  running_[id] =
+      client_.Call(target.endpoint, std::move(request), options_.deadline,
+                   [this, alive, id, instance_id](const HttpOutcome& outcome) {
+                     if (alive.expired()) {
+                       return;
+                     }
+                     running_.erase(id);
+                     const bool answered = outcome.kind == HttpOutcomeKind::kAnswered &&
+                                           outcome.response.status < kFirstServerError;
+                     environment_.metrics().Increment("gateway_probes_total",
+                                                      {{"result", answered ? "good" : "bad"}});
+                     on_result_(id, instance_id, answered, outcome.response.headers);
+                   });
+}
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/gateway/replica_prober.h
@@ -0,0 +1,58 @@
+#pragma once
+/// @file
+/// Asks each replica for its health in turn, spread evenly over the interval, new ones first. The
+/// rate of one gateway is bounded whatever the number of replicas; the interval grows instead.
+/// Threads: the owner's event loop only.
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "gateway/gateway_options.h"
+#include "net/http_types.h"
+#include "runtime/environment.h"
+
+namespace cloverbank {
+
+class ReplicaProber {
+ public:
+  /// @param answered whether the replica answered that it is well.
+  using ResultHandler = std::function<void(const std::string& id, const std::string& instance_id,
+                                           bool answered, const HttpHeaders& headers)>;
+  struct Target {
+    std::string id;
+    Endpoint endpoint;
+    std::string instance_id;
+  };
+
+  ReplicaProber(Environment& environment, HttpClient& client, ProbeOptions options,
+                ResultHandler on_result);
+  ~ReplicaProber();
+  ReplicaProber(const ReplicaProber&) = delete;
+  ReplicaProber& operator=(const ReplicaProber&) = delete;
+
+  void Start();
+  /// Replaces the set of replicas to probe. Those in `first` are probed before all others.
+  void SetTargets(const std::vector<Target>& targets, const std::vector<std::string>& first);
+
+ private:
+  void Tick();
+  void Probe(const Target& target);
+  Duration Gap() const;
+
+  Environment& environment_;
+  HttpClient& client_;
+  ProbeOptions options_;
+  ResultHandler on_result_;
+  std::map<std::string, Target> targets_;
+  std::deque<std::string> order_;   ///< Whom to probe next; each target once.
+  std::deque<std::string> urgent_;  ///< New ones, probed before.
+  std::map<std::string, std::shared_ptr<HttpCall>> running_;
+  TimerId timer_ = 0;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/gateway/stream_attempt.cc
@@ -0,0 +1,307 @@
+#include <optional>
+#include <utility>
+
+#include "base/logging.h"
+#include "gateway/backend_json.h"
+#include "gateway/call_attempt.h"
+#include "gateway/line_reader.h"
+#include "gateway/stream_check.h"
+
+namespace cloverbank {
+namespace {
+
+constexpr int kHttpOk = 200;
+constexpr std::string_view kGeneratePath = "/generate";
+constexpr std::size_t kLargestErrorBody = std::size_t{64} << 10U;
+
+/// A streamed generation. Pieces are checked and handed on one at a time; the replica is read no
+/// further until the last one was taken.
+class StreamAttempt final : public CallAttempt, public std::enable_shared_from_this<StreamAttempt> {
+ public:
+  StreamAttempt(const AttemptContext& context, AttemptRequest request, AttemptCallbacks callbacks)
+      : context_(context),
+        request_(std::move(request)),
+        callbacks_(std::move(callbacks)),
+        check_(request_.body.call_id()),
+        lines_(context.options.largest_piece) {}
+
+  void Start() override {
+    sent_at_ = context_.environment.Now();
+    const Duration remaining = request_.deadline - sent_at_;
+    request_.body.set_stream(true);
+    HttpRequest http = MakeReplicaRequest(kGeneratePath, request_, remaining);
+    const std::weak_ptr<StreamAttempt> weak = weak_from_this();
+    http.may_send = [weak] {
+      const auto self = weak.lock();
+      return self != nullptr && self->MaySend();
+    };
+    HttpStreamCallbacks stream;
+    stream.on_head = [weak](int status, const HttpHeaders& headers) {
+      if (const auto self = weak.lock()) {
+        self->OnHead(status, headers);
+      }
+    };
+    stream.on_bytes = [weak](const std::string& bytes, std::function<void()> more) {
+      if (const auto self = weak.lock()) {
+        self->OnBytes(bytes, std::move(more));
+      }
+    };
+    // The end holds the attempt alive until it comes.
+    stream.on_end = [self = shared_from_this()](HttpOutcome outcome) {
+      self->OnEnd(std::move(outcome));
+    };
+    context_.pool.OnCallStarted(request_.use);
+    call_ = context_.client.Stream(request_.endpoint, std::move(http), remaining,
+                                   context_.options.stream_idle_limit, std::move(stream));
+  }
+
+  CancelledWhen Cancel() override {
+    if (done_) {
+      return CancelledWhen::kNotUnderWay;
+    }
+    done_ = true;
+    CloseUpstream();
+    Release(CallEnd::kWithdrawn);
+    return asked_ && !withheld_ ? CancelledWhen::kMaybeSent : CancelledWhen::kNotUnderWay;
+  }
+
+ private:
+  bool MaySend() {
+    asked_ = true;
+    withheld_ = done_ || !request_.may_send();
+    return !withheld_;
+  }
+
+  void OnHead(int status, const HttpHeaders& headers) {
+    if (done_) {
+      return;
+    }
+    status_ = status;
+    context_.pool.OnAnswerHead(request_.use, headers, context_.environment.Now() - sent_at_);
+  }
+
+  void OnBytes(const std::string& bytes, std::function<void()> more) {
+    if (done_) {
+      AfterLastPiece();
+      return;
+    }
+    if (status_ != kHttpOk) {
+      const std::size_t room = kLargestErrorBody - std::min(kLargestErrorBody, error_body_.size());
+      error_body_.append(bytes, 0, room);
+      more();
+      return;
+    }
+    lines_.Append(bytes);
+    read_on_ = std::move(more);
+    Advance();
+  }
+
+  /// Something follows the regular last piece: the connection can not be trusted further.
+  void AfterLastPiece() {
+    context_.environment.metrics().Increment("gateway_stream_faults_total",
+                                             {{"fault", StreamFaultName(StreamFault::kAfterEnd)}});
+    CloseUpstream();
+    Release(CallEnd::kSuccess);
+  }
+
+  void OnEnd(HttpOutcome outcome) {
+    const bool regular = outcome.kind == HttpOutcomeKind::kAnswered;
+    outcome_ = std::move(outcome);
+    if (done_) {
+      Release(CallEnd::kSuccess);
+    } else if (regular) {
+      Advance();
+    } else {
+      Conclude();  // Not held up by a caller that does not read.
+    }
+  }
+
+  /// Goes on as far as possible. Not re-entered: `more` may be called from within `on_piece`.
+  void Advance() {
+    if (advancing_) {
+      return;
+    }
+    advancing_ = true;
+    while (Step()) {
+    }
+    advancing_ = false;
+  }
+
+  /// Hands on the next piece, or reads on, or concludes. @return whether there is more to do now.
+  bool Step() {
+    if (done_ || piece_under_way_) {
+      return false;
+    }
+    if (const std::optional<std::string> line = lines_.Next()) {
+      TakeLine(*line);
+      return true;
+    }
+    if (lines_.TooLong()) {
+      check_.Malformed();
+      BreakOff();
+      return false;
+    }
+    if (outcome_) {
+      Conclude();
+      return !done_;
+    }
+    if (!read_on_) {
+      return false;
+    }
+    std::exchange(read_on_, nullptr)();
+    return read_on_ != nullptr || outcome_.has_value();
+  }
+
+  void TakeLine(const std::string& line) {
+    proto::StreamPiece piece;
+    if (!FromBackendJson(line, &piece).ok()) {
+      check_.Malformed();
+      BreakOff();
+      return;
+    }
+    switch (check_.Check(piece)) {
+      case PieceVerdict::kPass:
+        HandOn(piece);
+        break;
+      case PieceVerdict::kEnd:
+        HandOn(piece);
+        FinishWhole();
+        break;
+      case PieceVerdict::kReported:
+        FinishReported(piece.error());
+        break;
+      case PieceVerdict::kBroken:
+        BreakOff();
+        break;
+    }
+  }
+
+  void HandOn(const proto::StreamPiece& piece) {
+    piece_under_way_ = true;
+    callbacks_.on_piece(piece, [weak = weak_from_this()] {
+      const auto self = weak.lock();
+      if (self != nullptr && self->piece_under_way_) {
+        self->piece_under_way_ = false;
+        self->Advance();
+      }
+    });
+  }
+
+  /// The body ended, or the call did, with no last piece.
+  void Conclude() {
+    if (outcome_->kind != HttpOutcomeKind::kAnswered) {
+      const TimePoint now = context_.environment.Now();
+      SilenceFacts facts;
+      facts.withheld = withheld_;
+      facts.head_came = status_ != 0;
+      facts.deadline_reached = now >= request_.deadline;
+      facts.patience = request_.deadline - sent_at_;
+      const FailureReading reading = ReadSilence(*outcome_, facts, context_.options);
+      Finish(reading.result, reading.health);
+      return;
+    }
+    if (status_ != kHttpOk) {
+      const FailureReading reading = ReadRefusal(status_, error_body_);
+      Finish(reading.result, reading.health);
+      return;
+    }
+    const std::string rest = lines_.TakeRest();
+    if (!rest.empty()) {
+      TakeLine(rest);
+      return;
+    }
+    check_.BodyEnded();
+    BreakOff();
+  }
+
+  void BreakOff() {
+    const std::string_view fault = StreamFaultName(check_.fault());
+    context_.environment.metrics().Increment("gateway_stream_faults_total", {{"fault", fault}});
+    Log(LogLevel::kWarning, "stream_broken",
+        {{"call_id", request_.body.call_id()}, {"replica", request_.use.id}, {"fault", fault}});
+    AttemptResult result;
+    result.end = AttemptEnd::kUnknown;
+    result.error.set_code("stream_broken");
+    result.error.set_message("the replica's stream was not one unbroken run: " +
+                             std::string(fault));
+    Finish(std::move(result), CallEnd::kFailed);
+  }
+
+  void FinishReported(const proto::CallError& error) {
+    AttemptResult result;
+    result.end = AttemptEnd::kUnknown;
+    if (error.executed() == proto::EXECUTED_NO && check_.next_sequence() == 1) {
+      result.end = AttemptEnd::kNotRun;
+    } else if (error.executed() == proto::EXECUTED_YES) {
+      result.end = AttemptEnd::kFailed;
+    }
+    result.error.set_code("replica_failed");
+    result.error.set_message("the replica ended the stream: " + error.message());
+    Finish(std::move(result), CallEnd::kFailed);
+  }
+
+  /// The last piece is with the caller. The connection is let run out, so that it can be used
+  /// again.
+  void FinishWhole() {
+    done_ = true;
+    if (outcome_) {
+      Release(CallEnd::kSuccess);
+    }
+    if (read_on_) {
+      std::exchange(read_on_, nullptr)();
+    }
+    AttemptResult result;
+    result.end = AttemptEnd::kWhole;
+    callbacks_.on_done(std::move(result));
+  }
+
+  void Finish(AttemptResult result, CallEnd health) {
+    done_ = true;
+    if (!outcome_) {
+      CloseUpstream();
+    }
+    Release(health);
+    callbacks_.on_done(std::move(result));
+  }
+
+  void CloseUpstream() {
+    if (call_ != nullptr) {
+      call_->Cancel();
+    }
+  }
+
+  /// Tells the pool, once, that the replica is free of this call.
+  void Release(CallEnd health) {
+    if (!released_) {
+      released_ = true;
+      context_.pool.OnCallEnded(request_.use, health);
+    }
+  }
+
+  AttemptContext context_;
+  AttemptRequest request_;
+  AttemptCallbacks callbacks_;
+  StreamCheck check_;
+  LineReader lines_;
+  std::shared_ptr<HttpCall> call_;
+  TimePoint sent_at_;
+  int status_ = 0;  ///< 0 until the head came.
+  std::string error_body_;
+  std::function<void()> read_on_;
+  std::optional<HttpOutcome> outcome_;
+  bool asked_ = false;  ///< Whether `may_send` was asked: nothing was sent before.
+  bool withheld_ = false;
+  bool piece_under_way_ = false;
+  bool advancing_ = false;
+  bool released_ = false;
+  bool done_ = false;
+};
+
+}  // namespace
+
+std::shared_ptr<CallAttempt> MakeStreamAttempt(const AttemptContext& context,
+                                               AttemptRequest request, AttemptCallbacks callbacks) {
+  return std::make_shared<StreamAttempt>(context, std::move(request), std::move(callbacks));
+}
+
+}  // namespace cloverbank
--- /dev/null
+++ b/tests/gateway/gateway_harness.h
@@ -0,0 +1,246 @@
+#pragma once
+/// @file
+/// A whole data plane on simulated time: scripted replicas, the platform's list, a lease that can
+/// be taken away, and callers.
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "fake_http.h"
+#include "gateway/backend_json.h"
+#include "gateway/call_queue.h"
+#include "gateway/http_json.h"
+#include "gateway/live_call_handler.h"
+#include "gateway/replica_backend_caller.h"
+#include "gateway/replica_pool.h"
+#include "simulation/simulated_world.h"
+
+namespace cloverbank {
+
+/// A replica whose behaviour a test sets.
+struct FakeReplica {
+  proto::Replica entry;
+  std::uint32_t running = 0;
+  std::uint32_t most_running = 0;
+  std::uint32_t report_running = 0;   ///< Calls of others that it reports.
+  std::vector<std::string> received;  ///< Call ids whose request arrived, in order.
+  std::vector<TimePoint> received_at;
+  std::uint32_t probes = 0;
+  Duration work_time = milliseconds(50);
+  enum class Mode : std::uint8_t { kServe, kSilent, kRefuse, kFail, kScripted } mode = Mode::kServe;
+  std::vector<ExchangePtr> exchanges;  ///< Of calls; answered by the test in kScripted.
+};
+
+class FakeRight : public ServingRight {
+ public:
+  bool Valid() const override { return valid; }
+  const proto::RoutingConfiguration& configuration() const override { return held; }
+  bool valid = true;
+  proto::RoutingConfiguration held;
+};
+
+inline std::string PieceLine(const std::string& run, const std::string& call,
+                             std::uint64_t sequence, const std::string& text, bool end = false) {
+  proto::StreamPiece piece;
+  piece.set_run_id(run);
+  piece.set_call_id(call);
+  piece.set_sequence(sequence);
+  piece.set_text(text);
+  piece.set_end(end);
+  return ToJson(piece) + "\n";
+}
+
+class GatewayHarness {
+ public:
+  explicit GatewayHarness(std::uint64_t seed = 1) : world(seed) {
+    SimulatedMachine& machine = world.AddMachine("gateway", "127.0.0.1");
+    machine.SetProgram([this](Environment& given, DataFolder&) {
+      environment = &given;
+      return std::make_shared<int>(0);
+    });
+    machine.Start();
+    client = std::make_unique<FakeHttpClient>(*environment);
+    options.zone = "a";
+    options.replica_list.endpoint = {"127.0.0.9", 80};
+    for (const char* name : {"a", "b", "c"}) {
+      proto::Zone* zone = right.held.add_zones();
+      zone->set_name(name);
+      zone->set_region("here");
+      zone->set_state(proto::ZONE_STATE_OPEN);
+    }
+    right.held.set_version(1);
+    client->scripts[options.replica_list.endpoint] = [this](const ExchangePtr& exchange) {
+      ServeList(exchange);
+    };
+  }
+
+  /// Must be added in the order of names, as the configuration keeps them sorted.
+  proto::Route& AddRoute(const std::string& name, proto::BackendKind kind, bool idempotent) {
+    proto::Route* route = right.held.add_routes();
+    route->set_name(name);
+    route->set_backend_kind(kind);
+    route->set_backend(kind == proto::BACKEND_KIND_MODEL ? "model" : "service");
+    route->set_idempotent(idempotent);
+    route->set_priority(proto::PRIORITY_STANDARD);
+    route->set_deadline_ms(10'000);
+    return *route;
+  }
+
+  FakeReplica& AddReplica(const std::string& id, const std::string& zone, std::uint32_t capacity,
+                          proto::BackendKind kind = proto::BACKEND_KIND_MODEL) {
+    FakeReplica& replica = replicas[id];
+    replica.entry.set_id(id);
+    replica.entry.mutable_endpoint()->set_host("127.1.0." + std::to_string(replicas.size()));
+    replica.entry.mutable_endpoint()->set_port(8000);
+    replica.entry.set_zone(zone);
+    replica.entry.set_kind(kind);
+    replica.entry.set_backend(kind == proto::BACKEND_KIND_MODEL ? "model" : "service");
+    replica.entry.set_state(proto::REPLICA_STATE_READY);
+    replica.entry.set_capacity(capacity);
+    replica.entry.set_instance_id(id + "/1");
+    client->scripts[EndpointOf(replica)] = [this, &replica](const ExchangePtr& exchange) {
+      Serve(replica, exchange);
+    };
+    ++list_version;
+    return replica;
+  }
+
+  static Endpoint EndpointOf(const FakeReplica& replica) {
+    return {replica.entry.endpoint().host(),
+            static_cast<std::uint16_t>(replica.entry.endpoint().port())};
+  }
+  void SetState(FakeReplica& replica, proto::ReplicaState state) {
+    replica.entry.set_state(state);
+    ++list_version;
+  }
+
+  /// Builds the data plane and lets it learn the list and probe everyone.
+  void Start(Duration settle = seconds(1)) {
+    pool = std::make_unique<ReplicaPool>(*environment, *client, right, options);
+    queue = std::make_unique<CallQueue>(*environment, options.admission);
+    budget = std::make_unique<RetryBudget>(options.retry);
+    const CallContext context{
+        {*environment, *client, *pool, options.calls}, right, *queue, *budget, options.retry};
+    live = std::make_unique<LiveCallHandler>(context, options);
+    batch = std::make_unique<ReplicaBackendCaller>(context);
+    pool->OnRoom([this] { queue->DispatchSoon(); });
+    live->Register(router);
+    pool->Start();
+    world.RunFor(settle);
+  }
+  ~GatewayHarness() {
+    live.reset();
+    batch.reset();
+    queue.reset();
+    pool.reset();
+  }
+
+  std::shared_ptr<FakeResponder> Call(const std::string& route, const std::string& body = "{}",
+                                      HttpHeaders headers = {}) {
+    return router.Post("/v1/call/" + route, body, std::move(headers));
+  }
+  static proto::CallError ErrorIn(const FakeResponder& responder) {
+    proto::ErrorBody body;
+    EXPECT_TRUE(FromBackendJson(responder.body, &body).ok()) << responder.body;
+    return body.error();
+  }
+
+  SimulatedWorld world;
+  Environment* environment = nullptr;
+  std::unique_ptr<FakeHttpClient> client;
+  FakeRight right;
+  GatewayOptions options;
+  std::map<std::string, FakeReplica> replicas;
+  std::uint64_t list_version = 0;
+  bool list_readable = true;
+  std::uint32_t list_polls = 0;
+  FakeRouter router;
+  std::unique_ptr<ReplicaPool> pool;
+  std::unique_ptr<CallQueue> queue;
+  std::unique_ptr<RetryBudget> budget;
+  std::unique_ptr<LiveCallHandler> live;
+  std::unique_ptr<ReplicaBackendCaller> batch;
+
+ private:
+  void ServeList(const ExchangePtr& exchange) {
+    ++list_polls;
+    const std::string etag = "\"" + std::to_string(list_version) + "\"";
+    if (!list_readable) {
+      exchange->Answer({500, {}, "broken"});
+      return;
+    }
+    if (FindHeader(exchange->request.headers, "if-none-match") == etag) {
+      exchange->Answer({304, {}, ""});
+      return;
+    }
+    proto::ReplicaList list;
+    list.set_version(list_version);
+    for (const auto& [id, replica] : replicas) {
+      *list.add_replicas() = replica.entry;
+    }
+    exchange->Answer({200, {{"ETag", etag}}, ToJson(list)});
+  }
+
+  HttpHeaders LoadOf(const FakeReplica& replica) const {
+    return {{"x-cloverbank-load", std::to_string(replica.running + replica.report_running) + "/0/" +
+                                      std::to_string(replica.entry.capacity())}};
+  }
+
+  void Serve(FakeReplica& replica, const ExchangePtr& exchange) {
+    const bool probe = exchange->request.path == "/health";
+    replica.probes += probe ? 1 : 0;
+    if (!probe) {
+      proto::CallRequest request;
+      EXPECT_TRUE(FromBackendJson(exchange->request.body, &request).ok());
+      replica.received.push_back(request.call_id());
+      replica.received_at.push_back(world.Now());
+      replica.exchanges.push_back(exchange);
+    }
+    switch (replica.mode) {
+      case FakeReplica::Mode::kSilent:
+        return;
+      case FakeReplica::Mode::kRefuse:
+        exchange->Answer({probe ? 200 : 503, LoadOf(replica), ""});
+        return;
+      case FakeReplica::Mode::kFail:
+        exchange->Answer({probe ? 200 : 500, {}, ""});
+        return;
+      case FakeReplica::Mode::kServe:
+      case FakeReplica::Mode::kScripted:
+        break;
+    }
+    if (probe) {
+      exchange->Answer({200, LoadOf(replica), "{}"});
+    } else if (replica.mode == FakeReplica::Mode::kServe) {
+      Work(replica, exchange, replica.received.back());
+    }
+  }
+
+  void Work(FakeReplica& replica, const ExchangePtr& exchange, const std::string& call_id) {
+    if (replica.running >= replica.entry.capacity()) {
+      exchange->Answer({429, LoadOf(replica), ""});
+      return;
+    }
+    ++replica.running;
+    replica.most_running = std::max(replica.most_running, replica.running);
+    environment->ScheduleAfter(replica.work_time, [this, &replica, exchange, call_id] {
+      --replica.running;
+      const std::string run = "run-of-" + call_id;
+      if (exchange->request.path == "/generate") {
+        const std::string lines =
+            PieceLine(run, call_id, 0, "hello ") + PieceLine(run, call_id, 1, "world", true);
+        exchange->Answer({200, LoadOf(replica), lines});
+        return;
+      }
+      proto::CallAnswer answer;
+      answer.set_call_id(call_id);
+      answer.set_run_id(run);
+      answer.set_text("served");
+      exchange->Answer({200, LoadOf(replica), ToJson(answer)});
+    });
+  }
+};
+
+}  // namespace cloverbank
--- /dev/null
+++ b/tests/gateway/live_call_test.cc
@@ -0,0 +1,362 @@
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include "gateway_harness.h"
+
+namespace cloverbank {
+namespace {
+
+using Mode = FakeReplica::Mode;
+
+class LiveCallTest : public ::testing::Test {
+ protected:
+  LiveCallTest() {
+    h.AddRoute("ask", proto::BACKEND_KIND_MODEL, true);
+    h.AddRoute("once", proto::BACKEND_KIND_MODEL, false);
+    h.AddRoute("serve", proto::BACKEND_KIND_SERVICE, true);
+    h.AddRoute("unlock", proto::BACKEND_KIND_SERVICE, false);
+  }
+  std::size_t Received() const {
+    std::size_t sum = 0;
+    for (const auto& [id, replica] : h.replicas) {
+      sum += replica.received.size();
+    }
+    return sum;
+  }
+  GatewayHarness h;
+};
+
+TEST_F(LiveCallTest, AnswersModelAndServiceCalls) {
+  h.AddReplica("m1", "a", 4);
+  h.AddReplica("s1", "a", 4, proto::BACKEND_KIND_SERVICE);
+  h.Start();
+  const auto whole = h.Call("once", R"({"prompt":"p"})");
+  const auto stream = h.Call("ask", R"({"prompt":"p","stream":true})");
+  const auto served = h.Call("unlock");
+  h.world.RunFor(seconds(1));
+  proto::CallAnswer answer;
+  ASSERT_TRUE(FromBackendJson(whole->body, &answer).ok());
+  EXPECT_EQ(answer.text(), "hello world");
+  EXPECT_EQ(answer.tokens(), 2U);
+  EXPECT_EQ(stream->status, 200);
+  EXPECT_EQ(stream->pieces, 2);
+  EXPECT_TRUE(stream->complete);
+  ASSERT_TRUE(FromBackendJson(served->body, &answer).ok());
+  EXPECT_EQ(answer.text(), "served");
+  EXPECT_EQ(h.live->calls_under_way(), 0U);
+}
+
+TEST_F(LiveCallTest, RefusesWhatIsWrongBeforeSending) {
+  FakeReplica& replica = h.AddReplica("m1", "a", 4);
+  h.Start();
+  EXPECT_EQ(h.Call("nowhere")->status, 404);
+  EXPECT_EQ(h.Call("ask", "{nonsense")->status, 400);
+  EXPECT_EQ(h.Call("ask", "{}", {{"X-Deadline-Ms", "soon"}})->status, 400);
+  EXPECT_EQ(h.Call("ask", std::string(h.options.calls.largest_request + 1, ' '))->status, 413);
+  const auto no_backend = h.Call("unlock");
+  h.world.RunFor(seconds(5));
+  EXPECT_EQ(no_backend->status, 503);
+  EXPECT_EQ(h.ErrorIn(*no_backend).code(), "no_ready_replica");
+  EXPECT_THAT(replica.received, ::testing::IsEmpty());
+}
+
+TEST_F(LiveCallTest, NonRepeatableCallIsNeverSentTwiceAfterSilence) {
+  h.AddReplica("m1", "a", 4).mode = Mode::kScripted;
+  h.AddReplica("m2", "b", 4).mode = Mode::kScripted;
+  h.Start();
+  const auto caller = h.Call("once", "{}", {{"X-Deadline-Ms", "2000"}});
+  h.world.RunFor(seconds(20));
+  EXPECT_EQ(Received(), 1U);
+  EXPECT_EQ(caller->answers, 1);
+  EXPECT_EQ(caller->status, 504);
+  EXPECT_EQ(h.ErrorIn(*caller).executed(), proto::EXECUTED_UNKNOWN);
+}
+
+TEST_F(LiveCallTest, RepeatableCallGoesElsewhereAfterAReset) {
+  FakeReplica& first = h.AddReplica("m1", "a", 4);
+  first.mode = Mode::kScripted;
+  h.AddReplica("m2", "b", 4);
+  h.Start();
+  const auto caller = h.Call("ask");
+  h.world.RunFor(milliseconds(10));
+  ASSERT_EQ(first.received.size(), 1U);
+  first.exchanges[0]->End(HttpOutcomeKind::kUnknown, "reset");
+  h.world.RunFor(seconds(1));
+  EXPECT_EQ(caller->status, 200);
+  EXPECT_EQ(Received(), 2U);
+}
+
+TEST_F(LiveCallTest, RefusedCallGoesElsewhereEvenIfNotRepeatable) {
+  FakeReplica& first = h.AddReplica("m1", "a", 4);
+  first.mode = Mode::kRefuse;
+  h.AddReplica("m2", "b", 4);
+  h.Start();
+  const auto caller = h.Call("once");
+  h.world.RunFor(seconds(1));
+  EXPECT_EQ(caller->status, 200);
+  EXPECT_EQ(first.received.size(), 1U);
+}
+
+TEST_F(LiveCallTest, NotRunIsNeverFollowedByASend) {
+  FakeReplica& only = h.AddReplica("m1", "a", 1);
+  only.mode = Mode::kRefuse;
+  h.Start();
+  std::vector<std::shared_ptr<FakeResponder>> callers;
+  for (int call = 0; call < 20; ++call) {
+    callers.push_back(h.Call("once"));
+  }
+  const auto all_answered = [&] {
+    return std::all_of(callers.begin(), callers.end(),
+                       [](const auto& caller) { return caller->complete; });
+  };
+  ASSERT_TRUE(h.world.RunUntil(all_answered, seconds(10)));
+  const std::size_t sent_before = only.received.size();
+  only.mode = Mode::kServe;
+  h.world.RunFor(seconds(20));
+  EXPECT_EQ(only.received.size(), sent_before);
+  for (const auto& caller : callers) {
+    EXPECT_EQ(caller->answers, 1);
+    EXPECT_EQ(caller->status, 503);
+    EXPECT_EQ(h.ErrorIn(*caller).executed(), proto::EXECUTED_NO);
+    EXPECT_FALSE(FindHeader(caller->headers, "Retry-After").empty());
+  }
+}
+
+TEST_F(LiveCallTest, ExpiredLeaseRefusesAndStopsAConnectingCall) {
+  FakeReplica& replica = h.AddReplica("m1", "a", 4);
+  h.Start();
+  h.client->connect_time = milliseconds(200);
+  const auto connecting = h.Call("once");
+  h.world.RunFor(milliseconds(100));
+  h.right.valid = false;  // Runs out while the connection is being made.
+  h.world.RunFor(seconds(1));
+  EXPECT_EQ(connecting->status, 503);
+  EXPECT_EQ(h.ErrorIn(*connecting).executed(), proto::EXECUTED_NO);
+  EXPECT_EQ(h.Call("once")->status, 503);
+  EXPECT_THAT(replica.received, ::testing::IsEmpty());
+}
+
+TEST_F(LiveCallTest, DrainingReplicaGetsNothingAfterThePollSawIt) {
+  FakeReplica& leaving = h.AddReplica("m1", "a", 8);
+  h.AddReplica("m2", "b", 8);
+  h.Start();
+  for (int step = 0; step < 100; ++step) {
+    h.Call("ask");
+    h.world.RunFor(milliseconds(10));
+  }
+  ASSERT_GT(leaving.received.size(), 0U);
+  h.SetState(leaving, proto::REPLICA_STATE_DRAINING);
+  h.list_readable = true;
+  h.world.RunFor(milliseconds(600));  // One poll interval and its answer.
+  const std::size_t before = leaving.received.size();
+  const std::uint32_t probes_before = leaving.probes;
+  for (int step = 0; step < 300; ++step) {
+    h.Call("ask");
+    h.list_readable = step < 100;  // A list that can not be read changes nothing.
+    h.world.RunFor(milliseconds(10));
+  }
+  EXPECT_EQ(leaving.received.size(), before);
+  EXPECT_EQ(leaving.probes, probes_before);
+}
+
+TEST_F(LiveCallTest, DrainedZoneGetsNothingAndItsGatewayServesFromOthers) {
+  FakeReplica& home = h.AddReplica("m1", "a", 8);
+  FakeReplica& away = h.AddReplica("m2", "b", 8);
+  h.Start();
+  h.client->connect_time = milliseconds(20);
+  const auto connecting = h.Call("once");
+  h.world.RunFor(milliseconds(5));
+  h.right.held.mutable_zones(0)->set_state(proto::ZONE_STATE_DRAINED);
+  h.pool->OnConfiguration();
+  const auto after = h.Call("once");
+  h.world.RunFor(seconds(1));
+  EXPECT_EQ(connecting->status, 200);
+  EXPECT_EQ(after->status, 200);
+  EXPECT_THAT(home.received, ::testing::IsEmpty());
+  EXPECT_EQ(away.received.size(), 2U);
+}
+
+TEST_F(LiveCallTest, ColdReplicaIsNotFlooded) {
+  h.AddReplica("m1", "a", 8).work_time = milliseconds(200);
+  h.Start(seconds(10));
+  FakeReplica& cold = h.AddReplica("m2", "a", 8);
+  cold.work_time = milliseconds(200);
+  std::uint32_t most_in_first_second = 0;
+  for (int step = 0; step < 1000; ++step) {  // A crowd, for 10 seconds.
+    h.Call("ask");
+    h.Call("ask");
+    h.world.RunFor(milliseconds(10));
+    if (step == 150) {
+      most_in_first_second = cold.most_running;
+    }
+  }
+  EXPECT_GE(most_in_first_second, 1U);
+  EXPECT_LE(most_in_first_second, 2U);
+  EXPECT_EQ(cold.most_running, 8U);
+}
+
+TEST_F(LiveCallTest, CrossedAnswersNeverPass) {
+  FakeReplica& model = h.AddReplica("m1", "a", 4);
+  FakeReplica& service = h.AddReplica("s1", "a", 4, proto::BACKEND_KIND_SERVICE);
+  model.mode = Mode::kScripted;
+  service.mode = Mode::kScripted;
+  h.Start();
+  const auto stream = h.Call("once", R"({"stream":true})");
+  const auto whole = h.Call("unlock");
+  h.world.RunFor(milliseconds(100));
+  const std::string call_id = model.received.at(0);
+  model.exchanges[0]->Head(200, {});
+  model.exchanges[0]->Bytes(PieceLine("r", call_id, 0, "mine"));
+  model.exchanges[0]->Bytes(PieceLine("r", "another", 1, "secret"));
+  service.exchanges.at(0)->Answer({200, {}, R"({"call_id":"another","text":"secret"})"});
+  h.world.RunFor(seconds(1));
+  EXPECT_THAT(stream->body, ::testing::HasSubstr("mine"));
+  EXPECT_THAT(stream->body, ::testing::HasSubstr("stream_broken"));
+  EXPECT_THAT(stream->body, ::testing::Not(::testing::HasSubstr("secret")));
+  EXPECT_TRUE(stream->complete);
+  EXPECT_TRUE(model.exchanges[0]->cancelled);
+  EXPECT_EQ(whole->status, 504);
+  EXPECT_THAT(whole->body, ::testing::Not(::testing::HasSubstr("secret")));
+  EXPECT_EQ(Received(), 2U);
+}
+
+TEST_F(LiveCallTest, AStreamCutOffEndsWithAnErrorPieceAndNoRetry) {
+  FakeReplica& model = h.AddReplica("m1", "a", 4);
+  model.mode = Mode::kScripted;
+  h.AddReplica("m2", "b", 4);
+  h.Start();
+  const auto stream = h.Call("ask", R"({"stream":true})");
+  h.world.RunFor(milliseconds(100));
+  model.exchanges.at(0)->Head(200, {});
+  model.exchanges[0]->Bytes(PieceLine("r", model.received[0], 0, "begun"));
+  model.exchanges[0]->End(HttpOutcomeKind::kUnknown, "reset");
+  h.world.RunFor(seconds(5));
+  EXPECT_THAT(stream->body, ::testing::HasSubstr("replica_silent"));
+  EXPECT_TRUE(stream->complete);
+  EXPECT_EQ(Received(), 1U);
+}
+
+TEST_F(LiveCallTest, ReadsNoFurtherThanTheCallerTakes) {
+  FakeReplica& model = h.AddReplica("m1", "a", 4);
+  model.mode = Mode::kScripted;
+  h.Start();
+  auto slow = std::make_shared<FakeResponder>();
+  slow->hold_writes = true;
+  h.router.Post("/v1/call/ask", R"({"stream":true})", {}, slow);
+  h.world.RunFor(milliseconds(100));
+  const std::string call_id = model.received.at(0);
+  model.exchanges[0]->Head(200, {});
+  model.exchanges[0]->Bytes(PieceLine("r", call_id, 0, "x"));
+  model.exchanges[0]->Bytes(PieceLine("r", call_id, 1, "y", true));
+  h.world.RunFor(milliseconds(100));
+  EXPECT_EQ(slow->pieces, 1);
+  EXPECT_GT(model.exchanges[0]->unread(), 0U);
+  slow->held.at(0)(true);
+  h.world.RunFor(milliseconds(100));
+  EXPECT_EQ(slow->pieces, 2);
+  EXPECT_TRUE(slow->complete);
+}
+
+TEST_F(LiveCallTest, ACallerThatLeavesCancelsWhereverItsCallIs) {
+  FakeReplica& model = h.AddReplica("m1", "a", 1);
+  model.mode = Mode::kScripted;
+  h.Start();
+  const auto running = h.Call("once");
+  const auto waiting = h.Call("once");
+  h.world.RunFor(milliseconds(100));
+  EXPECT_EQ(h.queue->Waiting("model"), 1U);
+  waiting->disconnect();
+  running->disconnect();
+  h.world.RunFor(seconds(5));
+  EXPECT_TRUE(model.exchanges.at(0)->cancelled);
+  EXPECT_EQ(Received(), 1U);
+  EXPECT_EQ(running->answers + waiting->answers, 0);
+  EXPECT_EQ(h.live->calls_under_way(), 0U);
+  EXPECT_EQ(h.pool->loads().at("m1").own(), 0U);
+}
+
+TEST_F(LiveCallTest, FrozenProcessSendsNothingBeforeItReadTheListAnew) {
+  FakeReplica& replica = h.AddReplica("m1", "a", 4);
+  h.Start();
+  h.world.machine("gateway").Freeze();
+  h.world.ScheduleAfter(seconds(20), [&] {
+    h.SetState(replica, proto::REPLICA_STATE_DRAINING);
+    h.world.machine("gateway").Wake();
+  });
+  h.world.RunFor(seconds(20));
+  const auto caller = h.Call("once");
+  h.world.RunFor(seconds(5));
+  EXPECT_EQ(caller->status, 503);
+  EXPECT_THAT(replica.received, ::testing::IsEmpty());
+}
+
+TEST_F(LiveCallTest, AKeyIsCarriedOutOnce) {
+  FakeReplica& service = h.AddReplica("s1", "a", 4, proto::BACKEND_KIND_SERVICE);
+  h.Start();
+  const HttpHeaders key = {{"Idempotency-Key", "k"}, {"X-Tenant", "t"}};
+  const auto first = h.Call("unlock", R"({"prompt":"p"})", key);
+  const auto joined = h.Call("unlock", R"({"prompt":"p"})", key);
+  h.world.RunFor(seconds(1));
+  const auto later = h.Call("unlock", R"({"prompt":"p"})", key);
+  EXPECT_EQ(h.Call("unlock", R"({"prompt":"q"})", key)->status, 422);
+  h.world.RunFor(seconds(1));
+  EXPECT_EQ(first->status, 200);
+  EXPECT_EQ(joined->body, first->body);
+  EXPECT_EQ(later->body, first->body);
+  EXPECT_EQ(Received(), 1U);
+  service.mode = Mode::kScripted;  // Silence under a key is remembered too.
+  const HttpHeaders other = {{"Idempotency-Key", "k2"}, {"X-Deadline-Ms", "500"}};
+  const auto silent = h.Call("unlock", "{}", other);
+  h.world.RunFor(seconds(1));
+  service.mode = Mode::kServe;
+  EXPECT_EQ(silent->status, 504);
+  EXPECT_EQ(h.Call("unlock", "{}", other)->status, 504);
+  EXPECT_EQ(Received(), 2U);
+}
+
+TEST_F(LiveCallTest, LimitsTenantsAndRoutes) {
+  h.right.held.mutable_routes(0)->set_max_in_flight(2);
+  proto::Tenant* tenant = h.right.held.add_tenants();
+  tenant->set_name("t");
+  tenant->set_calls_per_second(3);
+  h.AddReplica("m1", "a", 8);
+  h.Start(seconds(10));
+  int limited = 0;
+  for (int call = 0; call < 5; ++call) {
+    const auto caller = h.Call("once", "{}", {{"X-Tenant", "t"}});
+    limited += caller->status == 429 ? 1 : 0;
+  }
+  EXPECT_EQ(limited, 2);
+  h.Call("ask");
+  h.Call("ask");
+  const auto third = h.Call("ask");
+  EXPECT_EQ(h.ErrorIn(*third).code(), "route_limit_reached");
+  h.world.RunFor(seconds(1));
+  h.Call("ask");
+  EXPECT_EQ(h.live->calls_under_way(), 1U);
+}
+
+TEST_F(LiveCallTest, ACrowdIsAnsweredAndTheQueueStaysBounded) {
+  FakeReplica& model = h.AddReplica("m1", "a", 4);
+  h.Start(seconds(10));
+  std::vector<std::shared_ptr<FakeResponder>> callers;
+  for (int step = 0; step < 400; ++step) {  // 4,000 a second where 80 are served.
+    for (int call = 0; call < 40; ++call) {
+      callers.push_back(h.Call("once"));
+    }
+    h.world.RunFor(milliseconds(10));
+    ASSERT_LE(h.queue->Waiting("model"), h.options.admission.queue_length);
+  }
+  h.world.RunFor(seconds(4));
+  std::size_t served = 0;
+  for (const auto& caller : callers) {
+    ASSERT_EQ(caller->answers, 1);
+    served += caller->status == 200 ? 1U : 0U;
+  }
+  EXPECT_EQ(served, model.received.size());
+  EXPECT_GE(served, 300U);  // Of 320 that the replica could serve in 4 seconds.
+  EXPECT_EQ(h.live->calls_under_way(), 0U);
+}
+
+}  // namespace
+}  // namespace cloverbank
