--- a/src/gateway/gateway_service.cc
+++ b/src/gateway/gateway_service.cc
@@ -2,11 +2,14 @@
 
 #include <utility>
 
+#include "gateway/batch_worker.h"
 #include "gateway/call_queue.h"
 #include "gateway/live_call_handler.h"
+#include "gateway/operator_api.h"
 #include "gateway/replica_backend_caller.h"
 #include "gateway/replica_pool.h"
 #include "gateway/serving_right.h"
+#include "gateway/status_api.h"
 
 namespace cloverbank {
 namespace {
@@ -29,7 +32,7 @@
 }  // namespace
 
 struct GatewayService::State {
-  State(Environment& environment_in, HttpClient& client, NodeAgent& agent_in,
+  State(Environment& environment_in, HttpClient& client, HttpRouter& router, NodeAgent& agent_in,
         GatewayOptions options_in)
       : environment(environment_in),
         agent(agent_in),
@@ -41,7 +44,12 @@
         context{
             {environment, client, pool, options.calls}, right, queue, retry_budget, options.retry},
         live(context, options),
-        batch_caller(context) {}
+        batch_caller(context),
+        batch_worker(environment, agent, batch_caller),
+        operators(router, agent),
+        status(environment, router, agent) {
+    live.Register(router);
+  }
 
   ~State() { environment.CancelTimer(tidy_timer); }
 
@@ -60,6 +68,9 @@
   CallContext context;
   LiveCallHandler live;
   ReplicaBackendCaller batch_caller;
+  BatchWorker batch_worker;
+  OperatorApi operators;
+  StatusApi status;
   TimerId tidy_timer = 0;
   bool draining = false;
   /// Observers of the agent outlive this service; they act only while it lives.
@@ -68,7 +79,7 @@
 
 GatewayService::GatewayService(Environment& environment, HttpClient& client, HttpRouter& router,
                                NodeAgent& agent, GatewayOptions options)
-    : state_(std::make_unique<State>(environment, client, agent, std::move(options))) {
+    : state_(std::make_unique<State>(environment, client, router, agent, std::move(options))) {
   State* state = state_.get();
   const std::weak_ptr<bool> alive = state->alive;
   state->pool.OnRoom([state] { state->queue.DispatchSoon(); });
@@ -78,20 +89,26 @@
       state->queue.DispatchSoon();
     }
   });
-  state->live.Register(router);
 }
 
 GatewayService::~GatewayService() = default;
 
 void GatewayService::Start() {
   state_->pool.Start();
+  state_->batch_worker.Start();
   state_->Tidy();
 }
 
 void GatewayService::Drain() {
   state_->draining = true;
   state_->live.Drain();
-  state_->batch_caller.Drain();
+  state_->batch_worker.Drain();
+}
+
+bool GatewayService::Drained() const {
+  const bool batches_over =
+      state_->batch_worker.held() == 0 && state_->batch_worker.unreported() == 0;
+  return state_->draining && batches_over && calls_under_way() == 0;
 }
 
 bool GatewayService::Ready(std::string* why) const {
--- a/src/gateway/gateway_service.h
+++ b/src/gateway/gateway_service.h
@@ -1,6 +1,7 @@
 #pragma once
 /// @file
-/// The gateway of one process: ties the data plane to the node agent and registers what it serves.
+/// The gateway of one process: ties the data plane and the batch worker to the node agent and registers
+/// everything it serves (live calls, operators, status).
 /// Threads: the owner's event loop only.
 
 #include <memory>
@@ -27,6 +28,8 @@
   void Start();
   /// Refuses new calls and batch items; those under way go on. For a clean stop.
   void Drain();
+  /// @return whether everything that was under way when `Drain` came has ended and is reported.
+  bool Drained() const;
   /// @return whether live calls are served now; if not, `why` (may be null) says what is missing.
   bool Ready(std::string* why) const;
   /// Live calls that were admitted and have not ended.
--- a/src/gateway/replica_backend_caller.h
+++ b/src/gateway/replica_backend_caller.h
@@ -17,9 +17,6 @@
  public:
   explicit ReplicaBackendCaller(const CallContext& context) : context_(context) {}
 
-  /// Refuses every further item; those under way go on.
-  void Drain() { draining_ = true; }
-
   std::uint32_t FreeBatchSlots(const std::string& backend) const override;
   std::shared_ptr<BackendCall> RunBatchItem(const proto::Route& route,
                                             const proto::CallRequest& request, Duration deadline,
@@ -30,7 +27,6 @@
   bool MayStartBatches(const std::string& backend) const;
 
   CallContext context_;
-  bool draining_ = false;
 };
 
 }  // namespace cloverbank
