--- a/src/gateway/gateway_service.cc
+++ b/src/gateway/gateway_service.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "gateway/batch_api.h"
 #include "gateway/batch_worker.h"
 #include "gateway/call_queue.h"
 #include "gateway/live_call_handler.h"
@@ -46,6 +47,7 @@
         live(context, options),
         batch_caller(context),
         batch_worker(environment, agent, batch_caller),
+        batches(environment, router, agent),
         operators(router, agent),
         status(environment, router, agent) {
     live.Register(router);
@@ -69,6 +71,7 @@
   LiveCallHandler live;
   ReplicaBackendCaller batch_caller;
   BatchWorker batch_worker;
+  BatchApi batches;
   OperatorApi operators;
   StatusApi status;
   TimerId tidy_timer = 0;
--- a/src/gateway/gateway_service.h
+++ b/src/gateway/gateway_service.h
@@ -1,8 +1,8 @@
 #pragma once
 /// @file
-/// The gateway of one process: ties the data plane and the batch worker to the node agent and registers
-/// everything it serves (live calls, operators, status).
-/// Threads: the owner's event loop only.
+/// The gateway of one process: ties the data plane and the batch worker to the node agent and
+/// registers everything it serves (live calls, batches, operators, status). Threads: the owner's
+/// event loop only.
 
 #include <memory>
 #include <string>
--- /dev/null
+++ b/tests/gateway/replica_health_test.cc
@@ -0,0 +1,170 @@
+#include "gateway/replica_health.h"
+
+#include <gtest/gtest.h>
+
+#include <random>
+
+namespace cloverbank {
+namespace {
+
+class ReplicaHealthTest : public ::testing::Test {
+ protected:
+  void Add(const std::string& id, bool warm = true) {
+    health_.Reset(id, "model", Duration::zero());
+    health_.OnProbe(id, true, warm, now_);
+  }
+  void End(const std::string& id, CallEnd end) {
+    health_.OnCallStarted(id);
+    health_.OnCallEnded(id, end, now_);
+  }
+  Usability Use(const std::string& id) { return health_.UsabilityOf(id, now_); }
+
+  TimePoint now_ = TimePoint(seconds(1000));
+  ReplicaHealthOptions options_;
+  ReplicaHealth health_{options_};
+};
+
+TEST_F(ReplicaHealthTest, NeedsAGoodProbeFirstAndWaitsItsDelay) {
+  health_.Reset("x", "model", milliseconds(500));
+  EXPECT_EQ(Use("x"), Usability::kNo);
+  health_.OnProbe("x", false, false, now_);
+  EXPECT_EQ(Use("x"), Usability::kNo);
+  health_.OnProbe("x", true, false, now_);
+  EXPECT_EQ(Use("x"), Usability::kNo);
+  now_ += milliseconds(500);
+  EXPECT_EQ(Use("x"), Usability::kYes);
+}
+
+TEST_F(ReplicaHealthTest, SilenceMakesSuspectThenEjectsAndATrialBringsBack) {
+  Add("x");
+  End("x", CallEnd::kSilent);
+  EXPECT_EQ(Use("x"), Usability::kLastResort);
+  health_.OnProbe("x", true, false, now_);
+  EXPECT_EQ(Use("x"), Usability::kYes);
+  health_.OnProbe("x", false, false, now_);
+  End("x", CallEnd::kNotConnected);
+  EXPECT_EQ(Use("x"), Usability::kNo);
+  health_.OnProbe("x", true, false, now_);  // Too early.
+  EXPECT_EQ(health_.ConditionOf("x"), ReplicaCondition::kEjected);
+  now_ += options_.base_ejection;
+  EXPECT_EQ(Use("x"), Usability::kNo);  // Not before a good probe.
+  health_.OnProbe("x", true, false, now_);
+  EXPECT_EQ(Use("x"), Usability::kYes);
+  health_.OnCallStarted("x");
+  EXPECT_EQ(Use("x"), Usability::kNo);  // One trial at a time.
+  health_.OnCallEnded("x", CallEnd::kSuccess, now_);
+  EXPECT_EQ(health_.ConditionOf("x"), ReplicaCondition::kHealthy);
+  EXPECT_EQ(health_.LimitOf("x", 8, now_), 1U);  // Cold again.
+}
+
+TEST_F(ReplicaHealthTest, EjectionsGrowAndAreForgiven) {
+  Add("x");
+  Duration expected = options_.base_ejection;
+  for (int round = 0; round < 8; ++round) {
+    End("x", CallEnd::kSilent);
+    End("x", CallEnd::kSilent);
+    ASSERT_EQ(health_.ConditionOf("x"), ReplicaCondition::kEjected);
+    health_.OnProbe("x", true, false, now_ + expected - milliseconds(1));
+    ASSERT_EQ(health_.ConditionOf("x"), ReplicaCondition::kEjected);
+    now_ += expected;
+    health_.OnProbe("x", true, false, now_);
+    ASSERT_EQ(health_.ConditionOf("x"), ReplicaCondition::kTrial);
+    expected = std::min(expected * 2, options_.maximum_ejection);
+  }
+  End("x", CallEnd::kSuccess);
+  for (int round = 0; round < 10; ++round) {
+    now_ += options_.forgive_after;
+    health_.Evaluate(now_);
+  }
+  End("x", CallEnd::kSilent);
+  End("x", CallEnd::kSilent);
+  now_ += options_.base_ejection;
+  health_.OnProbe("x", true, false, now_);
+  EXPECT_EQ(health_.ConditionOf("x"), ReplicaCondition::kTrial);
+}
+
+TEST_F(ReplicaHealthTest, SoftEvidenceNeverEjectsMoreThanTheShare) {
+  for (int index = 0; index < 9; ++index) {
+    Add(std::to_string(index));
+  }
+  for (int round = 0; round < 20; ++round) {
+    for (int index = 0; index < 9; ++index) {
+      End(std::to_string(index), CallEnd::kFailed);
+    }
+  }
+  int ejected = 0;
+  for (int index = 0; index < 9; ++index) {
+    ejected += Use(std::to_string(index)) == Usability::kNo ? 1 : 0;
+  }
+  EXPECT_EQ(ejected, 4);
+}
+
+TEST_F(ReplicaHealthTest, TheSlowOneOfManyIsEjected) {
+  for (int index = 0; index < 4; ++index) {
+    Add(std::to_string(index));
+    for (std::uint32_t sample = 0; sample < options_.slow_samples; ++sample) {
+      health_.OnLatency(std::to_string(index), index == 2 ? seconds(3) : milliseconds(400));
+    }
+  }
+  health_.Evaluate(now_);
+  for (int index = 0; index < 4; ++index) {
+    EXPECT_EQ(Use(std::to_string(index)), index == 2 ? Usability::kNo : Usability::kYes);
+  }
+}
+
+TEST_F(ReplicaHealthTest, SlowStartBeginsWithWorkAndGrowsEvenly) {
+  Add("x", false);
+  now_ += seconds(100);
+  EXPECT_EQ(health_.LimitOf("x", 8, now_), 1U);  // Idle time warms nothing.
+  health_.OnWorkSeen("x", now_);
+  std::uint32_t last = 0;
+  for (int step = 0; step <= 60; ++step) {
+    const std::uint32_t limit = health_.LimitOf("x", 8, now_);
+    ASSERT_GE(limit, last);
+    ASSERT_LE(limit, 1U + 7U * static_cast<std::uint32_t>(step) / 60U);
+    last = limit;
+    now_ += options_.ramp_time / 60;
+  }
+  EXPECT_EQ(health_.LimitOf("x", 8, now_), 8U);
+  EXPECT_FALSE(health_.Ramping("x", now_));
+}
+
+/// Whatever happens: no call to an ejected or unproven replica, one at most on trial, and the limit
+/// stays between 1 and the capacity.
+TEST_F(ReplicaHealthTest, RandomEventsKeepTheInvariants) {
+  std::mt19937_64 random(17);
+  const std::vector<std::string> ids = {"a", "b", "c"};
+  std::map<std::string, std::uint32_t> in_flight;
+  for (const std::string& id : ids) {
+    health_.Reset(id, "model", Duration::zero());
+  }
+  for (int step = 0; step < 100'000; ++step) {
+    now_ += milliseconds(random() % 50);
+    const std::string& id = ids[random() % ids.size()];
+    const Usability use = Use(id);
+    const ReplicaCondition condition = health_.ConditionOf(id);
+    if (condition == ReplicaCondition::kTrial && in_flight[id] > 0) {
+      ASSERT_EQ(use, Usability::kNo);
+    }
+    if (condition == ReplicaCondition::kUnproven || condition == ReplicaCondition::kEjected) {
+      ASSERT_EQ(use, Usability::kNo);
+    }
+    const std::uint32_t limit = health_.LimitOf(id, 8, now_);
+    ASSERT_GE(limit, 1U);
+    ASSERT_LE(limit, 8U);
+    if (random() % 3 == 0) {
+      health_.OnProbe(id, random() % 4 != 0, false, now_);
+    } else if (use != Usability::kNo && random() % 2 == 0) {
+      health_.OnCallStarted(id);
+      ++in_flight[id];
+    } else if (in_flight[id] > 0) {
+      --in_flight[id];
+      health_.OnCallEnded(id, static_cast<CallEnd>(random() % 6), now_);
+    } else if (random() % 50 == 0) {
+      health_.Reset(id, "model", Duration::zero());
+    }
+  }
+}
+
+}  // namespace
+}  // namespace cloverbank
