--- /dev/null
+++ b/tests/log/segment_format_test.cc
@@ -0,0 +1,87 @@
+#include "log/segment_format.h"
+
+#include <gtest/gtest.h>
+
+namespace cloverbank {
+namespace {
+
+constexpr SegmentId kSegment(7);
+
+proto::LogEntry Entry(std::uint64_t partition_tag, std::uint64_t sequence) {
+  proto::LogEntry entry;
+  entry.set_partition_tag(partition_tag);
+  entry.set_sequence(sequence);
+  return entry;
+}
+
+std::string ThreeEntries() {
+  std::string bytes;
+  for (std::uint64_t sequence = 1; sequence <= 3; ++sequence) {
+    EXPECT_EQ(FramedEntryBytes(Entry(1, sequence)),
+              AppendEntry(&bytes, kSegment, Entry(1, sequence)));
+  }
+  return bytes;
+}
+
+TEST(SegmentFormatTest, FramesByteByByte) {
+  std::string bytes;
+  ASSERT_EQ(AppendEntry(&bytes, kSegment, Entry(1, 2)), 16U);
+  // Length 4, XXH3 with seed 7, then partition_tag = 1 and sequence = 2 as protobuf varints.
+  EXPECT_EQ(bytes.substr(0, 4), std::string("\x04\x00\x00\x00", 4));
+  EXPECT_EQ(bytes.substr(12), std::string("\x08\x01\x10\x02", 4));
+}
+
+TEST(SegmentFormatTest, ReadsBackWhatWasAppended) {
+  const std::string bytes = ThreeEntries();
+  SegmentReader reader(kSegment, bytes);
+  proto::LogEntry entry;
+  for (std::uint64_t sequence = 1; sequence <= 3; ++sequence) {
+    ASSERT_TRUE(reader.Next(&entry));
+    EXPECT_EQ(entry.sequence(), sequence);
+  }
+  EXPECT_FALSE(reader.Next(&entry));
+  EXPECT_EQ(reader.end(), SegmentEnd::kBytesEnd);
+  EXPECT_EQ(reader.valid_length(), bytes.size());
+}
+
+TEST(SegmentFormatTest, ReservedSpaceEndsTheSegment) {
+  const std::string bytes = ThreeEntries();
+  const SegmentScan scan = ScanSegment(kSegment, bytes + std::string(100, '\0'));
+  EXPECT_EQ(scan.end, SegmentEnd::kZeroLength);
+  EXPECT_EQ(scan.valid_length, bytes.size());
+  EXPECT_EQ(scan.entry_count, 3U);
+}
+
+TEST(SegmentFormatTest, EveryCutIsFoundAtTheLastWholeEntry) {
+  const std::string bytes = ThreeEntries();
+  const std::size_t entry_bytes = bytes.size() / 3;
+  for (std::size_t length = 0; length < bytes.size(); ++length) {
+    const SegmentScan scan = ScanSegment(kSegment, std::string_view(bytes).substr(0, length));
+    EXPECT_EQ(scan.valid_length, length / entry_bytes * entry_bytes);
+    EXPECT_EQ(scan.end, length % entry_bytes == 0 ? SegmentEnd::kBytesEnd : SegmentEnd::kTorn);
+  }
+}
+
+TEST(SegmentFormatTest, EveryFlippedBitIsFound) {
+  const std::string bytes = ThreeEntries();
+  const std::size_t entry_bytes = bytes.size() / 3;
+  for (std::size_t bit = 0; bit < bytes.size() * 8; ++bit) {
+    std::string damaged = bytes;
+    damaged[bit / 8] = static_cast<char>(damaged[bit / 8] ^ (1 << (bit % 8)));
+    const SegmentScan scan = ScanSegment(kSegment, damaged);
+    EXPECT_EQ(scan.valid_length, bit / 8 / entry_bytes * entry_bytes) << "bit " << bit;
+  }
+}
+
+TEST(SegmentFormatTest, AnotherSegmentsEntriesAreNotTaken) {
+  EXPECT_EQ(ScanSegment(SegmentId(8), ThreeEntries()).valid_length, 0U);
+}
+
+TEST(SegmentFormatTest, EmptyEntryIsRefused) {
+  std::string bytes;
+  EXPECT_EQ(AppendEntry(&bytes, kSegment, proto::LogEntry()), 0U);
+  EXPECT_TRUE(bytes.empty());
+}
+
+}  // namespace
+}  // namespace cloverbank
