--- a/src/backup/segment_store.cc
+++ b/src/backup/segment_store.cc
@@ -36,7 +36,7 @@
 }
 
 bool WholeEntries(SegmentId segment, std::string_view bytes) {
-  return ScanSegment(segment, bytes).end == SegmentEnd::kBytesEnd;
+  return ScanSegment(segment, bytes).tail == RecordTail::kClean;
 }
 
 /// Decides the headers around a write that is part of a replacement copy. A copy into an empty
