--- /dev/null
+++ b/src/backup/segment_dump.cc
@@ -0,0 +1,112 @@
+#include "backup/segment_dump.h"
+
+#include "backup/replica_reader.h"
+#include "log/segment_format.h"
+
+namespace cloverbank {
+namespace {
+
+constexpr std::size_t kShownContentBytes = 160;
+
+std::string_view TailName(RecordTail tail) {
+  switch (tail) {
+    case RecordTail::kClean:
+      return "clean";
+    case RecordTail::kReserved:
+      return "reserved";
+    case RecordTail::kTorn:
+      return "torn";
+    case RecordTail::kCorrupt:
+      return "corrupt";
+  }
+  return "unknown";
+}
+
+std::string HeaderLine(const ReplicaHeader& header) {
+  return "segment " + header.key.segment.ToString() + " of node " + header.key.node.ToString() +
+         ", " + std::string(ReplicaStateName(header.state)) + ", epoch " + header.epoch.ToString() +
+         ", capacity " + std::to_string(header.capacity) + ", recorded length " +
+         std::to_string(header.length) + ", generation " + std::to_string(header.generation) + "\n";
+}
+
+std::string_view EntryKind(const proto::LogEntry& entry) {
+  const google::protobuf::FieldDescriptor* field =
+      proto::LogEntry::descriptor()->FindFieldByNumber(entry.payload_case());
+  return field == nullptr ? std::string_view("empty") : std::string_view(field->name());
+}
+
+std::string EntryLine(const proto::LogEntry& entry, std::size_t offset, std::size_t bytes) {
+  std::string line = "offset " + std::to_string(offset) + " bytes " + std::to_string(bytes);
+  if (entry.partition_tag() != 0) {
+    line += " partition " + std::to_string(entry.partition_tag() - 1) + " sequence " +
+            std::to_string(entry.sequence());
+  }
+  line += " " + std::string(EntryKind(entry)) + " ";
+  std::string content = entry.ShortDebugString();
+  if (content.size() > kShownContentBytes) {
+    content.resize(kShownContentBytes);
+    content += "...";
+  }
+  return line + content + "\n";
+}
+
+/// @return the segment's bytes as far as the header says they go.
+std::string_view Contents(std::string_view file, const ReplicaHeader& header) {
+  return SegmentData(file).substr(0, header.capacity);
+}
+
+bool HasRecordedLength(const ReplicaHeader& header) {
+  return header.state == ReplicaState::kClosed || header.state == ReplicaState::kSealed;
+}
+
+Status Verdict(const SegmentFileCheck& check) {
+  if (check.header->state == ReplicaState::kReplacing) {
+    return {StatusCode::kConflict, "replacement copy is not complete"};
+  }
+  if (HasRecordedLength(*check.header) && check.valid_length < check.header->length) {
+    return {StatusCode::kCorrupt, "whole up to byte " + std::to_string(check.valid_length) +
+                                      " of " + std::to_string(check.header->length)};
+  }
+  return Status::Ok();
+}
+
+}  // namespace
+
+SegmentFileCheck CheckSegmentFile(std::string_view file) {
+  SegmentFileCheck check;
+  const Result<ReplicaHeader> header = ReadReplicaHeader(file);
+  if (!header.ok()) {
+    check.status = header.status();
+    return check;
+  }
+  check.header = *header;
+  const SegmentId segment = header->key.segment;
+  const std::string_view contents = Contents(file, *header);
+  const SegmentScan scan = ScanSegment(segment, contents);
+  check.valid_length = scan.valid_length;
+  check.entry_count = scan.entry_count;
+  check.tail = scan.tail;
+  check.digest = FindLogDigest(segment, contents);
+  check.status = Verdict(check);
+  return check;
+}
+
+std::string PrintSegmentFile(std::string_view file) {
+  const SegmentFileCheck check = CheckSegmentFile(file);
+  if (!check.header) {
+    return check.status.ToString() + "\n";
+  }
+  std::string text = HeaderLine(*check.header);
+  SegmentReader reader(check.header->key.segment, Contents(file, *check.header));
+  proto::LogEntry entry;
+  std::size_t offset = 0;
+  while (reader.Next(&entry)) {
+    text += EntryLine(entry, offset, reader.valid_length() - offset);
+    offset = reader.valid_length();
+  }
+  text += "end at " + std::to_string(offset) + ", tail " + std::string(TailName(reader.tail())) +
+          ", " + check.status.ToString() + "\n";
+  return text;
+}
+
+}  // namespace cloverbank
--- a/src/backup/segment_store.cc
+++ b/src/backup/segment_store.cc
@@ -137,7 +137,7 @@
     return Status(StatusCode::kIoError, "an earlier write of this replica failed");
   }
   if (request.capacity() > replica.header.capacity) {
-    return Conflict("segment is open with less capacity", replica.length);
+    return Status(StatusCode::kInvalidArgument, "segment is open with less capacity");
   }
   ReplicaChange change;
   if (epoch == replica.current_epoch()) {
@@ -187,7 +187,7 @@
   const bool replacing =
       replica.header.state == ReplicaState::kReplacing || replica.replacement_epoch.valid();
   if (replacing && !request.atomic_replace() && !request.replace_complete()) {
-    return Conflict("replacement copy is not complete", replica.length);
+    return Status(StatusCode::kConflict, "replacement copy is not complete");
   }
   const std::size_t held = std::min<std::size_t>(data.size(), replica.length - request.offset());
   if (std::string_view(replica.staging).substr(request.offset(), held) !=
@@ -267,7 +267,7 @@
     return change;
   }
   if (replica.header.state == ReplicaState::kReplacing || replica.replacement_epoch.valid()) {
-    return Conflict("replacement copy is not complete", replica.length);
+    return Status(StatusCode::kConflict, "replacement copy is not complete");
   }
   change.header = NextHeader(replica.header, ReplicaState::kClosed, replica.header.epoch);
   change.header->length = replica.length;
--- a/src/backup/segment_store.h
+++ b/src/backup/segment_store.h
@@ -28,9 +28,9 @@
   std::uint64_t staging_bytes = 512ULL << 20U;
   /// Disk kept free for headers and fences: a recovery must not fail on a full disk.
   std::uint64_t spare_disk_bytes = 16ULL << 20U;
-  /// How long the open of a freed segment under the same epoch stays refused, so that a delayed
-  /// message can not bring it back.
-  Duration freed_memory = seconds(30);
+  /// How long the open of a freed segment under the same epoch stays refused: a delayed message
+  /// that waited in a socket while this process was frozen must not bring it back.
+  Duration freed_memory = seconds(5);
 };
 
 /// One replica as the backup knows it.
--- a/src/backup/segment_store_state.cc
+++ b/src/backup/segment_store_state.cc
@@ -11,7 +11,7 @@
   opening_.erase(key);
   if (change.remove) {
     const auto found = replicas_.find(key);
-    if (found != replicas_.end() && !change.create) {
+    if (found != replicas_.end() && !found->second.corrupt) {
       freed_[key] = {found->second.header.epoch, now};
     }
     replicas_.erase(key);
