--- /dev/null
+++ b/tests/backup/backup_model_test.cc
@@ -0,0 +1,238 @@
+// Random calls and faults against one backup, checked against a model of what it has promised: what
+// was acknowledged is offered to a recovery, what was freed never is.
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <string>
+
+#include "backup/backup_world.h"
+#include "backup/segment_content.h"
+
+namespace cloverbank {
+namespace {
+
+constexpr std::uint64_t kSeeds = 150;
+constexpr int kRounds = 40;
+constexpr std::uint64_t kSegments = 4;
+constexpr std::uint64_t kCapacity = 16384;
+constexpr std::uint64_t kPartitions = 2;
+
+/// One segment as its owner knows it.
+struct ModelSegment {
+  std::string content;            ///< All that was ever sent.
+  std::uint64_t entry_count = 0;  ///< In `content`.
+  std::uint64_t acknowledged = 0;
+  std::uint64_t epoch = 1;               ///< Last one sent.
+  std::uint64_t acknowledged_epoch = 0;  ///< 0: not opened.
+  bool closed_acknowledged = false;
+  bool close_sent = false;
+  bool free_sent = false;
+  bool free_acknowledged = false;
+};
+
+class ModelRun {
+ public:
+  explicit ModelRun(std::uint64_t seed) : backup_(seed, Options()) {
+    backup_.world.network().maximum_delay = milliseconds(60);  // Duplicates come late.
+    backup_.world.network().request_duplication = 0.2;
+    backup_.world.network().request_loss = 0.05;
+    backup_.world.network().reply_loss = 0.05;
+  }
+
+  void Run() {
+    for (int round = 0; round < kRounds; ++round) {
+      SendSomething();
+      Fault();
+      // Some calls meet the next ones, some are over first.
+      backup_.world.RunFor(milliseconds(backup_.world.RandomBelow(40)));
+    }
+    backup_.world.network() = NetworkBehaviour();
+    backup_.world.RunFor(seconds(20));
+    if (backup_.world.RandomBelow(2) == 0) {
+      backup_.RestartAfterPowerLoss();
+    }
+    CheckOffers();
+    backup_.RestartAfterPowerLoss();
+    CheckOffers();
+    EXPECT_EQ(backup_.Release(), StatusCode::kOk);
+    backup_.RestartAfterPowerLoss();
+    EXPECT_TRUE(backup_.Offers().empty());
+  }
+
+  std::uint64_t acknowledged_calls() const { return acknowledged_calls_; }
+
+ private:
+  static BackupOptions Options() {
+    BackupOptions options;
+    options.scrub_interval = milliseconds(50);
+    return options;
+  }
+
+  /// An owner has one call at a time on a segment, and resends when it got no answer.
+  void SendSomething() {
+    const std::uint64_t id = 1 + backup_.world.RandomBelow(kSegments);
+    ModelSegment& segment = segments_[id];
+    if (busy_[id] || segment.free_sent) {
+      return;
+    }
+    if (segment.acknowledged_epoch == 0) {
+      SendOpen(id, segment);
+      return;
+    }
+    switch (backup_.world.RandomBelow(12)) {
+      case 0:
+        SendEpoch(id, segment);
+        break;
+      case 1:
+        SendClose(id, segment);
+        break;
+      case 2:
+        SendFree(id, segment);
+        break;
+      default:
+        SendWrite(id, segment);
+        break;
+    }
+  }
+
+  template <typename Response, typename Request>
+  void Send(std::uint64_t id, std::string_view method, const Request& request,
+            std::function<void()> on_ok) {
+    busy_[id] = true;
+    backup_.world.CallPeer(backup_.machine.endpoint(), method, request.SerializeAsString(),
+                           seconds(1),
+                           [this, id, on_ok = std::move(on_ok)](const PeerReply& reply) {
+                             busy_[id] = false;
+                             if (reply.status.ok()) {
+                               ++acknowledged_calls_;
+                               on_ok();
+                             }
+                             EXPECT_NE(reply.status.code(), StatusCode::kCorrupt);
+                           });
+  }
+
+  void SendOpen(std::uint64_t id, ModelSegment& segment) {
+    auto request = backup_.About<proto::OpenSegmentRequest>(id);
+    request.set_epoch(segment.epoch);
+    request.set_capacity(kCapacity);
+    Send<proto::OpenSegmentResponse>(
+        id, "backup.OpenSegment", request,
+        [&segment, epoch = segment.epoch] { segment.acknowledged_epoch = epoch; });
+  }
+  void SendEpoch(std::uint64_t id, ModelSegment& segment) {
+    auto request = backup_.About<proto::SetSegmentEpochRequest>(id);
+    request.set_epoch(++segment.epoch);
+    Send<proto::SetSegmentEpochResponse>(
+        id, "backup.SetSegmentEpoch", request,
+        [&segment, epoch = segment.epoch] { segment.acknowledged_epoch = epoch; });
+  }
+  void SendWrite(std::uint64_t id, ModelSegment& segment) {
+    if (!segment.close_sent) {
+      const std::uint64_t more = backup_.world.RandomBelow(4);
+      for (std::uint64_t i = 0; i < more; ++i) {
+        ++segment.entry_count;
+        segment.content +=
+            Framed(id, NumberedEntry(segment.entry_count % kPartitions, segment.entry_count));
+      }
+    }
+    const std::uint64_t end = segment.content.size();
+    const std::uint64_t offset = backup_.world.RandomBelow(2) == 0 ? 0 : segment.acknowledged;
+    Send<proto::WriteSegmentResponse>(
+        id, "backup.WriteSegment",
+        backup_.WriteRequest(id, offset, segment.content.substr(offset), segment.epoch),
+        [&segment, end, epoch = segment.epoch] {
+          segment.acknowledged = std::max(segment.acknowledged, end);
+          segment.acknowledged_epoch = epoch;
+        });
+  }
+  void SendClose(std::uint64_t id, ModelSegment& segment) {
+    if (segment.acknowledged != segment.content.size()) {
+      return;
+    }
+    segment.close_sent = true;
+    auto request = backup_.About<proto::CloseSegmentRequest>(id);
+    request.set_length(segment.acknowledged);
+    Send<proto::CloseSegmentResponse>(id, "backup.CloseSegment", request,
+                                      [&segment] { segment.closed_acknowledged = true; });
+  }
+  void SendFree(std::uint64_t id, ModelSegment& segment) {
+    segment.free_sent = true;
+    Send<proto::FreeSegmentResponse>(id, "backup.FreeSegment",
+                                     backup_.About<proto::FreeSegmentRequest>(id),
+                                     [&segment] { segment.free_acknowledged = true; });
+  }
+
+  void Fault() {
+    switch (backup_.world.RandomBelow(10)) {
+      case 0:
+        backup_.RestartAfterPowerLoss();
+        break;
+      case 1:
+        backup_.Restart();
+        break;
+      case 2:
+        backup_.machine.Freeze();
+        backup_.world.RunFor(milliseconds(backup_.world.RandomBelow(300)));
+        backup_.machine.Wake();
+        break;
+      default:
+        break;
+    }
+  }
+
+  void CheckOffers() {
+    const auto offers = backup_.Offers();
+    for (const auto& [id, segment] : segments_) {
+      const auto offer = offers.find(id);
+      if (segment.free_acknowledged) {
+        EXPECT_TRUE(offer == offers.end()) << "freed segment " << id;
+      } else if (offer != offers.end()) {
+        CheckOffer(id, segment, offer->second);
+      } else {
+        EXPECT_TRUE(segment.free_sent || segment.acknowledged == 0) << "lost segment " << id;
+      }
+    }
+  }
+
+  void CheckOffer(std::uint64_t id, const ModelSegment& segment,
+                  const proto::StoredSegment& offer) {
+    EXPECT_GE(offer.length(), segment.acknowledged);
+    EXPECT_LE(offer.length(), segment.content.size());
+    EXPECT_GE(offer.epoch(), segment.acknowledged_epoch);
+    EXPECT_LE(offer.epoch(), segment.epoch);
+    EXPECT_TRUE(offer.closed() || !segment.closed_acknowledged);
+    EXPECT_TRUE(!offer.closed() || segment.close_sent);
+    EXPECT_EQ(backup_.Read(id)->data(), segment.content.substr(0, offer.length()));
+    std::size_t entries = 0;
+    for (std::uint64_t partition = 0; partition < kPartitions; ++partition) {
+      const auto data = backup_.RecoveryData(id, {partition});
+      ASSERT_TRUE(data.ok()) << data.status().ToString();
+      for (const proto::LogEntry& entry : data->entries()) {
+        EXPECT_EQ(entry.sequence() % kPartitions, partition);
+      }
+      entries += static_cast<std::size_t>(data->entries_size());
+    }
+    EXPECT_EQ(entries,
+              ScanSegment(SegmentId(id), segment.content.substr(0, offer.length())).entry_count);
+  }
+
+  BackupWorld backup_;
+  std::map<std::uint64_t, ModelSegment> segments_;
+  std::map<std::uint64_t, bool> busy_;
+  std::uint64_t acknowledged_calls_ = 0;
+};
+
+TEST(BackupModelTest, KeepsItsPromisesUnderFaults) {
+  std::uint64_t acknowledged = 0;
+  for (std::uint64_t seed = 1; seed <= kSeeds && !HasFailure(); ++seed) {
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    ModelRun run(seed);
+    run.Run();
+    acknowledged += run.acknowledged_calls();
+  }
+  EXPECT_GT(acknowledged, kSeeds * kRounds / 8) << "the runs promised too little to say anything";
+}
+
+}  // namespace
+}  // namespace cloverbank
--- a/tests/backup/backup_service_test.cc
+++ b/tests/backup/backup_service_test.cc
@@ -226,6 +226,26 @@
   EXPECT_EQ(backup.Offers().at(kSegment).length(), backup.content.size() + more.size());
 }
 
+TEST(BackupServiceTest, AFailedSyncIsNeverAcknowledged) {
+  HeldSegment backup;
+  const std::string more = Framed(kSegment, NumberedEntry(0, 3));
+  backup.machine.FailSyncs(true);
+  EXPECT_EQ(backup.Write(kSegment, backup.content.size(), more), StatusCode::kIoError);
+  EXPECT_EQ(backup.StartReading().status().code(), StatusCode::kIoError);
+  backup.machine.FailSyncs(false);
+  backup.Restart();
+  EXPECT_EQ(backup.Offers().at(kSegment).length(), backup.content.size());
+}
+
+TEST(BackupServiceTest, UnfinishedOpenLeavesNothingBehind) {
+  BackupWorld backup;
+  backup.machine.disk().Reserve(kFile, 16384, [](const Status&) {});
+  backup.Restart();
+  backup.world.RunFor(seconds(1));
+  EXPECT_TRUE(backup.machine.disk().List("segments")->empty());
+  EXPECT_EQ(backup.Open(kSegment), StatusCode::kOk);
+}
+
 TEST(BackupServiceTest, OverlappingStartReadingDataShareTheWork) {
   HeldSegment backup;
   const auto first = backup.Send<proto::StartReadingDataResponse>("backup.StartReadingData",
