Register nodes, hold their lease and watch configuration and fleet

NodeAgent follows the leader over redirects, silence and lost seeds; the lease counts from when the heartbeat was sent, and is taken only together with the configuration offered beside it. NodeSession, the watches and the directory are pure; LeaderCall is the one way to the leader.

--- /dev/null
+++ b/src/node/configuration_watch.cc
@@ -0,0 +1,112 @@
+#include "node/configuration_watch.h"
+
+#include <algorithm>
+#include <string>
+
+namespace cloverbank {
+namespace {
+
+template <typename Named>
+bool NameLess(const Named& object, const std::string& name) {
+  return object.name() < name;
+}
+
+/// Puts `object` in place of the one of its name, or where it belongs in the sorted `list`.
+template <typename List, typename Named>
+void SetByName(const Named& object, List* list) {
+  auto place = std::lower_bound(list->begin(), list->end(), object.name(), NameLess<Named>);
+  if (place != list->end() && place->name() == object.name()) {
+    *place = object;
+    return;
+  }
+  const auto index = static_cast<int>(place - list->begin());
+  *list->Add() = object;
+  for (int at = list->size() - 1; at > index; --at) {
+    list->SwapElements(at, at - 1);
+  }
+}
+
+template <typename List>
+void RemoveByName(const std::string& name, List* list) {
+  const auto end = std::remove_if(list->begin(), list->end(),
+                                  [&name](const auto& object) { return object.name() == name; });
+  list->erase(end, list->end());
+}
+
+}  // namespace
+
+bool ApplyChange(const proto::ConfigurationChange& change,
+                 proto::RoutingConfiguration* configuration) {
+  switch (change.change_case()) {
+    case proto::ConfigurationChange::kSetRoute:
+      SetByName(change.set_route(), configuration->mutable_routes());
+      return true;
+    case proto::ConfigurationChange::kRemoveRoute:
+      RemoveByName(change.remove_route(), configuration->mutable_routes());
+      return true;
+    case proto::ConfigurationChange::kSetZone:
+      SetByName(change.set_zone(), configuration->mutable_zones());
+      return true;
+    case proto::ConfigurationChange::kRemoveZone:
+      RemoveByName(change.remove_zone(), configuration->mutable_zones());
+      return true;
+    case proto::ConfigurationChange::kSetTenant:
+      SetByName(change.set_tenant(), configuration->mutable_tenants());
+      return true;
+    case proto::ConfigurationChange::kRemoveTenant:
+      RemoveByName(change.remove_tenant(), configuration->mutable_tenants());
+      return true;
+    case proto::ConfigurationChange::kSetBatch:
+      *configuration->mutable_batch() = change.set_batch();
+      return true;
+    case proto::ConfigurationChange::CHANGE_NOT_SET:
+      return false;
+  }
+  return false;
+}
+
+ConfigurationVersion ConfigurationWatch::VersionToReport() const {
+  return whole_needed_ ? ConfigurationVersion() : version();
+}
+
+UpdateOutcome ConfigurationWatch::Take(const proto::ConfigurationUpdate& update) {
+  return update.has_full() ? TakeWhole(update.full()) : TakeDelta(update);
+}
+
+UpdateOutcome ConfigurationWatch::TakeWhole(const proto::RoutingConfiguration& whole) {
+  whole_needed_ = false;
+  if (whole.version() < configuration_.version()) {
+    return UpdateOutcome::kOlder;
+  }
+  if (whole.version() == configuration_.version()) {
+    return UpdateOutcome::kNothing;
+  }
+  configuration_ = whole;
+  return UpdateOutcome::kTaken;
+}
+
+UpdateOutcome ConfigurationWatch::TakeDelta(const proto::ConfigurationUpdate& update) {
+  if (update.to_version() < configuration_.version()) {
+    return UpdateOutcome::kOlder;
+  }
+  if (update.to_version() == configuration_.version()) {
+    return UpdateOutcome::kNothing;
+  }
+  if (update.from_version() != configuration_.version()) {
+    whole_needed_ = true;
+    return UpdateOutcome::kGap;
+  }
+  proto::RoutingConfiguration next = configuration_;
+  for (const proto::ConfigurationChange& change : update.changes()) {
+    if (!ApplyChange(change, &next)) {
+      whole_needed_ = true;
+      return UpdateOutcome::kGap;
+    }
+  }
+  next.set_version(update.to_version());
+  configuration_ = std::move(next);
+  whole_needed_ = false;
+  return UpdateOutcome::kTaken;
+}
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/node/configuration_watch.h
@@ -0,0 +1,45 @@
+#pragma once
+/// @file
+/// Pure core: a node's copy of the routing configuration, kept current by updates from the
+/// coordinators. Its version never goes back. Threads: the owner's event loop only.
+
+#include <cstdint>
+
+#include "base/ids.h"
+#include "proto/configuration.pb.h"
+
+namespace cloverbank {
+
+/// What became of an offered update.
+enum class UpdateOutcome : std::uint8_t {
+  kNothing,  ///< It holds nothing that is not held already.
+  kTaken,    ///< The copy is now newer.
+  kGap,      ///< A delta from another version than the held one: the whole is asked for next.
+  kOlder,    ///< It would go back; refused.
+};
+
+/// Applies one change to `configuration`, keeping lists sorted by name. The version is left alone.
+/// @return false if the change names nothing this program knows.
+bool ApplyChange(const proto::ConfigurationChange& change,
+                 proto::RoutingConfiguration* configuration);
+
+class ConfigurationWatch {
+ public:
+  const proto::RoutingConfiguration& configuration() const { return configuration_; }
+  ConfigurationVersion version() const { return ConfigurationVersion(configuration_.version()); }
+  /// @return the version to report in the next heartbeat; 0 asks for the whole configuration.
+  ConfigurationVersion VersionToReport() const;
+
+  UpdateOutcome Take(const proto::ConfigurationUpdate& update);
+  /// The leader had nothing newer than what was reported to it.
+  void NothingOffered() { whole_needed_ = false; }
+
+ private:
+  UpdateOutcome TakeWhole(const proto::RoutingConfiguration& whole);
+  UpdateOutcome TakeDelta(const proto::ConfigurationUpdate& update);
+
+  proto::RoutingConfiguration configuration_;
+  bool whole_needed_ = false;
+};
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/node/coordinator_directory.h
@@ -0,0 +1,41 @@
+#pragma once
+/// @file
+/// Pure core: which coordinator to ask next. Threads: the owner's event loop only.
+
+#include <cstddef>
+#include <optional>
+#include <vector>
+
+#include "base/ids.h"
+
+namespace cloverbank {
+
+/// Members as last learned, then the seeds (which may be gone, but may also be all that is left for
+/// a node that slept through a change of all members).
+class CoordinatorDirectory {
+ public:
+  explicit CoordinatorDirectory(std::vector<Endpoint> seeds);
+
+  /// Takes the current member list. An empty one is ignored.
+  void TakeMembers(std::vector<Endpoint> members);
+  /// `endpoint` answered as the leader.
+  void Answered(const Endpoint& endpoint) { leader_ = endpoint; }
+  /// `from` is not the leader; `hint` may name the one it knows (else it is invalid).
+  void Redirected(const Endpoint& from, const Endpoint& hint);
+  /// `endpoint` did not answer.
+  void Failed(const Endpoint& endpoint);
+
+  /// @return all coordinators, best guess of the leader first.
+  std::vector<Endpoint> InOrder() const;
+
+ private:
+  std::vector<Endpoint> seeds_;
+  std::vector<Endpoint> rotation_;
+  std::size_t next_ = 0;
+  std::optional<Endpoint> leader_;
+};
+
+/// @return the endpoint in "ip:port", or an invalid one.
+Endpoint ParseEndpoint(const std::string& text);
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/node/fleet_watch.cc
@@ -0,0 +1,56 @@
+#include "node/fleet_watch.h"
+
+namespace cloverbank {
+
+const proto::Server* FleetView::OwnerOf(PartitionId partition) const {
+  const auto entry = partitions.find(partition);
+  if (entry == partitions.end()) {
+    return nullptr;
+  }
+  const auto owner = servers.find(NodeId(entry->second.owner()));
+  return owner == servers.end() ? nullptr : &owner->second;
+}
+
+FleetVersion FleetWatch::VersionToReport() const {
+  return whole_needed_ ? FleetVersion() : view_.version;
+}
+
+UpdateOutcome FleetWatch::Take(const proto::FleetUpdate& update) {
+  const FleetVersion to(update.to_version());
+  const bool whole = update.from_version() == 0;
+  if (whole) {
+    whole_needed_ = false;
+  }
+  if (to < view_.version) {
+    return UpdateOutcome::kOlder;
+  }
+  if (to == view_.version) {
+    return UpdateOutcome::kNothing;
+  }
+  if (!whole && FleetVersion(update.from_version()) != view_.version) {
+    whole_needed_ = true;
+    return UpdateOutcome::kGap;
+  }
+  if (whole) {
+    view_ = FleetView();
+  }
+  Merge(update);
+  view_.version = to;
+  return UpdateOutcome::kTaken;
+}
+
+void FleetWatch::Merge(const proto::FleetUpdate& update) {
+  for (const proto::Server& server : update.servers()) {
+    const NodeId id(server.node_id());
+    if (server.state() == proto::SERVER_STATE_DEAD) {
+      view_.servers.erase(id);
+    } else {
+      view_.servers[id] = server;
+    }
+  }
+  for (const proto::Partition& partition : update.partitions()) {
+    view_.partitions[PartitionId(partition.partition_id())] = partition;
+  }
+}
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/node/fleet_watch.h
@@ -0,0 +1,27 @@
+#pragma once
+/// @file
+/// Pure core: a node's view of the store machines and partition owners. Its version never goes
+/// back. Threads: the owner's event loop only.
+
+#include "node/configuration_watch.h"
+#include "node/node_agent.h"
+#include "proto/coordinator.pb.h"
+
+namespace cloverbank {
+
+class FleetWatch {
+ public:
+  const FleetView& view() const { return view_; }
+  /// @return the version to report in the next heartbeat; 0 asks for the whole lists.
+  FleetVersion VersionToReport() const;
+
+  UpdateOutcome Take(const proto::FleetUpdate& update);
+
+ private:
+  void Merge(const proto::FleetUpdate& update);
+
+  FleetView view_;
+  bool whole_needed_ = false;
+};
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/node/leader_call.cc
@@ -0,0 +1,148 @@
+#include "node/leader_call.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cloverbank {
+namespace {
+
+/// Hints followed at once in a row; further ones wait, since two members may point at each other.
+constexpr std::uint32_t kMaximumRedirects = 3;
+constexpr Duration kMaximumBackoff = milliseconds(300);
+
+bool MayRetry(StatusCode code) {
+  return code == StatusCode::kUnavailable || code == StatusCode::kUnknownOutcome;
+}
+
+}  // namespace
+
+void LeaderCall::Start(Environment& environment, std::shared_ptr<CoordinatorDirectory> directory,
+                       std::weak_ptr<void> owner, LeaderCallOptions options,
+                       std::function<void(LeaderReply)> done) {
+  auto call = std::make_shared<LeaderCall>(environment, std::move(directory), std::move(owner),
+                                           std::move(options), std::move(done));
+  call->deadline_timer_ = environment.ScheduleAfter(call->options_.deadline, [call] {
+    if (!call->owner_.expired()) {
+      call->FinishAtDeadline();
+    }
+  });
+  call->TryNext();
+}
+
+LeaderCall::LeaderCall(Environment& environment, std::shared_ptr<CoordinatorDirectory> directory,
+                       std::weak_ptr<void> owner, LeaderCallOptions options,
+                       std::function<void(LeaderReply)> done)
+    : environment_(environment),
+      directory_(std::move(directory)),
+      owner_(std::move(owner)),
+      options_(std::move(options)),
+      done_(std::move(done)),
+      end_(environment.Now() + options_.deadline),
+      backoff_(options_.retry_delay) {}
+
+void LeaderCall::TryNext() {
+  for (const Endpoint& candidate : directory_->InOrder()) {
+    if (!in_flight_.contains(candidate)) {
+      SendTo(candidate);
+      return;
+    }
+  }
+  ScheduleNext(NextBackoff());  // Every member is being asked already, or none is known.
+}
+
+void LeaderCall::SendTo(const Endpoint& target) {
+  const TimePoint sent = environment_.Now();
+  if (sent >= end_) {
+    return;  // The deadline timer ends the call.
+  }
+  in_flight_.insert(target);
+  std::string body = options_.make_body(attempts_);
+  ++attempts_;
+  ScheduleNext(options_.silence_limit);
+  environment_.CallPeer(target, options_.method, std::move(body),
+                        std::min(options_.attempt_deadline, end_ - sent),
+                        [call = shared_from_this(), target, sent](PeerReply reply) {
+                          if (!call->owner_.expired()) {
+                            call->TakeReply(target, sent, std::move(reply));
+                          }
+                        });
+}
+
+void LeaderCall::TakeReply(const Endpoint& from, TimePoint sent, PeerReply reply) {
+  in_flight_.erase(from);
+  if (finished_) {
+    return;
+  }
+  if (reply.status.code() == StatusCode::kNotLeader) {
+    TakeRedirect(from, reply.status);
+    return;
+  }
+  if (MayRetry(reply.status.code())) {
+    TakeFailure(from, reply.status);
+    return;
+  }
+  directory_->Answered(from);
+  Finish({std::move(reply), sent});
+}
+
+void LeaderCall::TakeRedirect(const Endpoint& from, const Status& status) {
+  last_failure_ = status;
+  const Endpoint hint = ParseEndpoint(status.detail());
+  directory_->Redirected(from, hint);
+  ++redirects_;
+  const bool follow =
+      hint.valid() && hint != from && redirects_ <= kMaximumRedirects && !in_flight_.contains(hint);
+  ScheduleNext(follow ? Duration::zero() : NextBackoff());
+}
+
+void LeaderCall::TakeFailure(const Endpoint& from, const Status& status) {
+  last_failure_ = status;
+  redirects_ = 0;
+  outcome_unknown_ = outcome_unknown_ || status.code() == StatusCode::kUnknownOutcome;
+  directory_->Failed(from);
+  ScheduleNext(NextBackoff());
+}
+
+void LeaderCall::ScheduleNext(Duration delay) {
+  environment_.CancelTimer(next_timer_);
+  next_timer_ = environment_.ScheduleAfter(delay, [call = shared_from_this()] {
+    if (call->finished_ || call->owner_.expired()) {
+      return;
+    }
+    call->next_timer_ = 0;
+    call->TryNext();
+  });
+}
+
+Duration LeaderCall::NextBackoff() {
+  const Duration longest = backoff_;
+  backoff_ = std::min(backoff_ * 2, std::max(kMaximumBackoff, options_.retry_delay));
+  const auto half = static_cast<std::uint64_t>((longest / 2).count());
+  const std::uint64_t jitter = half == 0 ? 0 : environment_.Random() % half;
+  return longest - Duration(static_cast<Duration::rep>(jitter));
+}
+
+void LeaderCall::FinishAtDeadline() {
+  const bool unknown = outcome_unknown_ || !in_flight_.empty();
+  const StatusCode code = unknown ? StatusCode::kUnknownOutcome : StatusCode::kUnavailable;
+  std::string message = "no coordinator leader answered " + options_.method + " in time";
+  if (!last_failure_.ok()) {
+    message += "; last: " + last_failure_.ToString();
+  }
+  deadline_timer_ = 0;
+  Finish({{Status(code, std::move(message)), {}}, environment_.Now()});
+}
+
+void LeaderCall::Finish(LeaderReply reply) {
+  if (finished_) {
+    return;
+  }
+  finished_ = true;
+  environment_.CancelTimer(next_timer_);
+  environment_.CancelTimer(deadline_timer_);
+  auto done = std::move(done_);
+  done_ = nullptr;
+  done(std::move(reply));
+}
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/node/leader_call.h
@@ -0,0 +1,77 @@
+#pragma once
+/// @file
+/// One call to the coordinator leader, wherever it is: follows kNotLeader hints, goes on to other
+/// members after a failure, and asks a further one beside a member that stays silent. Only for
+/// methods that may be repeated. Threads: the owner's event loop only.
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "base/ids.h"
+#include "base/status.h"
+#include "base/time.h"
+#include "node/coordinator_directory.h"
+#include "runtime/environment.h"
+
+namespace cloverbank {
+
+/// The answer and when the attempt that brought it was sent.
+struct LeaderReply {
+  PeerReply reply;
+  TimePoint sent;
+};
+
+struct LeaderCallOptions {
+  std::string method;
+  /// @return the request; `attempt` counts from 0.
+  std::function<std::string(std::uint32_t attempt)> make_body;
+  Duration deadline{};          ///< Of the whole call.
+  Duration attempt_deadline{};  ///< Of one attempt at one member.
+  Duration silence_limit{};     ///< Silence after which another member is asked too.
+  Duration retry_delay{};       ///< Before another round; grows up to a limit, with jitter.
+};
+
+class LeaderCall : public std::enable_shared_from_this<LeaderCall> {
+ public:
+  /// Starts a call that keeps itself alive until `done` has run. It is dropped without a word once
+  /// `owner` is gone.
+  static void Start(Environment& environment, std::shared_ptr<CoordinatorDirectory> directory,
+                    std::weak_ptr<void> owner, LeaderCallOptions options,
+                    std::function<void(LeaderReply)> done);
+
+  LeaderCall(Environment& environment, std::shared_ptr<CoordinatorDirectory> directory,
+             std::weak_ptr<void> owner, LeaderCallOptions options,
+             std::function<void(LeaderReply)> done);
+
+ private:
+  void TryNext();
+  void SendTo(const Endpoint& target);
+  void TakeReply(const Endpoint& from, TimePoint sent, PeerReply reply);
+  void TakeRedirect(const Endpoint& from, const Status& status);
+  void TakeFailure(const Endpoint& from, const Status& status);
+  void ScheduleNext(Duration delay);
+  Duration NextBackoff();
+  void FinishAtDeadline();
+  void Finish(LeaderReply reply);
+
+  Environment& environment_;
+  std::shared_ptr<CoordinatorDirectory> directory_;
+  std::weak_ptr<void> owner_;
+  LeaderCallOptions options_;
+  std::function<void(LeaderReply)> done_;
+  TimePoint end_;
+  std::set<Endpoint> in_flight_;
+  TimerId next_timer_ = 0;
+  TimerId deadline_timer_ = 0;
+  std::uint32_t attempts_ = 0;
+  std::uint32_t redirects_ = 0;  ///< In a row.
+  Duration backoff_{};
+  bool outcome_unknown_ = false;
+  Status last_failure_;
+  bool finished_ = false;
+};
+
+}  // namespace cloverbank
--- a/src/node/node_agent.h
+++ b/src/node/node_agent.h
@@ -38,7 +38,8 @@
   Duration retry_delay = milliseconds(100);  ///< Between tries, with jitter.
 };
 
-/// The servers and partition owners as last heard. Versions never go back.
+/// The servers and partition owners as last heard. Versions never go back; dead servers are left
+/// out.
 struct FleetView {
   FleetVersion version;
   std::map<NodeId, proto::Server> servers;  ///< Queue and backup nodes.
@@ -81,7 +82,7 @@
   /// the old id at once. The agent then registers anew under a fresh id.
   void OnFenced(std::function<void()> observer);
 
-  /// Told to the coordinators with the next heartbeat, which is sent without delay when `urgent`.
+  /// Tells the coordinators at once, in a heartbeat beside a held one.
   void ReportSuspect(NodeId peer);
   void SetLoad(std::uint64_t free_bytes, std::uint64_t open_items, bool degraded);
   /// Ends this life and registers under a fresh id (a queue node that was refused as fenced by a
--- /dev/null
+++ b/src/node/node_session.cc
@@ -0,0 +1,78 @@
+#include "node/node_session.h"
+
+#include <algorithm>
+
+namespace cloverbank {
+namespace {
+
+/// The holder's clock may run slower than the giver's: it gives up this share of each lease.
+constexpr int kClockDriftDivisor = 100;
+
+Duration UsableLease(std::uint32_t lease_ms) {
+  const Duration lease = milliseconds(lease_ms);
+  return lease - lease / kClockDriftDivisor;
+}
+
+}  // namespace
+
+void NodeSession::TakeRegistration(const proto::RegisterServerResponse& response) {
+  node_id_ = NodeId(response.node_id());
+  partition_count_ = response.partition_count();
+  lease_end_ = TimePoint();
+}
+
+void NodeSession::EndLife() {
+  if (node_id_.valid()) {
+    previous_node_id_ = node_id_;
+  }
+  node_id_ = NodeId();
+  lease_end_ = TimePoint();
+}
+
+void NodeSession::SetLoad(std::uint64_t free_bytes, std::uint64_t open_items, bool degraded) {
+  free_bytes_ = free_bytes;
+  open_items_ = open_items;
+  degraded_ = degraded;
+}
+
+proto::HeartbeatRequest NodeSession::MakeHeartbeat(Duration hold) const {
+  proto::HeartbeatRequest request;
+  request.set_node_id(node_id_.value());
+  request.set_incarnation(incarnation_.value());
+  request.set_configuration_version(configuration_.VersionToReport().value());
+  request.set_fleet_version(fleet_.VersionToReport().value());
+  request.set_hold_ms(
+      static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(hold).count()));
+  for (const NodeId suspect : suspects_) {
+    request.add_suspected_node_ids(suspect.value());
+  }
+  request.set_free_bytes(free_bytes_);
+  request.set_open_items(open_items_);
+  request.set_degraded(degraded_);
+  return request;
+}
+
+HeartbeatEffects NodeSession::TakeHeartbeat(const proto::HeartbeatRequest& request, TimePoint sent,
+                                            const proto::HeartbeatResponse& response) {
+  HeartbeatEffects effects;
+  for (const std::uint64_t suspect : request.suspected_node_ids()) {
+    suspects_.erase(NodeId(suspect));
+  }
+  if (response.has_configuration()) {
+    effects.configuration = configuration_.Take(response.configuration());
+  } else {
+    configuration_.NothingOffered();
+  }
+  if (response.has_fleet()) {
+    effects.fleet = fleet_.Take(response.fleet());
+  }
+  const bool same_life = node_id_.valid() && NodeId(request.node_id()) == node_id_;
+  if (same_life && effects.configuration != UpdateOutcome::kGap) {
+    const TimePoint end = sent + UsableLease(response.lease_ms());
+    effects.lease_extended = end > lease_end_;
+    lease_end_ = std::max(lease_end_, end);
+  }
+  return effects;
+}
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/node/node_session.h
@@ -0,0 +1,74 @@
+#pragma once
+/// @file
+/// Pure core of `NodeAgent`: the node id of this life, its lease, and the copies of configuration
+/// and fleet. It decides what a heartbeat says and what its answer is worth.
+///
+/// A lease is taken from an answer only if the copy of the configuration is then at least as new as
+/// the one offered with it: otherwise a node that was away could serve by a version older than one
+/// acknowledged meanwhile. Threads: the owner's event loop only.
+
+#include <cstdint>
+#include <set>
+#include <string>
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "node/configuration_watch.h"
+#include "node/fleet_watch.h"
+#include "proto/coordinator.pb.h"
+
+namespace cloverbank {
+
+/// What a heartbeat's answer changed.
+struct HeartbeatEffects {
+  UpdateOutcome configuration = UpdateOutcome::kNothing;
+  UpdateOutcome fleet = UpdateOutcome::kNothing;
+  bool lease_extended = false;
+};
+
+class NodeSession {
+ public:
+  explicit NodeSession(Incarnation incarnation) : incarnation_(incarnation) {}
+
+  NodeId node_id() const { return node_id_; }
+  /// The id held before this one in the same process life; invalid if none.
+  NodeId previous_node_id() const { return previous_node_id_; }
+  Incarnation incarnation() const { return incarnation_; }
+  std::uint32_t partition_count() const { return partition_count_; }
+  TimePoint lease_end() const { return lease_end_; }
+  bool LeaseValid(TimePoint now) const { return node_id_.valid() && now < lease_end_; }
+  const proto::RoutingConfiguration& configuration() const {
+    return configuration_.configuration();
+  }
+  const FleetView& fleet() const { return fleet_.view(); }
+
+  /// A fresh id was given out. There is no lease until the first heartbeat is answered.
+  void TakeRegistration(const proto::RegisterServerResponse& response);
+  /// Ends this life: the id and its lease are void at once.
+  void EndLife();
+
+  /// Adds a peer to report as suspect. @return whether it was not waiting already.
+  bool AddSuspect(NodeId peer) { return suspects_.insert(peer).second; }
+  void SetLoad(std::uint64_t free_bytes, std::uint64_t open_items, bool degraded);
+
+  /// @return the request to send now, to be held by the leader for up to `hold`.
+  proto::HeartbeatRequest MakeHeartbeat(Duration hold) const;
+  /// Takes the answer to `request`, which was sent at `sent`.
+  HeartbeatEffects TakeHeartbeat(const proto::HeartbeatRequest& request, TimePoint sent,
+                                 const proto::HeartbeatResponse& response);
+
+ private:
+  Incarnation incarnation_;
+  NodeId node_id_;
+  NodeId previous_node_id_;
+  std::uint32_t partition_count_ = 0;
+  TimePoint lease_end_{};
+  ConfigurationWatch configuration_;
+  FleetWatch fleet_;
+  std::set<NodeId> suspects_;
+  std::uint64_t free_bytes_ = 0;
+  std::uint64_t open_items_ = 0;
+  bool degraded_ = false;
+};
+
+}  // namespace cloverbank
