--- /dev/null
+++ b/src/gateway/http_query.h
@@ -0,0 +1,25 @@
+#pragma once
+/// @file
+/// Query parameters that several adapters read in the same way. Pure.
+
+#include <cstdint>
+
+#include "base/status.h"
+#include "net/http_types.h"
+
+namespace cloverbank {
+
+/// Bounds of a `limit` parameter.
+struct LimitRange {
+  std::uint32_t standard = 0;  ///< When it is not given.
+  std::uint32_t largest = 0;
+};
+
+/// @return the `limit` parameter, or kInvalidArgument saying what is expected.
+Result<std::uint32_t> ReadLimit(const HttpHeaders& query, LimitRange range);
+
+/// @return what a failed read is answered with: nothing was changed, so a lost answer is
+/// kUnavailable.
+Status ReadFailure(const Status& status);
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/gateway/operator_api.cc
@@ -0,0 +1,181 @@
+#include "gateway/operator_api.h"
+
+#include <string>
+#include <utility>
+
+#include "gateway/http_json.h"
+#include "gateway/http_query.h"
+#include "proto/coordinator.pb.h"
+
+namespace cloverbank {
+namespace {
+
+constexpr Duration kReadDeadline = seconds(3);
+/// Longer than a node lease, which an acknowledgement may have to wait for, and an election.
+constexpr Duration kTransactionDeadline = seconds(10);
+constexpr Duration kRetireDeadline = seconds(5);
+constexpr std::uint32_t kDefaultHistory = 50;
+constexpr std::uint32_t kMaximumHistory = 1000;
+constexpr std::uint32_t kResendAfterMs = 1000;
+constexpr std::size_t kMachineSegment = 2;  // /v1/stores/{machine}/retire
+
+/// Nothing is promised of a transaction whose answer was lost; its operation id finds it again.
+void SendLostTransaction(HttpResponder& responder, const Status& status,
+                         const std::string& operation_id) {
+  proto::CallError error;
+  error.set_code("outcome_unknown");
+  error.set_message("the coordinators gave no answer (" + status.message() +
+                    "); send the same transaction again with operation_id \"" + operation_id +
+                    "\", to any gateway, to learn its outcome");
+  error.set_executed(proto::EXECUTED_UNKNOWN);
+  error.set_retry_after_ms(kResendAfterMs);
+  SendError(responder, 503, error);
+}
+
+void SendConflict(HttpResponder& responder, const proto::TransactionResult& result) {
+  proto::CallError error;
+  error.set_code("version_conflict");
+  error.set_message("expected_version is not the current version " +
+                    std::to_string(result.version()) +
+                    "; read the configuration again, and send the changes made against it under "
+                    "a new operation_id");
+  error.set_executed(proto::EXECUTED_NO);
+  error.set_current_version(result.version());
+  *error.mutable_problems() = result.problems();
+  SendError(responder, 409, error);
+}
+
+void SendInvalid(HttpResponder& responder, const proto::TransactionResult& result) {
+  proto::CallError error;
+  error.set_code("invalid_transaction");
+  error.set_message(
+      "the transaction is refused whole; mend every problem listed and send it under "
+      "a new operation_id");
+  error.set_executed(proto::EXECUTED_NO);
+  error.set_current_version(result.version());
+  *error.mutable_problems() = result.problems();
+  SendError(responder, 422, error);
+}
+
+void SendResult(HttpResponder& responder, const proto::TransactionResult& result) {
+  switch (result.outcome()) {
+    case proto::TRANSACTION_OUTCOME_APPLIED:
+      SendJson(responder, 200, result);
+      return;
+    case proto::TRANSACTION_OUTCOME_VERSION_CONFLICT:
+      SendConflict(responder, result);
+      return;
+    case proto::TRANSACTION_OUTCOME_INVALID:
+      SendInvalid(responder, result);
+      return;
+    default:
+      SendLostTransaction(responder, Status(StatusCode::kInternal, "answer without an outcome"),
+                          result.operation_id());
+  }
+}
+
+/// Refusals that were certainly decided before anything was done.
+bool IsRefusal(StatusCode code) {
+  return code == StatusCode::kInvalidArgument || code == StatusCode::kConflict ||
+         code == StatusCode::kResourceExhausted;
+}
+
+}  // namespace
+
+OperatorApi::OperatorApi(HttpRouter& router, NodeAgent& agent) : agent_(agent) {
+  router.Handle("GET", "/v1/config", [this](const HttpRequest&, const Responder& responder) {
+    GetConfiguration(responder);
+  });
+  router.Handle("GET", "/v1/config/history",
+                [this](const HttpRequest& request, const Responder& responder) {
+                  GetHistory(request, responder);
+                });
+  router.Handle("POST", "/v1/config/transactions",
+                [this](const HttpRequest& request, const Responder& responder) {
+                  SubmitTransaction(request, responder);
+                });
+  router.Handle("POST", "/v1/stores/{machine}/retire",
+                [this](const HttpRequest& request, const Responder& responder) {
+                  Retire(request, responder);
+                });
+}
+
+void OperatorApi::GetConfiguration(const Responder& responder) {
+  agent_.CallLeader<proto::GetConfigurationResponse>(
+      "coordinator.GetConfiguration", proto::GetConfigurationRequest(), kReadDeadline,
+      [responder](Result<proto::GetConfigurationResponse> result) {
+        if (!result.ok()) {
+          SendStatus(*responder, ReadFailure(result.status()), proto::EXECUTED_NO);
+          return;
+        }
+        result->mutable_configuration();  // Printed also while there is none yet.
+        SendJson(*responder, 200, *result);
+      });
+}
+
+void OperatorApi::GetHistory(const HttpRequest& request, const Responder& responder) {
+  const Result<std::uint32_t> limit =
+      ReadLimit(request.query, {.standard = kDefaultHistory, .largest = kMaximumHistory});
+  if (!limit.ok()) {
+    SendStatus(*responder, limit.status(), proto::EXECUTED_NO);
+    return;
+  }
+  proto::GetConfigurationRequest ask;
+  ask.set_history(*limit);
+  agent_.CallLeader<proto::GetConfigurationResponse>(
+      "coordinator.GetConfiguration", ask, kReadDeadline,
+      [responder](Result<proto::GetConfigurationResponse> result) {
+        if (!result.ok()) {
+          SendStatus(*responder, ReadFailure(result.status()), proto::EXECUTED_NO);
+          return;
+        }
+        result->clear_configuration();
+        SendJson(*responder, 200, *result);
+      });
+}
+
+void OperatorApi::SubmitTransaction(const HttpRequest& request, const Responder& responder) {
+  proto::SubmitTransactionRequest submit;
+  proto::ConfigurationTransaction& transaction = *submit.mutable_transaction();
+  Status read = FromJson(request.body, &transaction);
+  if (read.ok() && transaction.operation_id().empty()) {
+    read = Status(StatusCode::kInvalidArgument,
+                  "operation_id is missing: choose an id for this transaction and keep it when "
+                  "resending, so that it is carried out once");
+  }
+  if (!read.ok()) {
+    SendStatus(*responder, read, proto::EXECUTED_NO);
+    return;
+  }
+  agent_.CallLeader<proto::SubmitTransactionResponse>(
+      "coordinator.SubmitTransaction", submit, kTransactionDeadline,
+      [responder, operation_id = transaction.operation_id()](
+          const Result<proto::SubmitTransactionResponse>& result) {
+        if (result.ok()) {
+          SendResult(*responder, result->result());
+        } else if (IsRefusal(result.status().code())) {
+          SendStatus(*responder, result.status(), proto::EXECUTED_NO);
+        } else {
+          SendLostTransaction(*responder, result.status(), operation_id);
+        }
+      });
+}
+
+void OperatorApi::Retire(const HttpRequest& request, const Responder& responder) {
+  proto::RetireServerRequest retire;
+  retire.set_machine(std::string(PathSegment(request.path, kMachineSegment)));
+  agent_.CallLeader<proto::RetireServerResponse>(
+      "coordinator.RetireServer", retire, kRetireDeadline,
+      [responder](const Result<proto::RetireServerResponse>& result) {
+        if (result.ok()) {
+          SendJson(*responder, 200, *result);
+          return;
+        }
+        const StatusCode code = result.status().code();
+        const bool refused = IsRefusal(code) || code == StatusCode::kNotFound;
+        SendStatus(*responder, result.status(),
+                   refused ? proto::EXECUTED_NO : proto::EXECUTED_UNKNOWN);
+      });
+}
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/gateway/operator_api.h
@@ -0,0 +1,34 @@
+#pragma once
+/// @file
+/// Adapter: the operators' HTTP interface (docs/API.md). Any gateway answers, also one without a
+/// lease, by asking the coordinator leader.
+///
+///     GET  /v1/config                    configuration and the version in force
+///     GET  /v1/config/history?limit=N    newest transactions
+///     POST /v1/config/transactions       several changes under one expected version
+///     POST /v1/stores/{machine}/retire   empties a store machine
+///
+/// Threads: the owner's event loop only.
+
+#include "net/http_types.h"
+#include "node/node_agent.h"
+
+namespace cloverbank {
+
+class OperatorApi {
+ public:
+  /// Registers the handlers. `router` must not serve any more once `agent` is gone.
+  OperatorApi(HttpRouter& router, NodeAgent& agent);
+
+ private:
+  using Responder = std::shared_ptr<HttpResponder>;
+
+  void GetConfiguration(const Responder& responder);
+  void GetHistory(const HttpRequest& request, const Responder& responder);
+  void SubmitTransaction(const HttpRequest& request, const Responder& responder);
+  void Retire(const HttpRequest& request, const Responder& responder);
+
+  NodeAgent& agent_;
+};
+
+}  // namespace cloverbank
