--- a/src/node/fleet_watch.cc
+++ b/src/node/fleet_watch.cc
@@ -19,7 +19,7 @@
   const FleetVersion to(update.to_version());
   const bool whole = update.from_version() == 0;
   if (whole) {
-    whole_needed_ = false;
+    whole_needed_ = false;  // Asked for or not, this is what the leader has.
   }
   if (to < view_.version) {
     return UpdateOutcome::kOlder;
@@ -36,6 +36,7 @@
   }
   Merge(update);
   view_.version = to;
+  whole_needed_ = false;
   return UpdateOutcome::kTaken;
 }
 
--- a/src/node/node_agent.cc
+++ b/src/node/node_agent.cc
@@ -76,6 +76,7 @@
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
   bool started = false;
   bool beside_running = false;
+  bool older_offer_logged = false;  ///< Until a newer one is taken.
   /// Replaced when a life ends.
   std::shared_ptr<bool> life = std::make_shared<bool>(true);
   TimePoint last_sent{};
--- /dev/null
+++ b/tests/node/fake_control.h
@@ -0,0 +1,182 @@
+#pragma once
+/// @file
+/// A scripted coordinator group for tests of nodes: three machines, one state, one leader.
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "proto/coordinator.pb.h"
+#include "runtime/typed_peer.h"
+#include "simulation/simulated_world.h"
+
+namespace cloverbank {
+
+inline constexpr std::uint32_t kFakeLeaseMs = 3000;
+
+/// What the three fake coordinators share.
+struct FakeControl {
+  std::string leader = "c1";
+  bool hints = true;
+  std::uint64_t next_node_id = 1;
+  std::map<std::uint64_t, std::uint64_t> alive;  ///< Node id to incarnation.
+  std::uint64_t configuration_version = 0;
+  std::vector<proto::ConfigurationChange> changes;  ///< Change i leads to version i + 1.
+  bool skip_one_delta = false;                      ///< The next delta starts one version too high.
+  std::vector<proto::Endpoint> members;
+  proto::FleetUpdate fleet;
+
+  std::vector<proto::RegisterServerRequest> registrations;
+  std::vector<proto::HeartbeatRequest> heartbeats;
+  std::vector<proto::SubmitTransactionRequest> transactions;
+
+  void AddRoute(const std::string& name) {
+    proto::ConfigurationChange change;
+    change.mutable_set_route()->set_name(name);
+    changes.push_back(change);
+    ++configuration_version;
+  }
+};
+
+/// One fake coordinator process.
+class FakeCoordinator {
+ public:
+  FakeCoordinator(Environment& environment, std::string name, FakeControl& control,
+                  std::map<std::string, Endpoint> endpoints)
+      : environment_(environment),
+        name_(std::move(name)),
+        control_(control),
+        endpoints_(std::move(endpoints)) {
+    Serve<proto::RegisterServerRequest, proto::RegisterServerResponse>(
+        "coordinator.RegisterServer", [this](const auto& request) { return Register(request); });
+    Serve<proto::SubmitTransactionRequest, proto::SubmitTransactionResponse>(
+        "coordinator.SubmitTransaction", [this](const auto& request) {
+          control_.transactions.push_back(request);
+          return Result<proto::SubmitTransactionResponse>(proto::SubmitTransactionResponse());
+        });
+    ServePeer<proto::HeartbeatRequest, proto::HeartbeatResponse>(
+        environment_, "coordinator.Heartbeat",
+        [this](const proto::HeartbeatRequest& request, const std::string&, HeartbeatReply reply) {
+          TakeHeartbeat(request, std::move(reply));
+        });
+  }
+
+ private:
+  using HeartbeatReply = std::function<void(Result<proto::HeartbeatResponse>)>;
+
+  template <typename Request, typename Response, typename Handler>
+  void Serve(std::string_view method, Handler handler) {
+    ServePeer<Request, Response>(environment_, method,
+                                 [this, handler](const Request& request, const std::string&,
+                                                 std::function<void(Result<Response>)> reply) {
+                                   if (control_.leader == name_) {
+                                     reply(handler(request));
+                                   } else {
+                                     reply(NotLeader());
+                                   }
+                                 });
+  }
+
+  Status NotLeader() const {
+    const auto leader = endpoints_.find(control_.leader);
+    const bool known = control_.hints && leader != endpoints_.end();
+    return {StatusCode::kNotLeader, "not the leader", known ? leader->second.ToString() : ""};
+  }
+
+  Result<proto::RegisterServerResponse> Register(const proto::RegisterServerRequest& request) {
+    control_.registrations.push_back(request);
+    proto::RegisterServerResponse response;
+    response.set_node_id(control_.next_node_id++);
+    response.set_partition_count(12);
+    control_.alive[response.node_id()] = request.server().incarnation();
+    return response;
+  }
+
+  bool Behind(const proto::HeartbeatRequest& request) const {
+    return request.configuration_version() != control_.configuration_version ||
+           request.fleet_version() != control_.fleet.to_version();
+  }
+
+  void TakeHeartbeat(const proto::HeartbeatRequest& request, HeartbeatReply reply) {
+    if (control_.leader != name_) {
+      reply(NotLeader());
+      return;
+    }
+    control_.heartbeats.push_back(request);
+    WaitForNews(request, environment_.Now() + milliseconds(request.hold_ms()), std::move(reply));
+  }
+
+  void WaitForNews(const proto::HeartbeatRequest& request, TimePoint until, HeartbeatReply reply) {
+    if (!control_.alive.contains(request.node_id())) {
+      reply(Status(StatusCode::kFenced, "declared dead"));
+    } else if (Behind(request) || environment_.Now() >= until) {
+      reply(MakeAnswer(request));
+    } else {
+      environment_.ScheduleAfter(
+          milliseconds(5), [this, request, until, reply] { WaitForNews(request, until, reply); });
+    }
+  }
+
+  proto::HeartbeatResponse MakeAnswer(const proto::HeartbeatRequest& request) {
+    proto::HeartbeatResponse response;
+    response.set_lease_ms(kFakeLeaseMs);
+    if (request.configuration_version() != control_.configuration_version) {
+      *response.mutable_configuration() = MakeUpdate(request.configuration_version());
+    }
+    if (request.fleet_version() != control_.fleet.to_version()) {
+      *response.mutable_fleet() = control_.fleet;
+    }
+    for (const proto::Endpoint& member : control_.members) {
+      *response.add_coordinators() = member;
+    }
+    return response;
+  }
+
+  proto::ConfigurationUpdate MakeUpdate(std::uint64_t held) {
+    proto::ConfigurationUpdate update;
+    update.set_to_version(control_.configuration_version);
+    if (held == 0 || held > control_.configuration_version) {
+      proto::RoutingConfiguration& full = *update.mutable_full();
+      full.set_version(control_.configuration_version);
+      for (const proto::ConfigurationChange& change : control_.changes) {
+        *full.add_routes() = change.set_route();
+      }
+      return update;
+    }
+    const std::uint64_t from = held + (control_.skip_one_delta ? 1 : 0);
+    control_.skip_one_delta = false;
+    update.set_from_version(from);
+    for (std::uint64_t version = from; version < control_.configuration_version; ++version) {
+      *update.add_changes() = control_.changes[version];
+    }
+    return update;
+  }
+
+  Environment& environment_;
+  std::string name_;
+  FakeControl& control_;
+  std::map<std::string, Endpoint> endpoints_;
+};
+
+/// Adds c1, c2 and c3 to `world`, running. @return their endpoints.
+inline std::vector<Endpoint> AddFakeCoordinators(SimulatedWorld& world, FakeControl& control) {
+  std::map<std::string, Endpoint> endpoints;
+  std::vector<Endpoint> list;
+  for (const std::string name : {"c1", "c2", "c3"}) {
+    list.push_back(world.AddMachine(name, "10.0.1." + name.substr(1)).endpoint());
+    endpoints[name] = list.back();
+  }
+  for (const std::string name : {"c1", "c2", "c3"}) {
+    world.machine(name).SetProgram(
+        [&control, name, endpoints](Environment& environment, DataFolder&) {
+          return std::make_shared<FakeCoordinator>(environment, name, control, endpoints);
+        });
+    world.machine(name).Start();
+  }
+  return list;
+}
+
+}  // namespace cloverbank
--- /dev/null
+++ b/tests/node/node_agent_test.cc
@@ -0,0 +1,256 @@
+#include "node/node_agent.h"
+
+#include <gtest/gtest.h>
+
+#include "node/fake_control.h"
+
+namespace cloverbank {
+namespace {
+
+class NodeAgentTest : public testing::Test {
+ protected:
+  NodeAgentTest() {
+    seeds = AddFakeCoordinators(world, control);
+    world.AddMachine("g", "10.0.0.1").SetProgram([this](Environment& environment, DataFolder&) {
+      NodeAgentOptions options;
+      options.role = proto::ROLE_GATEWAY;
+      options.machine = "g";
+      options.coordinators = seeds;
+      auto made = std::make_shared<NodeAgent>(environment, options);
+      agent = made.get();
+      agent->OnFenced([this] {
+        ++fences;
+        lease_valid_when_fenced = agent->LeaseValid();
+      });
+      agent->OnConfiguration([this] { versions.push_back(agent->configuration().version()); });
+      agent->Start();
+      return made;
+    });
+  }
+
+  /// Starts the node and waits for its lease.
+  void Join() {
+    world.machine("g").Start();
+    ASSERT_TRUE(world.RunUntil([this] { return agent->LeaseValid(); }, seconds(5)));
+  }
+  bool WaitForLease(Duration limit) {
+    return world.RunUntil([this] { return agent->LeaseValid(); }, limit);
+  }
+
+  FakeControl control;
+  std::vector<Endpoint> seeds;
+  NodeAgent* agent = nullptr;
+  int fences = 0;
+  bool lease_valid_when_fenced = false;
+  std::vector<std::uint64_t> versions;
+  SimulatedWorld world{7};
+};
+
+TEST_F(NodeAgentTest, FollowsTheHintToTheLeaderAndKeepsItsLease) {
+  control.leader = "c3";
+  Join();
+  EXPECT_EQ(agent->node_id(), NodeId(1));
+  EXPECT_EQ(agent->partition_count(), 12U);
+  EXPECT_EQ(agent->coordinators().front(), seeds[2]);
+  for (int step = 0; step < 100; ++step) {
+    world.RunFor(milliseconds(100));
+    ASSERT_TRUE(agent->LeaseValid());
+  }
+  EXPECT_EQ(control.registrations.size(), 1U);
+}
+
+TEST_F(NodeAgentTest, FindsTheLeaderWithoutHints) {
+  control.leader = "c3";
+  control.hints = false;
+  world.machine("c1").Kill();
+  world.machine("g").Start();
+  EXPECT_TRUE(WaitForLease(seconds(3)));
+}
+
+TEST_F(NodeAgentTest, LeaseCountsFromTheMomentTheHeartbeatWasSent) {
+  Join();
+  const std::size_t seen = control.heartbeats.size();
+  ASSERT_TRUE(world.RunUntil([&] { return control.heartbeats.size() > seen; }, seconds(1)));
+  const TimePoint arrived = world.Now();  // Sent 1 to 5 ms before.
+  world.RunFor(milliseconds(830));        // Held for 800 ms, then answered.
+  const Duration usable = milliseconds(kFakeLeaseMs) * 99 / 100;
+  EXPECT_LE(agent->lease_end(), arrived + usable - milliseconds(1));
+  EXPECT_GE(agent->lease_end(), arrived + usable - milliseconds(5));
+  world.Isolate("g");
+  world.RunFor(agent->lease_end() - world.Now() - milliseconds(1));
+  EXPECT_TRUE(agent->LeaseValid());
+  world.RunFor(milliseconds(1));
+  EXPECT_FALSE(agent->LeaseValid());
+}
+
+TEST_F(NodeAgentTest, FrozenNodeWakesWithoutALease) {
+  Join();
+  world.machine("g").Freeze();
+  world.RunFor(seconds(25));
+  EXPECT_FALSE(agent->LeaseValid()) << "invalid at the moment it wakes, before it hears anything";
+  world.machine("g").Wake();
+  EXPECT_FALSE(agent->LeaseValid());
+  ASSERT_TRUE(WaitForLease(seconds(2)));
+  EXPECT_EQ(agent->node_id(), NodeId(1)) << "the coordinators still knew it";
+  EXPECT_EQ(fences, 0);
+}
+
+TEST_F(NodeAgentTest, FencedNodeRegistersUnderAFreshId) {
+  Join();
+  const Incarnation incarnation = agent->incarnation();
+  control.alive.clear();
+  ASSERT_TRUE(world.RunUntil([this] { return agent->node_id() == NodeId(2); }, seconds(3)));
+  EXPECT_EQ(fences, 1);
+  EXPECT_FALSE(lease_valid_when_fenced);
+  ASSERT_EQ(control.registrations.size(), 2U);
+  EXPECT_EQ(control.registrations[1].previous_node_id(), 1U);
+  EXPECT_EQ(control.registrations[1].server().incarnation(), incarnation.value());
+  EXPECT_TRUE(WaitForLease(seconds(1)));
+}
+
+TEST_F(NodeAgentTest, AbandonedIdIsVoidAtOnce) {
+  Join();
+  agent->AbandonNodeId("a backup refused it as fenced");
+  EXPECT_FALSE(agent->LeaseValid());
+  EXPECT_FALSE(agent->node_id().valid());
+  EXPECT_EQ(fences, 1);
+  ASSERT_TRUE(WaitForLease(seconds(2)));
+  EXPECT_EQ(control.registrations[1].previous_node_id(), 1U);
+}
+
+TEST_F(NodeAgentTest, ConfirmsAConfigurationAtOnce) {
+  Join();
+  world.RunFor(milliseconds(200));
+  control.AddRoute("narrate");
+  const auto confirmed = [this] { return control.heartbeats.back().configuration_version() == 1; };
+  EXPECT_TRUE(world.RunUntil(confirmed, milliseconds(40)));
+  EXPECT_EQ(agent->configuration().routes(0).name(), "narrate");
+}
+
+TEST_F(NodeAgentTest, AsksForTheWholeAfterAGap) {
+  Join();
+  control.AddRoute("a");
+  world.RunFor(milliseconds(100));
+  const TimePoint end = agent->lease_end();
+  control.AddRoute("b");
+  control.AddRoute("c");
+  control.skip_one_delta = true;
+  ASSERT_TRUE(world.RunUntil([this] { return !control.skip_one_delta; }, seconds(1)));
+  world.RunFor(milliseconds(7));
+  EXPECT_EQ(agent->configuration().version(), 1U);
+  EXPECT_EQ(agent->lease_end(), end) << "no lease is taken with a configuration that was not";
+  ASSERT_TRUE(world.RunUntil([this] { return agent->configuration().version() == 3; }, seconds(1)));
+  EXPECT_EQ(agent->configuration().routes_size(), 3);
+  EXPECT_EQ(versions, (std::vector<std::uint64_t>{1, 3}));
+}
+
+TEST_F(NodeAgentTest, NeverGoesBackAVersion) {
+  Join();
+  control.AddRoute("a");
+  control.AddRoute("b");
+  world.RunFor(milliseconds(100));
+  ASSERT_EQ(agent->configuration().version(), 2U);
+  control.configuration_version = 1;  // A freshly started group that forgot.
+  control.changes.pop_back();
+  world.RunFor(seconds(2));
+  EXPECT_EQ(agent->configuration().version(), 2U);
+  EXPECT_EQ(agent->configuration().routes_size(), 2);
+}
+
+TEST_F(NodeAgentTest, ImmediateAnswersAreNotAskedForFasterThanThePace) {
+  Join();
+  control.AddRoute("a");
+  control.AddRoute("b");
+  world.RunFor(milliseconds(100));
+  control.configuration_version = 1;  // Every heartbeat is answered at once from here on.
+  const std::size_t before = control.heartbeats.size();
+  world.RunFor(seconds(1));
+  EXPECT_LE(control.heartbeats.size() - before, 21U);
+}
+
+TEST_F(NodeAgentTest, GoesOnWhenItsSeedsAreGone) {
+  const Endpoint moved = world.AddMachine("c9", "10.0.1.9").endpoint();
+  proto::Endpoint member;
+  member.set_host(moved.host);
+  member.set_port(moved.port);
+  control.members.push_back(member);
+  Join();
+  world.RunFor(seconds(1));
+  control.leader = "c9";
+  control.hints = false;
+  world.machine("c9").SetProgram([this](Environment& environment, DataFolder&) {
+    return std::make_shared<FakeCoordinator>(environment, "c9", control,
+                                             std::map<std::string, Endpoint>());
+  });
+  world.machine("c9").Start();
+  for (const char* name : {"c1", "c2", "c3"}) {
+    world.machine(name).LosePower();
+  }
+  for (int step = 0; step < 60; ++step) {
+    world.RunFor(milliseconds(100));
+    ASSERT_TRUE(agent->LeaseValid());
+  }
+}
+
+TEST_F(NodeAgentTest, KeepsItsLeaseWhenTheLeaderGoesDark) {
+  Join();
+  world.RunFor(milliseconds(1500));
+  world.Isolate("c1");
+  world.ScheduleAfter(milliseconds(800), [this] { control.leader = "c2"; });
+  for (int step = 0; step < 100; ++step) {
+    world.RunFor(milliseconds(50));
+    ASSERT_TRUE(agent->LeaseValid());
+  }
+}
+
+TEST_F(NodeAgentTest, OutageOfAllCoordinatorsEndsTheLeaseAndIsSurvived) {
+  Join();
+  for (const char* name : {"c1", "c2", "c3"}) {
+    world.machine(name).LosePower();
+  }
+  world.RunFor(seconds(20));
+  EXPECT_FALSE(agent->LeaseValid());
+  for (const char* name : {"c1", "c2", "c3"}) {
+    world.machine(name).Start();
+  }
+  EXPECT_TRUE(WaitForLease(seconds(1)));
+  EXPECT_EQ(agent->node_id(), NodeId(1));
+}
+
+TEST_F(NodeAgentTest, ReportsASuspectBesideAHeldHeartbeat) {
+  Join();
+  world.RunFor(milliseconds(300));
+  agent->ReportSuspect(NodeId(77));
+  const auto reported = [this] { return control.heartbeats.back().suspected_node_ids_size() == 1; };
+  EXPECT_TRUE(world.RunUntil(reported, milliseconds(20)));
+  world.RunFor(seconds(2));
+  EXPECT_EQ(control.heartbeats.back().suspected_node_ids_size(), 0) << "told once";
+}
+
+TEST_F(NodeAgentTest, LeaderCallOutlivesAnElectionButNotItsDeadline) {
+  Join();
+  control.leader = "nobody";
+  world.ScheduleAfter(milliseconds(700), [this] { control.leader = "c2"; });
+  StatusCode code = StatusCode::kInternal;
+  const auto call = [this, &code](Duration deadline) {
+    agent->CallLeader<proto::SubmitTransactionResponse>(
+        "coordinator.SubmitTransaction", proto::SubmitTransactionRequest(), deadline,
+        [&code](const Result<proto::SubmitTransactionResponse>& result) {
+          code = result.status().code();
+        });
+  };
+  call(seconds(5));
+  world.RunFor(seconds(2));
+  EXPECT_EQ(code, StatusCode::kOk);
+  control.leader = "nobody";
+  call(seconds(1));
+  world.RunFor(milliseconds(1010));
+  EXPECT_EQ(code, StatusCode::kUnavailable) << "every member refused it: certainly not carried out";
+  world.Isolate("g");
+  call(seconds(1));
+  world.RunFor(milliseconds(1010));
+  EXPECT_EQ(code, StatusCode::kUnknownOutcome);
+}
+
+}  // namespace
+}  // namespace cloverbank
