Run batch items under work leases in the room live work leaves

The ledger and the offers are pure; the worker checks the grant's window (from when the question was sent), the node lease and the configuration right before each start, and keeps results until an owner answered.

--- /dev/null
+++ b/src/gateway/batch_work_ledger.cc
@@ -0,0 +1,291 @@
+#include "gateway/batch_work_ledger.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace cloverbank {
+namespace {
+
+const proto::Route* FindNamedRoute(const proto::RoutingConfiguration& configuration,
+                                   const std::string& name) {
+  for (const proto::Route& route : configuration.routes()) {
+    if (route.name() == name) {
+      return &route;
+    }
+  }
+  return nullptr;
+}
+
+/// Refusals that no other gateway and no later time can lift.
+bool IsFinal(StartRefusal refusal) {
+  return refusal == StartRefusal::kNoRoute || refusal == StartRefusal::kMustNotRepeat;
+}
+
+std::string ExplainFinal(StartRefusal refusal, const std::string& route) {
+  if (refusal == StartRefusal::kNoRoute) {
+    return "not run: route " + route + " was removed after the batch was accepted";
+  }
+  return "not run: route " + route +
+         " was set to must-not-repeat after the batch was accepted; hand the item in again";
+}
+
+std::size_t SizeOf(const proto::WorkReport& report) {
+  return report.output().size() + report.error().size();
+}
+
+}  // namespace
+
+std::string_view StartRefusalName(StartRefusal refusal) {
+  switch (refusal) {
+    case StartRefusal::kNone:
+      return "none";
+    case StartRefusal::kWindowOver:
+      return "window_over";
+    case StartRefusal::kNodeLease:
+      return "node_lease";
+    case StartRefusal::kNoRoom:
+      return "no_room";
+    case StartRefusal::kPaused:
+      return "paused";
+    case StartRefusal::kLeaseEnded:
+      return "lease_ended";
+    case StartRefusal::kNoRoute:
+      return "no_route";
+    case StartRefusal::kMustNotRepeat:
+      return "must_not_repeat";
+  }
+  return "none";
+}
+
+bool BatchWorkLedger::Add(const proto::WorkGrant& grant, NodeId gateway, TimePoint sent,
+                          TimePoint now) {
+  Item item;
+  item.grant = grant;
+  item.gateway = gateway;
+  item.start_by = sent + milliseconds(grant.start_within_ms());
+  item.arrived = now;
+  return items_.emplace(WorkLeaseId(grant.lease_id()), std::move(item)).second;
+}
+
+StartRefusal BatchWorkLedger::MayStart(WorkLeaseId lease, const StartConditions& conditions) const {
+  const Item* item = Find(lease);
+  if (item == nullptr || IsDone(*item) || item->ended) {
+    return StartRefusal::kLeaseEnded;
+  }
+  if (conditions.now >= item->start_by) {
+    return StartRefusal::kWindowOver;
+  }
+  if (!conditions.node_lease_valid) {
+    return StartRefusal::kNodeLease;
+  }
+  if (conditions.configuration->batch().paused()) {
+    return StartRefusal::kPaused;
+  }
+  const proto::Route* route = FindNamedRoute(*conditions.configuration, item->grant.route());
+  if (route == nullptr) {
+    return StartRefusal::kNoRoute;
+  }
+  const bool stricter_now = item->grant.idempotent() && !route->idempotent();
+  return stricter_now ? StartRefusal::kMustNotRepeat : StartRefusal::kNone;
+}
+
+void BatchWorkLedger::MarkRunning(WorkLeaseId lease) {
+  Item* item = Find(lease);
+  if (item != nullptr && item->phase == Phase::kWaiting) {
+    item->phase = Phase::kRunning;
+  }
+}
+
+void BatchWorkLedger::MarkLeft(WorkLeaseId lease) {
+  Item* item = Find(lease);
+  if (item != nullptr && item->phase == Phase::kRunning) {
+    item->phase = Phase::kLeft;
+  }
+}
+
+void BatchWorkLedger::Refuse(WorkLeaseId lease, StartRefusal refusal) {
+  Item* item = Find(lease);
+  if (item == nullptr || item->phase != Phase::kWaiting) {
+    return;
+  }
+  if (IsFinal(refusal)) {
+    Complete(*item, proto::WORK_DISPOSITION_FINISHED, proto::ITEM_OUTCOME_FAILED, "",
+             ExplainFinal(refusal, item->grant.route()));
+  } else {
+    Complete(*item, proto::WORK_DISPOSITION_NOT_RUN, proto::ITEM_OUTCOME_UNSPECIFIED, "", "");
+  }
+}
+
+void BatchWorkLedger::Finish(WorkLeaseId lease, const BackendOutcome& outcome) {
+  Item* item = Find(lease);
+  if (item == nullptr || IsDone(*item)) {
+    return;
+  }
+  if (outcome.succeeded) {
+    Complete(*item, proto::WORK_DISPOSITION_FINISHED, proto::ITEM_OUTCOME_SUCCEEDED,
+             outcome.answer.text(), "");
+    return;
+  }
+  const std::string& message = outcome.error.message();
+  switch (outcome.executed) {
+    case proto::EXECUTED_YES:
+      Complete(*item, proto::WORK_DISPOSITION_FINISHED, proto::ITEM_OUTCOME_FAILED, "", message);
+      return;
+    case proto::EXECUTED_NO:
+      Complete(*item, proto::WORK_DISPOSITION_NOT_RUN, proto::ITEM_OUTCOME_UNSPECIFIED, "",
+               message);
+      return;
+    default:
+      Complete(*item, proto::WORK_DISPOSITION_UNKNOWN, proto::ITEM_OUTCOME_UNKNOWN, "", message);
+  }
+}
+
+EndedAction BatchWorkLedger::End(WorkLeaseId lease) {
+  Item* item = Find(lease);
+  if (item == nullptr || IsDone(*item) || item->ended) {
+    return EndedAction::kNothing;
+  }
+  item->ended = true;
+  if (item->phase == Phase::kWaiting) {
+    Refuse(lease, StartRefusal::kLeaseEnded);
+    return EndedAction::kNothing;
+  }
+  const bool run_on = item->phase == Phase::kLeft && !item->grant.idempotent();
+  return run_on ? EndedAction::kRunOn : EndedAction::kWithdraw;
+}
+
+void BatchWorkLedger::FinishWithdrawn(WorkLeaseId lease) {
+  Item* item = Find(lease);
+  if (item == nullptr || IsDone(*item)) {
+    return;
+  }
+  const bool left = item->phase == Phase::kLeft;
+  Complete(*item, left ? proto::WORK_DISPOSITION_UNKNOWN : proto::WORK_DISPOSITION_NOT_RUN,
+           left ? proto::ITEM_OUTCOME_UNKNOWN : proto::ITEM_OUTCOME_UNSPECIFIED, "",
+           "withdrawn: its work lease ended");
+}
+
+std::vector<WorkLeaseId> BatchWorkLedger::Waiting() const {
+  std::vector<WorkLeaseId> waiting;
+  for (const auto& [lease, item] : items_) {
+    if (item.phase == Phase::kWaiting) {
+      waiting.push_back(lease);
+    }
+  }
+  return waiting;
+}
+
+TimePoint BatchWorkLedger::ArrivedAt(WorkLeaseId lease) const {
+  const Item* item = Find(lease);
+  return item == nullptr ? TimePoint() : item->arrived;
+}
+
+const proto::WorkGrant* BatchWorkLedger::FindGrant(WorkLeaseId lease) const {
+  const Item* item = Find(lease);
+  return item == nullptr ? nullptr : &item->grant;
+}
+
+std::map<std::string, std::uint32_t> BatchWorkLedger::NotYetLeftByRoute() const {
+  std::map<std::string, std::uint32_t> counts;
+  for (const auto& [lease, item] : items_) {
+    if (item.phase == Phase::kRunning) {
+      ++counts[item.grant.route()];
+    }
+  }
+  return counts;
+}
+
+std::vector<ReportAddress> BatchWorkLedger::Addresses(const OwnerLookup& owner_of,
+                                                      bool running_too) const {
+  std::set<ReportAddress> addresses;
+  for (const auto& [lease, item] : items_) {
+    const bool counts = item.phase == Phase::kDone || (running_too && !IsDone(item));
+    if (!counts) {
+      continue;
+    }
+    const NodeId owner = owner_of(PartitionId(item.grant.partition_id()));
+    if (owner.valid()) {
+      addresses.insert({owner, item.gateway});
+    }
+  }
+  return {addresses.begin(), addresses.end()};
+}
+
+proto::ReportWorkRequest BatchWorkLedger::TakeReports(const ReportAddress& address,
+                                                      const OwnerLookup& owner_of) {
+  proto::ReportWorkRequest request;
+  request.set_gateway_node_id(address.gateway.value());
+  std::size_t bytes = 0;
+  for (auto& [lease, item] : items_) {
+    const bool fits = static_cast<std::size_t>(request.reports_size()) < limits_.reports_per_call &&
+                      bytes < limits_.report_bytes_per_call;
+    const bool reported_now = item.phase == Phase::kDone && fits;
+    if ((!reported_now && IsDone(item)) || item.gateway != address.gateway ||
+        owner_of(PartitionId(item.grant.partition_id())) != address.owner) {
+      continue;
+    }
+    if (!reported_now) {
+      request.add_running_lease_ids(lease.value());
+      continue;
+    }
+    item.phase = Phase::kReporting;
+    bytes += SizeOf(item.report);
+    *request.add_reports() = item.report;
+  }
+  return request;
+}
+
+void BatchWorkLedger::Reported(const proto::ReportWorkRequest& request) {
+  for (const proto::WorkReport& report : request.reports()) {
+    const auto found = items_.find(WorkLeaseId(report.lease_id()));
+    if (found == items_.end() || found->second.phase != Phase::kReporting) {
+      continue;
+    }
+    unreported_bytes_ -= SizeOf(found->second.report);
+    --unreported_;
+    items_.erase(found);
+  }
+}
+
+void BatchWorkLedger::ReportFailed(const proto::ReportWorkRequest& request) {
+  for (const proto::WorkReport& report : request.reports()) {
+    Item* item = Find(WorkLeaseId(report.lease_id()));
+    if (item != nullptr && item->phase == Phase::kReporting) {
+      item->phase = Phase::kDone;
+    }
+  }
+}
+
+bool BatchWorkLedger::Full() const {
+  return items_.size() >= limits_.largest_held ||
+         unreported_bytes_ >= limits_.largest_unreported_bytes;
+}
+
+BatchWorkLedger::Item* BatchWorkLedger::Find(WorkLeaseId lease) {
+  const auto found = items_.find(lease);
+  return found == items_.end() ? nullptr : &found->second;
+}
+
+const BatchWorkLedger::Item* BatchWorkLedger::Find(WorkLeaseId lease) const {
+  const auto found = items_.find(lease);
+  return found == items_.end() ? nullptr : &found->second;
+}
+
+void BatchWorkLedger::Complete(Item& item, proto::WorkDisposition disposition,
+                               proto::ItemOutcome outcome, const std::string& output,
+                               const std::string& error) {
+  item.phase = Phase::kDone;
+  item.report.set_lease_id(item.grant.lease_id());
+  item.report.set_partition_id(item.grant.partition_id());
+  item.report.set_batch_id(item.grant.batch_id());
+  item.report.set_item_index(item.grant.item_index());
+  item.report.set_disposition(disposition);
+  item.report.set_outcome(outcome);
+  item.report.set_output(output);
+  item.report.set_error(error);
+  ++unreported_;
+  unreported_bytes_ += SizeOf(item.report);
+}
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/gateway/batch_work_ledger.h
@@ -0,0 +1,141 @@
+#pragma once
+/// @file
+/// Pure core of the batch worker: the items this gateway holds work leases for, and the results it
+/// still owes. It decides whether an item may start, what its end is reported as, and which reports
+/// go to which queue node. Threads: the owner's event loop only.
+///
+/// Invariants: an item is reported as not run only if its request certainly never left; a report is
+/// kept until an owner of its partition has answered it; each lease is reported at most once at a
+/// time.
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "gateway/backend_caller.h"
+#include "proto/batch.pb.h"
+#include "proto/configuration.pb.h"
+
+namespace cloverbank {
+
+/// Why an item may not start now.
+enum class StartRefusal : std::uint8_t {
+  kNone,           ///< It may start.
+  kWindowOver,     ///< The grant's time to start has run out.
+  kNodeLease,      ///< The gateway may not act.
+  kNoRoom,         ///< Live work took the room back.
+  kPaused,         ///< Operators stopped batch work.
+  kLeaseEnded,     ///< The queue node took the lease back.
+  kNoRoute,        ///< The configuration no longer has the route: the item can not run.
+  kMustNotRepeat,  ///< Accepted as repeatable, but the route no longer is: the item can not run.
+};
+std::string_view StartRefusalName(StartRefusal refusal);
+
+/// What the gateway's state allows at this moment.
+struct StartConditions {
+  TimePoint now;
+  bool node_lease_valid = false;
+  const proto::RoutingConfiguration* configuration = nullptr;
+};
+
+/// What to do with a running item whose lease the queue node ended.
+enum class EndedAction : std::uint8_t {
+  kNothing,   ///< Not held, or its result is known already.
+  kWithdraw,  ///< Cancel the call; the item is reported (not run, or unknown if it left).
+  kRunOn,     ///< It left and must not repeat: cutting it off would only lose its true result.
+};
+
+struct LedgerLimits {
+  std::size_t largest_held = 2000;  ///< Items waiting, running or unreported.
+  std::size_t largest_unreported_bytes = 32U << 20U;
+  std::size_t reports_per_call = 200;
+  std::size_t report_bytes_per_call = 1U << 20U;
+};
+
+/// Addressee of one ReportWork call. The leases were given to a node id, which may be an earlier
+/// one.
+struct ReportAddress {
+  NodeId owner;
+  NodeId gateway;
+  auto operator<=>(const ReportAddress&) const = default;
+};
+
+class BatchWorkLedger {
+ public:
+  explicit BatchWorkLedger(LedgerLimits limits = {}) : limits_(limits) {}
+
+  /// Takes a grant. @return false for a lease that is held already (a repeated answer).
+  /// @param sent when the request that brought it was sent: its window counts from then.
+  bool Add(const proto::WorkGrant& grant, NodeId gateway, TimePoint sent, TimePoint now);
+
+  /// @return whether the item of `lease` may start; asked once more right before the request
+  /// leaves.
+  StartRefusal MayStart(WorkLeaseId lease, const StartConditions& conditions) const;
+  /// The call was handed to the back end's caller.
+  void MarkRunning(WorkLeaseId lease);
+  /// The request may have left from now on.
+  void MarkLeft(WorkLeaseId lease);
+  /// Ends an item that was not started. Final refusals become failed results, others give it back.
+  void Refuse(WorkLeaseId lease, StartRefusal refusal);
+  /// Takes the outcome of its call.
+  void Finish(WorkLeaseId lease, const BackendOutcome& outcome);
+  /// The queue node ended the lease.
+  EndedAction End(WorkLeaseId lease);
+  /// The call of an ended lease was cancelled: whether it ran is known only if it never left.
+  void FinishWithdrawn(WorkLeaseId lease);
+
+  /// @return leases granted and not yet running, in order of arrival.
+  std::vector<WorkLeaseId> Waiting() const;
+  /// @return since when the item of `lease` has been held.
+  TimePoint ArrivedAt(WorkLeaseId lease) const;
+  const proto::WorkGrant* FindGrant(WorkLeaseId lease) const;
+  /// @return items handed to the caller whose request has not left, by route name.
+  std::map<std::string, std::uint32_t> NotYetLeftByRoute() const;
+
+  /// Finds the owner of a partition; an invalid id while there is none.
+  using OwnerLookup = std::function<NodeId(PartitionId)>;
+  /// @return every address that has reports or running items now. Those without an owner wait.
+  /// @param running_too also addresses that only have leases to renew.
+  std::vector<ReportAddress> Addresses(const OwnerLookup& owner_of, bool running_too) const;
+  /// @return the call to make to `address`, within the limits; its reports count as under way.
+  proto::ReportWorkRequest TakeReports(const ReportAddress& address, const OwnerLookup& owner_of);
+  /// The owner answered: its reports are done with.
+  void Reported(const proto::ReportWorkRequest& request);
+  /// No answer came: its reports wait again.
+  void ReportFailed(const proto::ReportWorkRequest& request);
+
+  /// Whether so much is held or unreported that nothing further should be acquired.
+  bool Full() const;
+  std::size_t unreported() const { return unreported_; }
+  std::size_t held() const { return items_.size() - unreported_; }
+
+ private:
+  enum class Phase : std::uint8_t { kWaiting, kRunning, kLeft, kDone, kReporting };
+  struct Item {
+    proto::WorkGrant grant;
+    NodeId gateway;
+    TimePoint start_by;
+    TimePoint arrived;
+    Phase phase = Phase::kWaiting;
+    bool ended = false;
+    proto::WorkReport report;  ///< From kDone on.
+  };
+
+  Item* Find(WorkLeaseId lease);
+  const Item* Find(WorkLeaseId lease) const;
+  static bool IsDone(const Item& item) { return item.phase >= Phase::kDone; }
+  void Complete(Item& item, proto::WorkDisposition disposition, proto::ItemOutcome outcome,
+                const std::string& output, const std::string& error);
+
+  LedgerLimits limits_;
+  std::map<WorkLeaseId, Item> items_;
+  std::size_t unreported_ = 0;
+  std::size_t unreported_bytes_ = 0;
+};
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/gateway/batch_worker.cc
@@ -0,0 +1,328 @@
+#include "gateway/batch_worker.h"
+
+#include <algorithm>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "runtime/typed_peer.h"
+
+namespace cloverbank {
+namespace {
+
+Endpoint PeerEndpointOf(const proto::Server& server) {
+  return {server.peer_endpoint().host(), static_cast<std::uint16_t>(server.peer_endpoint().port())};
+}
+
+std::uint32_t ToMilliseconds(Duration duration) {
+  return static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(duration).count());
+}
+
+const proto::Route* FindNamedRoute(const proto::RoutingConfiguration& configuration,
+                                   const std::string& name) {
+  const auto& routes = configuration.routes();
+  const auto found = std::find_if(routes.begin(), routes.end(), [&name](const proto::Route& route) {
+    return route.name() == name;
+  });
+  return found == routes.end() ? nullptr : &*found;
+}
+
+proto::CallRequest MakeCallRequest(const proto::WorkGrant& grant) {
+  proto::CallRequest request;
+  request.set_prompt(grant.item().prompt());
+  request.set_prefix_key(grant.item().prefix_key());
+  request.set_max_tokens(grant.item().max_tokens());
+  request.set_call_id(grant.batch_id() + "." + std::to_string(grant.item_index()) + "." +
+                      std::to_string(grant.lease_id()));
+  return request;
+}
+
+}  // namespace
+
+template <typename Action>
+auto BatchWorker::Guarded(Action action) {
+  return [token = std::weak_ptr<bool>(alive_), action = std::move(action)](auto&&... arguments) {
+    if (!token.expired()) {
+      action(std::forward<decltype(arguments)>(arguments)...);
+    }
+  };
+}
+
+BatchWorker::BatchWorker(Environment& environment, NodeAgent& agent, BackendCaller& caller,
+                         BatchWorkerOptions options)
+    : environment_(environment),
+      agent_(agent),
+      caller_(caller),
+      options_(options),
+      ledger_(options.limits),
+      offers_(options.offers) {}
+
+BatchWorker::~BatchWorker() {
+  environment_.CancelTimer(tick_timer_);
+  for (const auto& [lease, call] : calls_) {
+    call->Cancel();
+  }
+}
+
+void BatchWorker::Start() {
+  agent_.OnFleet(Guarded([this] { RequestRun(); }));
+  agent_.OnConfiguration(Guarded([this] { RequestRun(); }));
+  Run();
+}
+
+void BatchWorker::RequestRun() {
+  if (run_requested_) {
+    return;
+  }
+  run_requested_ = true;
+  environment_.ScheduleAfter(Duration::zero(), Guarded([this] { Run(); }));
+}
+
+void BatchWorker::Run() {
+  run_requested_ = false;
+  environment_.CancelTimer(tick_timer_);
+  StartWaiting();
+  SendReports();
+  Acquire();
+  environment_.metrics().SetGauge("batch_worker_held_items", static_cast<double>(held()));
+  environment_.metrics().SetGauge("batch_worker_unreported_results",
+                                  static_cast<double>(unreported()));
+  tick_timer_ = environment_.ScheduleAfter(options_.tick, Guarded([this] { Run(); }));
+}
+
+StartConditions BatchWorker::Conditions() const {
+  return {environment_.Now(), agent_.LeaseValid(), &agent_.configuration()};
+}
+
+void BatchWorker::StartWaiting() {
+  const std::vector<WorkLeaseId> waiting = ledger_.Waiting();
+  if (waiting.empty()) {
+    return;
+  }
+  BatchRoom free = FreeRoom();
+  for (const WorkLeaseId lease : waiting) {
+    const StartConditions conditions = Conditions();
+    StartRefusal refusal = ledger_.MayStart(lease, conditions);
+    const proto::Route* route =
+        FindNamedRoute(agent_.configuration(), ledger_.FindGrant(lease)->route());
+    if (refusal == StartRefusal::kNone && free[route->backend()] == 0) {
+      if (conditions.now - ledger_.ArrivedAt(lease) < options_.grant_patience) {
+        continue;
+      }
+      refusal = StartRefusal::kNoRoom;
+    }
+    if (refusal == StartRefusal::kNone) {
+      --free[route->backend()];
+      StartItem(lease, *route);
+      continue;
+    }
+    environment_.metrics().Increment("batch_item_not_started_total",
+                                     {{"reason", StartRefusalName(refusal)}});
+    ledger_.Refuse(lease, refusal);
+  }
+}
+
+void BatchWorker::StartItem(WorkLeaseId lease, const proto::Route& route) {
+  const proto::WorkGrant& grant = *ledger_.FindGrant(lease);
+  proto::Route granted_route = route;
+  granted_route.set_idempotent(grant.idempotent());  // The stricter of the two: see MayStart.
+  const Duration deadline = route.deadline_ms() > 0 ? Duration(milliseconds(route.deadline_ms()))
+                                                    : options_.default_item_deadline;
+  ledger_.MarkRunning(lease);
+  environment_.metrics().Increment("batch_items_started_total");
+  calls_[lease] = caller_.RunBatchItem(
+      granted_route, MakeCallRequest(grant), deadline,
+      [this, lease, token = std::weak_ptr<bool>(alive_)] {
+        return !token.expired() && MayLeave(lease);
+      },
+      Guarded([this, lease, backend = route.backend()](const BackendOutcome& outcome) {
+        FinishItem(lease, backend, outcome);
+      }));
+}
+
+bool BatchWorker::MayLeave(WorkLeaseId lease) {
+  const StartRefusal refusal = ledger_.MayStart(lease, Conditions());
+  if (refusal != StartRefusal::kNone) {
+    environment_.metrics().Increment("batch_item_not_started_total",
+                                     {{"reason", StartRefusalName(refusal)}});
+    return false;
+  }
+  ledger_.MarkLeft(lease);
+  return true;
+}
+
+void BatchWorker::FinishItem(WorkLeaseId lease, const std::string& backend,
+                             const BackendOutcome& outcome) {
+  calls_.erase(lease);
+  if (outcome.executed == proto::EXECUTED_NO) {
+    paused_backends_[backend] = environment_.Now() + options_.retry_delay;
+  }
+  ledger_.Finish(lease, outcome);
+  environment_.metrics().Increment("batch_items_finished_total",
+                                   {{"executed", proto::Executed_Name(outcome.executed)}});
+  RequestRun();
+}
+
+BatchRoom BatchWorker::FreeRoom() const {
+  std::map<std::string, std::uint32_t> not_left;
+  for (const auto& [route_name, count] : ledger_.NotYetLeftByRoute()) {
+    const proto::Route* route = FindNamedRoute(agent_.configuration(), route_name);
+    if (route != nullptr) {
+      not_left[route->backend()] += count;
+    }
+  }
+  BatchRoom free;
+  for (const proto::Route& route : agent_.configuration().routes()) {
+    const auto paused = paused_backends_.find(route.backend());
+    if (paused != paused_backends_.end() && environment_.Now() < paused->second) {
+      free[route.backend()] = 0;
+    }
+    if (!free.contains(route.backend())) {
+      const std::uint32_t slots = caller_.FreeBatchSlots(route.backend());
+      free[route.backend()] = slots - std::min(slots, not_left[route.backend()]);
+    }
+  }
+  return free;
+}
+
+NodeId BatchWorker::OwnerOf(PartitionId partition) const {
+  const proto::Server* owner = agent_.fleet().OwnerOf(partition);
+  return owner == nullptr ? NodeId() : NodeId(owner->node_id());
+}
+
+std::vector<NodeId> BatchWorker::OwningNodes() const {
+  std::set<NodeId> nodes;
+  for (const auto& [id, partition] : agent_.fleet().partitions) {
+    const NodeId owner = OwnerOf(id);
+    if (owner.valid()) {
+      nodes.insert(owner);
+    }
+  }
+  return {nodes.begin(), nodes.end()};
+}
+
+void BatchWorker::Acquire() {
+  const bool willing = !draining_ && agent_.LeaseValid() && !ledger_.Full() &&
+                       !agent_.configuration().batch().paused();
+  if (!willing) {
+    return;
+  }
+  BatchRoom free = FreeRoom();
+  for (const WorkLeaseId lease : ledger_.Waiting()) {
+    const proto::Route* route =
+        FindNamedRoute(agent_.configuration(), ledger_.FindGrant(lease)->route());
+    if (route != nullptr && free[route->backend()] > 0) {
+      --free[route->backend()];
+    }
+  }
+  for (const WorkOffer& offer : offers_.Next(environment_.Now(), OwningNodes(), free)) {
+    AskForWork(offer, agent_.fleet().servers.at(offer.node));
+  }
+}
+
+void BatchWorker::AskForWork(const WorkOffer& offer, const proto::Server& server) {
+  proto::AcquireWorkRequest request;
+  request.set_gateway_node_id(agent_.node_id().value());
+  request.set_incarnation(agent_.incarnation().value());
+  for (const auto& [backend, slots] : offer.room) {
+    proto::WorkRoom* room = request.add_room();
+    room->set_backend(backend);
+    room->set_slots(slots);
+  }
+  request.set_hold_ms(ToMilliseconds(offer.hold));
+  request.set_configuration_version(agent_.configuration().version());
+  const TimePoint sent = environment_.Now();
+  CallPeer<proto::AcquireWorkResponse>(
+      environment_, PeerEndpointOf(server), "queue.AcquireWork", request,
+      offer.hold + options_.acquire_grace,
+      Guarded([this, sent, node = offer.node,
+               gateway = agent_.node_id()](const Result<proto::AcquireWorkResponse>& result) {
+        if (!result.ok()) {
+          offers_.Failed(node, environment_.Now() + options_.retry_delay);
+          NoteFailure("AcquireWork", node, result.status());
+          return;
+        }
+        offers_.Answered(node, static_cast<std::size_t>(result->grants_size()), environment_.Now());
+        TakeGrants(*result, gateway, sent);
+        RequestRun();
+      }));
+}
+
+void BatchWorker::TakeGrants(const proto::AcquireWorkResponse& response, NodeId gateway,
+                             TimePoint sent) {
+  for (const proto::WorkGrant& grant : response.grants()) {
+    if (!ledger_.Add(grant, gateway, sent, environment_.Now())) {
+      environment_.metrics().Increment("batch_grants_repeated_total");
+    }
+  }
+}
+
+void BatchWorker::SendReports() {
+  const auto owner_of = [this](PartitionId partition) { return OwnerOf(partition); };
+  const TimePoint now = environment_.Now();
+  const std::vector<ReportAddress> with_results = ledger_.Addresses(owner_of, false);
+  for (const ReportAddress& address : ledger_.Addresses(owner_of, true)) {
+    const ReportState& state = reports_[address];
+    const bool has_results = std::binary_search(with_results.begin(), with_results.end(), address);
+    const bool due = has_results || now >= state.next_renewal;
+    if (due && !state.under_way && now >= state.retry_at) {
+      Report(address);
+    }
+  }
+  std::erase_if(reports_, [this](const auto& entry) {
+    return !entry.second.under_way && !agent_.fleet().servers.contains(entry.first.owner);
+  });
+}
+
+void BatchWorker::Report(const ReportAddress& address) {
+  const auto server = agent_.fleet().servers.find(address.owner);
+  const auto request = std::make_shared<proto::ReportWorkRequest>(
+      ledger_.TakeReports(address, [this](PartitionId partition) { return OwnerOf(partition); }));
+  request->set_incarnation(agent_.incarnation().value());
+  ReportState& state = reports_[address];
+  state.under_way = true;
+  state.next_renewal = environment_.Now() + options_.renewal;
+  CallPeer<proto::ReportWorkResponse>(
+      environment_, PeerEndpointOf(server->second), "queue.ReportWork", *request,
+      options_.report_deadline,
+      Guarded([this, address, request](const Result<proto::ReportWorkResponse>& result) {
+        ReportState& answered = reports_[address];
+        answered.under_way = false;
+        if (!result.ok()) {
+          answered.retry_at = environment_.Now() + options_.retry_delay;
+          ledger_.ReportFailed(*request);
+          NoteFailure("ReportWork", address.owner, result.status());
+          return;
+        }
+        ledger_.Reported(*request);
+        for (const std::uint64_t lease : result->ended_lease_ids()) {
+          EndLease(WorkLeaseId(lease));
+        }
+        RequestRun();
+      }));
+}
+
+void BatchWorker::EndLease(WorkLeaseId lease) {
+  if (ledger_.End(lease) != EndedAction::kWithdraw) {
+    return;
+  }
+  const auto call = calls_.find(lease);
+  if (call != calls_.end()) {
+    call->second->Cancel();
+    calls_.erase(call);
+  }
+  ledger_.FinishWithdrawn(lease);
+  environment_.metrics().Increment("batch_items_withdrawn_total");
+}
+
+void BatchWorker::NoteFailure(std::string_view method, NodeId node, const Status& status) {
+  environment_.metrics().Increment("batch_worker_call_failed_total",
+                                   {{"method", method}, {"reason", StatusCodeName(status.code())}});
+  const bool silent =
+      status.code() == StatusCode::kUnavailable || status.code() == StatusCode::kUnknownOutcome;
+  if (silent) {
+    agent_.ReportSuspect(node);
+  }
+}
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/gateway/batch_worker.h
@@ -0,0 +1,99 @@
+#pragma once
+/// @file
+/// Runs batch items in the room that live work leaves: asks the queue nodes for work, starts
+/// granted items while every right to do so holds, renews the leases of running ones and hands in
+/// results until an owner of the partition has answered. Decisions are made in `BatchWorkLedger`
+/// and `WorkOffers`.
+///
+/// A grant's time to start counts from when the question for work was *sent*, so a worker that
+/// froze finds old grants void. Threads: the owner's event loop only.
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "gateway/backend_caller.h"
+#include "gateway/batch_work_ledger.h"
+#include "gateway/batch_work_offers.h"
+#include "node/node_agent.h"
+#include "runtime/environment.h"
+
+namespace cloverbank {
+
+struct BatchWorkerOptions {
+  LedgerLimits limits;
+  WorkOfferOptions offers;
+  Duration tick = milliseconds(50);
+  Duration renewal = milliseconds(500);  ///< Between renewals of running items.
+  Duration acquire_grace = seconds(1);   ///< For an answer, beyond the hold.
+  Duration report_deadline = milliseconds(1500);
+  Duration retry_delay = milliseconds(200);      ///< After a call that failed.
+  Duration grant_patience = milliseconds(300);   ///< For room, before a grant is given back.
+  Duration default_item_deadline = seconds(60);  ///< For routes that set none.
+};
+
+class BatchWorker {
+ public:
+  BatchWorker(Environment& environment, NodeAgent& agent, BackendCaller& caller,
+              BatchWorkerOptions options = {});
+  ~BatchWorker();
+  BatchWorker(const BatchWorker&) = delete;
+  BatchWorker& operator=(const BatchWorker&) = delete;
+
+  /// Begins to ask for work, for as long as the worker lives.
+  void Start();
+  /// Asks for no more work; what is held is finished and reported.
+  void Drain() { draining_ = true; }
+
+  /// @return leases of items that are waiting or running.
+  std::size_t held() const { return ledger_.held(); }
+  /// @return results that no owner has answered yet.
+  std::size_t unreported() const { return ledger_.unreported(); }
+
+ private:
+  struct ReportState {
+    bool under_way = false;
+    TimePoint next_renewal;
+    TimePoint retry_at;
+  };
+
+  void RequestRun();
+  void Run();
+  void StartWaiting();
+  void StartItem(WorkLeaseId lease, const proto::Route& route);
+  bool MayLeave(WorkLeaseId lease);
+  void FinishItem(WorkLeaseId lease, const std::string& backend, const BackendOutcome& outcome);
+  void Acquire();
+  void AskForWork(const WorkOffer& offer, const proto::Server& server);
+  void TakeGrants(const proto::AcquireWorkResponse& response, NodeId gateway, TimePoint sent);
+  void SendReports();
+  void Report(const ReportAddress& address);
+  void EndLease(WorkLeaseId lease);
+  void NoteFailure(std::string_view method, NodeId node, const Status& status);
+
+  StartConditions Conditions() const;
+  BatchRoom FreeRoom() const;
+  std::vector<NodeId> OwningNodes() const;
+  NodeId OwnerOf(PartitionId partition) const;
+  /// Wraps `action` so that it does nothing once the worker is gone.
+  template <typename Action>
+  auto Guarded(Action action);
+
+  Environment& environment_;
+  NodeAgent& agent_;
+  BackendCaller& caller_;
+  BatchWorkerOptions options_;
+  BatchWorkLedger ledger_;
+  WorkOffers offers_;
+  std::map<WorkLeaseId, std::shared_ptr<BackendCall>> calls_;
+  std::map<ReportAddress, ReportState> reports_;
+  /// Back ends that turned an item away lately get no further ones until then.
+  std::map<std::string, TimePoint> paused_backends_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+  TimerId tick_timer_ = 0;
+  bool run_requested_ = false;
+  bool draining_ = false;
+};
+
+}  // namespace cloverbank
--- /dev/null
+++ b/tests/gateway/batch_worker_test.cc
@@ -0,0 +1,413 @@
+#include "gateway/batch_worker.h"
+
+#include <gtest/gtest.h>
+
+#include <deque>
+
+#include "node/fake_control.h"
+
+namespace cloverbank {
+namespace {
+
+/// A back end that takes `connect` until it asks whether to send, and `run` until it answers.
+class FakeBackend : public BackendCaller {
+ public:
+  struct Run : BackendCall {
+    void Cancel() override { cancelled = true; }
+    proto::Route route;
+    proto::CallRequest request;
+    std::function<bool()> may_start;
+    std::function<void(BackendOutcome)> done;
+    bool sent = false;
+    bool cancelled = false;
+  };
+
+  explicit FakeBackend(Environment& environment) : environment_(environment) {}
+
+  std::uint32_t FreeBatchSlots(const std::string& /*backend*/) const override { return slots; }
+
+  std::shared_ptr<BackendCall> RunBatchItem(const proto::Route& route,
+                                            const proto::CallRequest& request,
+                                            Duration /*deadline*/, std::function<bool()> may_start,
+                                            std::function<void(BackendOutcome)> done) override {
+    auto run = std::make_shared<Run>();
+    run->route = route;
+    run->request = request;
+    run->may_start = std::move(may_start);
+    run->done = std::move(done);
+    runs.push_back(run);
+    environment_.ScheduleAfter(connect, [this, run] { Send(run); });
+    return run;
+  }
+
+  std::uint32_t slots = 4;
+  Duration connect = milliseconds(5);
+  Duration run_time = milliseconds(100);
+  BackendOutcome outcome;  ///< Of every run that is sent.
+  std::vector<std::shared_ptr<Run>> runs;
+
+  std::size_t SentCount() const {
+    return static_cast<std::size_t>(
+        std::count_if(runs.begin(), runs.end(), [](const auto& run) { return run->sent; }));
+  }
+
+ private:
+  void Send(const std::shared_ptr<Run>& run) {
+    if (run->cancelled) {
+      return;
+    }
+    if (!run->may_start()) {
+      BackendOutcome refused;
+      refused.executed = proto::EXECUTED_NO;
+      run->done(refused);
+      return;
+    }
+    run->sent = true;
+    environment_.ScheduleAfter(run_time, [this, run] {
+      if (!run->cancelled) {
+        run->done(outcome);
+      }
+    });
+  }
+
+  Environment& environment_;
+};
+
+/// What the test scripts of one queue node, and what it saw.
+struct FakeQueue {
+  std::deque<proto::WorkGrant> work;
+  std::vector<std::uint64_t> ended;
+  StatusCode report_code = StatusCode::kOk;
+  int questions = 0;
+  std::map<std::uint64_t, proto::WorkReport> reports;  ///< Answered ones, by lease.
+  int report_calls = 0;
+  std::set<std::uint64_t> renewed;
+};
+
+class FakeQueueNode {
+ public:
+  FakeQueueNode(Environment& environment, FakeQueue& queue)
+      : environment_(environment), queue_(queue) {
+    ServePeer<proto::AcquireWorkRequest, proto::AcquireWorkResponse>(
+        environment, "queue.AcquireWork",
+        [this](const proto::AcquireWorkRequest& request, const std::string&, auto reply) {
+          ++queue_.questions;
+          const TimePoint until = environment_.Now() + milliseconds(request.hold_ms());
+          Grant(request.room(0).slots(), until, reply);
+        });
+    ServePeer<proto::ReportWorkRequest, proto::ReportWorkResponse>(
+        environment, "queue.ReportWork",
+        [this](const proto::ReportWorkRequest& request, const std::string&, auto reply) {
+          reply(TakeReport(request));
+        });
+  }
+
+ private:
+  void Grant(std::uint32_t slots, TimePoint until,
+             const std::function<void(Result<proto::AcquireWorkResponse>)>& reply) {
+    if (queue_.work.empty() && environment_.Now() < until) {
+      environment_.ScheduleAfter(milliseconds(5),
+                                 [this, slots, until, reply] { Grant(slots, until, reply); });
+      return;
+    }
+    proto::AcquireWorkResponse response;
+    for (; slots > 0 && !queue_.work.empty(); --slots) {
+      *response.add_grants() = queue_.work.front();
+      queue_.work.pop_front();
+    }
+    reply(response);
+  }
+
+  Result<proto::ReportWorkResponse> TakeReport(const proto::ReportWorkRequest& request) {
+    ++queue_.report_calls;
+    if (queue_.report_code != StatusCode::kOk) {
+      return Status(queue_.report_code, "scripted");
+    }
+    for (const proto::WorkReport& report : request.reports()) {
+      EXPECT_FALSE(queue_.reports.contains(report.lease_id())) << "answered reports stay answered";
+      queue_.reports[report.lease_id()] = report;
+    }
+    queue_.renewed.insert(request.running_lease_ids().begin(), request.running_lease_ids().end());
+    proto::ReportWorkResponse response;
+    response.mutable_ended_lease_ids()->Add(queue_.ended.begin(), queue_.ended.end());
+    return response;
+  }
+
+  Environment& environment_;
+  FakeQueue& queue_;
+};
+
+struct GatewayProgram {
+  GatewayProgram(Environment& environment, const NodeAgentOptions& agent_options,
+                 const BatchWorkerOptions& worker_options)
+      : agent(environment, agent_options),
+        backend(environment),
+        worker(environment, agent, backend, worker_options) {
+    agent.Start();
+    worker.Start();
+  }
+  NodeAgent agent;
+  FakeBackend backend;
+  BatchWorker worker;
+};
+
+class BatchWorkerTest : public testing::Test {
+ protected:
+  BatchWorkerTest() {
+    agent_options.role = proto::ROLE_GATEWAY;
+    agent_options.coordinators = AddFakeCoordinators(world, control);
+    for (FakeQueue* queue : {&q1, &q2}) {
+      const std::string name = queue == &q1 ? "q1" : "q2";
+      SimulatedMachine& machine = world.AddMachine(name, "10.0.2." + name.substr(1));
+      machine.SetProgram([queue](Environment& environment, DataFolder&) {
+        return std::make_shared<FakeQueueNode>(environment, *queue);
+      });
+      machine.Start();
+      proto::Server* server = control.fleet.add_servers();
+      server->set_node_id(queue == &q1 ? 101 : 102);
+      server->mutable_peer_endpoint()->set_host(machine.endpoint().host);
+      server->mutable_peer_endpoint()->set_port(machine.endpoint().port);
+    }
+    SetOwner(101);
+    SetRoute("audit", true);
+    SetRoute("unlock", false);
+    world.AddMachine("g", "10.0.0.1").SetProgram([this](Environment& environment, DataFolder&) {
+      auto program = std::make_shared<GatewayProgram>(environment, agent_options, options);
+      gateway = program.get();
+      gateway->backend.outcome.executed = proto::EXECUTED_YES;
+      gateway->backend.outcome.succeeded = true;
+      gateway->backend.outcome.answer.set_text("done");
+      return program;
+    });
+  }
+
+  void SetOwner(std::uint64_t node) {
+    control.fleet.clear_partitions();
+    control.fleet.add_partitions()->set_owner(node);
+    control.fleet.set_to_version(control.fleet.to_version() + 1);
+  }
+  void SetRoute(const std::string& name, bool idempotent) {
+    proto::ConfigurationChange change;
+    change.mutable_set_route()->set_name(name);
+    change.mutable_set_route()->set_backend("model");
+    change.mutable_set_route()->set_idempotent(idempotent);
+    AddChange(change);
+  }
+  void SetPaused(bool paused) {
+    proto::ConfigurationChange change;
+    change.mutable_set_batch()->set_paused(paused);
+    AddChange(change);
+  }
+  void AddChange(const proto::ConfigurationChange& change) {
+    control.changes.push_back(change);
+    ++control.configuration_version;
+  }
+  void AddWork(std::uint64_t lease, const std::string& route) {
+    proto::WorkGrant grant;
+    grant.set_lease_id(lease);
+    grant.set_batch_id("0-b");
+    grant.set_item_index(lease);
+    grant.set_route(route);
+    grant.set_idempotent(route == "audit");
+    grant.set_start_within_ms(2000);
+    q1.work.push_back(grant);
+  }
+  void Start() {
+    world.machine("g").Start();
+    ASSERT_TRUE(world.RunUntil([this] { return gateway->agent.LeaseValid() && q1.questions > 0; },
+                               seconds(5)));
+  }
+  bool WaitUntilRunning(std::size_t count) {
+    return world.RunUntil([this, count] { return gateway->backend.runs.size() == count; },
+                          seconds(2));
+  }
+  proto::WorkDisposition Disposition(const FakeQueue& queue, std::uint64_t lease) const {
+    const auto found = queue.reports.find(lease);
+    return found == queue.reports.end() ? proto::WORK_DISPOSITION_UNSPECIFIED
+                                        : found->second.disposition();
+  }
+
+  FakeControl control;
+  FakeQueue q1;
+  FakeQueue q2;
+  NodeAgentOptions agent_options;
+  BatchWorkerOptions options;
+  GatewayProgram* gateway = nullptr;
+  SimulatedWorld world{11};
+};
+
+TEST_F(BatchWorkerTest, RunsGrantedItemsAndReportsEachOnce) {
+  Start();
+  for (std::uint64_t lease = 1; lease <= 20; ++lease) {
+    AddWork(lease, lease % 2 == 0 ? "audit" : "unlock");
+  }
+  ASSERT_TRUE(world.RunUntil([this] { return q1.reports.size() == 20; }, seconds(5)));
+  world.RunFor(seconds(2));
+  EXPECT_EQ(gateway->backend.runs.size(), 20U);
+  EXPECT_EQ(q1.reports.at(7).outcome(), proto::ITEM_OUTCOME_SUCCEEDED);
+  EXPECT_EQ(q1.reports.at(7).output(), "done");
+  EXPECT_EQ(gateway->worker.held(), 0U);
+  EXPECT_EQ(gateway->worker.unreported(), 0U);
+}
+
+TEST_F(BatchWorkerTest, StartsNoMoreThanThereIsRoom) {
+  Start();
+  gateway->backend.run_time = seconds(1);
+  gateway->backend.slots = 0;
+  world.RunFor(seconds(2));  // Let held questions that offered room end.
+  for (std::uint64_t lease = 1; lease <= 9; ++lease) {
+    AddWork(lease, "audit");
+  }
+  world.RunFor(seconds(1));
+  EXPECT_TRUE(gateway->backend.runs.empty());
+  EXPECT_EQ(q1.work.size(), 9U);
+}
+
+TEST_F(BatchWorkerTest, RenewsRunningItems) {
+  Start();
+  gateway->backend.run_time = seconds(3);
+  AddWork(1, "unlock");
+  ASSERT_TRUE(WaitUntilRunning(1));
+  EXPECT_TRUE(world.RunUntil([this] { return q1.renewed.contains(1); }, milliseconds(700)));
+}
+
+TEST_F(BatchWorkerTest, FrozenWorkerStartsNothingOnAnOldGrant) {
+  Start();
+  gateway->backend.connect = milliseconds(50);
+  for (const std::uint64_t lease : {1, 2, 3}) {
+    AddWork(lease, "unlock");
+  }
+  ASSERT_TRUE(WaitUntilRunning(3));
+  world.machine("g").Freeze();  // Before any request left.
+  world.RunFor(seconds(25));
+  world.machine("g").Wake();
+  world.RunFor(seconds(5));
+  EXPECT_EQ(gateway->backend.SentCount(), 0U);
+  for (const std::uint64_t lease : {1, 2, 3}) {
+    EXPECT_EQ(Disposition(q1, lease), proto::WORK_DISPOSITION_NOT_RUN);
+  }
+}
+
+TEST_F(BatchWorkerTest, GrantThatArrivesAfterAFreezeIsNotStarted) {
+  Start();
+  world.machine("g").Freeze();
+  AddWork(1, "unlock");
+  world.RunFor(seconds(25));
+  world.machine("g").Wake();
+  world.RunFor(seconds(5));
+  EXPECT_EQ(gateway->backend.SentCount(), 0U);
+}
+
+TEST_F(BatchWorkerTest, ResultSurvivesAChangeOfOwner) {
+  Start();
+  AddWork(1, "unlock");
+  ASSERT_TRUE(WaitUntilRunning(1));
+  world.machine("q1").LosePower();
+  world.RunFor(seconds(1));
+  EXPECT_EQ(gateway->worker.unreported(), 1U);
+  q2.report_code = StatusCode::kUnavailable;  // Still replaying.
+  SetOwner(102);
+  world.RunFor(seconds(1));
+  EXPECT_GT(q2.report_calls, 1);
+  q2.report_code = StatusCode::kOk;
+  world.RunFor(seconds(1));
+  EXPECT_EQ(Disposition(q2, 1), proto::WORK_DISPOSITION_FINISHED);
+  EXPECT_EQ(gateway->worker.unreported(), 0U);
+}
+
+TEST_F(BatchWorkerTest, SilenceOfAReplicaIsReportedAsUnknown) {
+  Start();
+  gateway->backend.outcome = {};
+  gateway->backend.outcome.executed = proto::EXECUTED_UNKNOWN;
+  AddWork(1, "unlock");
+  world.RunFor(seconds(1));
+  EXPECT_EQ(Disposition(q1, 1), proto::WORK_DISPOSITION_UNKNOWN);
+}
+
+TEST_F(BatchWorkerTest, EndedLeasesAreWithdrawnUnlessThatWouldLoseTheTruth) {
+  Start();
+  gateway->backend.run_time = seconds(2);
+  AddWork(1, "audit");
+  AddWork(2, "unlock");
+  ASSERT_TRUE(WaitUntilRunning(2));
+  q1.ended = {1, 2};
+  ASSERT_TRUE(world.RunUntil([this] { return q1.reports.contains(1); }, seconds(1)));
+  EXPECT_TRUE(gateway->backend.runs[0]->cancelled);
+  EXPECT_EQ(Disposition(q1, 1), proto::WORK_DISPOSITION_UNKNOWN);
+  EXPECT_FALSE(gateway->backend.runs[1]->cancelled);
+  world.RunFor(seconds(3));
+  EXPECT_EQ(Disposition(q1, 2), proto::WORK_DISPOSITION_FINISHED);
+}
+
+TEST_F(BatchWorkerTest, StopsAskingWhileTooMuchIsUnreported) {
+  options.limits.largest_held = 5;
+  Start();
+  q1.report_code = StatusCode::kUnavailable;
+  for (std::uint64_t lease = 1; lease <= 50; ++lease) {
+    AddWork(lease, "audit");
+  }
+  world.RunFor(seconds(5));
+  EXPECT_LE(gateway->backend.runs.size(), 5U + gateway->backend.slots);
+  q1.report_code = StatusCode::kOk;
+  world.RunFor(seconds(5));
+  EXPECT_EQ(q1.reports.size(), 50U);
+}
+
+TEST_F(BatchWorkerTest, PausedBatchesStartNothing) {
+  Start();
+  gateway->backend.connect = milliseconds(200);
+  AddWork(1, "unlock");
+  ASSERT_TRUE(WaitUntilRunning(1));
+  SetPaused(true);
+  world.RunFor(seconds(2));
+  EXPECT_EQ(gateway->backend.SentCount(), 0U);
+  EXPECT_EQ(Disposition(q1, 1), proto::WORK_DISPOSITION_NOT_RUN);
+  const int questions = q1.questions;
+  world.RunFor(seconds(2));
+  EXPECT_EQ(q1.questions, questions);
+  SetPaused(false);
+  world.RunFor(seconds(1));
+  EXPECT_GT(q1.questions, questions);
+}
+
+TEST_F(BatchWorkerTest, ItemsWhoseRouteChangedItsPromiseFailWithoutRunning) {
+  Start();
+  SetRoute("audit", false);
+  world.RunFor(milliseconds(200));
+  AddWork(1, "audit");
+  AddWork(2, "removed");
+  world.RunFor(seconds(1));
+  EXPECT_TRUE(gateway->backend.runs.empty());
+  for (const std::uint64_t lease : {1, 2}) {
+    ASSERT_EQ(Disposition(q1, lease), proto::WORK_DISPOSITION_FINISHED);
+    EXPECT_EQ(q1.reports.at(lease).outcome(), proto::ITEM_OUTCOME_FAILED);
+  }
+}
+
+TEST(WorkOffersTest, IdleNodesShareTheRoomAndBusyOnesGetAllOfIt) {
+  const std::vector<NodeId> nodes = {NodeId(1), NodeId(2), NodeId(3)};
+  const BatchRoom free = {{"model", 6}};
+  WorkOffers offers;
+  TimePoint now{};
+  std::uint32_t offered = 0;
+  for (const WorkOffer& offer : offers.Next(now, nodes, free)) {
+    offered += offer.room.at("model");
+    EXPECT_GT(offer.hold, Duration::zero());
+  }
+  EXPECT_EQ(offered, 6U);
+  EXPECT_TRUE(offers.Next(now, nodes, free).empty()) << "one question a node at a time";
+
+  now += seconds(1);
+  offers.Answered(NodeId(1), 2, now);
+  offers.Answered(NodeId(2), 0, now);
+  offers.Failed(NodeId(3), now + seconds(1));
+  for (const WorkOffer& offer : offers.Next(now, nodes, free)) {
+    ASSERT_NE(offer.node, NodeId(3)) << "not before its retry time";
+    EXPECT_EQ(offer.room.at("model"), offer.node == NodeId(1) ? 6U : 2U);
+    EXPECT_EQ(offer.hold == Duration::zero(), offer.node == NodeId(1));
+  }
+  EXPECT_TRUE(offers.Next(now + seconds(2), nodes, {{"model", 0}}).empty());
+}
+
+}  // namespace
+}  // namespace cloverbank
