Take batches over HTTP and find the owner of their partition

A submission is checked item by item and refused whole with every mistake named. Calls to the owner wait while a partition has none and are sent again to a new owner; answers say what the client may assume.

--- /dev/null
+++ b/src/gateway/batch_api.cc
@@ -0,0 +1,295 @@
+#include "gateway/batch_api.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "gateway/batch_owner_call.h"
+#include "gateway/batch_validation.h"
+#include "gateway/http_json.h"
+#include "gateway/http_query.h"
+
+namespace cloverbank {
+namespace {
+
+constexpr Duration kReadDeadline = seconds(5);
+/// Long enough to ride through most recoveries of a queue node.
+constexpr Duration kChangeDeadline = seconds(10);
+constexpr std::uint32_t kRetryAfterMs = 1000;
+constexpr LimitRange kPageLimit = {.standard = 100, .largest = 1000};
+constexpr std::size_t kBatchIdSegment = 2;  // /v1/batches/{id}
+
+/// Takes a value that may come in a header or in a field. @return kInvalidArgument if they differ.
+Status MergeHeader(const HttpRequest& request, std::string_view header, const std::string& field,
+                   std::string* value) {
+  const std::string_view given = FindHeader(request.headers, header);
+  if (given.empty()) {
+    return Status::Ok();
+  }
+  if (!value->empty() && *value != given) {
+    return {StatusCode::kInvalidArgument, "the header " + std::string(header) + " and the field " +
+                                              field + " differ; send one of them"};
+  }
+  *value = std::string(given);
+  return Status::Ok();
+}
+
+Status ReadSubmission(const HttpRequest& request, proto::SubmitBatch* batch) {
+  Status status = FromJson(request.body, batch);
+  if (status.ok()) {
+    status = MergeHeader(request, "X-Tenant", "tenant", batch->mutable_tenant());
+  }
+  if (status.ok()) {
+    status = MergeHeader(request, "Idempotency-Key", "idempotency_key",
+                         batch->mutable_idempotency_key());
+  }
+  if (status.ok() && batch->tenant().empty()) {
+    return {StatusCode::kInvalidArgument,
+            "the tenant is missing: send the header X-Tenant or the field tenant"};
+  }
+  if (status.ok() && batch->idempotency_key().empty()) {
+    return {StatusCode::kInvalidArgument,
+            "the idempotency key is missing: send the header Idempotency-Key or the field "
+            "idempotency_key, and keep it when resending, so that the batch is accepted once"};
+  }
+  return status;
+}
+
+void SendProblems(HttpResponder& responder, const std::vector<std::string>& problems) {
+  proto::CallError error;
+  error.set_code("invalid_batch");
+  error.set_message(
+      "this submission is refused whole; mend every problem listed. If it resends one "
+      "whose answer was lost, look for that one in GET /v1/batches first");
+  error.set_executed(proto::EXECUTED_NO);
+  for (const std::string& problem : problems) {
+    error.add_problems(problem);
+  }
+  SendError(responder, 422, error);
+}
+
+/// Reads change nothing, so their failures always say "not run".
+void SendReadFailure(HttpResponder& responder, const Status& status) {
+  SendStatus(responder, ReadFailure(status), proto::EXECUTED_NO);
+}
+
+/// @param advice how the client learns or gets what it wanted.
+void SendChangeFailure(HttpResponder& responder, const Status& status, const std::string& advice) {
+  const int http_status = HttpStatusFor(status.code());
+  const bool refused = http_status < 500 || status.code() == StatusCode::kUnavailable;
+  proto::CallError error;
+  error.set_code(std::string(StatusCodeName(status.code())));
+  error.set_message(refused ? status.message() : status.message() + "; " + advice);
+  error.set_executed(refused ? proto::EXECUTED_NO : proto::EXECUTED_UNKNOWN);
+  if (http_status == 429 || http_status >= 500) {
+    error.set_retry_after_ms(kRetryAfterMs);
+  }
+  SendError(responder, http_status, error);
+}
+
+const proto::Route& RouteNamed(const proto::RoutingConfiguration& configuration,
+                               const std::string& name) {
+  return *std::find_if(configuration.routes().begin(), configuration.routes().end(),
+                       [&name](const proto::Route& route) { return route.name() == name; });
+}
+
+}  // namespace
+
+BatchApi::BatchApi(Environment& environment, HttpRouter& router, NodeAgent& agent)
+    : environment_(environment), agent_(agent) {
+  const auto handle = [this, &router](
+                          std::string_view method, std::string_view pattern,
+                          void (BatchApi::*handler)(const HttpRequest&, const Responder&)) {
+    router.Handle(method, pattern,
+                  [this, handler](const HttpRequest& request, const Responder& responder) {
+                    (this->*handler)(request, responder);
+                  });
+  };
+  handle("POST", "/v1/batches", &BatchApi::Submit);
+  handle("GET", "/v1/batches", &BatchApi::List);
+  handle("GET", "/v1/batches/{id}", &BatchApi::Get);
+  handle("GET", "/v1/batches/{id}/results", &BatchApi::ListResults);
+  handle("POST", "/v1/batches/{id}/cancel", &BatchApi::Cancel);
+}
+
+template <typename Response, typename Request>
+void BatchApi::CallOwner(std::string_view method, const Request& request, Duration deadline,
+                         std::function<void(Result<Response>)> done) {
+  OwnerCallOptions options;
+  options.method = std::string(method);
+  options.body = request.SerializeAsString();
+  options.partition = PartitionId(request.partition_id());
+  options.deadline = deadline;
+  BatchOwnerCall::Start(environment_, agent_, alive_, std::move(options),
+                        [done = std::move(done)](PeerReply reply) {
+                          if (!reply.status.ok()) {
+                            done(std::move(reply.status));
+                            return;
+                          }
+                          Response response;
+                          if (!response.ParseFromString(reply.body)) {
+                            done(Status(StatusCode::kInternal, "malformed queue node answer"));
+                            return;
+                          }
+                          done(std::move(response));
+                        });
+}
+
+bool BatchApi::CheckServing(HttpResponder& responder) {
+  if (!agent_.LeaseValid() || agent_.partition_count() == 0) {
+    environment_.metrics().Increment("batch_request_refused_total", {{"reason", "node_lease"}});
+    SendStatus(responder,
+               Status(StatusCode::kLeaseExpired,
+                      "this gateway has lost touch with control; try another one, or again later"),
+               proto::EXECUTED_NO);
+    return false;
+  }
+  return true;
+}
+
+bool BatchApi::ReadBatchId(const HttpRequest& request, HttpResponder& responder,
+                           std::string* batch_id, PartitionId* partition) {
+  if (!CheckServing(responder)) {
+    return false;
+  }
+  *batch_id = std::string(PathSegment(request.path, kBatchIdSegment));
+  const Result<PartitionId> found = PartitionOfBatch(*batch_id, agent_.partition_count());
+  if (!found.ok()) {
+    SendStatus(responder, found.status(), proto::EXECUTED_NO);
+    return false;
+  }
+  *partition = *found;
+  return true;
+}
+
+void BatchApi::Submit(const HttpRequest& request, const Responder& responder) {
+  if (!CheckServing(*responder)) {
+    return;
+  }
+  proto::SubmitBatchRequest submit;
+  proto::SubmitBatch& batch = *submit.mutable_batch();
+  const Status read = ReadSubmission(request, &batch);
+  if (!read.ok()) {
+    environment_.metrics().Increment("batch_request_refused_total", {{"reason", "malformed"}});
+    SendStatus(*responder, read, proto::EXECUTED_NO);
+    return;
+  }
+  const std::vector<std::string> problems = FindBatchProblems(batch, agent_.configuration());
+  if (!problems.empty()) {
+    environment_.metrics().Increment("batch_request_refused_total", {{"reason", "invalid"}});
+    SendProblems(*responder, problems);
+    return;
+  }
+  submit.set_partition_id(PartitionOfTenant(batch.tenant(), agent_.partition_count()).value());
+  submit.set_idempotent(RouteNamed(agent_.configuration(), batch.route()).idempotent());
+  CallOwner<proto::SubmitBatchResponse>(
+      "queue.SubmitBatch", submit, kChangeDeadline,
+      [responder](const Result<proto::SubmitBatchResponse>& result) {
+        if (result.ok()) {
+          SendJson(*responder, result->resent() ? 200 : 201, result->status());
+        } else {
+          SendChangeFailure(*responder, result.status(),
+                            "send the same batch again with the same idempotency key, to any "
+                            "gateway: it is accepted once");
+        }
+      });
+}
+
+void BatchApi::List(const HttpRequest& request, const Responder& responder) {
+  if (!CheckServing(*responder)) {
+    return;
+  }
+  std::string tenant(FindHeader(request.query, "tenant"));
+  Status read = MergeHeader(request, "X-Tenant", "tenant", &tenant);
+  const Result<std::uint32_t> limit = ReadLimit(request.query, kPageLimit);
+  if (read.ok() && tenant.empty()) {
+    read = Status(StatusCode::kInvalidArgument,
+                  "the tenant is missing: send the header X-Tenant or the parameter tenant");
+  }
+  if (!read.ok() || !limit.ok()) {
+    SendStatus(*responder, read.ok() ? limit.status() : read, proto::EXECUTED_NO);
+    return;
+  }
+  proto::ListBatchesRequest list;
+  list.set_partition_id(PartitionOfTenant(tenant, agent_.partition_count()).value());
+  list.set_tenant(tenant);
+  list.set_cursor(std::string(FindHeader(request.query, "cursor")));
+  list.set_limit(*limit);
+  CallOwner<proto::ListBatchesResponse>(
+      "queue.ListBatches", list, kReadDeadline,
+      [responder](const Result<proto::ListBatchesResponse>& result) {
+        if (result.ok()) {
+          SendJson(*responder, 200, result->list());
+        } else {
+          SendReadFailure(*responder, result.status());
+        }
+      });
+}
+
+void BatchApi::Get(const HttpRequest& request, const Responder& responder) {
+  std::string batch_id;
+  PartitionId partition;
+  if (!ReadBatchId(request, *responder, &batch_id, &partition)) {
+    return;
+  }
+  proto::GetBatchRequest get;
+  get.set_partition_id(partition.value());
+  get.set_batch_id(batch_id);
+  CallOwner<proto::GetBatchResponse>("queue.GetBatch", get, kReadDeadline,
+                                     [responder](const Result<proto::GetBatchResponse>& result) {
+                                       if (result.ok()) {
+                                         SendJson(*responder, 200, result->status());
+                                       } else {
+                                         SendReadFailure(*responder, result.status());
+                                       }
+                                     });
+}
+
+void BatchApi::ListResults(const HttpRequest& request, const Responder& responder) {
+  std::string batch_id;
+  PartitionId partition;
+  if (!ReadBatchId(request, *responder, &batch_id, &partition)) {
+    return;
+  }
+  const Result<std::uint32_t> limit = ReadLimit(request.query, kPageLimit);
+  if (!limit.ok()) {
+    SendStatus(*responder, limit.status(), proto::EXECUTED_NO);
+    return;
+  }
+  proto::ListResultsRequest list;
+  list.set_partition_id(partition.value());
+  list.set_batch_id(batch_id);
+  list.set_cursor(std::string(FindHeader(request.query, "cursor")));
+  list.set_limit(*limit);
+  CallOwner<proto::ListResultsResponse>(
+      "queue.ListResults", list, kReadDeadline,
+      [responder](const Result<proto::ListResultsResponse>& result) {
+        if (result.ok()) {
+          SendJson(*responder, 200, result->list());
+        } else {
+          SendReadFailure(*responder, result.status());
+        }
+      });
+}
+
+void BatchApi::Cancel(const HttpRequest& request, const Responder& responder) {
+  std::string batch_id;
+  PartitionId partition;
+  if (!ReadBatchId(request, *responder, &batch_id, &partition)) {
+    return;
+  }
+  proto::CancelBatchRequest cancel;
+  cancel.set_partition_id(partition.value());
+  cancel.set_batch_id(batch_id);
+  CallOwner<proto::CancelBatchResponse>(
+      "queue.CancelBatch", cancel, kChangeDeadline,
+      [responder](const Result<proto::CancelBatchResponse>& result) {
+        if (result.ok()) {
+          SendJson(*responder, 200, result->status());
+        } else {
+          SendChangeFailure(*responder, result.status(), "send the cancel again, to any gateway");
+        }
+      });
+}
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/gateway/batch_api.h
@@ -0,0 +1,53 @@
+#pragma once
+/// @file
+/// Adapter: the batch clients' HTTP interface (docs/API.md). Any gateway answers, by asking the
+/// owner of the tenant's partition.
+///
+///     POST /v1/batches                 hands in a batch: 201, or 200 for one handed in before
+///     GET  /v1/batches                 a tenant's batches in order of acceptance
+///     GET  /v1/batches/{id}            one batch
+///     GET  /v1/batches/{id}/results    its results in the order in which they came
+///     POST /v1/batches/{id}/cancel     starts nothing more of it
+///
+/// Threads: the owner's event loop only.
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "net/http_types.h"
+#include "node/node_agent.h"
+#include "proto/batch.pb.h"
+#include "runtime/environment.h"
+
+namespace cloverbank {
+
+class BatchApi {
+ public:
+  /// Registers the handlers. `router` must not serve any more once this or `agent` is gone.
+  BatchApi(Environment& environment, HttpRouter& router, NodeAgent& agent);
+
+ private:
+  using Responder = std::shared_ptr<HttpResponder>;
+
+  void Submit(const HttpRequest& request, const Responder& responder);
+  void List(const HttpRequest& request, const Responder& responder);
+  void Get(const HttpRequest& request, const Responder& responder);
+  void ListResults(const HttpRequest& request, const Responder& responder);
+  void Cancel(const HttpRequest& request, const Responder& responder);
+
+  /// @return whether this gateway may act and knows its partitions; else it has answered.
+  bool CheckServing(HttpResponder& responder);
+  /// @return whether the path's batch id names a partition; else it has answered.
+  bool ReadBatchId(const HttpRequest& request, HttpResponder& responder, std::string* batch_id,
+                   PartitionId* partition);
+  template <typename Response, typename Request>
+  void CallOwner(std::string_view method, const Request& request, Duration deadline,
+                 std::function<void(Result<Response>)> done);
+
+  Environment& environment_;
+  NodeAgent& agent_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/gateway/batch_owner_call.cc
@@ -0,0 +1,124 @@
+#include "gateway/batch_owner_call.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cloverbank {
+namespace {
+
+constexpr Duration kCheckInterval = milliseconds(50);
+constexpr Duration kRetryDelay = milliseconds(100);
+
+/// What an answer says about going on.
+enum class ReplyMeaning : std::uint8_t {
+  kFinal,  ///< The owner's answer.
+  kNotCarriedOut,
+  kMayHaveBeen,
+};
+
+ReplyMeaning Interpret(const Status& status) {
+  switch (status.code()) {
+    case StatusCode::kUnavailable:
+    case StatusCode::kNotLeader:
+      return ReplyMeaning::kNotCarriedOut;
+    case StatusCode::kConflict:
+      return status.detail() == kNotOwnerDetail ? ReplyMeaning::kNotCarriedOut
+                                                : ReplyMeaning::kFinal;
+    case StatusCode::kUnknownOutcome:
+    case StatusCode::kFenced:
+    case StatusCode::kStaleEpoch:
+    case StatusCode::kLeaseExpired:
+    case StatusCode::kCancelled:
+      return ReplyMeaning::kMayHaveBeen;
+    default:
+      return ReplyMeaning::kFinal;
+  }
+}
+
+}  // namespace
+
+void BatchOwnerCall::Start(Environment& environment, NodeAgent& agent, std::weak_ptr<void> owner,
+                           OwnerCallOptions options, PeerReplyCallback done) {
+  std::make_shared<BatchOwnerCall>(environment, agent, std::move(owner), std::move(options),
+                                   std::move(done))
+      ->Check();
+}
+
+BatchOwnerCall::BatchOwnerCall(Environment& environment, NodeAgent& agent,
+                               std::weak_ptr<void> owner, OwnerCallOptions options,
+                               PeerReplyCallback done)
+    : environment_(environment),
+      agent_(agent),
+      owner_(std::move(owner)),
+      options_(std::move(options)),
+      done_(std::move(done)),
+      end_(environment.Now() + options_.deadline) {}
+
+void BatchOwnerCall::Check() {
+  if (owner_.expired() || done_ == nullptr) {
+    return;
+  }
+  const TimePoint now = environment_.Now();
+  if (now >= end_) {
+    const bool unknown = outcome_unknown_ || asked_.valid();
+    std::string message = unknown ? "the batch's queue node gave no answer in time"
+                                  : "the batch's queue node can not be reached";
+    if (!last_failure_.ok()) {
+      message += "; last: " + last_failure_.ToString();
+    }
+    const StatusCode code = unknown ? StatusCode::kUnknownOutcome : StatusCode::kUnavailable;
+    Finish({Status(code, std::move(message)), {}});
+    return;
+  }
+  const proto::Server* server = agent_.fleet().OwnerOf(options_.partition);
+  const bool changed = server != nullptr && NodeId(server->node_id()) != asked_;
+  if (changed && (asked_.valid() || now >= retry_at_)) {
+    SendTo(*server);
+  }
+  environment_.ScheduleAfter(std::min(kCheckInterval, end_ - now),
+                             [self = shared_from_this()] { self->Check(); });
+}
+
+void BatchOwnerCall::SendTo(const proto::Server& server) {
+  outcome_unknown_ = outcome_unknown_ || asked_.valid();  // Its earlier node may still do it.
+  asked_ = NodeId(server.node_id());
+  ++attempt_;
+  const Endpoint endpoint{server.peer_endpoint().host(),
+                          static_cast<std::uint16_t>(server.peer_endpoint().port())};
+  environment_.CallPeer(endpoint, options_.method, options_.body, end_ - environment_.Now(),
+                        [self = shared_from_this(), attempt = attempt_](PeerReply reply) {
+                          if (!self->owner_.expired() && self->done_ != nullptr) {
+                            self->TakeReply(attempt, std::move(reply));
+                          }
+                        });
+}
+
+void BatchOwnerCall::TakeReply(std::uint64_t attempt, PeerReply reply) {
+  const ReplyMeaning meaning = Interpret(reply.status);
+  const bool current = attempt == attempt_;
+  // An earlier owner that answers late was right if it succeeded; its refusals no longer count.
+  if (reply.status.ok() || (meaning == ReplyMeaning::kFinal && current)) {
+    Finish(std::move(reply));
+    return;
+  }
+  if (!current) {
+    return;
+  }
+  const bool unreachable = reply.status.code() == StatusCode::kUnavailable ||
+                           reply.status.code() == StatusCode::kUnknownOutcome;
+  if (unreachable) {
+    agent_.ReportSuspect(asked_);
+  }
+  outcome_unknown_ = outcome_unknown_ || meaning == ReplyMeaning::kMayHaveBeen;
+  last_failure_ = reply.status;
+  asked_ = NodeId();
+  retry_at_ = environment_.Now() + kRetryDelay;
+}
+
+void BatchOwnerCall::Finish(PeerReply reply) {
+  auto done = std::move(done_);
+  done_ = nullptr;
+  done(std::move(reply));
+}
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/gateway/batch_owner_call.h
@@ -0,0 +1,59 @@
+#pragma once
+/// @file
+/// One call to the owner of a batch partition, whoever that is by then: waits while the partition
+/// has none, and asks the new owner when it changes under way. Only for methods that may be
+/// repeated. Threads: the owner's event loop only.
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "base/ids.h"
+#include "base/status.h"
+#include "base/time.h"
+#include "node/node_agent.h"
+#include "runtime/environment.h"
+
+namespace cloverbank {
+
+/// Detail of a kConflict by a queue node that does not own the named partition.
+inline constexpr std::string_view kNotOwnerDetail = "not_owner";
+
+struct OwnerCallOptions {
+  std::string method;
+  std::string body;
+  PartitionId partition;
+  Duration deadline{};
+};
+
+class BatchOwnerCall : public std::enable_shared_from_this<BatchOwnerCall> {
+ public:
+  /// Starts a call that keeps itself alive until `done` has run; it is dropped without a word once
+  /// `owner` is gone. At the deadline the status is kUnavailable if no owner can have carried it
+  /// out, else kUnknownOutcome.
+  static void Start(Environment& environment, NodeAgent& agent, std::weak_ptr<void> owner,
+                    OwnerCallOptions options, PeerReplyCallback done);
+
+  BatchOwnerCall(Environment& environment, NodeAgent& agent, std::weak_ptr<void> owner,
+                 OwnerCallOptions options, PeerReplyCallback done);
+
+ private:
+  void Check();
+  void SendTo(const proto::Server& server);
+  void TakeReply(std::uint64_t attempt, PeerReply reply);
+  void Finish(PeerReply reply);
+
+  Environment& environment_;
+  NodeAgent& agent_;
+  std::weak_ptr<void> owner_;
+  OwnerCallOptions options_;
+  PeerReplyCallback done_;
+  TimePoint end_;
+  TimePoint retry_at_;
+  NodeId asked_;               ///< The node whose answer is awaited; invalid if none.
+  std::uint64_t attempt_ = 0;  ///< Of earlier ones only success counts.
+  bool outcome_unknown_ = false;
+  Status last_failure_;
+};
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/gateway/batch_validation.cc
@@ -0,0 +1,126 @@
+#include "gateway/batch_validation.h"
+
+#include <algorithm>
+#include <charconv>
+#include <unordered_map>
+#include <utility>
+
+#include "base/checksum.h"
+
+namespace cloverbank {
+namespace {
+
+constexpr std::size_t kMostProblems = 100;
+
+/// Collects mistakes, counting those beyond the number that is shown.
+class ProblemList {
+ public:
+  void Add(const std::string& place, const std::string& what) {
+    if (problems_.size() < kMostProblems) {
+      problems_.push_back(place + ": " + what);
+    } else {
+      ++more_;
+    }
+  }
+  std::vector<std::string> Take() {
+    if (more_ > 0) {
+      problems_.push_back("and " + std::to_string(more_) + " more");
+    }
+    return std::move(problems_);
+  }
+
+ private:
+  std::vector<std::string> problems_;
+  std::size_t more_ = 0;
+};
+
+template <typename List>
+auto FindNamed(const List& list, const std::string& name) {
+  return std::find_if(list.begin(), list.end(),
+                      [&name](const auto& object) { return object.name() == name; });
+}
+
+void CheckName(const std::string& place, const std::string& name, ProblemList& problems) {
+  if (name.empty()) {
+    problems.Add(place, "is missing");
+  } else if (name.size() > kLongestName) {
+    problems.Add(place, "has " + std::to_string(name.size()) + " bytes, at most " +
+                            std::to_string(kLongestName) + " are allowed");
+  }
+}
+
+void CheckRoute(const std::string& name, const proto::RoutingConfiguration& configuration,
+                ProblemList& problems) {
+  if (name.empty()) {
+    problems.Add("route", "is missing; name a route that accepts batches");
+    return;
+  }
+  const auto route = FindNamed(configuration.routes(), name);
+  if (route == configuration.routes().end()) {
+    problems.Add("route", "there is no route \"" + name + "\"");
+  } else if (!route->accepts_batches()) {
+    problems.Add("route", "route \"" + name +
+                              "\" does not accept batches; an operator can set "
+                              "accepts_batches on it");
+  }
+}
+
+void CheckTenant(const std::string& tenant, const proto::RoutingConfiguration& configuration,
+                 ProblemList& problems) {
+  CheckName("tenant", tenant, problems);
+  const bool known = configuration.tenants().empty() ||
+                     FindNamed(configuration.tenants(), tenant) != configuration.tenants().end();
+  if (!known) {
+    problems.Add("tenant", "there is no tenant \"" + tenant + "\"");
+  }
+}
+
+void CheckItems(const proto::SubmitBatch& batch, ProblemList& problems) {
+  if (batch.items().empty()) {
+    problems.Add("items", "is empty; a batch has at least one item");
+  }
+  if (batch.items_size() > kLargestBatchItems) {
+    problems.Add("items", "has " + std::to_string(batch.items_size()) + " items, at most " +
+                              std::to_string(kLargestBatchItems) + " are allowed");
+    return;
+  }
+  std::unordered_map<std::string, int> first_use;
+  for (int index = 0; index < batch.items_size(); ++index) {
+    const std::string& id = batch.items(index).custom_id();
+    const std::string place = "items[" + std::to_string(index) + "].custom_id";
+    CheckName(place, id, problems);
+    const auto [first, fresh] = first_use.emplace(id, index);
+    if (!fresh && !id.empty()) {
+      problems.Add(place, "\"" + id.substr(0, kLongestName) + "\" is used by items[" +
+                              std::to_string(first->second) + "] already");
+    }
+  }
+}
+
+}  // namespace
+
+std::vector<std::string> FindBatchProblems(const proto::SubmitBatch& batch,
+                                           const proto::RoutingConfiguration& configuration) {
+  ProblemList problems;
+  CheckTenant(batch.tenant(), configuration, problems);
+  CheckName("idempotency_key", batch.idempotency_key(), problems);
+  CheckRoute(batch.route(), configuration, problems);
+  CheckItems(batch, problems);
+  return problems.Take();
+}
+
+PartitionId PartitionOfTenant(const std::string& tenant, std::uint32_t partition_count) {
+  return PartitionId(Checksum(tenant) % partition_count);
+}
+
+Result<PartitionId> PartitionOfBatch(const std::string& batch_id, std::uint32_t partition_count) {
+  std::uint64_t partition = 0;
+  const char* end = batch_id.data() + batch_id.size();
+  const auto [stop, error] = std::from_chars(batch_id.data(), end, partition);
+  if (error != std::errc() || stop == end || *stop != '-' || partition >= partition_count) {
+    return Status(StatusCode::kNotFound, "there is no batch \"" + batch_id + "\"");
+  }
+  return PartitionId(partition);
+}
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/gateway/batch_validation.h
@@ -0,0 +1,30 @@
+#pragma once
+/// @file
+/// Pure: checks a submission against the configuration before it is sent to its partition's owner.
+/// Nothing of it is taken unless all of it is right, so every mistake is named at once.
+
+#include <string>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/status.h"
+#include "proto/batch.pb.h"
+#include "proto/configuration.pb.h"
+
+namespace cloverbank {
+
+inline constexpr int kLargestBatchItems = 100'000;
+inline constexpr std::size_t kLongestName = 256;  ///< Bytes of a custom id, tenant or key.
+
+/// @return every mistake, each naming its place ("items[3].custom_id: ..."); empty if there is
+/// none. A long list ends with how many more there are.
+std::vector<std::string> FindBatchProblems(const proto::SubmitBatch& batch,
+                                           const proto::RoutingConfiguration& configuration);
+
+/// @return the partition that all batches of `tenant` belong to. Requires `partition_count` > 0.
+PartitionId PartitionOfTenant(const std::string& tenant, std::uint32_t partition_count);
+/// @return the partition in a batch id ("<partition>-<hexadecimal number>"), or kNotFound for text
+/// that is no id of a partition below `partition_count`.
+Result<PartitionId> PartitionOfBatch(const std::string& batch_id, std::uint32_t partition_count);
+
+}  // namespace cloverbank
