--- /dev/null
+++ b/tests/gateway/adapter_harness.h
@@ -0,0 +1,68 @@
+#pragma once
+/// @file
+/// Drives HTTP adapters in tests without sockets.
+
+#include <memory>
+#include <string>
+
+#include "gateway/http_json.h"
+#include "net/route_table.h"
+
+namespace cloverbank {
+
+/// Keeps the one answer to a request.
+struct RecordedAnswer : HttpResponder {
+  void Send(HttpResponse sent) override {
+    ++count;
+    response = std::move(sent);
+  }
+  void StartStream(int /*status*/, HttpHeaders /*headers*/) override {}
+  void WritePiece(std::string /*piece*/, std::function<void(bool)> /*written*/) override {}
+  void FinishStream() override {}
+  void Abort() override {}
+  void OnDisconnect(std::function<void()> /*gone*/) override {}
+
+  /// @return the body read as a `Message`, or an empty one.
+  template <typename Message>
+  Message Body() const {
+    Message message;
+    EXPECT_TRUE(FromJson(response.body, &message).ok()) << response.body;
+    return message;
+  }
+  proto::CallError Error() const { return Body<proto::ErrorBody>().error(); }
+  std::string Header(std::string_view name) const {
+    return std::string(FindHeader(response.headers, name));
+  }
+
+  int count = 0;
+  HttpResponse response;
+};
+
+/// Routes as the server does, and hands requests over at once.
+class AdapterHarness : public HttpRouter {
+ public:
+  void Handle(std::string_view method, std::string_view pattern, HttpHandler handler) override {
+    routes_.Add(method, pattern, std::move(handler));
+  }
+
+  std::shared_ptr<RecordedAnswer> Send(const std::string& method, const std::string& path,
+                                       const std::string& body = {}, HttpHeaders headers = {},
+                                       HttpHeaders query = {}) {
+    auto answer = std::make_shared<RecordedAnswer>();
+    const RouteTable::Match match = routes_.Find(method, path);
+    EXPECT_NE(match.handler, nullptr) << method << " " << path;
+    HttpRequest request;
+    request.method = method;
+    request.path = path;
+    request.body = body;
+    request.headers = std::move(headers);
+    request.query = std::move(query);
+    (*match.handler)(std::move(request), answer);
+    return answer;
+  }
+
+ private:
+  RouteTable routes_;
+};
+
+}  // namespace cloverbank
--- a/tests/node/fake_control.h
+++ b/tests/node/fake_control.h
@@ -32,6 +32,8 @@
   std::vector<proto::RegisterServerRequest> registrations;
   std::vector<proto::HeartbeatRequest> heartbeats;
   std::vector<proto::SubmitTransactionRequest> transactions;
+  std::vector<std::string> retired;
+  proto::TransactionResult transaction_result;  ///< Answer to every transaction.
 
   void AddRoute(const std::string& name) {
     proto::ConfigurationChange change;
@@ -52,11 +54,7 @@
         endpoints_(std::move(endpoints)) {
     Serve<proto::RegisterServerRequest, proto::RegisterServerResponse>(
         "coordinator.RegisterServer", [this](const auto& request) { return Register(request); });
-    Serve<proto::SubmitTransactionRequest, proto::SubmitTransactionResponse>(
-        "coordinator.SubmitTransaction", [this](const auto& request) {
-          control_.transactions.push_back(request);
-          return Result<proto::SubmitTransactionResponse>(proto::SubmitTransactionResponse());
-        });
+    ServeOperators();
     ServePeer<proto::HeartbeatRequest, proto::HeartbeatResponse>(
         environment_, "coordinator.Heartbeat",
         [this](const proto::HeartbeatRequest& request, const std::string&, HeartbeatReply reply) {
@@ -80,6 +78,38 @@
                                  });
   }
 
+  void ServeOperators() {
+    Serve<proto::SubmitTransactionRequest, proto::SubmitTransactionResponse>(
+        "coordinator.SubmitTransaction", [this](const auto& request) {
+          control_.transactions.push_back(request);
+          proto::SubmitTransactionResponse response;
+          *response.mutable_result() = control_.transaction_result;
+          return Result<proto::SubmitTransactionResponse>(response);
+        });
+    Serve<proto::GetConfigurationRequest, proto::GetConfigurationResponse>(
+        "coordinator.GetConfiguration", [](const auto& request) {
+          proto::GetConfigurationResponse response;
+          response.set_in_force_version(6);
+          for (std::uint32_t record = 0; record < request.history(); ++record) {
+            response.add_history();
+          }
+          return Result<proto::GetConfigurationResponse>(response);
+        });
+    Serve<proto::GetFleetStatusRequest, proto::GetFleetStatusResponse>(
+        "coordinator.GetFleetStatus", [](const auto&) {
+          proto::GetFleetStatusResponse response;
+          response.add_problems("a problem");
+          return Result<proto::GetFleetStatusResponse>(response);
+        });
+    Serve<proto::RetireServerRequest, proto::RetireServerResponse>(
+        "coordinator.RetireServer", [this](const auto& request) {
+          control_.retired.push_back(request.machine());
+          proto::RetireServerResponse response;
+          response.add_node_ids(8);
+          return Result<proto::RetireServerResponse>(response);
+        });
+  }
+
   Status NotLeader() const {
     const auto leader = endpoints_.find(control_.leader);
     const bool known = control_.hints && leader != endpoints_.end();
