--- /dev/null
+++ b/src/consensus/raft_core.h
@@ -0,0 +1,207 @@
+#pragma once
+/// @file
+/// Raft as a pure state machine (Ongaro and Ousterhout, "In Search of an Understandable Consensus Algorithm", and
+/// Ongaro's dissertation for pre-vote (9.6), check-quorum and leases (6.4.1), learners (4.2.1)). It holds no
+/// socket, file, thread or clock: every input names the time, and what is to be done about it is
+/// collected until `TakeEffects`. Call that after each input.
+///
+/// Invariants:
+///  - No answer and no vote request leaves before the term, vote and entries it rests on are synced.
+///  - Terms and votes never go back, whichever cluster a member belongs to.
+///  - A member that heard a leader less than the minimum election timeout ago, or started less than that
+///    ago, votes for nobody. The leader's lease rests on this.
+///  - A leader counts itself only up to its own synced index.
+///
+/// Threads: not thread-safe; the owner's event loop only.
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "base/status.h"
+#include "base/time.h"
+#include "consensus/raft_log.h"
+#include "consensus/raft_peer.h"
+#include "consensus/raft_types.h"
+
+namespace cloverbank {
+
+/// Where a proposal went in the log.
+struct RaftPosition {
+  std::uint64_t index = 0;
+  std::uint64_t term = 0;
+};
+
+class RaftCore {
+ public:
+  /// Starts as a follower that may have promised its vote to a leader just before it stopped.
+  RaftCore(const RaftCoreOptions& options, RaftDurableState state, TimePoint now);
+
+  /// Does what has fallen due. To be called at `NextWakeup` or later.
+  void Tick(TimePoint now);
+  TimePoint NextWakeup() const { return next_wakeup_; }
+  /// @return what the inputs since the last call ask for.
+  RaftEffects TakeEffects() { return std::exchange(effects_, {}); }
+
+  // Requests of other members, admitted by `AdmitSender`.
+  void HandleRequestVote(TimePoint now, const proto::RequestVoteRequest& request,
+                         RaftReplyToken token);
+  void HandleAppendEntries(TimePoint now, const proto::AppendEntriesRequest& request,
+                           RaftReplyToken token);
+  void HandleInstallSnapshot(TimePoint now, const proto::InstallSnapshotRequest& request,
+                             RaftReplyToken token);
+
+  // Outcomes of this member's own requests.
+  void HandleRequestVoteResponse(TimePoint now, const proto::RequestVoteRequest& request,
+                                 const proto::RequestVoteResponse& response);
+  void HandleAppendEntriesResponse(TimePoint now, const proto::AppendEntriesResponse& response);
+  void HandleInstallSnapshotResponse(TimePoint now,
+                                     const proto::InstallSnapshotResponse& response);
+  /// No answer came to the message `sequence` that was sent to `member_id`.
+  void HandleCallFailed(std::uint64_t member_id, std::uint64_t sequence);
+
+  /// Every write up to `write` is synced.
+  void HandlePersisted(TimePoint now, RaftWriteId write);
+
+  /// Appends a command. kNotLeader: not appended; kResourceExhausted: not appended, too many wait.
+  Result<RaftPosition> Propose(TimePoint now, std::string command);
+  /// Takes `member` in as a learner, in place of any other at its endpoint or of `replaces`.
+  /// OK when it is in the group already; kUnavailable when another change is under way.
+  Status AddLearner(TimePoint now, const proto::RaftMember& member, std::uint64_t replaces);
+  /// Makes `snapshot`, taken of the applied state, durable, and shortens the log afterwards.
+  void StoreSnapshot(std::uint64_t index, std::string state);
+
+  /// Whether a message of `cluster_id` to `recipient_id` is meant for this member. A member without a
+  /// configuration takes on the cluster of whoever knows its id, for it has told only seeds and leaders.
+  Status AdmitSender(std::uint64_t cluster_id, std::uint64_t recipient_id);
+  /// Writes the first configuration, as the lowest seed. Requires `IsEmpty()`.
+  void Bootstrap(std::uint64_t cluster_id, const proto::RaftConfiguration& configuration);
+
+  /// Whether no other member can lead now, and all that earlier leaders committed is applied.
+  bool HasLeaderLease(TimePoint now) const;
+  /// Whether this member leads and has committed an entry of its own term.
+  bool IsReadyLeader() const;
+  /// Whether this member has never held a configuration: it can not have acknowledged anything.
+  bool IsEmpty() const { return log_.configuration().members().empty(); }
+  /// Whether the configuration in force here contains this member.
+  bool IsMember() const;
+
+  RaftRole role() const { return role_; }
+  std::uint64_t term() const { return metadata_.current_term(); }
+  std::uint64_t member_id() const { return metadata_.member_id(); }
+  std::uint64_t cluster_id() const { return metadata_.cluster_id(); }
+  /// 0 if unknown.
+  std::uint64_t leader_id() const { return leader_id_; }
+  std::uint64_t commit_index() const { return commit_index_; }
+  /// Index of the first entry of this leader's term.
+  std::uint64_t term_start_index() const { return term_start_index_; }
+  bool IsWritingSnapshot() const { return snapshot_write_ != 0; }
+  const RaftLog& log() const { return log_; }
+  const proto::RaftConfiguration& configuration() const { return log_.configuration(); }
+
+ private:
+  // raft_core.cc: terms, timers, writes.
+  void BecomeFollower(TimePoint now, std::uint64_t new_term, std::uint64_t leader_id);
+  void HeardLeader(TimePoint now);
+  void ResetElectionTimer(TimePoint now, Duration minimum, Duration maximum);
+  void WriteMetadata();
+  void AppendToLog(proto::RaftEntry entry);
+  RaftWrite& NewWrite();
+  void Reply(RaftReply reply, RaftWriteId after);
+  void Refuse(std::string_view reason) { effects_.refusals.push_back(reason); }
+  void Fail(std::string_view reason);
+  Duration RandomBetween(Duration minimum, Duration maximum);
+  void SetCommitIndex(std::uint64_t index);
+  bool IsVoter(std::uint64_t member_id) const;
+  std::size_t VoterCount() const;
+  std::size_t Majority() const { return VoterCount() / 2 + 1; }
+
+  // raft_core_election.cc
+  void StartPreVote(TimePoint now);
+  void StartElection(TimePoint now);
+  void CountVote(TimePoint now, std::uint64_t voter_id);
+  void SendVoteRequests();
+  void BecomeLeader(TimePoint now);
+  bool PromisedToLeader(TimePoint now) const;
+  bool MayVote(TimePoint now, const proto::RequestVoteRequest& request);
+  bool IsUpToDate(const proto::RequestVoteRequest& request) const;
+
+  // raft_core_follower.cc
+  bool AcceptLeader(TimePoint now, std::uint64_t leader_term, std::uint64_t leader_id);
+  bool MatchesPrevious(const proto::AppendEntriesRequest& request) const;
+  std::uint64_t RetryHint(const proto::AppendEntriesRequest& request) const;
+  bool StoreEntries(const proto::AppendEntriesRequest& request);
+  void TruncateLog(std::uint64_t index);
+  void InstallReceivedSnapshot(const proto::InstallSnapshotRequest& request);
+  void CompactLog(std::uint64_t snapshot_index);
+  void WriteWholeLog();
+
+  // raft_core_replication.cc
+  void LeaderTick(TimePoint now);
+  void SendTo(TimePoint now, RaftPeer& peer, bool heartbeat);
+  void SendEntries(TimePoint now, RaftPeer& peer, bool with_entries);
+  void SendSnapshotChunk(TimePoint now, RaftPeer& peer);
+  std::uint64_t NextSequence(TimePoint now, RaftPeer& peer);
+  void SendNewEntries(TimePoint now);
+  RaftPeer* AnsweringPeer(TimePoint now, std::uint64_t response_term, std::uint64_t follower_id,
+                          std::uint64_t sequence);
+  void BackUp(TimePoint now, RaftPeer& peer, std::uint64_t hint);
+  void AdvanceCommit(TimePoint now);
+  TimePoint QuorumHeardSince(TimePoint now, bool count_start_of_term) const;
+
+  // raft_core_membership.cc
+  void ProposeConfiguration(TimePoint now, const proto::RaftConfiguration& configuration);
+  void RebuildPeers();
+  void AdvanceMembership(TimePoint now);
+  std::optional<proto::RaftConfiguration> NextConfiguration(TimePoint now) const;
+  bool HasActiveMajority(TimePoint now, const proto::RaftConfiguration& configuration) const;
+  bool IsActive(TimePoint now, std::uint64_t member_id) const;
+  bool IsCaughtUp(TimePoint now, std::uint64_t member_id) const;
+  bool MayChangeMembership() const;
+
+  const RaftCoreOptions options_;
+  RaftEffects effects_;
+  std::uint64_t random_state_;
+
+  // Durable state and how much of it is synced.
+  proto::RaftMetadata metadata_;
+  RaftLog log_;
+  std::shared_ptr<const proto::RaftSnapshot> snapshot_;
+  RaftWriteId last_write_ = 0;
+  RaftWriteId last_metadata_write_ = 0;
+  RaftWriteId persisted_write_ = 0;
+  std::uint64_t synced_index_ = 0;
+  /// (write, last index that it leaves in the log) of the writes under way.
+  std::deque<std::pair<RaftWriteId, std::uint64_t>> unsynced_writes_;
+  std::multimap<RaftWriteId, RaftReply> waiting_replies_;
+  /// The own snapshot that is being written, and by which write.
+  RaftWriteId snapshot_write_ = 0;
+
+  RaftRole role_ = RaftRole::kFollower;
+  std::uint64_t leader_id_ = 0;
+  std::uint64_t commit_index_ = 0;
+  TimePoint next_wakeup_;
+  TimePoint promised_until_;
+
+  // Candidates.
+  std::set<std::uint64_t> votes_;
+  RaftWriteId vote_write_ = 0;
+  bool vote_requests_sent_ = false;
+
+  // Leader.
+  std::map<std::uint64_t, RaftPeer> peers_;
+  std::uint64_t term_start_index_ = 0;
+  TimePoint term_started_;
+  std::uint64_t last_sequence_ = 0;
+
+  // A snapshot being received: all chunks so far.
+  proto::RaftSnapshot incoming_snapshot_;
+  std::uint64_t incoming_term_ = 0;
+};
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/consensus/raft_core_election.cc
@@ -0,0 +1,168 @@
+// Elections: Raft section 5.2 and 5.4.1; pre-vote and check-quorum: Ongaro's dissertation, 9.6 and 6.2.
+#include <limits>
+
+#include "consensus/raft_core.h"
+
+namespace cloverbank {
+
+void RaftCore::StartPreVote(TimePoint now) {
+  leader_id_ = 0;
+  if (!IsVoter(member_id())) {
+    BecomeFollower(now, term(), 0);
+    ResetElectionTimer(now, options_.minimum_election_timeout, options_.maximum_election_timeout);
+    return;
+  }
+  role_ = RaftRole::kPreCandidate;
+  votes_.clear();
+  // A refused pre-vote has cost nobody anything, so it is repeated soon: the others may only have
+  // heard the leader a little later than this member.
+  ResetElectionTimer(now, options_.heartbeat_interval, 2 * options_.heartbeat_interval);
+  SendVoteRequests();
+  CountVote(now, member_id());
+}
+
+void RaftCore::StartElection(TimePoint now) {
+  role_ = RaftRole::kCandidate;
+  votes_.clear();
+  vote_requests_sent_ = false;
+  metadata_.set_current_term(term() + 1);
+  metadata_.set_voted_for(member_id());
+  WriteMetadata();
+  vote_write_ = last_metadata_write_;  // Goes on in HandlePersisted.
+  ResetElectionTimer(now, options_.minimum_election_timeout / 2,
+                     options_.maximum_election_timeout / 2);
+}
+
+void RaftCore::SendVoteRequests() {
+  const bool pre_vote = role_ == RaftRole::kPreCandidate;
+  for (const proto::RaftMember& member : configuration().members()) {
+    if (member.learner() || member.member_id() == member_id()) {
+      continue;
+    }
+    proto::RequestVoteRequest request;
+    request.set_term(pre_vote ? term() + 1 : term());
+    request.set_candidate_id(member_id());
+    request.set_last_log_index(log_.last_index());
+    request.set_last_log_term(log_.last_term());
+    request.set_pre_vote(pre_vote);
+    request.set_cluster_id(cluster_id());
+    request.set_recipient_id(member.member_id());
+    const auto port = static_cast<std::uint16_t>(member.endpoint().port());
+    effects_.messages.push_back(
+        {member.member_id(), Endpoint{member.endpoint().host(), port}, std::move(request)});
+  }
+}
+
+void RaftCore::CountVote(TimePoint now, std::uint64_t voter_id) {
+  if (!IsVoter(voter_id)) {
+    return;
+  }
+  votes_.insert(voter_id);
+  if (votes_.size() < Majority()) {
+    return;
+  }
+  if (role_ == RaftRole::kPreCandidate) {
+    StartElection(now);
+  } else {
+    BecomeLeader(now);
+  }
+}
+
+void RaftCore::BecomeLeader(TimePoint now) {
+  role_ = RaftRole::kLeader;
+  leader_id_ = member_id();
+  term_started_ = now;
+  peers_.clear();
+  RebuildPeers();
+  proto::RaftEntry entry;
+  entry.set_index(log_.last_index() + 1);
+  entry.set_term(term());
+  entry.mutable_no_op();
+  AppendToLog(std::move(entry));
+  term_start_index_ = log_.last_index();
+  next_wakeup_ = now;
+  LeaderTick(now);
+}
+
+bool RaftCore::PromisedToLeader(TimePoint now) const {
+  if (role_ == RaftRole::kLeader) {
+    return now < QuorumHeardSince(now, true) + options_.minimum_election_timeout;
+  }
+  return now < promised_until_;
+}
+
+bool RaftCore::IsUpToDate(const proto::RequestVoteRequest& request) const {
+  if (request.last_log_term() != log_.last_term()) {
+    return request.last_log_term() > log_.last_term();
+  }
+  return request.last_log_index() >= log_.last_index();
+}
+
+bool RaftCore::MayVote(TimePoint now, const proto::RequestVoteRequest& request) {
+  if (request.term() < term() || (request.pre_vote() && request.term() == term())) {
+    Refuse("vote_stale_term");
+    return false;
+  }
+  if (!request.leadership_transfer() && PromisedToLeader(now)) {
+    Refuse("vote_leader_alive");
+    return false;
+  }
+  if (!request.pre_vote() && request.term() > term()) {
+    BecomeFollower(now, request.term(), 0);
+  }
+  const std::uint64_t voted_for = metadata_.voted_for();
+  if (!request.pre_vote() && voted_for != 0 && voted_for != request.candidate_id()) {
+    Refuse("vote_given_to_another");
+    return false;
+  }
+  if (!IsUpToDate(request)) {
+    Refuse("vote_log_behind");
+    return false;
+  }
+  return true;
+}
+
+void RaftCore::HandleRequestVote(TimePoint now, const proto::RequestVoteRequest& request,
+                                 RaftReplyToken token) {
+  proto::RequestVoteResponse response;
+  response.set_granted(MayVote(now, request));
+  if (response.granted() && !request.pre_vote()) {
+    if (metadata_.voted_for() != request.candidate_id()) {
+      metadata_.set_voted_for(request.candidate_id());
+      WriteMetadata();
+    }
+    ResetElectionTimer(now, options_.minimum_election_timeout, options_.maximum_election_timeout);
+  }
+  response.set_term(term());
+  response.set_voter_id(member_id());
+  Reply({token, std::move(response)}, last_metadata_write_);
+}
+
+void RaftCore::HandleRequestVoteResponse(TimePoint now, const proto::RequestVoteRequest& request,
+                                         const proto::RequestVoteResponse& response) {
+  if (response.term() > term()) {
+    BecomeFollower(now, response.term(), 0);
+    return;
+  }
+  const bool counts = response.granted() && response.voter_id() == request.recipient_id();
+  const bool pre_vote_wanted = role_ == RaftRole::kPreCandidate && request.term() == term() + 1;
+  const bool vote_wanted = role_ == RaftRole::kCandidate && request.term() == term();
+  if (counts && (request.pre_vote() ? pre_vote_wanted : vote_wanted)) {
+    CountVote(now, response.voter_id());
+  }
+}
+
+bool RaftCore::HasLeaderLease(TimePoint now) const {
+  if (!IsReadyLeader()) {
+    return false;
+  }
+  const Duration lease =
+      options_.minimum_election_timeout * (100 - options_.lease_margin_percent) / 100;
+  return now < QuorumHeardSince(now, false) + lease;
+}
+
+bool RaftCore::IsReadyLeader() const {
+  return role_ == RaftRole::kLeader && commit_index_ >= term_start_index_;
+}
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/consensus/raft_core_follower.cc
@@ -0,0 +1,191 @@
+// Receiving entries and snapshots: Raft sections 5.3 and 7.
+#include <algorithm>
+#include <limits>
+
+#include "consensus/raft_core.h"
+
+namespace cloverbank {
+
+bool RaftCore::AcceptLeader(TimePoint now, std::uint64_t leader_term, std::uint64_t leader_id) {
+  if (leader_term < term()) {
+    Refuse("leader_stale_term");
+    return false;
+  }
+  if (role_ == RaftRole::kLeader && leader_term == term()) {
+    Fail("two leaders in one term");
+    return false;
+  }
+  BecomeFollower(now, leader_term, leader_id);
+  HeardLeader(now);
+  return true;
+}
+
+void RaftCore::HandleAppendEntries(TimePoint now, const proto::AppendEntriesRequest& request,
+                                   RaftReplyToken token) {
+  proto::AppendEntriesResponse response;
+  response.set_follower_id(member_id());
+  response.set_sequence(request.sequence());
+  const bool accepted = AcceptLeader(now, request.term(), request.leader_id());
+  response.set_term(term());
+  if (!accepted) {
+    Reply({token, std::move(response)}, last_metadata_write_);
+    return;
+  }
+  if (!MatchesPrevious(request)) {
+    response.set_match_index(RetryHint(request));
+    Reply({token, std::move(response)}, last_metadata_write_);
+    return;
+  }
+  if (!StoreEntries(request)) {
+    response.set_match_index(commit_index_);
+    Reply({token, std::move(response)}, last_metadata_write_);
+    return;
+  }
+  const std::uint64_t last_new_index =
+      request.previous_log_index() + static_cast<std::uint64_t>(request.entries_size());
+  SetCommitIndex(std::min({request.leader_commit(), last_new_index, log_.last_index()}));
+  response.set_success(true);
+  if (request.entries().empty()) {
+    // A heartbeat does not wait for entries being synced; it vouches only for those that are.
+    response.set_match_index(std::min(last_new_index, synced_index_));
+    Reply({token, std::move(response)}, last_metadata_write_);
+  } else {
+    response.set_match_index(last_new_index);
+    Reply({token, std::move(response)}, last_write_);
+  }
+}
+
+bool RaftCore::MatchesPrevious(const proto::AppendEntriesRequest& request) const {
+  const std::uint64_t previous = request.previous_log_index();
+  if (previous < log_.base_index()) {
+    return true;  // Part of a snapshot, hence committed, hence the same on every leader.
+  }
+  return log_.TermAt(previous) == request.previous_log_term();
+}
+
+std::uint64_t RaftCore::RetryHint(const proto::AppendEntriesRequest& request) const {
+  const std::uint64_t previous = request.previous_log_index();
+  if (previous > log_.last_index()) {
+    return log_.last_index();
+  }
+  // Skips the whole term that conflicts (end of Raft section 5.3), but nothing committed.
+  return std::max(log_.FirstIndexOfTermAt(previous) - 1, commit_index_);
+}
+
+bool RaftCore::StoreEntries(const proto::AppendEntriesRequest& request) {
+  std::uint64_t expected_index = request.previous_log_index();
+  for (const proto::RaftEntry& entry : request.entries()) {
+    ++expected_index;
+    if (entry.index() != expected_index || entry.term() > request.term()) {
+      Refuse("malformed_entries");
+      return false;
+    }
+    if (entry.index() <= log_.base_index()) {
+      continue;
+    }
+    const std::optional<std::uint64_t> held_term = log_.TermAt(entry.index());
+    if (held_term == entry.term()) {
+      continue;
+    }
+    if (held_term) {
+      if (entry.index() <= commit_index_) {
+        Fail("a leader contradicts a committed entry");
+        return false;
+      }
+      TruncateLog(entry.index());
+    }
+    AppendToLog(entry);
+  }
+  return true;
+}
+
+void RaftCore::TruncateLog(std::uint64_t index) {
+  // No write of its own: the entry that follows replaces this one and all after it on the disk too.
+  log_.TruncateFrom(index);
+  const std::uint64_t last_kept = index - 1;
+  synced_index_ = std::min(synced_index_, last_kept);
+  for (auto& [write, last_index] : unsynced_writes_) {
+    last_index = std::min(last_index, last_kept);
+  }
+}
+
+void RaftCore::HandleInstallSnapshot(TimePoint now, const proto::InstallSnapshotRequest& request,
+                                     RaftReplyToken token) {
+  proto::InstallSnapshotResponse response;
+  response.set_follower_id(member_id());
+  response.set_sequence(request.sequence());
+  const bool accepted = AcceptLeader(now, request.term(), request.leader_id());
+  response.set_term(term());
+  if (!accepted) {
+    Reply({token, std::move(response)}, last_metadata_write_);
+    return;
+  }
+  if (request.last_included_index() <= commit_index_) {
+    response.set_next_offset(std::numeric_limits<std::uint64_t>::max());
+    Reply({token, std::move(response)}, last_write_);
+    return;
+  }
+  const bool same = incoming_term_ == request.term() &&
+                    incoming_snapshot_.last_included_index() == request.last_included_index();
+  if (!same || request.offset() == 0) {
+    incoming_snapshot_.Clear();
+    incoming_snapshot_.set_last_included_index(request.last_included_index());
+    incoming_term_ = request.term();
+  }
+  if (request.offset() == incoming_snapshot_.state().size()) {
+    incoming_snapshot_.mutable_state()->append(request.data());
+    response.set_next_offset(incoming_snapshot_.state().size());
+    if (request.done()) {
+      InstallReceivedSnapshot(request);
+    }
+  } else {
+    response.set_next_offset(incoming_snapshot_.state().size());
+    Refuse("snapshot_offset");
+  }
+  Reply({token, std::move(response)}, request.done() ? last_write_ : last_metadata_write_);
+}
+
+void RaftCore::InstallReceivedSnapshot(const proto::InstallSnapshotRequest& request) {
+  const std::uint64_t index = request.last_included_index();
+  auto snapshot = std::make_shared<proto::RaftSnapshot>(std::move(incoming_snapshot_));
+  incoming_snapshot_.Clear();
+  incoming_term_ = 0;
+  snapshot->set_last_included_term(request.last_included_term());
+  *snapshot->mutable_configuration() = request.configuration();
+  snapshot_ = std::move(snapshot);
+  if (log_.TermAt(index) == request.last_included_term()) {
+    log_.CompactTo(index);
+  } else {
+    log_.Reset(index, request.last_included_term(), request.configuration());
+  }
+  commit_index_ = index;
+  // Nothing of the new log is synced until it is written whole.
+  synced_index_ = 0;
+  unsynced_writes_.clear();
+  // Entries committed in the same round lie before the snapshot.
+  effects_.committed.clear();
+  effects_.restore = snapshot_;
+  NewWrite().snapshot = snapshot_;
+  WriteWholeLog();
+}
+
+void RaftCore::CompactLog(std::uint64_t snapshot_index) {
+  const std::uint64_t trailing = std::min(snapshot_index, options_.trailing_entries);
+  const std::uint64_t new_base = snapshot_index - trailing;
+  if (new_base > log_.base_index()) {
+    log_.CompactTo(new_base);
+    WriteWholeLog();
+  }
+}
+
+void RaftCore::WriteWholeLog() {
+  RaftWrite& write = NewWrite();
+  write.replaces_log = true;
+  write.base_index = log_.base_index();
+  write.base_term = log_.base_term();
+  write.entries = log_.Slice(log_.base_index() + 1, std::numeric_limits<std::size_t>::max(),
+                             std::numeric_limits<std::size_t>::max());
+  unsynced_writes_.emplace_back(write.id, log_.last_index());
+}
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/consensus/raft_core_membership.cc
@@ -0,0 +1,189 @@
+// Membership: one member at a time (Ongaro's dissertation, 4.1-4.3), new ones as learners first.
+//
+// Replacing a member whose disk was emptied. The group {A, B, C} has lost C's disk; C' is the same machine under a new
+// id. Exchanging C for C' in one entry would be unsafe: {A, C} and {B, C'} do not intersect, and C's disk
+// may after all come back. So there are two steps, each of one voter:
+//  - C is silent: remove C, then promote C'. Before and in between A and B are both needed, so the
+//    step in between costs nothing; with four voters (promote first) A, B and C' would all be needed.
+//  - C still answers (replacement by another machine): promote first, then remove C, because {A, B}
+//    in between would tolerate no failure while four voters tolerate one.
+// Every step is taken only while a majority of the next configuration is heard. All that is needed to go on is in
+// the configuration (`RaftMember.replaces`), so that another leader finishes what one began.
+#include <algorithm>
+
+#include "consensus/raft_core.h"
+
+namespace cloverbank {
+namespace {
+
+bool SameEndpoint(const proto::RaftMember& left, const proto::RaftMember& right) {
+  return left.endpoint().host() == right.endpoint().host() &&
+         left.endpoint().port() == right.endpoint().port();
+}
+
+const proto::RaftMember* FindMember(const proto::RaftConfiguration& configuration,
+                                    std::uint64_t member_id) {
+  for (const proto::RaftMember& member : configuration.members()) {
+    if (member.member_id() == member_id) {
+      return &member;
+    }
+  }
+  return nullptr;
+}
+
+proto::RaftConfiguration Without(const proto::RaftConfiguration& configuration,
+                                 std::uint64_t member_id) {
+  proto::RaftConfiguration rest;
+  for (const proto::RaftMember& member : configuration.members()) {
+    if (member.member_id() == member_id) {
+      continue;
+    }
+    proto::RaftMember* kept = rest.add_members();
+    *kept = member;
+    if (kept->replaces() == member_id) {
+      kept->clear_replaces();
+    }
+  }
+  return rest;
+}
+
+proto::RaftConfiguration WithPromoted(const proto::RaftConfiguration& configuration,
+                                      std::uint64_t member_id) {
+  proto::RaftConfiguration promoted = configuration;
+  for (proto::RaftMember& member : *promoted.mutable_members()) {
+    if (member.member_id() == member_id) {
+      member.set_learner(false);
+    }
+  }
+  return promoted;
+}
+
+}  // namespace
+
+bool RaftCore::MayChangeMembership() const {
+  // A leader must have committed an entry of its own term first (Ongaro's correction of 2015), and
+  // the last change must be committed.
+  return IsReadyLeader() && log_.configuration_index() <= commit_index_;
+}
+
+Status RaftCore::AddLearner(TimePoint now, const proto::RaftMember& member,
+                            std::uint64_t replaces) {
+  if (role_ != RaftRole::kLeader) {
+    return {StatusCode::kNotLeader, "this member does not lead the group"};
+  }
+  if (FindMember(configuration(), member.member_id()) != nullptr) {
+    return Status::Ok();
+  }
+  if (!MayChangeMembership()) {
+    Refuse("membership_change_pending");
+    return {StatusCode::kUnavailable, "another membership change is under way"};
+  }
+  proto::RaftMember learner = member;
+  learner.set_learner(true);
+  learner.set_replaces(FindMember(configuration(), replaces) != nullptr ? replaces : 0);
+  proto::RaftConfiguration next;
+  for (const proto::RaftMember& present : configuration().members()) {
+    const bool displaced = SameEndpoint(present, member) || present.member_id() == replaces;
+    if (displaced && present.learner()) {
+      continue;  // Learners do not count: they may come and go along with another change.
+    }
+    if (displaced) {
+      learner.set_replaces(present.member_id());
+    }
+    *next.add_members() = present;
+  }
+  if (learner.replaces() == member_id()) {
+    Refuse("replaces_leader");
+    return {StatusCode::kConflict, "the leader can not be replaced"};
+  }
+  if (learner.replaces() == 0 &&
+      static_cast<std::size_t>(next.members_size()) >= options_.maximum_members) {
+    Refuse("group_full");
+    return {StatusCode::kConflict, "the group is complete; name the member to replace"};
+  }
+  *next.add_members() = std::move(learner);
+  ProposeConfiguration(now, next);
+  return Status::Ok();
+}
+
+void RaftCore::ProposeConfiguration(TimePoint now, const proto::RaftConfiguration& configuration) {
+  proto::RaftEntry entry;
+  entry.set_index(log_.last_index() + 1);
+  entry.set_term(term());
+  *entry.mutable_configuration() = configuration;
+  AppendToLog(std::move(entry));
+  RebuildPeers();
+  SendNewEntries(now);
+}
+
+void RaftCore::RebuildPeers() {
+  for (auto peer = peers_.begin(); peer != peers_.end();) {
+    const bool gone = FindMember(configuration(), peer->first) == nullptr;
+    peer = gone ? peers_.erase(peer) : std::next(peer);
+  }
+  for (const proto::RaftMember& member : configuration().members()) {
+    if (member.member_id() == member_id()) {
+      continue;
+    }
+    const auto [peer, added] = peers_.try_emplace(member.member_id());
+    peer->second.member = member;
+    if (added) {
+      peer->second.next_index = log_.last_index() + 1;
+    }
+  }
+}
+
+bool RaftCore::IsActive(TimePoint now, std::uint64_t id) const {
+  if (id == member_id()) {
+    return true;
+  }
+  const auto peer = peers_.find(id);
+  return peer != peers_.end() && peer->second.heard_since &&
+         now - *peer->second.heard_since < options_.maximum_election_timeout;
+}
+
+bool RaftCore::IsCaughtUp(TimePoint now, std::uint64_t id) const {
+  const auto peer = peers_.find(id);
+  return IsActive(now, id) && peer != peers_.end() && peer->second.match_index >= commit_index_;
+}
+
+bool RaftCore::HasActiveMajority(TimePoint now,
+                                 const proto::RaftConfiguration& configuration) const {
+  std::size_t voters = 0;
+  std::size_t active = 0;
+  for (const proto::RaftMember& member : configuration.members()) {
+    if (!member.learner()) {
+      ++voters;
+      active += IsActive(now, member.member_id()) ? 1 : 0;
+    }
+  }
+  return active > voters / 2;
+}
+
+std::optional<proto::RaftConfiguration> RaftCore::NextConfiguration(TimePoint now) const {
+  for (const proto::RaftMember& member : configuration().members()) {
+    const proto::RaftMember* replaced = FindMember(configuration(), member.replaces());
+    const bool promotable = member.learner() && IsCaughtUp(now, member.member_id());
+    const bool old_is_silent = replaced != nullptr && !IsActive(now, replaced->member_id());
+    if (replaced != nullptr && replaced->member_id() != member_id() &&
+        (!member.learner() || (promotable && old_is_silent))) {
+      return Without(configuration(), replaced->member_id());
+    }
+    if (promotable) {
+      return WithPromoted(configuration(), member.member_id());
+    }
+  }
+  return std::nullopt;
+}
+
+void RaftCore::AdvanceMembership(TimePoint now) {
+  if (!MayChangeMembership()) {
+    return;
+  }
+  const std::optional<proto::RaftConfiguration> next = NextConfiguration(now);
+  if (next && HasActiveMajority(now, *next)) {
+    ProposeConfiguration(now, *next);
+  }
+}
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/consensus/raft_core_replication.cc
@@ -0,0 +1,237 @@
+// Leading: log replication (Raft section 5.3 and 5.4.2), heartbeats, check-quorum, sending snapshots.
+#include <algorithm>
+#include <functional>
+
+#include "consensus/raft_core.h"
+
+namespace cloverbank {
+namespace {
+
+/// A message with entries or snapshot bytes is sent again when no answer came for this many
+/// heartbeats. It may still be under way or waiting for a sync: receiving it twice does no harm.
+constexpr int kResendAfterHeartbeats = 3;
+
+Endpoint EndpointOf(const proto::RaftMember& member) {
+  return {member.endpoint().host(), static_cast<std::uint16_t>(member.endpoint().port())};
+}
+
+}  // namespace
+
+void RaftCore::LeaderTick(TimePoint now) {
+  if (now >= QuorumHeardSince(now, true) + options_.maximum_election_timeout) {
+    Refuse("quorum_lost");
+    BecomeFollower(now, term(), 0);
+    return;
+  }
+  for (auto& [id, peer] : peers_) {
+    SendTo(now, peer, true);
+  }
+  AdvanceMembership(now);
+  next_wakeup_ = now + options_.heartbeat_interval;
+}
+
+void RaftCore::SendTo(TimePoint now, RaftPeer& peer, bool heartbeat) {
+  const Duration resend_after = kResendAfterHeartbeats * options_.heartbeat_interval;
+  if (peer.in_flight != 0 && now - peer.in_flight_since >= resend_after) {
+    peer.in_flight = 0;
+  }
+  const bool may_send_data = peer.in_flight == 0 && !peer.probing;
+  if (may_send_data && (peer.snapshot || peer.next_index <= log_.base_index())) {
+    SendSnapshotChunk(now, peer);
+  } else if (may_send_data && peer.next_index <= log_.last_index()) {
+    SendEntries(now, peer, true);
+  } else if (heartbeat) {
+    SendEntries(now, peer, false);
+  }
+}
+
+std::uint64_t RaftCore::NextSequence(TimePoint now, RaftPeer& peer) {
+  ++last_sequence_;
+  peer.sent_at[last_sequence_] = now;
+  return last_sequence_;
+}
+
+void RaftCore::SendEntries(TimePoint now, RaftPeer& peer, bool with_entries) {
+  proto::AppendEntriesRequest request;
+  request.set_term(term());
+  request.set_leader_id(member_id());
+  request.set_leader_commit(commit_index_);
+  request.set_cluster_id(cluster_id());
+  request.set_recipient_id(peer.member.member_id());
+  request.set_sequence(NextSequence(now, peer));
+  // While entries are under way a heartbeat may overtake them, so it rests on what is known to match.
+  const std::uint64_t previous = peer.in_flight != 0 ? peer.match_index : peer.next_index - 1;
+  if (const std::optional<std::uint64_t> previous_term = log_.TermAt(previous)) {
+    request.set_previous_log_index(previous);
+    request.set_previous_log_term(*previous_term);
+  }
+  if (with_entries) {
+    for (proto::RaftEntry& entry : log_.Slice(peer.next_index, options_.maximum_append_entries,
+                                              options_.maximum_append_bytes)) {
+      *request.add_entries() = std::move(entry);
+    }
+    peer.in_flight = request.sequence();
+    peer.in_flight_since = now;
+  }
+  effects_.messages.push_back(
+      {peer.member.member_id(), EndpointOf(peer.member), std::move(request)});
+}
+
+void RaftCore::SendSnapshotChunk(TimePoint now, RaftPeer& peer) {
+  if (!peer.snapshot) {
+    peer.snapshot = snapshot_;
+    peer.snapshot_offset = 0;
+  }
+  const std::string& state = peer.snapshot->state();
+  proto::InstallSnapshotRequest request;
+  request.set_term(term());
+  request.set_leader_id(member_id());
+  request.set_cluster_id(cluster_id());
+  request.set_recipient_id(peer.member.member_id());
+  request.set_sequence(NextSequence(now, peer));
+  request.set_last_included_index(peer.snapshot->last_included_index());
+  request.set_last_included_term(peer.snapshot->last_included_term());
+  *request.mutable_configuration() = peer.snapshot->configuration();
+  request.set_offset(peer.snapshot_offset);
+  request.set_data(state.substr(peer.snapshot_offset, options_.snapshot_chunk_bytes));
+  request.set_done(peer.snapshot_offset + request.data().size() == state.size());
+  peer.in_flight = request.sequence();
+  peer.in_flight_since = now;
+  effects_.messages.push_back(
+      {peer.member.member_id(), EndpointOf(peer.member), std::move(request)});
+}
+
+void RaftCore::SendNewEntries(TimePoint now) {
+  for (auto& [id, peer] : peers_) {
+    SendTo(now, peer, false);
+  }
+}
+
+RaftPeer* RaftCore::AnsweringPeer(TimePoint now, std::uint64_t response_term,
+                                  std::uint64_t follower_id, std::uint64_t sequence) {
+  if (response_term > term()) {
+    BecomeFollower(now, response_term, 0);
+    return nullptr;
+  }
+  const auto found = peers_.find(follower_id);
+  if (role_ != RaftRole::kLeader || response_term != term() || found == peers_.end()) {
+    return nullptr;
+  }
+  RaftPeer& peer = found->second;
+  const auto sent = peer.sent_at.find(sequence);
+  if (sent == peer.sent_at.end()) {
+    return nullptr;  // Sent before this leadership, or answered before.
+  }
+  if (!peer.heard_since || *peer.heard_since < sent->second) {
+    peer.heard_since = sent->second;
+  }
+  peer.sent_at.erase(sent);
+  peer.probing = false;
+  return &peer;
+}
+
+void RaftCore::HandleAppendEntriesResponse(TimePoint now,
+                                           const proto::AppendEntriesResponse& response) {
+  RaftPeer* peer =
+      AnsweringPeer(now, response.term(), response.follower_id(), response.sequence());
+  if (peer == nullptr) {
+    return;
+  }
+  if (peer->in_flight == response.sequence()) {
+    peer->in_flight = 0;
+  }
+  if (!response.success()) {
+    BackUp(now, *peer, response.match_index());
+    return;
+  }
+  peer->match_index = std::max(peer->match_index, response.match_index());
+  peer->next_index = std::max(peer->next_index, peer->match_index + 1);
+  AdvanceCommit(now);
+  // A changed configuration may have removed the peer.
+  if (const auto found = peers_.find(response.follower_id()); found != peers_.end()) {
+    SendTo(now, found->second, false);
+  }
+}
+
+void RaftCore::BackUp(TimePoint now, RaftPeer& peer, std::uint64_t hint) {
+  const std::uint64_t next_index = std::max(peer.match_index + 1, hint + 1);
+  if (next_index >= peer.next_index) {
+    return;  // An answer that a later one has overtaken.
+  }
+  peer.next_index = next_index;
+  SendTo(now, peer, false);
+}
+
+void RaftCore::HandleInstallSnapshotResponse(TimePoint now,
+                                             const proto::InstallSnapshotResponse& response) {
+  RaftPeer* peer =
+      AnsweringPeer(now, response.term(), response.follower_id(), response.sequence());
+  // Only the latest chunk's answer counts: an earlier one may speak of another snapshot.
+  if (peer == nullptr || peer->in_flight != response.sequence() || !peer->snapshot) {
+    return;
+  }
+  peer->in_flight = 0;
+  peer->snapshot_offset = response.next_offset();
+  if (response.next_offset() >= peer->snapshot->state().size()) {
+    const std::uint64_t index = peer->snapshot->last_included_index();
+    peer->snapshot.reset();
+    peer->match_index = std::max(peer->match_index, index);
+    peer->next_index = peer->match_index + 1;
+    AdvanceCommit(now);
+  }
+  if (const auto found = peers_.find(response.follower_id()); found != peers_.end()) {
+    SendTo(now, found->second, false);
+  }
+}
+
+void RaftCore::HandleCallFailed(std::uint64_t member, std::uint64_t sequence) {
+  const auto found = peers_.find(member);
+  if (found == peers_.end() || found->second.sent_at.erase(sequence) == 0) {
+    return;
+  }
+  RaftPeer& peer = found->second;
+  peer.probing = true;  // The next heartbeat tries again, without a load.
+  if (peer.in_flight == sequence) {
+    peer.in_flight = 0;
+  }
+}
+
+TimePoint RaftCore::QuorumHeardSince(TimePoint now, bool count_start_of_term) const {
+  const TimePoint never = count_start_of_term ? term_started_ : TimePoint::min();
+  std::vector<TimePoint> times;
+  for (const proto::RaftMember& member : configuration().members()) {
+    if (member.learner()) {
+      continue;
+    }
+    const auto peer = peers_.find(member.member_id());
+    if (member.member_id() == member_id()) {
+      times.push_back(now);
+    } else {
+      const bool heard = peer != peers_.end() && peer->second.heard_since;
+      times.push_back(heard ? std::max(never, *peer->second.heard_since) : never);
+    }
+  }
+  std::sort(times.begin(), times.end(), std::greater<>());
+  return times[Majority() - 1];
+}
+
+void RaftCore::AdvanceCommit(TimePoint now) {
+  std::vector<std::uint64_t> matches;
+  for (const proto::RaftMember& member : configuration().members()) {
+    if (member.learner()) {
+      continue;
+    }
+    const auto peer = peers_.find(member.member_id());
+    const bool own = member.member_id() == member_id();
+    matches.push_back(own ? synced_index_ : peer->second.match_index);
+  }
+  std::sort(matches.begin(), matches.end(), std::greater<>());
+  const std::uint64_t majority_match = matches[Majority() - 1];
+  // Entries of earlier terms are committed only along with one of this term (Raft, figure 8).
+  if (majority_match > commit_index_ && log_.TermAt(majority_match) == term()) {
+    SetCommitIndex(majority_match);
+  }
+  AdvanceMembership(now);
+}
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/consensus/raft_log.h
@@ -0,0 +1,62 @@
+#pragma once
+/// @file
+/// The part of the replicated log that a member holds in memory: the entries after a base, and the group
+/// configurations that they contain.
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "proto/consensus.pb.h"
+
+namespace cloverbank {
+
+/// Entries (base, last]. Pure data; the owner keeps it in step with the disk.
+class RaftLog {
+ public:
+  /// @param configuration in force at the base.
+  RaftLog(std::uint64_t base_index, std::uint64_t base_term,
+          proto::RaftConfiguration configuration);
+
+  std::uint64_t base_index() const { return base_index_; }
+  std::uint64_t base_term() const { return base_term_; }
+  std::uint64_t last_index() const { return base_index_ + entries_.size(); }
+  std::uint64_t last_term() const;
+
+  /// @return the term of the entry at `index`; none before the base and after the end.
+  std::optional<std::uint64_t> TermAt(std::uint64_t index) const;
+  /// Requires base < index <= last.
+  const proto::RaftEntry& At(std::uint64_t index) const;
+  /// @return the smallest index held that has the term of the entry at `index`.
+  std::uint64_t FirstIndexOfTermAt(std::uint64_t index) const;
+  /// @return entries from `first` on, at least one if there is one, within both limits.
+  std::vector<proto::RaftEntry> Slice(std::uint64_t first, std::size_t maximum_entries,
+                                      std::size_t maximum_bytes) const;
+
+  /// Requires entry.index() == last_index() + 1.
+  void Append(proto::RaftEntry entry);
+  /// Removes `index` and all after it, with the configurations they contain. Requires index > base.
+  void TruncateFrom(std::uint64_t index);
+  /// Makes `index` the base. Requires base <= index <= last.
+  void CompactTo(std::uint64_t index);
+  /// Forgets everything; a snapshot that ends at `index` takes its place.
+  void Reset(std::uint64_t index, std::uint64_t term, proto::RaftConfiguration configuration);
+
+  /// The configuration in force: the last one in the log, committed or not (Raft, section 6).
+  const proto::RaftConfiguration& configuration() const { return configurations_.back().second; }
+  /// Index of the entry that contains `configuration()`; the base's if none does.
+  std::uint64_t configuration_index() const { return configurations_.back().first; }
+  /// @return the configuration in force at `index`.
+  const proto::RaftConfiguration& ConfigurationAt(std::uint64_t index) const;
+
+ private:
+  std::uint64_t base_index_;
+  std::uint64_t base_term_;
+  std::deque<proto::RaftEntry> entries_;
+  /// (index, configuration) by index; never empty.
+  std::deque<std::pair<std::uint64_t, proto::RaftConfiguration>> configurations_;
+};
+
+}  // namespace cloverbank
