Drive the Raft core over the environment and the data folder

RaftStorage carries out the core's writes one after another, RaftNode ties core, peers and state machine together and founds or joins the group. A group of three forms and agrees in the simulator (test_consensus, 1 test).

--- a/src/consensus/raft_core.cc
+++ b/src/consensus/raft_core.cc
@@ -114,8 +114,7 @@
   return Status::Ok();
 }
 
-void RaftCore::Bootstrap(std::uint64_t cluster_id,
-                         const proto::RaftConfiguration& configuration) {
+void RaftCore::Bootstrap(std::uint64_t cluster_id, const proto::RaftConfiguration& configuration) {
   metadata_.set_cluster_id(cluster_id);
   metadata_.set_current_term(std::max<std::uint64_t>(1, term()));
   WriteMetadata();
--- a/src/consensus/raft_core.h
+++ b/src/consensus/raft_core.h
@@ -1,14 +1,16 @@
 #pragma once
 /// @file
-/// Raft as a pure state machine (Ongaro and Ousterhout, "In Search of an Understandable Consensus Algorithm", and
-/// Ongaro's dissertation for pre-vote (9.6), check-quorum and leases (6.4.1), learners (4.2.1)). It holds no
-/// socket, file, thread or clock: every input names the time, and what is to be done about it is
-/// collected until `TakeEffects`. Call that after each input.
+/// Raft as a pure state machine (Ongaro and Ousterhout, "In Search of an Understandable Consensus
+/// Algorithm", and Ongaro's dissertation for pre-vote (9.6), check-quorum and leases (6.4.1),
+/// learners (4.2.1)). It holds no socket, file, thread or clock: every input names the time, and
+/// what is to be done about it is collected until `TakeEffects`. Call that after each input.
 ///
 /// Invariants:
-///  - No answer and no vote request leaves before the term, vote and entries it rests on are synced.
+///  - No answer and no vote request leaves before the term, vote and entries it rests on are
+///  synced.
 ///  - Terms and votes never go back, whichever cluster a member belongs to.
-///  - A member that heard a leader less than the minimum election timeout ago, or started less than that
+///  - A member that heard a leader less than the minimum election timeout ago, or started less than
+///  that
 ///    ago, votes for nobody. The leader's lease rests on this.
 ///  - A leader counts itself only up to its own synced index.
 ///
@@ -60,8 +62,7 @@
   void HandleRequestVoteResponse(TimePoint now, const proto::RequestVoteRequest& request,
                                  const proto::RequestVoteResponse& response);
   void HandleAppendEntriesResponse(TimePoint now, const proto::AppendEntriesResponse& response);
-  void HandleInstallSnapshotResponse(TimePoint now,
-                                     const proto::InstallSnapshotResponse& response);
+  void HandleInstallSnapshotResponse(TimePoint now, const proto::InstallSnapshotResponse& response);
   /// No answer came to the message `sequence` that was sent to `member_id`.
   void HandleCallFailed(std::uint64_t member_id, std::uint64_t sequence);
 
@@ -76,8 +77,9 @@
   /// Makes `snapshot`, taken of the applied state, durable, and shortens the log afterwards.
   void StoreSnapshot(std::uint64_t index, std::string state);
 
-  /// Whether a message of `cluster_id` to `recipient_id` is meant for this member. A member without a
-  /// configuration takes on the cluster of whoever knows its id, for it has told only seeds and leaders.
+  /// Whether a message of `cluster_id` to `recipient_id` is meant for this member. A member without
+  /// a configuration takes on the cluster of whoever knows its id, for it has told only seeds and
+  /// leaders.
   Status AdmitSender(std::uint64_t cluster_id, std::uint64_t recipient_id);
   /// Writes the first configuration, as the lowest seed. Requires `IsEmpty()`.
   void Bootstrap(std::uint64_t cluster_id, const proto::RaftConfiguration& configuration);
--- a/src/consensus/raft_core_election.cc
+++ b/src/consensus/raft_core_election.cc
@@ -1,4 +1,5 @@
-// Elections: Raft section 5.2 and 5.4.1; pre-vote and check-quorum: Ongaro's dissertation, 9.6 and 6.2.
+// Elections: Raft section 5.2 and 5.4.1; pre-vote and check-quorum: Ongaro's dissertation, 9.6
+// and 6.2.
 #include <limits>
 
 #include "consensus/raft_core.h"
--- a/src/consensus/raft_core_membership.cc
+++ b/src/consensus/raft_core_membership.cc
@@ -1,14 +1,16 @@
 // Membership: one member at a time (Ongaro's dissertation, 4.1-4.3), new ones as learners first.
 //
-// Replacing a member whose disk was emptied. The group {A, B, C} has lost C's disk; C' is the same machine under a new
-// id. Exchanging C for C' in one entry would be unsafe: {A, C} and {B, C'} do not intersect, and C's disk
-// may after all come back. So there are two steps, each of one voter:
+// Replacing a member whose disk was emptied. The group {A, B, C} has lost C's disk; C' is the same
+// machine under a new id. Exchanging C for C' in one entry would be unsafe: {A, C} and {B, C'} do
+// not intersect, and C's disk may after all come back. So there are two steps, each of one voter:
 //  - C is silent: remove C, then promote C'. Before and in between A and B are both needed, so the
-//    step in between costs nothing; with four voters (promote first) A, B and C' would all be needed.
+//    step in between costs nothing; with four voters (promote first) A, B and C' would all be
+//    needed.
 //  - C still answers (replacement by another machine): promote first, then remove C, because {A, B}
 //    in between would tolerate no failure while four voters tolerate one.
-// Every step is taken only while a majority of the next configuration is heard. All that is needed to go on is in
-// the configuration (`RaftMember.replaces`), so that another leader finishes what one began.
+// Every step is taken only while a majority of the next configuration is heard. All that is needed
+// to go on is in the configuration (`RaftMember.replaces`), so that another leader finishes what
+// one began.
 #include <algorithm>
 
 #include "consensus/raft_core.h"
--- a/src/consensus/raft_core_replication.cc
+++ b/src/consensus/raft_core_replication.cc
@@ -1,4 +1,5 @@
-// Leading: log replication (Raft section 5.3 and 5.4.2), heartbeats, check-quorum, sending snapshots.
+// Leading: log replication (Raft section 5.3 and 5.4.2), heartbeats, check-quorum, sending
+// snapshots.
 #include <algorithm>
 #include <functional>
 
@@ -59,7 +60,8 @@
   request.set_cluster_id(cluster_id());
   request.set_recipient_id(peer.member.member_id());
   request.set_sequence(NextSequence(now, peer));
-  // While entries are under way a heartbeat may overtake them, so it rests on what is known to match.
+  // While entries are under way a heartbeat may overtake them, so it rests on what is known to
+  // match.
   const std::uint64_t previous = peer.in_flight != 0 ? peer.match_index : peer.next_index - 1;
   if (const std::optional<std::uint64_t> previous_term = log_.TermAt(previous)) {
     request.set_previous_log_index(previous);
@@ -132,8 +134,7 @@
 
 void RaftCore::HandleAppendEntriesResponse(TimePoint now,
                                            const proto::AppendEntriesResponse& response) {
-  RaftPeer* peer =
-      AnsweringPeer(now, response.term(), response.follower_id(), response.sequence());
+  RaftPeer* peer = AnsweringPeer(now, response.term(), response.follower_id(), response.sequence());
   if (peer == nullptr) {
     return;
   }
@@ -164,8 +165,7 @@
 
 void RaftCore::HandleInstallSnapshotResponse(TimePoint now,
                                              const proto::InstallSnapshotResponse& response) {
-  RaftPeer* peer =
-      AnsweringPeer(now, response.term(), response.follower_id(), response.sequence());
+  RaftPeer* peer = AnsweringPeer(now, response.term(), response.follower_id(), response.sequence());
   // Only the latest chunk's answer counts: an earlier one may speak of another snapshot.
   if (peer == nullptr || peer->in_flight != response.sequence() || !peer->snapshot) {
     return;
--- /dev/null
+++ b/src/consensus/raft_formation.cc
@@ -0,0 +1,87 @@
+#include "consensus/raft_formation.h"
+
+#include <algorithm>
+
+namespace cloverbank {
+namespace {
+
+bool Contains(const proto::RaftConfiguration& configuration, std::uint64_t member_id) {
+  const auto& members = configuration.members();
+  return std::any_of(members.begin(), members.end(), [member_id](const proto::RaftMember& member) {
+    return member.member_id() == member_id;
+  });
+}
+
+/// @return a group that can take this member in, if an answer shows one.
+FormationDecision DecideJoin(const FormationRound& round) {
+  for (const auto& [endpoint, answer] : round.answers) {
+    const bool other_cluster = !round.empty && answer.cluster_id() != round.cluster_id;
+    const Endpoint leader = ToEndpoint(answer.leader());
+    if (answer.empty() || other_cluster || !leader.valid() || leader == round.endpoint) {
+      continue;
+    }
+    if (!Contains(answer.configuration(), round.member_id)) {
+      return JoinGroup{leader};
+    }
+  }
+  return KeepWaiting{};
+}
+
+FormationDecision DecideFounding(const FormationRound& round) {
+  std::vector<Endpoint> seeds = round.seeds;
+  std::sort(seeds.begin(), seeds.end());
+  seeds.erase(std::unique(seeds.begin(), seeds.end()), seeds.end());
+  if (seeds.empty() || seeds.front() != round.endpoint) {
+    return KeepWaiting{};
+  }
+  FoundGroup founding;
+  for (const Endpoint& seed : seeds) {
+    proto::RaftMember member;
+    *member.mutable_endpoint() = ToProto(seed);
+    if (seed == round.endpoint) {
+      member.set_member_id(round.member_id);
+    } else {
+      const auto answer = round.answers.find(seed);
+      if (answer == round.answers.end() || !answer->second.empty() ||
+          ToEndpoint(answer->second.endpoint()) != seed) {
+        return KeepWaiting{};
+      }
+      member.set_member_id(answer->second.member_id());
+    }
+    *founding.configuration.add_members() = std::move(member);
+  }
+  return founding;
+}
+
+}  // namespace
+
+FormationDecision DecideFormation(const FormationRound& round) {
+  const bool group_exists =
+      !round.empty || std::any_of(round.answers.begin(), round.answers.end(),
+                                  [](const auto& answer) { return !answer.second.empty(); });
+  return group_exists ? DecideJoin(round) : DecideFounding(round);
+}
+
+void MemberDirectory::Note(const Endpoint& endpoint, std::uint64_t member_id) {
+  if (superseded_.contains(member_id)) {
+    return;
+  }
+  std::uint64_t& current = current_[endpoint];
+  if (current != 0 && current != member_id) {
+    superseded_.insert(current);
+  }
+  current = member_id;
+}
+
+Endpoint ToEndpoint(const proto::Endpoint& endpoint) {
+  return {endpoint.host(), static_cast<std::uint16_t>(endpoint.port())};
+}
+
+proto::Endpoint ToProto(const Endpoint& endpoint) {
+  proto::Endpoint message;
+  message.set_host(endpoint.host);
+  message.set_port(endpoint.port);
+  return message;
+}
+
+}  // namespace cloverbank
--- a/src/consensus/raft_log.h
+++ b/src/consensus/raft_log.h
@@ -1,7 +1,7 @@
 #pragma once
 /// @file
-/// The part of the replicated log that a member holds in memory: the entries after a base, and the group
-/// configurations that they contain.
+/// The part of the replicated log that a member holds in memory: the entries after a base, and the
+/// group configurations that they contain.
 
 #include <cstdint>
 #include <deque>
--- /dev/null
+++ b/src/consensus/raft_node_formation.cc
@@ -0,0 +1,186 @@
+// Finding, founding and joining the group.
+#include <utility>
+
+#include "base/logging.h"
+#include "consensus/raft_node.h"
+#include "runtime/typed_peer.h"
+
+namespace cloverbank {
+namespace {
+
+constexpr std::string_view kDiscover = "raft.Discover";
+constexpr std::string_view kJoin = "raft.Join";
+
+/// Rounds of questions while there is no group: one each election timeout. A member that has a
+/// group asks only when it has heard no leader, and less often.
+constexpr int kSlowRoundElectionTimeouts = 4;
+
+}  // namespace
+
+void RaftNode::ServeFormation() {
+  ServePeer<proto::DiscoverRequest, proto::DiscoverResponse>(
+      environment_, kDiscover,
+      [this](const proto::DiscoverRequest& request, const std::string&,
+             const std::function<void(Result<proto::DiscoverResponse>)>& reply) {
+        reply(Describe(request));
+      });
+  ServePeer<proto::JoinRequest, proto::JoinResponse>(
+      environment_, kJoin,
+      [this](const proto::JoinRequest& request, const std::string&,
+             const std::function<void(Result<proto::JoinResponse>)>& reply) {
+        HandleJoin(request, reply);
+      });
+}
+
+Result<proto::DiscoverResponse> RaftNode::Describe(const proto::DiscoverRequest& request) {
+  if (stopped_ || !identity_durable_) {
+    // An id that is not synced yet could be forgotten again.
+    return Status(StatusCode::kUnavailable, "this member does not take part");
+  }
+  if (request.member_id() != 0) {
+    directory_.Note(ToEndpoint(request.endpoint()), request.member_id());
+  }
+  proto::DiscoverResponse response;
+  response.set_member_id(core_->member_id());
+  response.set_empty(core_->IsEmpty());
+  response.set_cluster_id(core_->cluster_id());
+  *response.mutable_configuration() = core_->configuration();
+  *response.mutable_leader() = ToProto(leader_endpoint());
+  *response.mutable_endpoint() = ToProto(environment_.peer_endpoint());
+  return response;
+}
+
+void RaftNode::HandleJoin(const proto::JoinRequest& request,
+                          const std::function<void(Result<proto::JoinResponse>)>& reply) {
+  if (stopped_ || core_->role() != RaftRole::kLeader) {
+    const Endpoint leader = leader_endpoint();
+    reply(Status(StatusCode::kNotLeader, "this member does not lead the group",
+                 leader.valid() ? leader.ToString() : std::string()));
+    return;
+  }
+  // The request may be a late one of a life whose disk is gone: ask who is there now.
+  CallPeer<proto::DiscoverResponse>(
+      environment_, ToEndpoint(request.member().endpoint()), kDiscover, OwnIdentity(),
+      options_.election_timeout,
+      [this, alive = std::weak_ptr<bool>(alive_), request,
+       reply](const Result<proto::DiscoverResponse>& present) {
+        if (alive.expired()) {
+          return;
+        }
+        if (!present.ok() || present->member_id() != request.member().member_id()) {
+          environment_.metrics().Increment("raft_refusals_total", {{"reason", "join_unconfirmed"}});
+          reply(Status(StatusCode::kUnavailable, "no such member answers at its endpoint"));
+          return;
+        }
+        reply(TakeIn(request.member(), request.replaces()));
+      });
+}
+
+Result<proto::JoinResponse> RaftNode::TakeIn(const proto::RaftMember& member,
+                                             std::uint64_t replaces) {
+  if (stopped_) {
+    return Status(StatusCode::kNotLeader, "this member has stopped");
+  }
+  Status status = core_->AddLearner(environment_.Now(), member, replaces);
+  Drain();
+  if (!status.ok()) {
+    return status;
+  }
+  Log(LogLevel::kInfo, "raft_member_joins",
+      {{"member_id", member.member_id()}, {"host", member.endpoint().host()}});
+  proto::JoinResponse response;
+  response.set_cluster_id(core_->cluster_id());
+  *response.mutable_configuration() = core_->configuration();
+  return response;
+}
+
+proto::DiscoverRequest RaftNode::OwnIdentity() const {
+  proto::DiscoverRequest request;
+  request.set_member_id(core_->member_id());
+  *request.mutable_endpoint() = ToProto(environment_.peer_endpoint());
+  return request;
+}
+
+bool RaftNode::NeedsGroup() const {
+  return core_->IsEmpty() || core_->leader_id() == 0 || !core_->IsMember();
+}
+
+void RaftNode::ScheduleFormation() {
+  const bool urgent = !core_->IsMember();
+  const Duration interval =
+      urgent ? options_.election_timeout : kSlowRoundElectionTimeouts * options_.election_timeout;
+  // Spread, so that members do not ask in step.
+  const Duration delay =
+      interval / 2 + Duration(static_cast<Duration::rep>(
+                         environment_.Random() % static_cast<std::uint64_t>(interval.count())));
+  formation_timer_ = environment_.ScheduleAfter(delay, [this] {
+    formation_timer_ = 0;
+    if (identity_durable_ && NeedsGroup()) {
+      StartFormationRound();
+    }
+    ScheduleFormation();
+  });
+}
+
+void RaftNode::StartFormationRound() {
+  std::set<Endpoint> others(options_.seeds.begin(), options_.seeds.end());
+  for (const LogMember& member : members()) {
+    others.insert(member.endpoint);
+  }
+  others.erase(environment_.peer_endpoint());
+  auto round = std::make_shared<FormationRound>();
+  auto missing = std::make_shared<std::size_t>(others.size());
+  if (others.empty()) {
+    FinishFormationRound(*round);
+  }
+  for (const Endpoint& other : others) {
+    CallPeer<proto::DiscoverResponse>(environment_, other, kDiscover, OwnIdentity(),
+                                      options_.election_timeout,
+                                      [this, alive = std::weak_ptr<bool>(alive_), round, missing,
+                                       other](const Result<proto::DiscoverResponse>& answer) {
+                                        if (alive.expired() || stopped_) {
+                                          return;
+                                        }
+                                        if (answer.ok()) {
+                                          directory_.Note(other, answer->member_id());
+                                          round->answers[other] = *answer;
+                                        }
+                                        --*missing;
+                                        if (*missing == 0) {
+                                          FinishFormationRound(*round);
+                                        }
+                                      });
+  }
+}
+
+void RaftNode::FinishFormationRound(const FormationRound& answers) {
+  FormationRound round = answers;
+  round.member_id = core_->member_id();
+  round.endpoint = environment_.peer_endpoint();
+  round.empty = core_->IsEmpty();
+  round.cluster_id = core_->cluster_id();
+  round.seeds = options_.seeds;
+  const FormationDecision decision = DecideFormation(round);
+  if (const auto* founding = std::get_if<FoundGroup>(&decision)) {
+    Log(LogLevel::kInfo, "raft_founds_group", {{"member_id", core_->member_id()}});
+    core_->Bootstrap(std::max<std::uint64_t>(1, environment_.Random()), founding->configuration);
+    Drain();
+  } else if (const auto* joining = std::get_if<JoinGroup>(&decision)) {
+    AskToJoin(joining->leader);
+  }
+}
+
+void RaftNode::AskToJoin(const Endpoint& leader) {
+  proto::JoinRequest request;
+  request.mutable_member()->set_member_id(core_->member_id());
+  *request.mutable_member()->mutable_endpoint() = ToProto(environment_.peer_endpoint());
+  CallPeer<proto::JoinResponse>(
+      environment_, leader, kJoin, request, 2 * options_.election_timeout,
+      [](const Result<proto::JoinResponse>& response) {
+        if (!response.ok()) {
+          Log(LogLevel::kInfo, "raft_join_refused", {{"reason", response.status().ToString()}});
+        }
+      });
+}
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/consensus/raft_storage.cc
@@ -0,0 +1,260 @@
+#include "consensus/raft_storage.h"
+
+#include <utility>
+
+#include "storage/record_file.h"
+
+namespace cloverbank {
+namespace {
+
+constexpr char kMetadataFile[] = "consensus/metadata";
+constexpr char kSnapshotFile[] = "consensus/snapshot";
+constexpr char kLogFile[] = "consensus/log";
+/// Seed of the records' checksums, so that no other file's records are taken for these.
+constexpr std::uint64_t kRecordSeed = 0x7261667431ULL;
+
+Status Corrupt(const std::string& file, const std::string& problem) {
+  return {StatusCode::kCorrupt, file + ": " + problem};
+}
+
+/// Adds one entry as read from the log; it may take the place of earlier ones.
+bool PutEntry(RaftDurableState& state, const proto::RaftEntry& entry) {
+  const std::uint64_t last_index = state.base_index + state.entries.size();
+  if (entry.index() <= state.base_index || entry.index() > last_index + 1) {
+    return false;
+  }
+  state.entries.resize(entry.index() - state.base_index - 1);
+  const std::uint64_t last_term =
+      state.entries.empty() ? state.base_term : state.entries.back().term();
+  if (entry.term() < last_term) {
+    return false;
+  }
+  state.entries.push_back(entry);
+  return true;
+}
+
+/// @return whether the log contains the entry with which the snapshot ends.
+bool ContainsEndOfSnapshot(const RaftDurableState& state) {
+  const std::uint64_t index = state.snapshot->last_included_index();
+  const std::uint64_t term = state.snapshot->last_included_term();
+  if (index == state.base_index) {
+    return term == state.base_term;
+  }
+  const std::uint64_t last_index = state.base_index + state.entries.size();
+  return index <= last_index && state.entries[index - state.base_index - 1].term() == term;
+}
+
+std::string SerializeLogRecord(const RaftWrite& write) {
+  proto::RaftLogRecord record;
+  if (write.replaces_log) {
+    record.set_base_index(write.base_index);
+    record.set_base_term(write.base_term);
+  }
+  for (const proto::RaftEntry& entry : write.entries) {
+    *record.add_entries() = entry;
+  }
+  return EncodeRecord(record.SerializeAsString(), kRecordSeed);
+}
+
+}  // namespace
+
+RaftStorage::RaftStorage(DataFolder& folder, std::function<void(RaftWriteId)> on_persisted,
+                         std::function<void(Status)> on_failed)
+    : folder_(folder), on_persisted_(std::move(on_persisted)), on_failed_(std::move(on_failed)) {}
+
+Result<RaftDurableState> RaftStorage::Load() {
+  RaftDurableState state;
+  bool has_metadata = false;
+  if (Status status = LoadRecord(kMetadataFile, state.metadata, has_metadata); !status.ok()) {
+    return status;
+  }
+  bool has_snapshot = false;
+  auto snapshot = std::make_shared<proto::RaftSnapshot>();
+  if (Status status = LoadRecord(kSnapshotFile, *snapshot, has_snapshot); !status.ok()) {
+    return status;
+  }
+  if (has_snapshot) {
+    state.snapshot = std::move(snapshot);
+  }
+  if (Status status = LoadLog(state); !status.ok()) {
+    return status;
+  }
+  if (Status status = Reconcile(state); !status.ok()) {
+    return status;
+  }
+  if (log_needs_rewrite_) {
+    QueueRewrite(state);
+  }
+  return state;
+}
+
+Result<std::string> RaftStorage::ReadIfPresent(const std::string& name) {
+  Result<std::string> bytes = folder_.Read(name);
+  if (!bytes.ok() && bytes.status().code() == StatusCode::kNotFound) {
+    return std::string();
+  }
+  return bytes;
+}
+
+Status RaftStorage::LoadRecord(const std::string& name, google::protobuf::MessageLite& message,
+                               bool& present) {
+  Result<std::string> bytes = ReadIfPresent(name);
+  if (!bytes.ok()) {
+    return bytes.status();
+  }
+  present = !bytes->empty();
+  if (!present) {
+    return Status::Ok();
+  }
+  RecordReader reader(*bytes, kRecordSeed);
+  const auto payload = reader.Next();
+  if (!payload || !message.ParseFromArray(payload->data(), static_cast<int>(payload->size()))) {
+    return Corrupt(name, "checksum or format is wrong");
+  }
+  return Status::Ok();
+}
+
+Status RaftStorage::LoadLog(RaftDurableState& state) {
+  Result<std::string> bytes = ReadIfPresent(kLogFile);
+  if (!bytes.ok()) {
+    return bytes.status();
+  }
+  RecordReader reader(*bytes, kRecordSeed);
+  bool first = true;
+  while (const auto payload = reader.Next()) {
+    proto::RaftLogRecord record;
+    if (!record.ParseFromArray(payload->data(), static_cast<int>(payload->size()))) {
+      return Corrupt(kLogFile, "a record can not be parsed");
+    }
+    if (first) {
+      state.base_index = record.base_index();
+      state.base_term = record.base_term();
+    }
+    first = false;
+    for (const proto::RaftEntry& entry : record.entries()) {
+      if (!PutEntry(state, entry)) {
+        return Corrupt(kLogFile, "entries are out of order");
+      }
+    }
+  }
+  if (reader.tail() == RecordTail::kCorrupt) {
+    return Corrupt(kLogFile, "a damaged record is followed by later writes");
+  }
+  log_needs_rewrite_ = reader.tail() != RecordTail::kClean;
+  return Status::Ok();
+}
+
+Status RaftStorage::Reconcile(RaftDurableState& state) {
+  const bool has_log = state.base_index != 0 || !state.entries.empty();
+  if ((state.snapshot || has_log) && state.metadata.cluster_id() == 0) {
+    return Corrupt(kMetadataFile, "missing, though there is a log or a snapshot");
+  }
+  const std::uint64_t snapshot_index = state.snapshot ? state.snapshot->last_included_index() : 0;
+  if (state.base_index > snapshot_index) {
+    return Corrupt(kSnapshotFile, "missing, though the log starts after it");
+  }
+  if (state.snapshot && !ContainsEndOfSnapshot(state)) {
+    state.entries.clear();
+    state.base_index = snapshot_index;
+    state.base_term = state.snapshot->last_included_term();
+    log_needs_rewrite_ = true;
+  }
+  const std::uint64_t last_term =
+      state.entries.empty() ? state.base_term : state.entries.back().term();
+  if (last_term > state.metadata.current_term()) {
+    return Corrupt(kMetadataFile, "older than the log");
+  }
+  return Status::Ok();
+}
+
+void RaftStorage::QueueRewrite(const RaftDurableState& state) {
+  RaftWrite rewrite;
+  rewrite.replaces_log = true;
+  rewrite.base_index = state.base_index;
+  rewrite.base_term = state.base_term;
+  rewrite.entries = state.entries;
+  queue_.push_back(std::move(rewrite));
+}
+
+void RaftStorage::Write(RaftWrite write) {
+  queue_.push_back(std::move(write));
+  StartNext();
+}
+
+void RaftStorage::Start() {
+  started_ = true;
+  StartNext();
+}
+
+void RaftStorage::StartNext() {
+  if (!started_ || busy_ || failed_ || queue_.empty()) {
+    return;
+  }
+  busy_ = true;
+  current_ = std::move(queue_.front());
+  queue_.pop_front();
+  // Group commit: what has come in meanwhile joins, as long as it only adds to the log.
+  while (!queue_.empty() && !queue_.front().snapshot && !queue_.front().replaces_log) {
+    RaftWrite& next = queue_.front();
+    current_.id = next.id;
+    if (next.metadata) {
+      current_.metadata = std::move(next.metadata);
+    }
+    current_.entries.insert(current_.entries.end(), std::make_move_iterator(next.entries.begin()),
+                            std::make_move_iterator(next.entries.end()));
+    queue_.pop_front();
+  }
+  WriteMetadata();
+}
+
+void RaftStorage::WriteMetadata() {
+  if (!current_.metadata) {
+    WriteSnapshot();
+    return;
+  }
+  folder_.Replace(kMetadataFile, EncodeRecord(current_.metadata->SerializeAsString(), kRecordSeed),
+                  Then(&RaftStorage::WriteSnapshot));
+}
+
+void RaftStorage::WriteSnapshot() {
+  if (!current_.snapshot) {
+    WriteLog();
+    return;
+  }
+  folder_.Replace(kSnapshotFile, EncodeRecord(current_.snapshot->SerializeAsString(), kRecordSeed),
+                  Then(&RaftStorage::WriteLog));
+}
+
+void RaftStorage::WriteLog() {
+  if (current_.replaces_log) {
+    folder_.Replace(kLogFile, SerializeLogRecord(current_), Then(&RaftStorage::Finish));
+  } else if (!current_.entries.empty()) {
+    folder_.Append(kLogFile, SerializeLogRecord(current_), Then(&RaftStorage::Finish));
+  } else {
+    Finish();
+  }
+}
+
+void RaftStorage::Finish() {
+  busy_ = false;
+  const RaftWriteId finished = current_.id;
+  current_ = {};
+  StartNext();
+  on_persisted_(finished);
+}
+
+DataFolder::Done RaftStorage::Then(void (RaftStorage::*next)()) {
+  return [this, next, alive = std::weak_ptr<bool>(alive_)](Status status) {
+    if (alive.expired() || failed_) {
+      return;
+    }
+    if (status.ok()) {
+      (this->*next)();
+      return;
+    }
+    failed_ = true;
+    on_failed_(std::move(status));
+  };
+}
+
+}  // namespace cloverbank
--- a/src/consensus/raft_types.h
+++ b/src/consensus/raft_types.h
@@ -22,13 +22,15 @@
 using RaftWriteId = std::uint64_t;
 
 struct RaftCoreOptions {
-  /// Silence of the leader after which a follower may vote for another one. The leader's lease rests on it.
+  /// Silence of the leader after which a follower may vote for another one. The leader's lease
+  /// rests on it.
   Duration minimum_election_timeout = milliseconds(400);
-  /// Election timeouts are drawn between the minimum and this. A leader that hears no majority for this
-  /// long steps down.
+  /// Election timeouts are drawn between the minimum and this. A leader that hears no majority for
+  /// this long steps down.
   Duration maximum_election_timeout = milliseconds(800);
   Duration heartbeat_interval = milliseconds(100);
-  /// Share of the minimum election timeout by which the lease is shorter, for clocks of unequal rate.
+  /// Share of the minimum election timeout by which the lease is shorter, for clocks of unequal
+  /// rate.
   std::uint32_t lease_margin_percent = 10;
   std::size_t maximum_append_entries = 1024;
   std::size_t maximum_append_bytes = 1U << 20U;
@@ -54,13 +56,14 @@
   std::vector<proto::RaftEntry> entries;
 };
 
-/// One write, to be carried out after all earlier ones: first metadata, then the snapshot, then the log.
+/// One write, to be carried out after all earlier ones: first metadata, then the snapshot, then the
+/// log.
 struct RaftWrite {
   RaftWriteId id = 0;
   std::optional<proto::RaftMetadata> metadata;
   std::shared_ptr<const proto::RaftSnapshot> snapshot;
-  /// Whether `entries` (after the base) are the whole log from now on. If not, they are added to it; an
-  /// entry whose index is already there takes its place and removes all after it.
+  /// Whether `entries` (after the base) are the whole log from now on. If not, they are added to
+  /// it; an entry whose index is already there takes its place and removes all after it.
   bool replaces_log = false;
   std::uint64_t base_index = 0;
   std::uint64_t base_term = 0;
@@ -98,6 +101,11 @@
   std::vector<std::string_view> refusals;
   /// A broken invariant or damaged state: the member must stop.
   std::optional<Status> fatal;
+
+  bool empty() const {
+    return writes.empty() && replies.empty() && messages.empty() && !restore && committed.empty() &&
+           refusals.empty() && !fatal;
+  }
 };
 
 enum class RaftRole : std::uint8_t { kFollower, kPreCandidate, kCandidate, kLeader };
--- /dev/null
+++ b/tests/consensus/raft_cluster.h
@@ -0,0 +1,130 @@
+#pragma once
+/// @file
+/// A group of `RaftNode`s on a `SimulatedWorld`, with clocks of unequal rate and checks of Raft's
+/// safety properties after every event.
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "consensus/raft_node.h"
+#include "simulation/simulated_world.h"
+
+namespace cloverbank {
+
+/// What all members of one run have shown so far. Failures are collected, not thrown.
+struct RunRecord {
+  std::map<std::uint64_t, std::string> applied;                            ///< Command by index.
+  std::map<std::string, std::uint64_t> acknowledged;                       ///< Index by command.
+  std::map<std::uint64_t, std::uint64_t> leaders;                          ///< Member id by term.
+  std::map<std::pair<std::uint64_t, std::uint64_t>, std::string> entries;  ///< By index and term.
+  std::uint64_t highest_acknowledged = 0;
+  std::vector<std::string> failures;
+
+  void Fail(std::string what) { failures.push_back(std::move(what)); }
+};
+
+/// An ordered list of commands, checked against what others applied.
+class ListMachine final : public StateMachine {
+ public:
+  explicit ListMachine(RunRecord& record) : record_(record) {}
+  std::string Apply(std::uint64_t index, const std::string& command) override;
+  std::string TakeSnapshot() const override;
+  Status RestoreSnapshot(const std::string& snapshot) override;
+  const std::map<std::uint64_t, std::string>& commands() const { return commands_; }
+
+ private:
+  void Check(std::uint64_t index, const std::string& command);
+
+  RunRecord& record_;
+  std::map<std::uint64_t, std::string> commands_;
+};
+
+/// `Environment` whose clock runs at `rate_percent` of the world's.
+class DriftingEnvironment final : public Environment {
+ public:
+  DriftingEnvironment(Environment& inner, int rate_percent) : inner_(inner), rate_(rate_percent) {}
+  TimePoint Now() const override {
+    return TimePoint(inner_.Now().time_since_epoch() * rate_ / 100);
+  }
+  std::int64_t WallMilliseconds() const override { return inner_.WallMilliseconds(); }
+  std::uint64_t Random() override { return inner_.Random(); }
+  TimerId ScheduleAfter(Duration delay, std::function<void()> action) override {
+    return inner_.ScheduleAfter(ToWorld(delay), std::move(action));
+  }
+  void CancelTimer(TimerId timer) override { inner_.CancelTimer(timer); }
+  void CallPeer(const Endpoint& to, std::string_view method, std::string body, Duration deadline,
+                PeerReplyCallback done) override {
+    inner_.CallPeer(to, method, std::move(body), ToWorld(deadline), std::move(done));
+  }
+  void RegisterPeerMethod(std::string_view method, PeerHandler handler) override {
+    inner_.RegisterPeerMethod(method, std::move(handler));
+  }
+  const Endpoint& peer_endpoint() const override { return inner_.peer_endpoint(); }
+  Metrics& metrics() override { return inner_.metrics(); }
+
+ private:
+  Duration ToWorld(Duration local) const { return local * 100 / rate_ + Duration(1); }
+
+  Environment& inner_;
+  int rate_;
+};
+
+/// One life of one member. "test.Propose" proposes the body.
+struct MemberLife {
+  MemberLife(Environment& real, DataFolder& folder, int clock_rate, RunRecord& record,
+             RaftNodeOptions options);
+
+  DriftingEnvironment environment;
+  ListMachine machine;
+  RaftNode node;
+  bool loaded = false;
+};
+
+struct ClusterOptions {
+  std::size_t size = 3;
+  std::uint64_t seed = 1;
+  std::vector<int> clock_rates = {100};  ///< Percent; taken in turn.
+  RaftNodeOptions node = {};
+};
+
+class RaftCluster {
+ public:
+  explicit RaftCluster(const ClusterOptions& options);
+
+  SimulatedWorld& world() { return world_; }
+  RunRecord& record() { return record_; }
+  std::size_t size() const { return names_.size(); }
+  const std::string& name(std::size_t member) const { return names_[member]; }
+  SimulatedMachine& machine(std::size_t member) { return world_.machine(names_[member]); }
+  /// @return null while the member does not run.
+  MemberLife* life(std::size_t member);
+  void StartAll();
+  /// Lets time pass and checks the invariants after each event.
+  void RunFor(Duration time);
+  bool RunUntil(const std::function<bool()>& condition, Duration limit);
+  /// Sends a new command, made of `text` and a counter, to `member`.
+  void Propose(std::size_t member, const std::string& text = "c");
+  /// @return the member that is a ready leader in the highest term, or size().
+  std::size_t Leader();
+  /// Whether there is a leader and its committed configuration is exactly the present members.
+  bool IsWhole();
+  /// Whether every member runs and has applied all that has been acknowledged and the same as all
+  /// others.
+  bool HasConverged();
+  void CheckLogs();
+
+ private:
+  void CheckInvariants();
+
+  RunRecord record_;
+  ClusterOptions options_;
+  std::vector<std::string> names_;
+  std::vector<std::weak_ptr<MemberLife>> lives_;
+  std::uint64_t commands_ = 0;
+  SimulatedWorld world_;
+};
+
+}  // namespace cloverbank
