--- /dev/null
+++ b/tests/consensus/raft_simulation_test.cc
@@ -0,0 +1,211 @@
+// Random faults against whole groups. A failing seed is printed; run it alone with
+// CLOVERBANK_SEED=<seed>, or more of them with CLOVERBANK_SCHEDULES=<count>.
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+
+#include "consensus/raft_cluster.h"
+
+namespace cloverbank {
+namespace {
+
+constexpr std::uint64_t kDefaultSchedules = 100;
+constexpr int kFaultsInSchedule = 14;
+
+std::uint64_t NumberFromEnvironment(const char* name, std::uint64_t otherwise) {
+  const char* text = std::getenv(name);  // NOLINT(concurrency-mt-unsafe): set before the tests run.
+  return text == nullptr ? otherwise : std::strtoull(text, nullptr, 10);
+}
+
+/// One run: a group, a client, and a row of faults drawn from the seed.
+class Schedule {
+ public:
+  explicit Schedule(std::uint64_t seed) : cluster_(Options(seed)), world_(cluster_.world()) {}
+
+  const std::vector<std::string>& Run() {
+    cluster_.StartAll();
+    ProposeForEver();
+    if (Below(4) != 0) {  // The others run into the faults while the group is founded.
+      cluster_.RunUntil([this] { return cluster_.IsWhole(); }, seconds(5));
+    }
+    for (int fault = 0; fault < kFaultsInSchedule && Failures().empty(); ++fault) {
+      ApplyFault();
+      cluster_.RunFor(milliseconds(Below(900)));
+      cluster_.CheckLogs();
+    }
+    CheckProgressAfterHeal();
+    return Failures();
+  }
+
+ private:
+  static ClusterOptions Options(std::uint64_t seed) {
+    ClusterOptions options;
+    options.seed = seed;
+    options.size = seed % 5 == 0 ? 5 : 3;
+    options.clock_rates = seed % 2 == 0 ? std::vector<int>{100} : std::vector<int>{96, 104, 100};
+    if (seed % 3 != 0) {
+      options.node.snapshot_threshold_entries = 15;
+      options.node.trailing_entries = seed % 3;
+      options.node.snapshot_chunk_bytes = 64;
+    }
+    return options;
+  }
+
+  std::uint64_t Below(std::uint64_t bound) { return world_.RandomBelow(bound); }
+  std::size_t AnyMember() { return Below(cluster_.size()); }
+  /// Mostly the leader, which is where it hurts.
+  std::size_t Victim() {
+    const std::size_t leader = cluster_.Leader();
+    return leader == cluster_.size() || Below(2) == 0 ? AnyMember() : leader;
+  }
+  const std::vector<std::string>& Failures() { return cluster_.record().failures; }
+
+  void ProposeForEver() {
+    cluster_.Propose(AnyMember());
+    world_.ScheduleAfter(milliseconds(5 + Below(30)), [this] { ProposeForEver(); });
+  }
+
+  void StartLater(std::size_t member) {
+    world_.ScheduleAfter(milliseconds(Below(1500)), [this, member] {
+      if (!cluster_.machine(member).running()) {
+        cluster_.machine(member).Start();
+      }
+    });
+  }
+
+  void HealLater() {
+    world_.ScheduleAfter(milliseconds(100 + Below(2500)), [this] { world_.HealAll(); });
+  }
+
+  void ApplyFault() {
+    switch (Below(9)) {
+      case 0:
+        return Crash(false);
+      case 1:
+        return Crash(true);
+      case 2:
+        return LoseDisk();
+      case 3:
+        return Freeze();
+      case 4:
+        world_.Isolate(cluster_.name(Victim()));
+        return HealLater();
+      case 5:
+        return CutOneWay();
+      case 6:
+        return Split();
+      case 7:
+        return DisturbNetwork();
+      default:
+        return SlowDisks();
+    }
+  }
+
+  void Crash(bool power) {
+    const std::uint64_t victims = Below(4) == 0 ? cluster_.size() : 1 + Below(2);
+    for (std::uint64_t count = 0; count < victims; ++count) {
+      const std::size_t member = victims == cluster_.size() ? count : Victim();
+      if (power) {
+        cluster_.machine(member).LosePower();
+      } else {
+        cluster_.machine(member).Kill();
+      }
+      StartLater(member);
+    }
+  }
+
+  /// At most one disk at a time is gone: the group must be whole again before the next.
+  void LoseDisk() {
+    if (!cluster_.IsWhole()) {
+      return;
+    }
+    const std::size_t member = Victim();
+    cluster_.machine(member).LoseDisk();
+    StartLater(member);
+  }
+
+  void Freeze() {
+    const std::size_t member = Victim();
+    cluster_.machine(member).Freeze();
+    world_.ScheduleAfter(milliseconds(Below(2500)),
+                         [this, member] { cluster_.machine(member).Wake(); });
+  }
+
+  void CutOneWay() {
+    const std::size_t from = Victim();
+    const std::size_t to = AnyMember();
+    if (from != to) {
+      const bool outward = Below(2) == 0;
+      world_.Cut(cluster_.name(outward ? from : to), cluster_.name(outward ? to : from));
+    }
+    HealLater();
+  }
+
+  void Split() {
+    const std::uint64_t sides = Below(1ULL << cluster_.size());
+    for (std::size_t from = 0; from < cluster_.size(); ++from) {
+      for (std::size_t to = 0; to < cluster_.size(); ++to) {
+        if (((sides >> from) & 1U) != ((sides >> to) & 1U)) {
+          world_.Cut(cluster_.name(from), cluster_.name(to));
+        }
+      }
+    }
+    HealLater();
+  }
+
+  void DisturbNetwork() {
+    world_.network().request_loss = 0.3;
+    world_.network().reply_loss = 0.3;
+    world_.network().request_duplication = 0.3;
+    world_.network().maximum_delay = milliseconds(Below(2) == 0 ? 5 : 300);
+    world_.ScheduleAfter(milliseconds(Below(2000)), [this] { world_.network() = {}; });
+  }
+
+  void SlowDisks() {
+    world_.disks().maximum_sync = milliseconds(50 + Below(800));
+    world_.ScheduleAfter(milliseconds(Below(2000)), [this] { world_.disks() = {}; });
+  }
+
+  void CheckProgressAfterHeal() {
+    cluster_.RunFor(seconds(3));  // All repairs that faults left behind have happened.
+    world_.HealAll();
+    cluster_.StartAll();
+    const std::size_t before = cluster_.record().acknowledged.size();
+    const bool progress = cluster_.RunUntil(
+        [&] { return cluster_.record().acknowledged.size() > before && cluster_.IsWhole(); },
+        seconds(10));
+    if (!progress) {
+      cluster_.record().Fail("no progress within 10 s after all faults ended");
+    }
+    cluster_.RunUntil([this] { return cluster_.HasConverged(); }, seconds(10));
+    cluster_.CheckLogs();
+    if (!cluster_.HasConverged()) {
+      cluster_.record().Fail("members did not converge");
+    }
+    for (const auto& [command, index] : cluster_.record().acknowledged) {
+      const auto applied = cluster_.record().applied.find(index);
+      if (applied == cluster_.record().applied.end() || applied->second != command) {
+        cluster_.record().Fail("acknowledged command lost: " + command);
+      }
+    }
+  }
+
+  RaftCluster cluster_;
+  SimulatedWorld& world_;
+};
+
+TEST(RaftSimulationTest, KeepsItsPromisesUnderRandomFaults) {
+  const std::uint64_t only = NumberFromEnvironment("CLOVERBANK_SEED", 0);
+  const std::uint64_t count = NumberFromEnvironment("CLOVERBANK_SCHEDULES", kDefaultSchedules);
+  const std::uint64_t first = only != 0 ? only : 1;
+  const std::uint64_t last = only != 0 ? only : count;
+  for (std::uint64_t seed = first; seed <= last; ++seed) {
+    const std::vector<std::string> failures = Schedule(seed).Run();
+    for (const std::string& failure : failures) {
+      ADD_FAILURE() << "CLOVERBANK_SEED=" << seed << ": " << failure;
+    }
+  }
+}
+
+}  // namespace
+}  // namespace cloverbank
