--- a/tests/consensus/raft_simulation_test.cc
+++ b/tests/consensus/raft_simulation_test.cc
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr std::uint64_t kDefaultSchedules = 100;
-constexpr int kFaultsInSchedule = 14;
+constexpr int kFaultsInSchedule = 16;
 
 std::uint64_t NumberFromEnvironment(const char* name, std::uint64_t otherwise) {
   const char* text = std::getenv(name);  // NOLINT(concurrency-mt-unsafe): set before the tests run.
@@ -30,7 +30,9 @@
     }
     for (int fault = 0; fault < kFaultsInSchedule && Failures().empty(); ++fault) {
       ApplyFault();
-      cluster_.RunFor(milliseconds(Below(900)));
+      if (Below(3) != 0) {  // Else the next one strikes at the same moment.
+        cluster_.RunFor(milliseconds(Below(900)));
+      }
       cluster_.CheckLogs();
     }
     if (Failures().empty()) {
@@ -80,7 +82,7 @@
   }
 
   void ApplyFault() {
-    switch (Below(9)) {
+    switch (Below(10)) {
       case 0:
         return Crash(false);
       case 1:
@@ -98,6 +100,8 @@
         return Split();
       case 7:
         return DisturbNetwork();
+      case 8:
+        return LosePowerInElection();
       default:
         return SlowDisks();
     }
@@ -118,7 +122,7 @@
 
   /// At most one disk at a time is gone: the group must be whole again before the next.
   void LoseDisk() {
-    if (!cluster_.IsWhole()) {
+    if (!cluster_.RunUntil([this] { return cluster_.IsWhole(); }, seconds(1))) {
       return;
     }
     const std::size_t member = Victim();
@@ -126,6 +130,17 @@
     StartLater(member);
   }
 
+  /// Members forget what they have not synced just when they vote.
+  void LosePowerInElection() {
+    SlowDisks();
+    cluster_.machine(Victim()).LosePower();
+    cluster_.RunFor(milliseconds(300 + Below(700)));
+    const std::size_t voter = AnyMember();
+    cluster_.machine(voter).LosePower();
+    cluster_.machine(voter).Start();
+    cluster_.StartAll();
+  }
+
   void Freeze() {
     const std::size_t member = Victim();
     cluster_.machine(member).Freeze();
