--- /dev/null
+++ b/src/coordinator/configuration_objects.h
@@ -0,0 +1,41 @@
+#pragma once
+/// @file
+/// The objects of the routing configuration by name, and the application of one change to them.
+/// Maps, so that tens of thousands of tenants cost a logarithm a change.
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "proto/configuration.pb.h"
+
+namespace cloverbank {
+
+enum class ConfigurationObjectKind : std::uint8_t { kNone, kRoute, kZone, kTenant, kBatch };
+
+/// Which object a change is about: two changes of the same key replace one another.
+struct ConfigurationObjectKey {
+  ConfigurationObjectKind kind = ConfigurationObjectKind::kNone;
+  std::string name;
+  auto operator<=>(const ConfigurationObjectKey&) const = default;
+  /// "route \"x\"", for people.
+  std::string ToString() const;
+};
+
+ConfigurationObjectKey KeyOf(const proto::ConfigurationChange& change);
+
+struct ConfigurationObjects {
+  std::map<std::string, proto::Route> routes;
+  std::map<std::string, proto::Zone> zones;
+  std::map<std::string, proto::Tenant> tenants;
+  proto::BatchSettings batch;
+
+  /// Sets or removes one object. The change must have been validated.
+  void Apply(const proto::ConfigurationChange& change);
+  /// @return the whole configuration, sorted by name, without a version.
+  proto::RoutingConfiguration ToProto() const;
+  void Load(const proto::RoutingConfiguration& configuration);
+};
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/coordinator/configuration_store.cc
@@ -0,0 +1,224 @@
+#include "coordinator/configuration_store.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "base/checksum.h"
+#include "coordinator/transaction_validator.h"
+
+namespace cloverbank {
+namespace {
+
+/// Tag and length of a change within an update, at most.
+constexpr std::size_t kChangeFramingBytes = 4;
+
+std::uint64_t ChecksumOf(const proto::ConfigurationTransaction& transaction) {
+  return Checksum(transaction.SerializeAsString());
+}
+
+}  // namespace
+
+ConfigurationStore::ConfigurationStore() = default;
+
+proto::TransactionResult ConfigurationStore::Apply(
+    const proto::ConfigurationTransaction& transaction, std::int64_t wall_ms) {
+  if (transaction.dry_run()) {
+    return Validate(transaction);
+  }
+  if (std::vector<std::string> problems = CheckOperationId(transaction); !problems.empty()) {
+    return Refusal(transaction, proto::TRANSACTION_OUTCOME_INVALID, std::move(problems));
+  }
+  const std::uint64_t checksum = ChecksumOf(transaction);
+  if (const proto::OperationRecord* known = operations_.Find(transaction.operation_id())) {
+    if (known->request_checksum() == checksum) {
+      return known->result();
+    }
+    return Refusal(transaction, proto::TRANSACTION_OUTCOME_INVALID,
+                   {"operation_id \"" + transaction.operation_id() +
+                    "\" was used for another transaction; choose a new one"});
+  }
+  proto::TransactionResult result = Judge(transaction);
+  if (result.outcome() == proto::TRANSACTION_OUTCOME_APPLIED) {
+    Commit(transaction, wall_ms);
+  }
+  proto::OperationRecord record;
+  record.set_operation_id(transaction.operation_id());
+  *record.mutable_result() = result;
+  record.set_request_checksum(checksum);
+  operations_.Add(std::move(record));
+  return result;
+}
+
+proto::TransactionResult ConfigurationStore::Validate(
+    const proto::ConfigurationTransaction& transaction) const {
+  return Judge(transaction);
+}
+
+proto::TransactionResult ConfigurationStore::Judge(
+    const proto::ConfigurationTransaction& transaction) const {
+  std::vector<std::string> problems = CheckEnvelope(transaction);
+  const ConfigurationVersion expected(transaction.expected_version());
+  if (problems.empty() && expected != version_) {
+    return Refusal(transaction, proto::TRANSACTION_OUTCOME_VERSION_CONFLICT,
+                   {"expected_version is " + expected.ToString() + ", the current version is " +
+                    version_.ToString() +
+                    "; read the configuration, redo the changes on it and send them under a new "
+                    "operation_id"});
+  }
+  std::vector<std::string> wrong = CheckChanges(objects_, transaction);
+  problems.insert(problems.end(), std::make_move_iterator(wrong.begin()),
+                  std::make_move_iterator(wrong.end()));
+  if (!problems.empty()) {
+    return Refusal(transaction, proto::TRANSACTION_OUTCOME_INVALID, std::move(problems));
+  }
+  proto::TransactionResult result;
+  result.set_outcome(proto::TRANSACTION_OUTCOME_APPLIED);
+  result.set_version(version_.Next().value());
+  result.set_operation_id(transaction.operation_id());
+  return result;
+}
+
+proto::TransactionResult ConfigurationStore::Refusal(
+    const proto::ConfigurationTransaction& transaction, proto::TransactionOutcome outcome,
+    std::vector<std::string> problems) const {
+  proto::TransactionResult result;
+  result.set_outcome(outcome);
+  result.set_version(version_.value());
+  result.set_operation_id(transaction.operation_id());
+  for (std::string& problem : problems) {
+    result.add_problems(std::move(problem));
+  }
+  return result;
+}
+
+void ConfigurationStore::Commit(const proto::ConfigurationTransaction& transaction,
+                                std::int64_t wall_ms) {
+  for (const proto::ConfigurationChange& change : transaction.changes()) {
+    objects_.Apply(change);
+  }
+  version_ = version_.Next();
+  whole_.reset();
+  whole_update_.reset();
+  deltas_.clear();
+  proto::HistoryRecord record;
+  record.set_version(version_.value());
+  *record.mutable_transaction() = transaction;
+  record.set_applied_at_ms(wall_ms);
+  AddHistory(std::move(record));
+}
+
+void ConfigurationStore::AddHistory(proto::HistoryRecord record) {
+  history_bytes_ += record.ByteSizeLong();
+  history_.push_back(std::move(record));
+  while (history_.size() > kHistoryKept || history_bytes_ > kHistoryBytesKept) {
+    history_bytes_ -= history_.front().ByteSizeLong();
+    history_.pop_front();
+  }
+}
+
+Status ConfigurationStore::MarkInForce(ConfigurationVersion version, std::int64_t wall_ms) {
+  if (version > version_) {
+    return {StatusCode::kInvalidArgument, "version " + version.ToString() + " is not applied yet"};
+  }
+  if (version <= in_force_) {
+    return Status::Ok();
+  }
+  for (proto::HistoryRecord& record : history_) {
+    const ConfigurationVersion applied(record.version());
+    if (applied > in_force_ && applied <= version) {
+      history_bytes_ -= record.ByteSizeLong();
+      record.set_in_force_at_ms(wall_ms);
+      history_bytes_ += record.ByteSizeLong();
+    }
+  }
+  in_force_ = version;
+  operations_.MarkInForce(version, wall_ms);
+  return Status::Ok();
+}
+
+const proto::RoutingConfiguration& ConfigurationStore::Whole() const {
+  if (!whole_.has_value()) {
+    whole_ = objects_.ToProto();
+    whole_->set_version(version_.value());
+  }
+  return *whole_;
+}
+
+const proto::ConfigurationUpdate& ConfigurationStore::UpdateFrom(ConfigurationVersion held) const {
+  auto entry = deltas_.find(held);
+  if (entry == deltas_.end()) {
+    if (deltas_.size() >= kDeltasCached) {
+      deltas_.clear();
+    }
+    entry = deltas_.emplace(held, MakeDelta(held)).first;
+  }
+  return entry->second.has_value() ? *entry->second : WholeUpdate();
+}
+
+const proto::ConfigurationUpdate& ConfigurationStore::WholeUpdate() const {
+  if (!whole_update_.has_value()) {
+    whole_update_.emplace();
+    whole_update_->set_to_version(version_.value());
+    *whole_update_->mutable_full() = Whole();
+  }
+  return *whole_update_;
+}
+
+std::optional<proto::ConfigurationUpdate> ConfigurationStore::MakeDelta(
+    ConfigurationVersion held) const {
+  const bool reaches_back = held.valid() && held < version_ && !history_.empty() &&
+                            held.Next() >= ConfigurationVersion(history_.front().version());
+  if (!reaches_back) {
+    return std::nullopt;
+  }
+  proto::ConfigurationUpdate update;
+  update.set_from_version(held.value());
+  update.set_to_version(version_.value());
+  const std::size_t limit = Whole().ByteSizeLong();
+  std::size_t bytes = 0;
+  std::set<ConfigurationObjectKey> seen;  // Only the last change of each object counts.
+  for (auto record = history_.rbegin(); record != history_.rend(); ++record) {
+    if (ConfigurationVersion(record->version()) <= held) {
+      break;
+    }
+    for (const proto::ConfigurationChange& change : record->transaction().changes()) {
+      if (!seen.insert(KeyOf(change)).second) {
+        continue;
+      }
+      bytes += change.ByteSizeLong() + kChangeFramingBytes;
+      if (bytes >= limit) {
+        return std::nullopt;
+      }
+      *update.add_changes() = change;
+    }
+  }
+  return update;
+}
+
+std::vector<proto::HistoryRecord> ConfigurationStore::History(std::size_t count) const {
+  const std::size_t kept = std::min(count, history_.size());
+  return {history_.end() - static_cast<std::ptrdiff_t>(kept), history_.end()};
+}
+
+void ConfigurationStore::Save(proto::ControlStateSnapshot* snapshot) const {
+  *snapshot->mutable_configuration() = Whole();
+  snapshot->set_in_force_version(in_force_.value());
+  operations_.Save(snapshot);
+  for (const proto::HistoryRecord& record : history_) {
+    *snapshot->add_history() = record;
+  }
+}
+
+void ConfigurationStore::Load(const proto::ControlStateSnapshot& snapshot) {
+  *this = ConfigurationStore();
+  version_ = ConfigurationVersion(snapshot.configuration().version());
+  in_force_ = ConfigurationVersion(snapshot.in_force_version());
+  objects_.Load(snapshot.configuration());
+  operations_.Load(snapshot);
+  for (const proto::HistoryRecord& record : snapshot.history()) {
+    AddHistory(record);
+  }
+}
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/coordinator/configuration_store.h
@@ -0,0 +1,87 @@
+#pragma once
+/// @file
+/// The replicated routing configuration: transactions on it, their answers, their history and the
+/// updates that bring a node from one version to the current one. Part of `ControlState`;
+/// deterministic. The configuration starts empty at version 1; 0 is "none held".
+///
+/// History and deltas are bounded by `kHistoryKept` records and `kHistoryBytesKept` bytes; a node
+/// further behind is sent the whole configuration.
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/status.h"
+#include "coordinator/configuration_objects.h"
+#include "coordinator/operation_records.h"
+#include "proto/configuration.pb.h"
+#include "proto/coordinator.pb.h"
+
+namespace cloverbank {
+
+class ConfigurationStore {
+ public:
+  static constexpr std::size_t kHistoryKept = 1'000;
+  static constexpr std::size_t kHistoryBytesKept = 16U << 20U;
+  /// Versions whose deltas are kept ready at a time.
+  static constexpr std::size_t kDeltasCached = 64;
+
+  ConfigurationStore();
+
+  /// Takes the transaction whole or refuses it whole, and records the answer under its operation
+  /// id. An operation id met before gets its first answer; one reused for another content is
+  /// refused and the record stays. A dry run changes nothing.
+  proto::TransactionResult Apply(const proto::ConfigurationTransaction& transaction,
+                                 std::int64_t wall_ms);
+  /// @return the answer the transaction would get now; changes nothing (dry run).
+  proto::TransactionResult Validate(const proto::ConfigurationTransaction& transaction) const;
+  /// Records that no gateway can serve by a version below `version` any more.
+  Status MarkInForce(ConfigurationVersion version, std::int64_t wall_ms);
+
+  ConfigurationVersion version() const { return version_; }
+  ConfigurationVersion in_force_version() const { return in_force_; }
+  const proto::OperationRecord* FindOperation(const std::string& operation_id) const {
+    return operations_.Find(operation_id);
+  }
+  const ConfigurationObjects& objects() const { return objects_; }
+
+  /// @return the whole configuration.
+  const proto::RoutingConfiguration& Whole() const;
+  /// @return what a node that holds `held` needs: the changes since, or the whole configuration if
+  /// that is smaller or the history does not reach back.
+  const proto::ConfigurationUpdate& UpdateFrom(ConfigurationVersion held) const;
+  /// @return the newest `count` history records, oldest first.
+  std::vector<proto::HistoryRecord> History(std::size_t count) const;
+
+  void Save(proto::ControlStateSnapshot* snapshot) const;
+  void Load(const proto::ControlStateSnapshot& snapshot);
+
+ private:
+  proto::TransactionResult Judge(const proto::ConfigurationTransaction& transaction) const;
+  proto::TransactionResult Refusal(const proto::ConfigurationTransaction& transaction,
+                                   proto::TransactionOutcome outcome,
+                                   std::vector<std::string> problems) const;
+  void Commit(const proto::ConfigurationTransaction& transaction, std::int64_t wall_ms);
+  void AddHistory(proto::HistoryRecord record);
+  /// @return nothing if the history does not reach back or the whole is no larger.
+  std::optional<proto::ConfigurationUpdate> MakeDelta(ConfigurationVersion held) const;
+  const proto::ConfigurationUpdate& WholeUpdate() const;
+
+  ConfigurationVersion version_{1};
+  ConfigurationVersion in_force_{1};
+  ConfigurationObjects objects_;
+  OperationRecords operations_;
+  std::deque<proto::HistoryRecord> history_;  // Oldest first, versions without gaps.
+  std::size_t history_bytes_ = 0;
+
+  // Derived from the above, dropped at each change.
+  mutable std::optional<proto::RoutingConfiguration> whole_;
+  mutable std::optional<proto::ConfigurationUpdate> whole_update_;
+  mutable std::map<ConfigurationVersion, std::optional<proto::ConfigurationUpdate>> deltas_;
+};
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/coordinator/control_state.cc
@@ -0,0 +1,233 @@
+#include "coordinator/control_state.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace cloverbank {
+namespace {
+
+std::vector<PartitionId> ToPartitions(const google::protobuf::RepeatedField<std::uint64_t>& ids) {
+  std::vector<PartitionId> partitions;
+  partitions.reserve(static_cast<std::size_t>(ids.size()));
+  for (const std::uint64_t id : ids) {
+    partitions.emplace_back(id);
+  }
+  return partitions;
+}
+
+Status Fenced(NodeId node) {
+  return {StatusCode::kFenced, "node " + node.ToString() + " is not a live queue node"};
+}
+
+void SetStatus(const Status& status, proto::ControlCommandResult* result) {
+  result->set_error_code(static_cast<std::uint32_t>(status.code()));
+  result->set_error_message(status.message());
+}
+
+}  // namespace
+
+ControlState::ControlState(std::uint32_t partition_count)
+    : initial_partition_count_(partition_count) {}
+
+std::string ControlState::Apply(std::uint64_t /*index*/, const std::string& bytes) {
+  proto::ControlCommand command;
+  proto::ControlCommandResult result;
+  if (command.ParseFromString(bytes)) {
+    result = ApplyCommand(command);
+    servers_.PruneDead(partitions_.NamedNodes());
+    NoteFleetChanges();
+  } else {
+    SetStatus({StatusCode::kCorrupt, "malformed control command"}, &result);
+  }
+  return result.SerializeAsString();
+}
+
+proto::ControlCommandResult ControlState::ApplyCommand(const proto::ControlCommand& command) {
+  proto::ControlCommandResult result;
+  switch (command.command_case()) {
+    case proto::ControlCommand::kRegisterServer:
+      ApplyRegister(command.register_server(), &result);
+      break;
+    case proto::ControlCommand::kMarkServerDead:
+      SetStatus(MarkDead(NodeId(command.mark_server_dead().node_id())), &result);
+      break;
+    case proto::ControlCommand::kRetireMachine:
+      servers_.RetireMachine(command.retire_machine().machine(), command.retire_machine().cancel());
+      break;
+    case proto::ControlCommand::kApplyTransaction:
+      *result.mutable_transaction() = configuration_.Apply(
+          command.apply_transaction().transaction(), command.apply_transaction().wall_ms());
+      break;
+    case proto::ControlCommand::kMarkInForce:
+      SetStatus(configuration_.MarkInForce(ConfigurationVersion(command.mark_in_force().version()),
+                                           command.mark_in_force().wall_ms()),
+                &result);
+      break;
+    case proto::ControlCommand::kCommitHead:
+      SetStatus(CommitHead(command.commit_head().head()), &result);
+      break;
+    case proto::ControlCommand::kAssignPartitions:
+      SetStatus(Assign(command.assign_partitions()), &result);
+      break;
+    case proto::ControlCommand::kStartReplay:
+      SetStatus(StartReplay(command.start_replay()), &result);
+      break;
+    case proto::ControlCommand::kFinishAssignment:
+      SetStatus(FinishAssignment(command.finish_assignment()), &result);
+      break;
+    case proto::ControlCommand::kFinishRecovery:
+      SetStatus(partitions_.FinishRecovery(NodeId(command.finish_recovery().dead_node_id())),
+                &result);
+      break;
+    case proto::ControlCommand::kInitialize:
+      partitions_.Initialize(command.initialize().partition_count());
+      break;
+    case proto::ControlCommand::COMMAND_NOT_SET:
+      SetStatus({StatusCode::kInvalidArgument, "empty control command"}, &result);
+      break;
+  }
+  return result;
+}
+
+void ControlState::ApplyRegister(const proto::RegisterServerCommand& command,
+                                 proto::ControlCommandResult* result) {
+  if (command.server().role() == proto::ROLE_UNSPECIFIED) {
+    SetStatus({StatusCode::kInvalidArgument, "a server needs a role"}, result);
+    return;
+  }
+  const ServerRegistry::Registration registration =
+      servers_.Register(command.server(), NodeId(command.previous_node_id()));
+  for (const NodeId earlier : registration.superseded) {
+    SetStatus(MarkDead(earlier), result);
+  }
+  result->set_node_id(registration.node_id.value());
+}
+
+Status ControlState::MarkDead(NodeId node) {
+  const bool queue_node = servers_.FindLive(node, proto::ROLE_QUEUE) != nullptr;
+  if (servers_.MarkDead(node) && queue_node) {
+    partitions_.OnQueueNodeDead(node);
+  }
+  return Status::Ok();
+}
+
+Status ControlState::CommitHead(const proto::LogHead& head) {
+  const NodeId node(head.node_id());
+  if (servers_.FindLive(node, proto::ROLE_QUEUE) == nullptr) {
+    return Fenced(node);
+  }
+  return partitions_.CommitHead(head);
+}
+
+Status ControlState::Assign(const proto::AssignPartitionsCommand& command) {
+  const NodeId node(command.queue_node_id());
+  if (servers_.FindLive(node, proto::ROLE_QUEUE) == nullptr) {
+    return Fenced(node);
+  }
+  return partitions_.Assign(node, ToPartitions(command.partition_ids()));
+}
+
+Status ControlState::StartReplay(const proto::StartReplayCommand& command) {
+  const std::vector<proto::RecoveryAssignment> assignments(command.assignments().begin(),
+                                                           command.assignments().end());
+  for (const proto::RecoveryAssignment& assignment : assignments) {
+    const NodeId node(assignment.queue_node_id());
+    if (servers_.FindLive(node, proto::ROLE_QUEUE) == nullptr) {
+      return Fenced(node);
+    }
+  }
+  return partitions_.StartReplay(NodeId(command.dead_node_id()), assignments);
+}
+
+Status ControlState::FinishAssignment(const proto::FinishAssignmentCommand& command) {
+  const NodeId node(command.queue_node_id());
+  if (servers_.FindLive(node, proto::ROLE_QUEUE) == nullptr) {
+    return Fenced(node);
+  }
+  return partitions_.FinishAssignment(NodeId(command.dead_node_id()), node,
+                                      ToPartitions(command.partition_ids()));
+}
+
+void ControlState::NoteFleetChanges() {
+  const std::set<NodeId> servers = servers_.TakeChanged();
+  const std::set<PartitionId> partitions = partitions_.TakeChanged();
+  if (servers.empty() && partitions.empty()) {
+    return;
+  }
+  fleet_version_ = fleet_version_.Next();
+  for (const NodeId node : servers) {
+    server_changed_[node] = fleet_version_;
+  }
+  for (const PartitionId partition : partitions) {
+    partition_changed_[partition] = fleet_version_;
+  }
+  DropPrunedServers();
+}
+
+void ControlState::DropPrunedServers() {
+  for (auto entry = server_changed_.begin(); entry != server_changed_.end();) {
+    if (servers_.Find(entry->first) != nullptr) {
+      ++entry;
+      continue;
+    }
+    // A node that has not heard of this death can no longer be told by a delta.
+    deltas_from_ = std::max(deltas_from_, entry->second);
+    entry = server_changed_.erase(entry);
+  }
+}
+
+proto::FleetUpdate ControlState::FleetUpdateFrom(FleetVersion held) const {
+  const bool delta = held >= deltas_from_ && held <= fleet_version_;
+  proto::FleetUpdate update;
+  update.set_from_version(delta ? held.value() : 0);
+  update.set_to_version(fleet_version_.value());
+  if (!delta) {
+    for (const auto& [id, server] : servers_.servers()) {
+      if (IsLive(server) && server.role() != proto::ROLE_GATEWAY) {
+        *update.add_servers() = server;
+      }
+    }
+    for (const auto& [id, partition] : partitions_.partitions()) {
+      *update.add_partitions() = partition;
+    }
+    return update;
+  }
+  for (const auto& [id, changed] : server_changed_) {
+    if (changed > held) {
+      *update.add_servers() = *servers_.Find(id);
+    }
+  }
+  for (const auto& [id, changed] : partition_changed_) {
+    if (changed > held) {
+      *update.add_partitions() = partitions_.partitions().at(id);
+    }
+  }
+  return update;
+}
+
+std::string ControlState::TakeSnapshot() const {
+  proto::ControlStateSnapshot snapshot;
+  snapshot.set_fleet_version(fleet_version_.value());
+  servers_.Save(&snapshot);
+  partitions_.Save(&snapshot);
+  configuration_.Save(&snapshot);
+  return snapshot.SerializeAsString();
+}
+
+Status ControlState::RestoreSnapshot(const std::string& bytes) {
+  proto::ControlStateSnapshot snapshot;
+  if (!snapshot.ParseFromString(bytes)) {
+    return {StatusCode::kCorrupt, "the control state snapshot can not be read"};
+  }
+  servers_.Load(snapshot);
+  partitions_.Load(snapshot);
+  configuration_.Load(snapshot);
+  fleet_version_ = FleetVersion(snapshot.fleet_version());
+  deltas_from_ = fleet_version_;
+  server_changed_.clear();
+  partition_changed_.clear();
+  return Status::Ok();
+}
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/coordinator/control_state.h
@@ -0,0 +1,69 @@
+#pragma once
+/// @file
+/// The state machine behind consensus: servers, partitions, heads of logs, recoveries, routing
+/// configuration, operation records, history. Deterministic: every member that applies the same
+/// commands holds the same state (see docs/DESIGN.md section 4).
+///
+/// Threads: the owner's event loop only.
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "base/ids.h"
+#include "consensus/replicated_log.h"
+#include "coordinator/configuration_store.h"
+#include "coordinator/partition_table.h"
+#include "coordinator/server_registry.h"
+#include "proto/coordinator.pb.h"
+
+namespace cloverbank {
+
+class ControlState : public StateMachine {
+ public:
+  /// @param partition_count proposed by the first leader when the group is first formed; what
+  /// counts from then on is the count in the replicated state (`partitions().partition_count()`).
+  explicit ControlState(std::uint32_t partition_count);
+
+  /// Applies a serialized `proto::ControlCommand`. @return a serialized `ControlCommandResult`.
+  std::string Apply(std::uint64_t index, const std::string& command) override;
+  std::string TakeSnapshot() const override;
+  Status RestoreSnapshot(const std::string& snapshot) override;
+
+  std::uint32_t initial_partition_count() const { return initial_partition_count_; }
+  const ServerRegistry& servers() const { return servers_; }
+  const PartitionTable& partitions() const { return partitions_; }
+  const ConfigurationStore& configuration() const { return configuration_; }
+
+  FleetVersion fleet_version() const { return fleet_version_; }
+  /// @return the queue and backup nodes and partitions that changed since `held` (dead servers with
+  /// their state), or whole lists of the live ones when `held` is too far back.
+  proto::FleetUpdate FleetUpdateFrom(FleetVersion held) const;
+
+ private:
+  proto::ControlCommandResult ApplyCommand(const proto::ControlCommand& command);
+  void ApplyRegister(const proto::RegisterServerCommand& command,
+                     proto::ControlCommandResult* result);
+  Status MarkDead(NodeId node);
+  Status CommitHead(const proto::LogHead& head);
+  Status Assign(const proto::AssignPartitionsCommand& command);
+  Status StartReplay(const proto::StartReplayCommand& command);
+  Status FinishAssignment(const proto::FinishAssignmentCommand& command);
+  Status FinishRecovery(const proto::FinishRecoveryCommand& command);
+  /// Raises the fleet version if the command changed what nodes see, and stamps what changed.
+  void NoteFleetChanges();
+  void DropPrunedServers();
+
+  std::uint32_t initial_partition_count_;
+  ServerRegistry servers_;
+  PartitionTable partitions_;
+  ConfigurationStore configuration_;
+  FleetVersion fleet_version_{1};
+
+  // For deltas; not replicated: after a restore, nodes behind the snapshot get whole lists.
+  FleetVersion deltas_from_{1};
+  std::map<NodeId, FleetVersion> server_changed_;
+  std::map<PartitionId, FleetVersion> partition_changed_;
+};
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/coordinator/operation_records.h
@@ -0,0 +1,48 @@
+#pragma once
+/// @file
+/// The answers given to operations, kept so that a resent transaction gets its first answer again.
+/// Part of `ControlState`; deterministic. Bounded: beyond `kRecordsKept` records, or
+/// `kRecordBytesKept` bytes of them, the oldest are forgotten; a resend after that is a new
+/// transaction, which its expected version refuses if the first one was applied.
+
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <unordered_map>
+
+#include "base/ids.h"
+#include "proto/coordinator.pb.h"
+
+namespace cloverbank {
+
+class OperationRecords {
+ public:
+  static constexpr std::size_t kRecordsKept = 10'000;
+  static constexpr std::size_t kRecordBytesKept = 32U << 20U;
+
+  /// @return the record of the operation, or nullptr.
+  const proto::OperationRecord* Find(const std::string& operation_id) const;
+  /// Adds the answer to a new operation.
+  void Add(proto::OperationRecord record);
+  /// Notes the time at which the versions up to `version` were in force in their records.
+  void MarkInForce(ConfigurationVersion version, std::int64_t wall_ms);
+  std::size_t size() const { return order_.size(); }
+
+  void Save(proto::ControlStateSnapshot* snapshot) const;
+  void Load(const proto::ControlStateSnapshot& snapshot);
+
+ private:
+  struct Awaited {
+    ConfigurationVersion version;
+    std::string operation_id;
+  };
+
+  void Trim();
+
+  std::unordered_map<std::string, proto::OperationRecord> records_;
+  std::deque<std::string> order_;  // Oldest first.
+  std::deque<Awaited> awaited_;    // Applied, not yet in force; by rising version.
+  std::size_t bytes_ = 0;
+};
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/coordinator/partition_table.cc
@@ -0,0 +1,302 @@
+#include "coordinator/partition_table.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace cloverbank {
+namespace {
+
+bool Names(const proto::RecoveryAssignment& assignment, PartitionId partition) {
+  const auto& ids = assignment.partition_ids();
+  return std::find(ids.begin(), ids.end(), partition.value()) != ids.end();
+}
+
+/// Heads are ordered by segment, then by the epoch within it.
+std::pair<std::uint64_t, std::uint64_t> PlaceOf(const proto::LogHead& head) {
+  return {head.segment_id(), head.epoch()};
+}
+
+bool SameBackups(const proto::LogHead& left, const proto::LogHead& right) {
+  return std::is_permutation(left.backups().begin(), left.backups().end(), right.backups().begin(),
+                             right.backups().end());
+}
+
+Status Conflict(std::string message) { return {StatusCode::kConflict, std::move(message)}; }
+
+}  // namespace
+
+void PartitionTable::Initialize(std::uint32_t count) {
+  if (!partitions_.empty()) {
+    return;
+  }
+  for (std::uint32_t id = 0; id < count; ++id) {
+    partitions_[PartitionId(id)].set_partition_id(id);
+    changed_.insert(PartitionId(id));
+  }
+}
+
+void PartitionTable::SetOwner(PartitionId partition, NodeId owner, NodeId recovering_from) {
+  proto::Partition& entry = partitions_[partition];
+  entry.set_owner(owner.value());
+  entry.set_recovering_from(recovering_from.value());
+  changed_.insert(partition);
+}
+
+void PartitionTable::OnQueueNodeDead(NodeId node) {
+  for (auto& [dead, recovery] : recoveries_) {
+    auto* assignments = recovery.mutable_assignments();
+    const auto lost =
+        std::remove_if(assignments->begin(), assignments->end(),
+                       [node](const proto::RecoveryAssignment& assignment) {
+                         return NodeId(assignment.queue_node_id()) == node && !assignment.done();
+                       });
+    assignments->erase(lost, assignments->end());
+  }
+  const bool has_log = heads_.contains(node);
+  const std::vector<PartitionId> owned = OwnedBy(node);
+  for (const PartitionId id : owned) {
+    SetOwner(id, NodeId(), has_log ? node : NodeId());
+  }
+  if (has_log) {
+    proto::Recovery& recovery = recoveries_[node];
+    recovery.set_dead_node_id(node.value());
+    recovery.set_phase(owned.empty() ? proto::RECOVERY_PHASE_RELEASING
+                                     : proto::RECOVERY_PHASE_COLLECTING);
+  }
+}
+
+Status PartitionTable::CommitHead(const proto::LogHead& head) {
+  if (head.segment_id() == 0 || head.backups().empty()) {
+    return {StatusCode::kInvalidArgument, "a head needs a segment id and backups"};
+  }
+  const auto entry = heads_.find(NodeId(head.node_id()));
+  if (entry == heads_.end()) {
+    heads_[NodeId(head.node_id())].current = head;
+    return Status::Ok();
+  }
+  LogHeads& heads = entry->second;
+  if (PlaceOf(head) == PlaceOf(heads.current) && SameBackups(head, heads.current)) {
+    return Status::Ok();
+  }
+  if (PlaceOf(head) <= PlaceOf(heads.current)) {
+    return {StatusCode::kStaleEpoch, "segment " + std::to_string(heads.current.segment_id()) +
+                                         " epoch " + std::to_string(heads.current.epoch()) +
+                                         " is committed already"};
+  }
+  if (head.segment_id() != heads.current.segment_id()) {
+    heads.previous = std::move(heads.current);
+  }
+  heads.current = head;
+  return Status::Ok();
+}
+
+Status PartitionTable::Assign(NodeId node, const std::vector<PartitionId>& partitions) {
+  for (const PartitionId id : partitions) {
+    const auto entry = partitions_.find(id);
+    if (entry == partitions_.end()) {
+      return {StatusCode::kNotFound, "there is no partition " + id.ToString()};
+    }
+    if (entry->second.owner() != 0 || entry->second.recovering_from() != 0) {
+      return Conflict("partition " + id.ToString() + " is not free");
+    }
+  }
+  for (const PartitionId id : partitions) {
+    SetOwner(id, node, NodeId());
+  }
+  return Status::Ok();
+}
+
+Status PartitionTable::StartReplay(NodeId dead,
+                                   const std::vector<proto::RecoveryAssignment>& assignments) {
+  const auto entry = recoveries_.find(dead);
+  if (entry == recoveries_.end()) {
+    return {StatusCode::kNotFound, "node " + dead.ToString() + " is not being recovered"};
+  }
+  const std::vector<PartitionId> unassigned = UnassignedOf(dead);
+  std::set<PartitionId> open(unassigned.begin(), unassigned.end());
+  for (const proto::RecoveryAssignment& assignment : assignments) {
+    for (const std::uint64_t id : assignment.partition_ids()) {
+      if (open.erase(PartitionId(id)) == 0) {
+        return Conflict("partition " + std::to_string(id) + " is not open for replay");
+      }
+    }
+  }
+  for (const proto::RecoveryAssignment& assignment : assignments) {
+    proto::RecoveryAssignment* added = entry->second.add_assignments();
+    *added = assignment;
+    added->set_done(false);
+  }
+  entry->second.set_phase(proto::RECOVERY_PHASE_REPLAYING);
+  return Status::Ok();
+}
+
+Status PartitionTable::FinishAssignment(NodeId dead, NodeId node,
+                                        const std::vector<PartitionId>& partitions) {
+  const auto recovery = recoveries_.find(dead);
+  std::vector<PartitionId> finished;
+  for (const PartitionId id : partitions) {
+    const auto entry = partitions_.find(id);
+    if (entry == partitions_.end()) {
+      return {StatusCode::kNotFound, "there is no partition " + id.ToString()};
+    }
+    if (NodeId(entry->second.owner()) == node) {
+      continue;
+    }
+    const bool open = NodeId(entry->second.recovering_from()) == dead &&
+                      recovery != recoveries_.end() && IsAssigned(recovery->second, id, node);
+    if (!open) {
+      return Conflict("the replay of partition " + id.ToString() + " is not given to node " +
+                      node.ToString());
+    }
+    finished.push_back(id);
+  }
+  for (const PartitionId id : finished) {
+    SetOwner(id, node, NodeId());
+  }
+  if (recovery != recoveries_.end()) {
+    MarkDoneAssignments(dead, &recovery->second);
+  }
+  return Status::Ok();
+}
+
+void PartitionTable::MarkDoneAssignments(NodeId dead, proto::Recovery* recovery) const {
+  for (proto::RecoveryAssignment& assignment : *recovery->mutable_assignments()) {
+    const auto& ids = assignment.partition_ids();
+    assignment.set_done(std::none_of(ids.begin(), ids.end(), [this, dead](std::uint64_t id) {
+      return NodeId(partitions_.at(PartitionId(id)).recovering_from()) == dead;
+    }));
+  }
+  if (!AnyRecoveringFrom(dead)) {
+    recovery->set_phase(proto::RECOVERY_PHASE_RELEASING);
+  }
+}
+
+Status PartitionTable::FinishRecovery(NodeId dead) {
+  if (AnyRecoveringFrom(dead)) {
+    return Conflict("partitions are still being recovered from node " + dead.ToString());
+  }
+  if (recoveries_.erase(dead) > 0) {
+    heads_.erase(dead);
+  }
+  return Status::Ok();
+}
+
+std::vector<PartitionId> PartitionTable::OwnedBy(NodeId node) const {
+  std::vector<PartitionId> owned;
+  for (const auto& [id, partition] : partitions_) {
+    if (NodeId(partition.owner()) == node) {
+      owned.push_back(id);
+    }
+  }
+  return owned;
+}
+
+std::vector<PartitionId> PartitionTable::UnassignedOf(NodeId dead) const {
+  std::vector<PartitionId> unassigned;
+  const auto recovery = recoveries_.find(dead);
+  if (recovery == recoveries_.end()) {
+    return unassigned;
+  }
+  const auto& assignments = recovery->second.assignments();
+  for (const auto& [id, partition] : partitions_) {
+    if (NodeId(partition.recovering_from()) != dead) {
+      continue;
+    }
+    const bool assigned = std::any_of(
+        assignments.begin(), assignments.end(),
+        [id = id](const auto& assignment) { return !assignment.done() && Names(assignment, id); });
+    if (!assigned) {
+      unassigned.push_back(id);
+    }
+  }
+  return unassigned;
+}
+
+std::vector<PartitionId> PartitionTable::Free() const {
+  std::vector<PartitionId> free;
+  for (const auto& [id, partition] : partitions_) {
+    if (partition.owner() == 0 && partition.recovering_from() == 0) {
+      free.push_back(id);
+    }
+  }
+  return free;
+}
+
+std::size_t PartitionTable::LoadOf(NodeId node) const {
+  std::size_t load = OwnedBy(node).size();
+  for (const auto& [dead, recovery] : recoveries_) {
+    for (const proto::RecoveryAssignment& assignment : recovery.assignments()) {
+      if (NodeId(assignment.queue_node_id()) == node && !assignment.done()) {
+        load += static_cast<std::size_t>(assignment.partition_ids_size());
+      }
+    }
+  }
+  return load;
+}
+
+std::set<NodeId> PartitionTable::NamedNodes() const {
+  std::set<NodeId> named;
+  for (const auto& [node, heads] : heads_) {
+    named.insert(node);
+    for (const std::uint64_t backup : heads.current.backups()) {
+      named.insert(NodeId(backup));
+    }
+    if (heads.previous.has_value()) {
+      for (const std::uint64_t backup : heads.previous->backups()) {
+        named.insert(NodeId(backup));
+      }
+    }
+  }
+  return named;
+}
+
+bool PartitionTable::IsAssigned(const proto::Recovery& recovery, PartitionId partition,
+                                NodeId node) const {
+  return std::any_of(recovery.assignments().begin(), recovery.assignments().end(),
+                     [partition, node](const proto::RecoveryAssignment& assignment) {
+                       return !assignment.done() && NodeId(assignment.queue_node_id()) == node &&
+                              Names(assignment, partition);
+                     });
+}
+
+bool PartitionTable::AnyRecoveringFrom(NodeId dead) const {
+  return std::any_of(partitions_.begin(), partitions_.end(), [dead](const auto& entry) {
+    return NodeId(entry.second.recovering_from()) == dead;
+  });
+}
+
+void PartitionTable::Save(proto::ControlStateSnapshot* snapshot) const {
+  snapshot->set_partition_count(partition_count());
+  for (const auto& [id, partition] : partitions_) {
+    *snapshot->add_partitions() = partition;
+  }
+  for (const auto& [node, heads] : heads_) {
+    if (heads.previous.has_value()) {
+      *snapshot->add_heads() = *heads.previous;
+    }
+    *snapshot->add_heads() = heads.current;
+  }
+  for (const auto& [dead, recovery] : recoveries_) {
+    *snapshot->add_recoveries() = recovery;
+  }
+}
+
+void PartitionTable::Load(const proto::ControlStateSnapshot& snapshot) {
+  *this = PartitionTable();
+  for (const proto::Partition& partition : snapshot.partitions()) {
+    partitions_[PartitionId(partition.partition_id())] = partition;
+  }
+  for (const proto::LogHead& head : snapshot.heads()) {
+    LogHeads& heads = heads_[NodeId(head.node_id())];
+    if (heads.current.segment_id() != 0) {
+      heads.previous = heads.current;
+    }
+    heads.current = head;
+  }
+  for (const proto::Recovery& recovery : snapshot.recoveries()) {
+    recoveries_[NodeId(recovery.dead_node_id())] = recovery;
+  }
+}
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/coordinator/transaction_validator.cc
@@ -0,0 +1,263 @@
+#include "coordinator/transaction_validator.h"
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <set>
+
+namespace cloverbank {
+namespace {
+
+constexpr std::uint32_t kMaximumPercent = 100;
+
+bool IsNameCharacter(char character) {
+  const bool letter =
+      (character >= 'a' && character <= 'z') || (character >= 'A' && character <= 'Z');
+  const bool digit = character >= '0' && character <= '9';
+  return letter || digit || character == '-' || character == '_' || character == '.' ||
+         character == ':';
+}
+
+/// @return what is wrong with a name, or nothing.
+std::optional<std::string> NameProblem(const std::string& name) {
+  if (name.empty()) {
+    return "the name is empty; give it one";
+  }
+  if (name.size() > kMaximumNameBytes) {
+    return "the name is longer than " + std::to_string(kMaximumNameBytes) + " bytes; shorten it";
+  }
+  if (!std::all_of(name.begin(), name.end(), IsNameCharacter)) {
+    return "the name may hold only letters, digits, '-', '_', '.' and ':'";
+  }
+  return std::nullopt;
+}
+
+/// One check of one transaction: collects the problems.
+class ChangeCheck {
+ public:
+  ChangeCheck(const ConfigurationObjects& current,
+              const proto::ConfigurationTransaction& transaction)
+      : current_(current), transaction_(transaction) {}
+
+  std::vector<std::string> Run();
+
+ private:
+  void Add(const ConfigurationObjectKey& key, const std::string& problem);
+  void GatherResult();
+  void CheckChange(int index, const proto::ConfigurationChange& change);
+  void CheckRoute(const proto::Route& route, const ConfigurationObjectKey& key);
+  void CheckRouteZones(const proto::Route& route, const ConfigurationObjectKey& key);
+  void CheckZone(const proto::Zone& zone, const ConfigurationObjectKey& key);
+  void CheckBatch(const proto::BatchSettings& batch, const ConfigurationObjectKey& key);
+  void CheckRemovedZones();
+  void CheckOpenZones();
+  template <typename Map>
+  void CheckRemoval(const Map& objects, const ConfigurationObjectKey& key);
+
+  const ConfigurationObjects& current_;
+  const proto::ConfigurationTransaction& transaction_;
+  /// Zones and routes as they would be; tenants need no look at each other.
+  std::map<std::string, proto::Zone> zones_;
+  std::map<std::string, proto::Route> routes_;
+  std::map<ConfigurationObjectKey, int> seen_;
+  std::vector<std::string> problems_;
+  std::size_t unlisted_ = 0;
+};
+
+std::vector<std::string> ChangeCheck::Run() {
+  GatherResult();
+  for (int index = 0; index < transaction_.changes_size(); ++index) {
+    CheckChange(index, transaction_.changes(index));
+  }
+  CheckRemovedZones();
+  CheckOpenZones();
+  if (unlisted_ > 0) {
+    problems_.push_back("and " + std::to_string(unlisted_) + " more problems");
+  }
+  return std::move(problems_);
+}
+
+void ChangeCheck::Add(const ConfigurationObjectKey& key, const std::string& problem) {
+  if (problems_.size() >= kMaximumProblems) {
+    ++unlisted_;
+    return;
+  }
+  problems_.push_back(key.ToString() + ": " + problem);
+}
+
+void ChangeCheck::GatherResult() {
+  zones_ = current_.zones;
+  routes_ = current_.routes;
+  for (const proto::ConfigurationChange& change : transaction_.changes()) {
+    if (change.has_set_zone()) {
+      zones_[change.set_zone().name()] = change.set_zone();
+    } else if (change.change_case() == proto::ConfigurationChange::kRemoveZone) {
+      zones_.erase(change.remove_zone());
+    } else if (change.has_set_route()) {
+      routes_[change.set_route().name()] = change.set_route();
+    } else if (change.change_case() == proto::ConfigurationChange::kRemoveRoute) {
+      routes_.erase(change.remove_route());
+    }
+  }
+}
+
+void ChangeCheck::CheckChange(int index, const proto::ConfigurationChange& change) {
+  const ConfigurationObjectKey key = KeyOf(change);
+  if (key.kind == ConfigurationObjectKind::kNone) {
+    Add(key, "change " + std::to_string(index + 1) + " sets and removes nothing; leave it out");
+    return;
+  }
+  const auto [first, fresh] = seen_.emplace(key, index);
+  if (!fresh) {
+    Add(key, "changed twice, by changes " + std::to_string(first->second + 1) + " and " +
+                 std::to_string(index + 1) + "; keep one");
+  }
+  const bool named = key.kind != ConfigurationObjectKind::kBatch;
+  if (const auto problem = NameProblem(key.name); named && problem.has_value()) {
+    Add(key, *problem);
+  }
+  switch (change.change_case()) {
+    case proto::ConfigurationChange::kSetRoute:
+      return CheckRoute(change.set_route(), key);
+    case proto::ConfigurationChange::kSetZone:
+      return CheckZone(change.set_zone(), key);
+    case proto::ConfigurationChange::kSetBatch:
+      return CheckBatch(change.set_batch(), key);
+    case proto::ConfigurationChange::kRemoveRoute:
+      return CheckRemoval(current_.routes, key);
+    case proto::ConfigurationChange::kRemoveZone:
+      return CheckRemoval(current_.zones, key);
+    case proto::ConfigurationChange::kRemoveTenant:
+      return CheckRemoval(current_.tenants, key);
+    case proto::ConfigurationChange::kSetTenant:
+    case proto::ConfigurationChange::CHANGE_NOT_SET:
+      return;
+  }
+}
+
+template <typename Map>
+void ChangeCheck::CheckRemoval(const Map& objects, const ConfigurationObjectKey& key) {
+  if (!key.name.empty() && !objects.contains(key.name)) {
+    Add(key, "can not be removed, there is none of this name");
+  }
+}
+
+void ChangeCheck::CheckRoute(const proto::Route& route, const ConfigurationObjectKey& key) {
+  if (route.backend_kind() != proto::BACKEND_KIND_MODEL &&
+      route.backend_kind() != proto::BACKEND_KIND_SERVICE) {
+    Add(key, "unknown backend_kind; use BACKEND_KIND_MODEL or BACKEND_KIND_SERVICE");
+  }
+  if (route.backend().empty()) {
+    Add(key, "backend is empty; name the model or service that serves it");
+  } else if (route.backend().size() > kMaximumNameBytes) {
+    Add(key, "backend is longer than " + std::to_string(kMaximumNameBytes) + " bytes; shorten it");
+  }
+  if (!proto::Priority_IsValid(route.priority())) {
+    Add(key, "unknown priority; use PRIORITY_INTERACTIVE, PRIORITY_STANDARD or PRIORITY_BATCH");
+  }
+  if (route.deadline_ms() == 0) {
+    Add(key, "deadline_ms is 0; give the longest time a call may take, in milliseconds");
+  } else if (route.deadline_ms() > kMaximumDeadlineMs) {
+    Add(key, "deadline_ms is over a day; at most " + std::to_string(kMaximumDeadlineMs));
+  }
+  CheckRouteZones(route, key);
+}
+
+void ChangeCheck::CheckRouteZones(const proto::Route& route, const ConfigurationObjectKey& key) {
+  std::set<std::string> named;
+  for (const std::string& zone : route.zones()) {
+    if (!named.insert(zone).second) {
+      Add(key, "names zone \"" + zone + "\" twice; keep one");
+    } else if (!zones_.contains(zone) && !current_.zones.contains(zone)) {
+      // A zone that this transaction removes is reported once, with the removal.
+      Add(key, "names the unknown zone \"" + zone + "\"; set the zone in the same transaction");
+    }
+  }
+}
+
+void ChangeCheck::CheckZone(const proto::Zone& zone, const ConfigurationObjectKey& key) {
+  if (zone.state() != proto::ZONE_STATE_OPEN && zone.state() != proto::ZONE_STATE_DRAINED) {
+    Add(key, "unknown state; use ZONE_STATE_OPEN or ZONE_STATE_DRAINED");
+  }
+}
+
+void ChangeCheck::CheckBatch(const proto::BatchSettings& batch, const ConfigurationObjectKey& key) {
+  if (batch.live_headroom_percent() > kMaximumPercent) {
+    Add(key, "live_headroom_percent is " + std::to_string(batch.live_headroom_percent()) +
+                 "; use 1 to 100, or 0 for the default");
+  }
+}
+
+void ChangeCheck::CheckRemovedZones() {
+  for (const auto& [key, index] : seen_) {
+    const bool removed = key.kind == ConfigurationObjectKind::kZone &&
+                         current_.zones.contains(key.name) && !zones_.contains(key.name);
+    if (!removed) {
+      continue;
+    }
+    for (const auto& [name, route] : routes_) {
+      const auto& named = route.zones();
+      if (std::find(named.begin(), named.end(), key.name) != named.end()) {
+        Add(key, "can not be removed while route \"" + name +
+                     "\" names it; take it out of the route in the same transaction");
+      }
+    }
+  }
+}
+
+void ChangeCheck::CheckOpenZones() {
+  const auto is_open = [](const auto& entry) {
+    return entry.second.state() == proto::ZONE_STATE_OPEN;
+  };
+  const bool were_open = std::any_of(current_.zones.begin(), current_.zones.end(), is_open);
+  const bool are_open = std::any_of(zones_.begin(), zones_.end(), is_open);
+  if (were_open && !are_open && !routes_.empty()) {
+    const auto last = std::find_if(current_.zones.begin(), current_.zones.end(), is_open);
+    Add({ConfigurationObjectKind::kZone, last->first},
+        "no open zone would be left to serve the routes; open another in the same transaction");
+  }
+}
+
+}  // namespace
+
+std::vector<std::string> CheckOperationId(const proto::ConfigurationTransaction& transaction) {
+  std::vector<std::string> problems;
+  if (transaction.operation_id().empty()) {
+    problems.emplace_back(
+        "operation_id is empty; choose one, so that a resent transaction gets its first answer");
+  }
+  if (transaction.operation_id().size() > kMaximumNameBytes) {
+    problems.push_back("operation_id is longer than " + std::to_string(kMaximumNameBytes) +
+                       " bytes; shorten it");
+  }
+  return problems;
+}
+
+std::vector<std::string> CheckEnvelope(const proto::ConfigurationTransaction& transaction) {
+  std::vector<std::string> problems;
+  if (transaction.author().size() > kMaximumCommentBytes ||
+      transaction.comment().size() > kMaximumCommentBytes) {
+    problems.push_back("author or comment is longer than " + std::to_string(kMaximumCommentBytes) +
+                       " bytes; shorten it");
+  }
+  if (transaction.expected_version() == 0) {
+    problems.emplace_back(
+        "expected_version is missing; name the configuration version the changes were made "
+        "against");
+  }
+  if (transaction.changes().empty()) {
+    problems.emplace_back("changes is empty; give at least one change");
+  }
+  if (transaction.changes_size() > kMaximumChanges) {
+    problems.push_back("more than " + std::to_string(kMaximumChanges) +
+                       " changes; split the transaction");
+  }
+  return problems;
+}
+
+std::vector<std::string> CheckChanges(const ConfigurationObjects& current,
+                                      const proto::ConfigurationTransaction& transaction) {
+  return ChangeCheck(current, transaction).Run();
+}
+
+}  // namespace cloverbank
--- /dev/null
+++ b/tests/coordinator/configuration_store_test.cc
@@ -0,0 +1,204 @@
+// Transactions on the routing configuration as the state machine applies them.
+#include "coordinator/configuration_store.h"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include <random>
+
+#include "control_commands.h"
+
+namespace cloverbank {
+namespace {
+
+using ::testing::HasSubstr;
+using ::testing::UnorderedElementsAre;
+
+proto::ConfigurationTransaction TenantTransaction(const std::string& operation_id,
+                                                  std::uint64_t expected_version,
+                                                  const std::string& tenant) {
+  proto::ConfigurationTransaction transaction = MakeTransaction(operation_id, expected_version);
+  AddTenant(&transaction, tenant);
+  return transaction;
+}
+
+TEST(ConfigurationStore, OneOfTwoUnderTheSameVersionWins) {
+  ControlDriver control;
+  EXPECT_EQ(control.Submit(TenantTransaction("a", 1, "x")).outcome(),
+            proto::TRANSACTION_OUTCOME_APPLIED);
+  const proto::TransactionResult loser = control.Submit(TenantTransaction("b", 1, "y"));
+  EXPECT_EQ(loser.outcome(), proto::TRANSACTION_OUTCOME_VERSION_CONFLICT);
+  EXPECT_EQ(loser.version(), 2U);
+  EXPECT_THAT(loser.problems(0), HasSubstr("the current version is 2"));
+  EXPECT_FALSE(control.state.configuration().objects().tenants.contains("y"));
+}
+
+TEST(ConfigurationStore, ResendsGetTheFirstAnswerEvenAfterASnapshot) {
+  ControlDriver control;
+  const auto winner = TenantTransaction("a", 1, "x");
+  const auto loser = TenantTransaction("b", 1, "y");
+  auto invalid = MakeTransaction("c", 2);
+  AddTenant(&invalid, "");
+  const std::string first = control.Submit(winner).SerializeAsString();
+  const std::string refused = control.Submit(loser).SerializeAsString();
+  const std::string wrong = control.Submit(invalid).SerializeAsString();
+  control.Submit(TenantTransaction("d", 2, "z"));
+
+  ControlDriver restored;
+  ASSERT_TRUE(restored.state.RestoreSnapshot(control.state.TakeSnapshot()).ok());
+  for (ControlDriver* member : {&control, &restored}) {
+    EXPECT_EQ(member->Submit(winner).SerializeAsString(), first);
+    EXPECT_EQ(member->Submit(loser).SerializeAsString(), refused);
+    EXPECT_EQ(member->Submit(invalid).SerializeAsString(), wrong);
+    EXPECT_EQ(member->state.configuration().version(), ConfigurationVersion(3));
+  }
+}
+
+TEST(ConfigurationStore, ReusedOperationIdIsRefusedAndItsRecordStays) {
+  ControlDriver control;
+  const auto original = TenantTransaction("a", 1, "x");
+  control.Submit(original);
+  const proto::TransactionResult reused = control.Submit(TenantTransaction("a", 2, "y"));
+  EXPECT_EQ(reused.outcome(), proto::TRANSACTION_OUTCOME_INVALID);
+  EXPECT_THAT(reused.problems(0), HasSubstr("was used for another transaction"));
+  EXPECT_EQ(control.Submit(original).outcome(), proto::TRANSACTION_OUTCOME_APPLIED);
+  EXPECT_EQ(control.state.configuration().version(), ConfigurationVersion(2));
+}
+
+TEST(ConfigurationStore, EveryProblemIsListedAndNothingTakesEffect) {
+  ControlDriver control;
+  auto setup = MakeTransaction("setup", 1);
+  AddZone(&setup, "north");
+  AddZone(&setup, "south", proto::ZONE_STATE_DRAINED);
+  AddRoute(&setup, "kept")->add_zones("south");
+  ASSERT_EQ(control.Submit(setup).outcome(), proto::TRANSACTION_OUTCOME_APPLIED);
+
+  auto wrong = MakeTransaction("wrong", 2);
+  proto::Route* route = AddRoute(&wrong, "r");
+  route->add_zones("nowhere");
+  route->set_deadline_ms(0);
+  route->set_backend_kind(proto::BACKEND_KIND_UNSPECIFIED);
+  route->clear_backend();
+  AddTenant(&wrong, "");
+  AddTenant(&wrong, "twice");
+  AddTenant(&wrong, "twice");
+  AddZone(&wrong, "north", proto::ZONE_STATE_DRAINED);
+  AddZone(&wrong, "odd", proto::ZONE_STATE_UNSPECIFIED);
+  wrong.add_changes()->set_remove_zone("south");
+  wrong.add_changes()->set_remove_route("absent");
+  wrong.add_changes()->mutable_set_batch()->set_live_headroom_percent(101);
+  wrong.add_changes();
+  const proto::TransactionResult result = control.Submit(wrong);
+  EXPECT_EQ(result.outcome(), proto::TRANSACTION_OUTCOME_INVALID);
+  EXPECT_THAT(result.problems(),
+              UnorderedElementsAre(
+                  HasSubstr("unknown zone \"nowhere\""), HasSubstr("deadline_ms is 0"),
+                  HasSubstr("unknown backend_kind"), HasSubstr("backend is empty"),
+                  HasSubstr("name is empty"), HasSubstr("changed twice"),
+                  HasSubstr("no open zone would be left"), HasSubstr("unknown state"),
+                  HasSubstr("while route \"kept\" names it"), HasSubstr("there is none"),
+                  HasSubstr("live_headroom_percent"), HasSubstr("sets and removes nothing")));
+  EXPECT_EQ(control.state.configuration().version(), ConfigurationVersion(2));
+  EXPECT_FALSE(control.state.configuration().objects().tenants.contains("twice"));
+}
+
+TEST(ConfigurationStore, EnvelopeIsChecked) {
+  ControlDriver control;
+  const proto::TransactionResult nameless = control.Submit(MakeTransaction("", 0));
+  EXPECT_THAT(nameless.problems(0), HasSubstr("operation_id is empty"));
+  const proto::TransactionResult bare = control.Submit(MakeTransaction("a", 0));
+  EXPECT_THAT(bare.problems(), UnorderedElementsAre(HasSubstr("expected_version is missing"),
+                                                    HasSubstr("changes is empty")));
+}
+
+TEST(ConfigurationStore, DryRunChangesNothingAndUsesUpNoOperationId) {
+  ControlDriver control;
+  auto transaction = TenantTransaction("a", 1, "x");
+  transaction.set_dry_run(true);
+  EXPECT_EQ(control.Submit(transaction).outcome(), proto::TRANSACTION_OUTCOME_APPLIED);
+  EXPECT_EQ(control.state.configuration().version(), ConfigurationVersion(1));
+  EXPECT_EQ(control.Submit(TenantTransaction("a", 1, "y")).outcome(),
+            proto::TRANSACTION_OUTCOME_APPLIED);
+}
+
+TEST(ConfigurationStore, MarkInForceReachesRecordAndHistory) {
+  ControlDriver control;
+  const auto transaction = TenantTransaction("a", 1, "x");
+  EXPECT_EQ(control.Submit(transaction).in_force_at_ms(), 0);
+  proto::ControlCommand command;
+  command.mutable_mark_in_force()->set_version(2);
+  command.mutable_mark_in_force()->set_wall_ms(77);
+  control.Apply(command);
+  EXPECT_EQ(control.Submit(transaction).in_force_at_ms(), 77);
+  EXPECT_EQ(control.state.configuration().History(1).at(0).in_force_at_ms(), 77);
+}
+
+TEST(ConfigurationStore, RecordsAndHistoryAreBounded) {
+  ConfigurationStore store;
+  std::uint64_t version = 1;
+  constexpr std::uint64_t kTransactions = OperationRecords::kRecordsKept + 5;
+  for (std::uint64_t at = 0; at < kTransactions; ++at, ++version) {
+    store.Apply(TenantTransaction(std::to_string(at), version, "t"), 0);
+  }
+  EXPECT_EQ(store.FindOperation("4"), nullptr);
+  EXPECT_NE(store.FindOperation("5"), nullptr);
+  EXPECT_EQ(store.History(kTransactions).size(), ConfigurationStore::kHistoryKept);
+  EXPECT_TRUE(store.UpdateFrom(ConfigurationVersion(3)).has_full());
+}
+
+// Whatever version a node holds, the update brings it to the current configuration.
+TEST(ConfigurationStore, UpdatesFromAnyVersionEqualTheWhole) {
+  std::mt19937_64 random(7);
+  ConfigurationStore store;
+  std::map<std::uint64_t, proto::RoutingConfiguration> whole_at{{1, store.Whole()}};
+  std::size_t deltas = 0;
+  for (int round = 0; round < 300; ++round) {
+    auto transaction = MakeTransaction(std::to_string(round), store.version().value());
+    for (std::uint64_t change = 0; change <= random() % 3; ++change) {
+      const std::string name = "t" + std::to_string(random() % 40);
+      if (random() % 4 == 0 && store.objects().tenants.contains(name)) {
+        transaction.add_changes()->set_remove_tenant(name);
+      } else {
+        AddTenant(&transaction, name, static_cast<std::uint32_t>(random() % 100));
+      }
+    }
+    store.Apply(transaction, round);  // Those that change an object twice are refused.
+    whole_at[store.version().value()] = store.Whole();
+    const std::uint64_t held = 1 + random() % store.version().value();
+    const proto::ConfigurationUpdate& update = store.UpdateFrom(ConfigurationVersion(held));
+    EXPECT_EQ(update.to_version(), store.version().value());
+    if (update.has_full()) {
+      EXPECT_EQ(update.full().SerializeAsString(), store.Whole().SerializeAsString());
+      continue;
+    }
+    ++deltas;
+    ASSERT_EQ(update.from_version(), held);
+    EXPECT_LT(update.ByteSizeLong(), store.Whole().ByteSizeLong() + 16);  // Plus the versions.
+    ConfigurationObjects objects;
+    objects.Load(whole_at.at(held));
+    for (const proto::ConfigurationChange& change : update.changes()) {
+      objects.Apply(change);
+    }
+    proto::RoutingConfiguration reached = objects.ToProto();
+    reached.set_version(update.to_version());
+    EXPECT_EQ(reached.SerializeAsString(), store.Whole().SerializeAsString());
+  }
+  EXPECT_GT(deltas, 20U);
+  EXPECT_GT(store.version(), ConfigurationVersion(100));
+}
+
+TEST(ConfigurationStore, HoldsTwentyTwoThousandTenants) {
+  ConfigurationStore store;
+  auto all = MakeTransaction("all", 1);
+  for (int tenant = 0; tenant < 22'000; ++tenant) {
+    AddTenant(&all, "tenant-" + std::to_string(tenant));
+  }
+  ASSERT_EQ(store.Apply(all, 0).outcome(), proto::TRANSACTION_OUTCOME_APPLIED);
+  ASSERT_EQ(store.Apply(TenantTransaction("one", 2, "tenant-5"), 0).outcome(),
+            proto::TRANSACTION_OUTCOME_APPLIED);
+  EXPECT_EQ(store.Whole().tenants_size(), 22'000);
+  EXPECT_EQ(store.UpdateFrom(ConfigurationVersion(2)).changes_size(), 1);
+}
+
+}  // namespace
+}  // namespace cloverbank
