Count leases and silence at the leader

A lease counts at the giver from the arrival of the request that renewed it, so always later than at the holder. A new leader takes every lease it does not know to last one full lease from its start, and pauses of its own do not count as the silence of others.

--- /dev/null
+++ b/src/coordinator/failure_detector.cc
@@ -0,0 +1,57 @@
+#include "coordinator/failure_detector.h"
+
+#include <algorithm>
+
+namespace cloverbank {
+namespace {
+
+/// Silence before a suspicion counts: longer than a heartbeat is held and sent again.
+constexpr Duration kSuspicionAfter = milliseconds(1500);
+
+}  // namespace
+
+void FailureDetector::Start(TimePoint now) {
+  started_ = now;
+  heard_.clear();
+  suspected_.clear();
+}
+
+void FailureDetector::SkipPause(Duration length, TimePoint now) {
+  started_ = std::min(started_ + length, now);
+  for (auto& [node, last] : heard_) {
+    last = std::min(last + length, now);
+  }
+}
+
+void FailureDetector::Heard(NodeId node, TimePoint now) {
+  TimePoint& last = heard_[node];
+  last = std::max(last, now);
+  suspected_.erase(node);
+}
+
+void FailureDetector::Suspect(NodeId node, TimePoint now) {
+  if (now - SilentSince(node) >= kSuspicionAfter) {
+    suspected_.insert(node);
+  }
+}
+
+void FailureDetector::Forget(NodeId node) {
+  heard_.erase(node);
+  suspected_.erase(node);
+}
+
+TimePoint FailureDetector::SilentSince(NodeId node) const {
+  const auto entry = heard_.find(node);
+  return entry == heard_.end() ? started_ : std::max(started_, entry->second);
+}
+
+bool FailureDetector::IsDead(NodeId node, const LeaseTable& leases, TimePoint now) const {
+  if (now < leases.LeaseEnd(node)) {
+    return false;
+  }
+  const Duration needed =
+      suspected_.contains(node) ? std::min(death_after_, kSuspicionAfter) : death_after_;
+  return now - SilentSince(node) >= needed;
+}
+
+}  // namespace cloverbank
