--- /dev/null
+++ b/src/coordinator/partition_assigner.cc
@@ -0,0 +1,89 @@
+#include "coordinator/partition_assigner.h"
+
+#include <algorithm>
+
+namespace cloverbank {
+
+std::vector<NodeId> EligibleQueueNodes(const ControlState& state,
+                                       const std::set<NodeId>& doubtful) {
+  std::vector<NodeId> eligible;
+  std::vector<NodeId> retiring;
+  std::vector<NodeId> silent;
+  for (const proto::Server* server : state.servers().Live(proto::ROLE_QUEUE)) {
+    const NodeId id(server->node_id());
+    if (doubtful.contains(id) || state.servers().LaterLifeOf(*server).valid()) {
+      silent.push_back(id);
+    } else if (server->state() == proto::SERVER_STATE_RETIRING) {
+      retiring.push_back(id);
+    } else {
+      eligible.push_back(id);
+    }
+  }
+  if (!eligible.empty()) {
+    return eligible;
+  }
+  return retiring.empty() ? silent : retiring;
+}
+
+std::map<NodeId, std::vector<PartitionId>> SpreadPartitions(
+    const std::vector<PartitionId>& partitions, const ControlState& state,
+    const std::set<NodeId>& doubtful) {
+  std::map<NodeId, std::size_t> load;
+  for (const NodeId node : EligibleQueueNodes(state, doubtful)) {
+    load[node] = state.partitions().LoadOf(node);
+  }
+  std::map<NodeId, std::vector<PartitionId>> spread;
+  if (load.empty()) {
+    return spread;
+  }
+  for (const PartitionId partition : partitions) {
+    const auto least = std::min_element(
+        load.begin(), load.end(),
+        [](const auto& left, const auto& right) { return left.second < right.second; });
+    ++least->second;
+    spread[least->first].push_back(partition);
+  }
+  return spread;
+}
+
+bool MustHandOver(const ControlState& state, const proto::Server& server,
+                  const std::set<NodeId>& doubtful) {
+  const bool retiring =
+      server.role() == proto::ROLE_QUEUE && server.state() == proto::SERVER_STATE_RETIRING;
+  if (!retiring || state.partitions().LoadOf(NodeId(server.node_id())) == 0) {
+    return false;
+  }
+  const std::vector<NodeId> others = EligibleQueueNodes(state, doubtful);
+  return std::any_of(others.begin(), others.end(), [&state](NodeId other) {
+    return state.servers().Find(other)->state() == proto::SERVER_STATE_UP;
+  });
+}
+
+void ArrivalGate::Reset() {
+  known_.clear();
+  last_arrival_ = TimePoint();
+  waiting_ = false;
+}
+
+bool ArrivalGate::IsOpen(const ControlState& state, const std::set<NodeId>& doubtful, bool waiting,
+                         TimePoint now) {
+  std::vector<NodeId> eligible = EligibleQueueNodes(state, doubtful);
+  const bool arrived = std::any_of(eligible.begin(), eligible.end(), [this](NodeId node) {
+    return std::find(known_.begin(), known_.end(), node) == known_.end();
+  });
+  if (arrived) {
+    last_arrival_ = now;
+  }
+  known_ = std::move(eligible);
+  if (!waiting || known_.empty()) {
+    waiting_ = false;
+    return false;
+  }
+  if (!waiting_) {
+    waiting_ = true;
+    waiting_since_ = now;
+  }
+  return now - last_arrival_ >= quiet_ || now - waiting_since_ >= longest_;
+}
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/coordinator/recovery_manager.cc
@@ -0,0 +1,213 @@
+#include "coordinator/recovery_manager.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "coordinator/partition_assigner.h"
+#include "coordinator/proto_endpoint.h"
+
+namespace cloverbank {
+
+std::vector<RecoveryAction> RecoveryManager::Step(const ControlState& state,
+                                                  const RecoveryFacts& facts) {
+  const auto& recoveries = state.partitions().recoveries();
+  std::erase_if(progress_,
+                [&recoveries](const auto& entry) { return !recoveries.contains(entry.first); });
+  std::vector<RecoveryAction> actions;
+  for (const auto& [dead, recovery] : recoveries) {
+    StepOne(state, recovery, facts, &actions);
+  }
+  return actions;
+}
+
+void RecoveryManager::StepOne(const ControlState& state, const proto::Recovery& recovery,
+                              const RecoveryFacts& facts, std::vector<RecoveryAction>* actions) {
+  const NodeId dead(recovery.dead_node_id());
+  Progress& progress = progress_[dead];
+  if (recovery.phase() == proto::RECOVERY_PHASE_RELEASING) {
+    Release(state, dead, facts.now, &progress, actions);
+    return;
+  }
+  Read(state, dead, facts.now, &progress, actions);
+  Assemble(state, dead, &progress);
+  if (!progress.log.complete()) {
+    return;
+  }
+  if (facts.may_assign) {
+    ProposeReplay(state, dead, facts, actions);
+  }
+  SendReplays(state, recovery, facts.now, &progress, actions);
+}
+
+bool RecoveryManager::Begin(TimePoint now, Call* call) const {
+  if (call->in_flight || call->done || now < call->next) {
+    return false;
+  }
+  call->in_flight = true;
+  call->next = now + options_.collect_interval;
+  return true;
+}
+
+void RecoveryManager::Read(const ControlState& state, NodeId dead, TimePoint now,
+                           Progress* progress, std::vector<RecoveryAction>* actions) const {
+  // A backup that restarted has another node id and is asked again; one that died is not counted
+  // on.
+  const auto gone = [&state](const auto& entry) {
+    return state.servers().FindLive(entry.first, proto::ROLE_BACKUP) == nullptr;
+  };
+  if (std::erase_if(progress->answers, gone) > 0) {
+    progress->log_changed = true;
+  }
+  for (const proto::Server* backup : state.servers().Live(proto::ROLE_BACKUP)) {
+    const NodeId id(backup->node_id());
+    if (Begin(now, &progress->readings[id])) {
+      actions->push_back(StartReadingAction{dead, id, ToEndpoint(backup->peer_endpoint())});
+    }
+  }
+}
+
+void RecoveryManager::Assemble(const ControlState& state, NodeId dead, Progress* progress) const {
+  if (!progress->log_changed) {
+    return;
+  }
+  progress->log =
+      AssembleLog(state.partitions().heads().at(dead), progress->answers, state.servers());
+  progress->log_changed = false;
+}
+
+void RecoveryManager::ProposeReplay(const ControlState& state, NodeId dead,
+                                    const RecoveryFacts& facts,
+                                    std::vector<RecoveryAction>* actions) const {
+  const std::vector<PartitionId> unassigned = state.partitions().UnassignedOf(dead);
+  ProposeReplayAction action;
+  action.command.set_dead_node_id(dead.value());
+  for (const auto& [node, partitions] : SpreadPartitions(unassigned, state, facts.doubtful)) {
+    proto::RecoveryAssignment* assignment = action.command.add_assignments();
+    assignment->set_queue_node_id(node.value());
+    for (const PartitionId partition : partitions) {
+      assignment->add_partition_ids(partition.value());
+    }
+  }
+  if (action.command.assignments_size() > 0) {
+    actions->push_back(std::move(action));
+  }
+}
+
+void RecoveryManager::SendReplays(const ControlState& state, const proto::Recovery& recovery,
+                                  TimePoint now, Progress* progress,
+                                  std::vector<RecoveryAction>* actions) const {
+  std::map<NodeId, proto::RecoverPartitionsRequest> requests;
+  for (const proto::RecoveryAssignment& assignment : recovery.assignments()) {
+    if (!assignment.done()) {
+      requests[NodeId(assignment.queue_node_id())].mutable_partition_ids()->MergeFrom(
+          assignment.partition_ids());
+    }
+  }
+  for (auto& [node, request] : requests) {
+    const proto::Server* server = state.servers().FindLive(node, proto::ROLE_QUEUE);
+    if (server == nullptr || now < progress->next_replay[node]) {
+      continue;
+    }
+    progress->next_replay[node] = now + options_.replay_interval;
+    request.set_dead_node_id(recovery.dead_node_id());
+    request.set_queue_node_id(node.value());
+    for (const AssembledSegment& segment : progress->log.segments) {
+      proto::RecoverySegment* entry = request.add_segments();
+      entry->set_segment_id(segment.segment.value());
+      for (const NodeId backup : segment.backups) {
+        *entry->add_backups() = state.servers().Find(backup)->peer_endpoint();
+      }
+    }
+    actions->push_back(
+        RecoverPartitionsAction{ToEndpoint(server->peer_endpoint()), std::move(request)});
+  }
+}
+
+void RecoveryManager::Release(const ControlState& state, NodeId dead, TimePoint now,
+                              Progress* progress, std::vector<RecoveryAction>* actions) const {
+  bool all_done = true;
+  for (const proto::Server* backup : state.servers().Live(proto::ROLE_BACKUP)) {
+    const NodeId id(backup->node_id());
+    Call& call = progress->releases[id];
+    all_done = all_done && call.done;
+    if (Begin(now, &call)) {
+      actions->push_back(ReleaseAction{dead, id, ToEndpoint(backup->peer_endpoint())});
+    }
+  }
+  if (all_done) {
+    actions->push_back(ProposeFinishAction{dead});
+  }
+}
+
+void RecoveryManager::OnReadingData(NodeId dead, NodeId backup,
+                                    Result<proto::StartReadingDataResponse> answer) {
+  const auto entry = progress_.find(dead);
+  if (entry == progress_.end()) {
+    return;
+  }
+  Call& call = entry->second.readings[backup];
+  call.in_flight = false;
+  if (!answer.ok()) {
+    call.failure = answer.status().ToString();
+    return;
+  }
+  call.done = true;
+  entry->second.answers[backup] = std::move(answer).value();
+  entry->second.log_changed = true;
+}
+
+void RecoveryManager::OnReleased(NodeId dead, NodeId backup, const Status& status) {
+  const auto entry = progress_.find(dead);
+  if (entry == progress_.end()) {
+    return;
+  }
+  Call& call = entry->second.releases[backup];
+  call.in_flight = false;
+  call.done = call.done || status.ok();
+  call.failure = status.ok() ? std::string() : status.ToString();
+}
+
+bool RecoveryManager::WaitsForQueueNodes(const ControlState& state) const {
+  return std::any_of(progress_.begin(), progress_.end(), [&state](const auto& entry) {
+    return entry.second.log.complete() && !entry.second.log_changed &&
+           !state.partitions().UnassignedOf(entry.first).empty();
+  });
+}
+
+std::string RecoveryManager::WaitingFor(const ControlState& state, NodeId dead) const {
+  const auto entry = progress_.find(dead);
+  const auto recovery = state.partitions().recoveries().find(dead);
+  if (entry == progress_.end() || recovery == state.partitions().recoveries().end()) {
+    return {};
+  }
+  const bool releasing = recovery->second.phase() == proto::RECOVERY_PHASE_RELEASING;
+  std::string text;
+  const auto add = [&text](const std::string& part) { text += (text.empty() ? "" : "; ") + part; };
+  if (!releasing) {
+    for (const std::string& missing : entry->second.log.missing) {
+      add(missing);
+    }
+  }
+  const bool needs_backups = releasing || !entry->second.log.complete();
+  for (const auto& [backup, call] : releasing ? entry->second.releases : entry->second.readings) {
+    const proto::Server* server = state.servers().FindLive(backup, proto::ROLE_BACKUP);
+    if (needs_backups && server != nullptr && !call.done) {
+      add("an answer of the backup on " + server->machine() +
+          (call.failure.empty() ? "" : " (" + call.failure + ")"));
+    }
+  }
+  if (!releasing && entry->second.log.complete()) {
+    if (EligibleQueueNodes(state, {}).empty()) {
+      add("a queue node to replay the log");
+    }
+    for (const proto::RecoveryAssignment& assignment : recovery->second.assignments()) {
+      if (!assignment.done()) {
+        add("node " + std::to_string(assignment.queue_node_id()) + " to replay " +
+            std::to_string(assignment.partition_ids_size()) + " partitions");
+      }
+    }
+  }
+  return text;
+}
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/coordinator/recovery_manager.h
@@ -0,0 +1,119 @@
+#pragma once
+/// @file
+/// Steers the recoveries of dead queue nodes through their replicated phases (docs/DESIGN.md
+/// section 5; RAMCloud page, "Recovery"). Pure: `Step` looks at the replicated state and at what
+/// the backups answered and returns what to do now. Everything it asks for may be repeated; what it
+/// remembers may be lost: a new leader starts from the replicated phase and reads the backups'
+/// lists again.
+
+#include <map>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/status.h"
+#include "base/time.h"
+#include "coordinator/control_state.h"
+#include "coordinator/log_assembly.h"
+#include "proto/log.pb.h"
+
+namespace cloverbank {
+
+/// Call backup.StartReadingData; report with `OnReadingData`.
+struct StartReadingAction {
+  NodeId dead;
+  NodeId backup;
+  Endpoint endpoint;
+};
+/// Propose a StartReplayCommand.
+struct ProposeReplayAction {
+  proto::StartReplayCommand command;
+};
+/// Call queue.RecoverPartitions; if it answers done, propose a FinishAssignmentCommand.
+struct RecoverPartitionsAction {
+  Endpoint endpoint;
+  proto::RecoverPartitionsRequest request;
+};
+/// Call backup.ReleaseRecoveryData; report with `OnReleased`.
+struct ReleaseAction {
+  NodeId dead;
+  NodeId backup;
+  Endpoint endpoint;
+};
+/// Propose a FinishRecoveryCommand.
+struct ProposeFinishAction {
+  NodeId dead;
+};
+using RecoveryAction = std::variant<StartReadingAction, ProposeReplayAction,
+                                    RecoverPartitionsAction, ReleaseAction, ProposeFinishAction>;
+
+struct RecoveryOptions {
+  Duration collect_interval = milliseconds(300);  ///< Between tries at a backup.
+  Duration replay_interval = milliseconds(500);   ///< Between repeats of RecoverPartitions.
+};
+
+/// What `Step` needs to know besides the replicated state.
+struct RecoveryFacts {
+  TimePoint now;
+  bool may_assign = true;     ///< `ArrivalGate` is open.
+  std::set<NodeId> doubtful;  ///< Silent nodes; given partitions only if there are no others.
+};
+
+class RecoveryManager {
+ public:
+  explicit RecoveryManager(RecoveryOptions options) : options_(options) {}
+
+  /// Forgets what is not replicated: this member became leader.
+  void Reset() { progress_.clear(); }
+
+  /// @return what to do now. Proposals are returned at each step until the state has changed.
+  std::vector<RecoveryAction> Step(const ControlState& state, const RecoveryFacts& facts);
+
+  /// A backup answered StartReadingData, or failed to.
+  void OnReadingData(NodeId dead, NodeId backup, Result<proto::StartReadingDataResponse> answer);
+  /// A backup answered ReleaseRecoveryData, or failed to.
+  void OnReleased(NodeId dead, NodeId backup, const Status& status);
+
+  /// @return whether a recovery has its whole log and only waits to be given to queue nodes.
+  bool WaitsForQueueNodes(const ControlState& state) const;
+  /// @return for people: what the recovery of `dead` waits for; empty if nothing.
+  std::string WaitingFor(const ControlState& state, NodeId dead) const;
+
+ private:
+  /// A call at one backup.
+  struct Call {
+    bool in_flight = false;
+    bool done = false;
+    TimePoint next;
+    std::string failure;
+  };
+  struct Progress {
+    std::map<NodeId, Call> readings;  // By backup.
+    std::map<NodeId, Call> releases;
+    StoredSegments answers;
+    bool log_changed = true;  // `log` must be assembled anew.
+    AssembledLog log;
+    std::map<NodeId, TimePoint> next_replay;  // By queue node.
+  };
+
+  void StepOne(const ControlState& state, const proto::Recovery& recovery,
+               const RecoveryFacts& facts, std::vector<RecoveryAction>* actions);
+  void Read(const ControlState& state, NodeId dead, TimePoint now, Progress* progress,
+            std::vector<RecoveryAction>* actions) const;
+  void Assemble(const ControlState& state, NodeId dead, Progress* progress) const;
+  void ProposeReplay(const ControlState& state, NodeId dead, const RecoveryFacts& facts,
+                     std::vector<RecoveryAction>* actions) const;
+  void SendReplays(const ControlState& state, const proto::Recovery& recovery, TimePoint now,
+                   Progress* progress, std::vector<RecoveryAction>* actions) const;
+  void Release(const ControlState& state, NodeId dead, TimePoint now, Progress* progress,
+               std::vector<RecoveryAction>* actions) const;
+  /// @return whether the call is due now; marks it as under way.
+  bool Begin(TimePoint now, Call* call) const;
+
+  RecoveryOptions options_;
+  std::map<NodeId, Progress> progress_;  // By dead node.
+};
+
+}  // namespace cloverbank
