--- /dev/null
+++ b/src/coordinator/backup_sweeper.cc
@@ -0,0 +1,60 @@
+#include "coordinator/backup_sweeper.h"
+
+namespace cloverbank {
+
+std::set<NodeId> FindLeftovers(const proto::ListSegmentsResponse& replicas,
+                               const ControlState& state) {
+  std::set<NodeId> leftovers;
+  for (const proto::SegmentReplicaKey& key : replicas.replicas()) {
+    const NodeId owner(key.node_id());
+    const bool registered_here = owner < state.servers().next_node_id();
+    const bool live = state.servers().FindLive(owner, proto::ROLE_QUEUE) != nullptr;
+    const bool needed = state.partitions().heads().contains(owner) ||
+                        state.partitions().recoveries().contains(owner);
+    if (registered_here && !live && !needed) {
+      leftovers.insert(owner);
+    }
+  }
+  return leftovers;
+}
+
+std::vector<NodeId> BackupSweeper::Due(const ControlState& state, TimePoint now) {
+  std::erase_if(looks_, [&state](const auto& entry) {
+    return state.servers().FindLive(entry.first, proto::ROLE_BACKUP) == nullptr;
+  });
+  std::vector<NodeId> due;
+  for (const proto::Server* backup : state.servers().Live(proto::ROLE_BACKUP)) {
+    const NodeId id(backup->node_id());
+    Look& look = looks_[id];
+    if (look.in_flight || now < look.next) {
+      continue;
+    }
+    const bool retiring = backup->state() == proto::SERVER_STATE_RETIRING;
+    look.in_flight = true;
+    look.next = now + (retiring ? retiring_interval_ : interval_);
+    due.push_back(id);
+  }
+  return due;
+}
+
+void BackupSweeper::OnListed(NodeId backup, const proto::ListSegmentsResponse& replicas) {
+  const auto look = looks_.find(backup);
+  if (look != looks_.end()) {
+    look->second.in_flight = false;
+    look->second.replicas = replicas.replicas_size();
+  }
+}
+
+void BackupSweeper::OnFailed(NodeId backup) {
+  const auto look = looks_.find(backup);
+  if (look != looks_.end()) {
+    look->second.in_flight = false;
+  }
+}
+
+std::int64_t BackupSweeper::ReplicasOn(NodeId backup) const {
+  const auto look = looks_.find(backup);
+  return look == looks_.end() ? -1 : look->second.replicas;
+}
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/coordinator/command_proposer.h
@@ -0,0 +1,39 @@
+#pragma once
+/// @file
+/// Proposes control commands to the replicated log and decodes what applying them gave.
+
+#include <functional>
+#include <set>
+#include <string>
+
+#include "base/status.h"
+#include "coordinator/leader_context.h"
+#include "proto/coordinator.pb.h"
+
+namespace cloverbank {
+
+class CommandProposer {
+ public:
+  using Done = std::function<void(Result<proto::ControlCommandResult>)>;
+
+  explicit CommandProposer(LeaderContext& context) : context_(context) {}
+
+  /// Proposes `command`; `done` gets its result, or the refusal of the state machine, or kNotLeader
+  /// when leadership was lost: the command may then have been committed or not, and may be
+  /// repeated.
+  void Propose(const proto::ControlCommand& command, Done done);
+
+  /// The same, unless a proposal under `key` is under way.
+  void ProposeOnce(const std::string& key, const proto::ControlCommand& command,
+                   Done done = nullptr);
+
+  /// This member became leader: proposals of an earlier term no longer hold anything up.
+  void Reset();
+
+ private:
+  LeaderContext& context_;
+  std::set<std::string> under_way_;
+  std::uint64_t generation_ = 0;
+};
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/coordinator/coordinator_service.h
@@ -0,0 +1,36 @@
+#pragma once
+/// @file
+/// Answers the coordinator.* peer methods and does the leader's duties, on top of the replicated
+/// log. Every member runs one; only the leader, under its leader lease, answers, the others refuse
+/// with kNotLeader and the leader's "ip:port" in the status detail. See docs/DESIGN.md sections 2,
+/// 4, 5.
+///
+/// Threads: the owner's event loop only.
+
+#include <memory>
+
+#include "consensus/replicated_log.h"
+#include "coordinator/control_state.h"
+#include "coordinator/coordinator_options.h"
+#include "runtime/environment.h"
+
+namespace cloverbank {
+
+class CoordinatorService {
+ public:
+  /// All must outlive the service; `log` drives `state`.
+  CoordinatorService(Environment& environment, ReplicatedLog& log, ControlState& state,
+                     CoordinatorOptions options = {});
+  ~CoordinatorService();
+  CoordinatorService(const CoordinatorService&) = delete;
+  CoordinatorService& operator=(const CoordinatorService&) = delete;
+
+  /// Registers the peer methods and begins to watch for leadership. Call it once.
+  void Start();
+
+ private:
+  struct State;
+  std::unique_ptr<State> state_;
+};
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/coordinator/fleet_problems.cc
@@ -0,0 +1,207 @@
+#include "coordinator/fleet_problems.h"
+
+#include <algorithm>
+#include <set>
+
+namespace cloverbank {
+namespace {
+
+/// Below this much free disk a backup is called nearly full.
+constexpr std::uint64_t kNearlyFullBytes = 64ULL << 20U;
+
+std::string Name(const proto::Server& server) {
+  return server.machine() + " (node " + std::to_string(server.node_id()) + ")";
+}
+
+std::string RoleName(proto::Role role) {
+  return role == proto::ROLE_QUEUE ? "queue node" : "backup";
+}
+
+class Description {
+ public:
+  explicit Description(const FleetFacts& facts) : facts_(facts) {}
+
+  std::vector<std::string> Run() {
+    DescribeCoordinators();
+    DescribeLostServers();
+    DescribeBackups();
+    DescribeQueueNodes();
+    DescribePartitions();
+    DescribeRecoveries();
+    DescribeRetirements();
+    DescribeConfiguration();
+    return std::move(problems_);
+  }
+
+ private:
+  void DescribeCoordinators();
+  void DescribeLostServers();
+  void DescribeBackups();
+  void DescribeQueueNodes();
+  void DescribePartitions();
+  void DescribeRecoveries();
+  void DescribeRetirements();
+  void DescribeRetirement(const std::string& machine);
+  void DescribeConfiguration();
+  void Add(std::string problem) { problems_.push_back(std::move(problem)); }
+  const NodeLoad* LoadOf(const proto::Server& server) const;
+
+  const FleetFacts& facts_;
+  std::vector<std::string> problems_;
+};
+
+void Description::DescribeCoordinators() {
+  const auto voters = static_cast<std::uint32_t>(
+      std::count_if(facts_.members.begin(), facts_.members.end(),
+                    [](const LogMember& member) { return !member.learner; }));
+  if (voters < facts_.options.wanted_coordinators) {
+    Add("the coordinator group has " + std::to_string(voters) + " of " +
+        std::to_string(facts_.options.wanted_coordinators) +
+        " voting members; start the missing ones");
+  }
+  for (const LogMember& member : facts_.members) {
+    if (member.learner) {
+      Add("coordinator " + member.endpoint.ToString() +
+          " is catching up and does not count for the majority yet; wait");
+    }
+  }
+}
+
+void Description::DescribeLostServers() {
+  const ServerRegistry& servers = facts_.state.servers();
+  std::set<std::pair<std::string, proto::Role>> live;
+  std::map<std::pair<std::string, proto::Role>, const proto::Server*> lost;
+  for (const auto& [id, server] : servers.servers()) {
+    const auto key = std::make_pair(server.machine(), server.role());
+    if (IsLive(server)) {
+      live.insert(key);
+    } else {
+      lost[key] = &server;
+    }
+  }
+  for (const auto& [key, server] : lost) {
+    if (!live.contains(key) && !servers.retired_machines().contains(key.first)) {
+      Add("the " + RoleName(key.second) + " on " + Name(*server) +
+          " is gone; restart the machine, replace it, or retire it for good");
+    }
+  }
+}
+
+void Description::DescribeBackups() {
+  std::uint32_t stores = 0;
+  for (const proto::Server* backup : facts_.state.servers().Live(proto::ROLE_BACKUP)) {
+    const bool counts = !backup->spare() && backup->state() == proto::SERVER_STATE_UP;
+    stores += counts ? 1 : 0;
+    const NodeLoad* load = LoadOf(*backup);
+    if (load != nullptr && load->free_bytes < kNearlyFullBytes) {
+      Add("the backup on " + Name(*backup) + " has only " +
+          std::to_string(load->free_bytes >> 20U) + " MiB of disk left; free or add disk");
+    }
+  }
+  if (stores < facts_.options.wanted_store_backups) {
+    Add("only " + std::to_string(stores) + " of " +
+        std::to_string(facts_.options.wanted_store_backups) +
+        " store backups are up: spare backups take the missing copies, or new work has fewer; "
+        "start or add a store machine");
+  }
+}
+
+void Description::DescribeQueueNodes() {
+  for (const proto::Server* node : facts_.state.servers().Live(proto::ROLE_QUEUE)) {
+    const NodeLoad* load = LoadOf(*node);
+    if (load != nullptr && load->degraded) {
+      Add("queue node " + Name(*node) +
+          " has fewer copies of its log than wanted; start or add backups");
+    }
+    const NodeId later = facts_.state.servers().LaterLifeOf(*node);
+    if (later.valid()) {
+      Add("two queue nodes, " + std::to_string(node->node_id()) + " and " + later.ToString() +
+          ", call their machine " + node->machine() + "; give each machine its own name");
+    }
+  }
+}
+
+void Description::DescribePartitions() {
+  const std::size_t free = facts_.state.partitions().Free().size();
+  if (free > 0) {
+    const bool none = facts_.state.servers().Live(proto::ROLE_QUEUE).empty();
+    Add(std::to_string(free) + " partitions have no owner" +
+        (none ? " because no queue node is up; start a store machine"
+              : " yet; they are being given out"));
+  }
+}
+
+void Description::DescribeRecoveries() {
+  for (const auto& [dead, recovery] : facts_.state.partitions().recoveries()) {
+    const proto::Server* server = facts_.state.servers().Find(dead);
+    const std::string waiting = facts_.recoveries.WaitingFor(facts_.state, dead);
+    Add("the batches of queue node " + (server == nullptr ? dead.ToString() : Name(*server)) +
+        " are being recovered" + (waiting.empty() ? "" : "; waiting for " + waiting));
+  }
+}
+
+void Description::DescribeRetirements() {
+  for (const std::string& machine : facts_.state.servers().retired_machines()) {
+    DescribeRetirement(machine);
+  }
+}
+
+void Description::DescribeRetirement(const std::string& machine) {
+  std::size_t partitions = 0;
+  std::int64_t replicas = 0;
+  bool unknown = false;
+  bool live = false;
+  for (const auto& [id, server] : facts_.state.servers().servers()) {
+    if (server.machine() != machine) {
+      continue;
+    }
+    const bool recovering = facts_.state.partitions().recoveries().contains(id);
+    unknown = unknown || recovering;
+    if (!IsLive(server)) {
+      continue;
+    }
+    live = true;
+    partitions += facts_.state.partitions().LoadOf(id);
+    if (server.role() == proto::ROLE_BACKUP) {
+      const std::int64_t found = facts_.sweeper.ReplicasOn(id);
+      unknown = unknown || found < 0;
+      replicas += std::max<std::int64_t>(found, 0);
+    }
+  }
+  if (partitions > 0 || replicas > 0 || unknown) {
+    Add("machine " + machine + " is being emptied: " + std::to_string(partitions) +
+        " partitions and " + std::to_string(replicas) +
+        " segment replicas are left; do not stop it yet");
+  } else if (live) {
+    Add("machine " + machine + " is empty; stop it");
+  }
+}
+
+void Description::DescribeConfiguration() {
+  const ConfigurationStore& configuration = facts_.state.configuration();
+  if (configuration.in_force_version() >= configuration.version()) {
+    return;
+  }
+  std::string waited_for;
+  for (const NodeId node : facts_.gateways_behind) {
+    const proto::Server* gateway = facts_.state.servers().Find(node);
+    waited_for += waited_for.empty() ? "" : ", ";
+    waited_for += gateway == nullptr ? node.ToString() : Name(*gateway);
+  }
+  Add("configuration version " + configuration.version().ToString() + " is not in force yet" +
+      (waited_for.empty() ? ""
+                          : "; waiting for gateway " + waited_for + " or the end of its lease"));
+}
+
+const NodeLoad* Description::LoadOf(const proto::Server& server) const {
+  const auto load = facts_.loads.find(NodeId(server.node_id()));
+  return load == facts_.loads.end() ? nullptr : &load->second;
+}
+
+}  // namespace
+
+std::vector<std::string> DescribeProblems(const FleetFacts& facts) {
+  return Description(facts).Run();
+}
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/coordinator/fleet_problems.h
@@ -0,0 +1,30 @@
+#pragma once
+/// @file
+/// Says in words what is degraded in the fleet, why, and what to do. Pure.
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "coordinator/backup_sweeper.h"
+#include "coordinator/control_state.h"
+#include "coordinator/leader_context.h"
+#include "coordinator/recovery_manager.h"
+
+namespace cloverbank {
+
+/// What the leader knows when it is asked for the state of the fleet.
+struct FleetFacts {
+  const ControlState& state;
+  const CoordinatorOptions& options;
+  const RecoveryManager& recoveries;
+  const BackupSweeper& sweeper;
+  const std::map<NodeId, NodeLoad>& loads;
+  const std::vector<LogMember>& members;
+  std::vector<NodeId> gateways_behind;  ///< May act by an older configuration.
+};
+
+/// @return one sentence a problem; empty if all is well.
+std::vector<std::string> DescribeProblems(const FleetFacts& facts);
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/coordinator/heartbeat_handler.cc
@@ -0,0 +1,135 @@
+#include "coordinator/heartbeat_handler.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "coordinator/partition_assigner.h"
+#include "coordinator/proto_endpoint.h"
+
+namespace cloverbank {
+namespace {
+
+Status Fenced(std::uint64_t node_id, const std::string& reason) {
+  return {StatusCode::kFenced, "node " + std::to_string(node_id) + " " + reason +
+                                   "; stop using the id and register again"};
+}
+
+}  // namespace
+
+void HeartbeatHandler::Handle(const proto::HeartbeatRequest& request, Reply reply) {
+  if (!context_.MayAnswer()) {
+    reply(context_.NotLeader());
+    return;
+  }
+  const Status sender = CheckSender(request);
+  if (!sender.ok()) {
+    reply(sender);
+    return;
+  }
+  TakeReport(request);
+  const TimePoint now = context_.environment.Now();
+  const Duration hold =
+      std::min<Duration>(milliseconds(request.hold_ms()), context_.options.heartbeat_hold);
+  Held held{request, now, now + hold, std::move(reply)};
+  if (!AnswerIfDue(held)) {
+    held_.push_back(std::move(held));
+  }
+}
+
+Status HeartbeatHandler::CheckSender(const proto::HeartbeatRequest& request) const {
+  const auto refuse = [this, &request](std::string_view reason, const std::string& words) {
+    context_.environment.metrics().Increment("coordinator_heartbeat_refused_total",
+                                             {{"reason", reason}});
+    return Fenced(request.node_id(), words);
+  };
+  const proto::Server* server = context_.state.servers().Find(NodeId(request.node_id()));
+  if (server == nullptr) {
+    return refuse("unknown", "is not registered");
+  }
+  if (!IsLive(*server)) {
+    return refuse("dead", "was declared dead");
+  }
+  if (server->incarnation() != request.incarnation()) {
+    return refuse("incarnation", "belongs to another process life");
+  }
+  if (context_.state.servers().LaterLifeOf(*server).valid()) {
+    return refuse("superseded", "is superseded by a later life of its machine");
+  }
+  if (MustHandOver(context_.state, *server, context_.doubtful)) {
+    return refuse("retiring", "is being retired and hands its partitions over");
+  }
+  return Status::Ok();
+}
+
+void HeartbeatHandler::TakeReport(const proto::HeartbeatRequest& request) {
+  const NodeId node(request.node_id());
+  const TimePoint now = context_.environment.Now();
+  context_.detector.Heard(node, now);
+  context_.doubtful.erase(node);
+  context_.leases.Confirm(node, ConfigurationVersion(request.configuration_version()));
+  context_.loads[node] = {request.free_bytes(), request.open_items(), request.degraded()};
+  for (const std::uint64_t suspect : request.suspected_node_ids()) {
+    context_.detector.Suspect(NodeId(suspect), now);
+  }
+}
+
+bool HeartbeatHandler::AnswerIfDue(Held& held) {
+  const NodeId node(held.request.node_id());
+  const Status sender = CheckSender(held.request);
+  if (!sender.ok()) {
+    held.reply(sender);
+    return true;
+  }
+  if (context_.condemned.contains(node)) {
+    return false;  // Its death is being decided: no lease may be granted meanwhile.
+  }
+  const bool news = ConfigurationVersion(held.request.configuration_version()) <
+                        context_.state.configuration().version() ||
+                    FleetVersion(held.request.fleet_version()) < context_.state.fleet_version();
+  if (!news && context_.environment.Now() < held.release) {
+    return false;
+  }
+  held.reply(Grant(held));
+  return true;
+}
+
+proto::HeartbeatResponse HeartbeatHandler::Grant(const Held& held) {
+  const ConfigurationStore& configuration = context_.state.configuration();
+  proto::HeartbeatResponse response;
+  response.set_lease_ms(static_cast<std::uint32_t>(
+      std::chrono::duration_cast<milliseconds>(context_.leases.lease()).count()));
+  const ConfigurationVersion held_version(held.request.configuration_version());
+  if (held_version < configuration.version()) {
+    *response.mutable_configuration() = configuration.UpdateFrom(held_version);
+  }
+  const FleetVersion held_fleet(held.request.fleet_version());
+  if (held_fleet < context_.state.fleet_version()) {
+    *response.mutable_fleet() = context_.state.FleetUpdateFrom(held_fleet);
+  }
+  for (const LogMember& member : context_.log.members()) {
+    *response.add_coordinators() = ToProto(member.endpoint);
+  }
+  context_.leases.Grant(NodeId(held.request.node_id()), configuration.version(), held.arrival);
+  return response;
+}
+
+void HeartbeatHandler::Review() {
+  if (!context_.MayAnswer()) {
+    RefuseAll();
+    return;
+  }
+  // An answer may bring in the next heartbeat at once: walk over a list of our own.
+  std::list<Held> reviewed = std::exchange(held_, {});
+  for (auto entry = reviewed.begin(); entry != reviewed.end();) {
+    entry = AnswerIfDue(*entry) ? reviewed.erase(entry) : std::next(entry);
+  }
+  held_.splice(held_.begin(), reviewed);
+}
+
+void HeartbeatHandler::RefuseAll() {
+  for (Held& held : std::exchange(held_, {})) {
+    held.reply(context_.NotLeader());
+  }
+}
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/coordinator/heartbeat_handler.h
@@ -0,0 +1,46 @@
+#pragma once
+/// @file
+/// Answers heartbeats: holds each until the configuration or the fleet changes or its time is over,
+/// then answers it with what is new and a lease. Leases are granted here and nowhere else.
+
+#include <functional>
+#include <list>
+
+#include "base/status.h"
+#include "coordinator/leader_context.h"
+#include "proto/coordinator.pb.h"
+
+namespace cloverbank {
+
+class HeartbeatHandler {
+ public:
+  using Reply = std::function<void(Result<proto::HeartbeatResponse>)>;
+
+  explicit HeartbeatHandler(LeaderContext& context) : context_(context) {}
+
+  void Handle(const proto::HeartbeatRequest& request, Reply reply);
+  /// Answers every held heartbeat that is due: call it after each change and each tick.
+  void Review();
+  /// Leadership was lost: refuses all that are held.
+  void RefuseAll();
+
+ private:
+  struct Held {
+    proto::HeartbeatRequest request;
+    TimePoint arrival;
+    TimePoint release;  ///< Answered then at the latest.
+    Reply reply;
+  };
+
+  /// @return OK, or why the sender must not go on under its node id.
+  Status CheckSender(const proto::HeartbeatRequest& request) const;
+  void TakeReport(const proto::HeartbeatRequest& request);
+  /// @return whether it was answered.
+  bool AnswerIfDue(Held& held);
+  proto::HeartbeatResponse Grant(const Held& held);
+
+  LeaderContext& context_;
+  std::list<Held> held_;
+};
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/coordinator/transaction_handler.cc
@@ -0,0 +1,126 @@
+#include "coordinator/transaction_handler.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cloverbank {
+namespace {
+
+constexpr char kInForceKey[] = "in_force";
+
+proto::SubmitTransactionResponse Respond(const proto::TransactionResult& result) {
+  proto::SubmitTransactionResponse response;
+  *response.mutable_result() = result;
+  return response;
+}
+
+}  // namespace
+
+ConfigurationVersion VersionHeldByAll(const ControlState& state, const LeaseTable& leases,
+                                      TimePoint now) {
+  ConfigurationVersion lowest = state.configuration().version();
+  for (const proto::Server* gateway : state.servers().Live(proto::ROLE_GATEWAY)) {
+    const auto used = leases.LowestVersionInUse(NodeId(gateway->node_id()), now);
+    lowest = std::min(lowest, used.value_or(lowest));
+  }
+  return lowest;
+}
+
+std::vector<NodeId> GatewaysBehind(const ControlState& state, const LeaseTable& leases,
+                                   TimePoint now) {
+  std::vector<NodeId> behind;
+  for (const proto::Server* gateway : state.servers().Live(proto::ROLE_GATEWAY)) {
+    const NodeId node(gateway->node_id());
+    const auto used = leases.LowestVersionInUse(node, now);
+    if (used.has_value() && *used < state.configuration().version()) {
+      behind.push_back(node);
+    }
+  }
+  return behind;
+}
+
+void TransactionHandler::Submit(const proto::ConfigurationTransaction& transaction, Reply reply) {
+  if (!context_.MayAnswer()) {
+    reply(context_.NotLeader());
+    return;
+  }
+  if (transaction.dry_run()) {
+    reply(Respond(context_.state.configuration().Validate(transaction)));
+    return;
+  }
+  proto::ControlCommand command;
+  proto::ApplyTransactionCommand& apply = *command.mutable_apply_transaction();
+  *apply.mutable_transaction() = transaction;
+  apply.set_wall_ms(context_.environment.WallMilliseconds());
+  proposer_.Propose(command, [this, reply = std::move(reply)](
+                                 Result<proto::ControlCommandResult> applied) mutable {
+    if (!applied.ok()) {
+      reply(applied.status());
+      return;
+    }
+    TakeApplied(applied->transaction(), std::move(reply));
+  });
+}
+
+void TransactionHandler::TakeApplied(const proto::TransactionResult& result, Reply reply) {
+  if (result.outcome() != proto::TRANSACTION_OUTCOME_APPLIED) {
+    CountRefusal(result);
+    reply(Respond(result));
+    return;
+  }
+  waiting_.push_back({result, std::move(reply)});
+  AnswerInForce();
+}
+
+void TransactionHandler::CountRefusal(const proto::TransactionResult& result) {
+  const bool conflict = result.outcome() == proto::TRANSACTION_OUTCOME_VERSION_CONFLICT;
+  context_.environment.metrics().Increment("coordinator_transaction_refused_total",
+                                           {{"reason", conflict ? "version_conflict" : "invalid"}});
+}
+
+void TransactionHandler::Review() {
+  if (!context_.MayAnswer()) {
+    RefuseAll();
+    return;
+  }
+  const ConfigurationStore& configuration = context_.state.configuration();
+  if (configuration.in_force_version() < configuration.version()) {
+    const ConfigurationVersion held =
+        VersionHeldByAll(context_.state, context_.leases, context_.environment.Now());
+    if (held > configuration.in_force_version()) {
+      proto::ControlCommand command;
+      command.mutable_mark_in_force()->set_version(held.value());
+      command.mutable_mark_in_force()->set_wall_ms(context_.environment.WallMilliseconds());
+      proposer_.ProposeOnce(kInForceKey, command);
+    }
+  }
+  AnswerInForce();
+}
+
+void TransactionHandler::AnswerInForce() {
+  const ConfigurationStore& configuration = context_.state.configuration();
+  const auto ready = [&configuration](const Waiting& waiting) {
+    return ConfigurationVersion(waiting.result.version()) <= configuration.in_force_version();
+  };
+  std::list<Waiting> answered;
+  for (auto entry = waiting_.begin(); entry != waiting_.end();) {
+    const auto next = std::next(entry);
+    if (ready(*entry)) {
+      answered.splice(answered.end(), waiting_, entry);
+    }
+    entry = next;
+  }
+  for (const Waiting& waiting : answered) {
+    const proto::OperationRecord* record =
+        configuration.FindOperation(waiting.result.operation_id());
+    waiting.reply(Respond(record == nullptr ? waiting.result : record->result()));
+  }
+}
+
+void TransactionHandler::RefuseAll() {
+  for (const Waiting& waiting : std::exchange(waiting_, {})) {
+    waiting.reply(context_.NotLeader());
+  }
+}
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/coordinator/transaction_handler.h
@@ -0,0 +1,57 @@
+#pragma once
+/// @file
+/// Takes transactions on the routing configuration and acknowledges each when it is in force: when
+/// no gateway can act by an older version any more, because each has confirmed a newer one or its
+/// lease has run out (docs/DESIGN.md section 4).
+
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <string>
+#include <vector>
+
+#include "base/status.h"
+#include "coordinator/command_proposer.h"
+#include "coordinator/leader_context.h"
+#include "proto/coordinator.pb.h"
+
+namespace cloverbank {
+
+/// @return the highest version that every gateway that may act holds: the version in force. Pure.
+ConfigurationVersion VersionHeldByAll(const ControlState& state, const LeaseTable& leases,
+                                      TimePoint now);
+/// @return live gateways that may still act by a version below the current one.
+std::vector<NodeId> GatewaysBehind(const ControlState& state, const LeaseTable& leases,
+                                   TimePoint now);
+
+class TransactionHandler {
+ public:
+  using Reply = std::function<void(Result<proto::SubmitTransactionResponse>)>;
+
+  TransactionHandler(LeaderContext& context, CommandProposer& proposer)
+      : context_(context), proposer_(proposer) {}
+
+  /// Answers once the transaction is in force, or refused. A resend waits in the same way.
+  void Submit(const proto::ConfigurationTransaction& transaction, Reply reply);
+  /// Records versions that are in force by now and answers those that wait for them: call it after
+  /// each confirmation, change and tick.
+  void Review();
+  /// Leadership was lost: those that wait are sent on to the next leader, which waits anew.
+  void RefuseAll();
+
+ private:
+  struct Waiting {
+    proto::TransactionResult result;
+    Reply reply;
+  };
+
+  void TakeApplied(const proto::TransactionResult& result, Reply reply);
+  void AnswerInForce();
+  void CountRefusal(const proto::TransactionResult& result);
+
+  LeaderContext& context_;
+  CommandProposer& proposer_;
+  std::list<Waiting> waiting_;
+};
+
+}  // namespace cloverbank
