--- a/src/coordinator/coordinator_service.cc
+++ b/src/coordinator/coordinator_service.cc
@@ -60,9 +60,14 @@
 
   void Tick();
   void ScheduleTick();
-  /// Looks at everything again, in a turn of the event loop of its own.
-  void ScheduleReview();
+  /// Runs `action` in a turn of the event loop of its own; once, however often it is asked for.
+  void ScheduleOnce(bool* scheduled, void (State::*action)());
+  /// Looks at everything again.
   void Review();
+  /// A node may have confirmed a version that a transaction waits for.
+  void ReviewTransactions();
+  /// Whether this member may answer; begins to lead if it has not noticed yet.
+  bool Ready();
   void BeginLeading();
   void StopLeading();
   void NotePause(TimePoint now);
@@ -76,6 +81,7 @@
   bool leading = false;
   std::uint64_t leading_term = 0;
   bool review_scheduled = false;
+  bool transactions_scheduled = false;
   TimePoint last_able;  ///< Last tick at which this member could hear and answer nodes.
 };
 
@@ -97,7 +103,7 @@
   });
   state.context.log.OnApplied([&state, alive](std::uint64_t /*index*/) {
     if (!alive.expired()) {
-      state.ScheduleReview();
+      state.ScheduleOnce(&state.review_scheduled, &State::Review);
     }
   });
   state.ScheduleTick();
@@ -125,7 +131,7 @@
           }
           reply(std::move(result));
         };
-        if (!context.MayAnswer()) {
+        if (!Ready()) {
           counted(context.NotLeader());
           return;
         }
@@ -160,8 +166,9 @@
           reply(Status(StatusCode::kUnavailable, "the coordinator is stopping"));
           return;
         }
+        Ready();
         heartbeats.Handle(request, std::move(reply));
-        ScheduleReview();  // It may have confirmed a version that a transaction waits for.
+        ScheduleOnce(&transactions_scheduled, &State::ReviewTransactions);
       });
 }
 
@@ -178,6 +185,7 @@
           reply(Status(StatusCode::kUnavailable, "the coordinator is stopping"));
           return;
         }
+        Ready();
         transactions.Submit(request.transaction(), std::move(reply));
       });
 }
@@ -231,10 +239,9 @@
 
 void CoordinatorService::State::RetireServer(const proto::RetireServerRequest& request,
                                              Reply<proto::RetireServerResponse> reply) {
-  const bool retired = context.state.servers().retired_machines().contains(request.machine());
-  if (!retired && StoreNodesOf(request.machine()).empty()) {
-    reply(Status(StatusCode::kNotFound, "no store machine called \"" + request.machine() +
-                                            "\" is up; see the fleet status for the names"));
+  if (!context.state.servers().KnowsStoreMachine(request.machine())) {
+    reply(Status(StatusCode::kNotFound, "there is no store machine called \"" + request.machine() +
+                                            "\"; see the fleet status for the names"));
     return;
   }
   proto::ControlCommand command;
@@ -322,7 +329,7 @@
   context.loads.clear();
   proposer.Reset();
   duties.Begin();
-  ScheduleReview();
+  ScheduleOnce(&review_scheduled, &State::Review);
 }
 
 void CoordinatorService::State::StopLeading() {
@@ -341,18 +348,18 @@
                                     });
 }
 
-void CoordinatorService::State::ScheduleReview() {
-  if (review_scheduled) {
+void CoordinatorService::State::ScheduleOnce(bool* scheduled, void (State::*action)()) {
+  if (*scheduled) {
     return;
   }
-  review_scheduled = true;
-  context.environment.ScheduleAfter(Duration::zero(),
-                                    [this, alive = std::weak_ptr<bool>(context.alive)] {
-                                      if (!alive.expired()) {
-                                        review_scheduled = false;
-                                        Review();
-                                      }
-                                    });
+  *scheduled = true;
+  context.environment.ScheduleAfter(
+      Duration::zero(), [this, scheduled, action, alive = std::weak_ptr<bool>(context.alive)] {
+        if (!alive.expired()) {
+          *scheduled = false;
+          (this->*action)();
+        }
+      });
 }
 
 void CoordinatorService::State::Tick() {
@@ -371,18 +378,31 @@
   }
 }
 
-void CoordinatorService::State::Review() {
+bool CoordinatorService::State::Ready() {
   if (!context.MayAnswer()) {
-    heartbeats.RefuseAll();
-    transactions.RefuseAll();
-    return;
+    return false;
   }
   if (!leading || leading_term != context.log.term()) {
     BeginLeading();  // The observer has not run yet.
   }
+  return true;
+}
+
+void CoordinatorService::State::Review() {
+  if (!Ready()) {
+    heartbeats.RefuseAll();
+    transactions.RefuseAll();
+    return;
+  }
   heartbeats.Review();
   transactions.Review();
   duties.Step();
 }
 
+void CoordinatorService::State::ReviewTransactions() {
+  if (Ready()) {
+    transactions.Review();
+  }
+}
+
 }  // namespace cloverbank
--- a/src/coordinator/failure_detector.cc
+++ b/src/coordinator/failure_detector.cc
@@ -35,9 +35,9 @@
   }
 }
 
-void FailureDetector::Forget(NodeId node) {
-  heard_.erase(node);
-  suspected_.erase(node);
+void FailureDetector::KeepOnly(const std::set<NodeId>& live) {
+  std::erase_if(heard_, [&live](const auto& entry) { return !live.contains(entry.first); });
+  std::erase_if(suspected_, [&live](NodeId node) { return !live.contains(node); });
 }
 
 TimePoint FailureDetector::SilentSince(NodeId node) const {
--- a/src/coordinator/failure_detector.h
+++ b/src/coordinator/failure_detector.h
@@ -29,7 +29,8 @@
   /// A peer reports that calls to `node` fail: it is dead as soon as its lease has run out, unless
   /// it is heard of.
   void Suspect(NodeId node, TimePoint now);
-  void Forget(NodeId node);
+  /// Forgets the nodes that are not among the `live`.
+  void KeepOnly(const std::set<NodeId>& live);
 
   /// @return when `node` was last heard of, or the start of the count.
   TimePoint SilentSince(NodeId node) const;
--- a/src/coordinator/leader_duties.cc
+++ b/src/coordinator/leader_duties.cc
@@ -54,24 +54,24 @@
   const TimePoint now = context_.environment.Now();
   context_.leases.Expire(now);
   context_.doubtful.clear();
-  std::vector<std::pair<const proto::Server*, std::string>> dead;
+  std::set<NodeId> live;
+  std::vector<std::pair<proto::Server, std::string>> dead;
   for (const auto& [id, server] : context_.state.servers().servers()) {
-    if (!IsLive(server) || context_.condemned.contains(id)) {
+    if (!IsLive(server)) {
       continue;
     }
+    live.insert(id);
     if (now - context_.detector.SilentSince(id) >= kDoubtfulAfter) {
       context_.doubtful.insert(id);
     }
-    if (std::string reason = CauseOfDeath(server); !reason.empty()) {
-      dead.emplace_back(&server, std::move(reason));
+    std::string reason = CauseOfDeath(server);
+    if (!reason.empty() && !context_.condemned.contains(id)) {
+      dead.emplace_back(server, std::move(reason));
     }
   }
-  std::vector<std::pair<proto::Server, std::string>> copies;
-  copies.reserve(dead.size());
-  for (auto& [server, reason] : dead) {
-    copies.emplace_back(*server, std::move(reason));
-  }
-  for (const auto& [server, reason] : copies) {
+  context_.detector.KeepOnly(live);
+  std::erase_if(context_.loads, [&live](const auto& entry) { return !live.contains(entry.first); });
+  for (const auto& [server, reason] : dead) {
     ProposeDeath(server, reason);
   }
 }
@@ -101,12 +101,10 @@
   command.mutable_mark_server_dead()->set_reason(reason);
   proposer_.ProposeOnce("dead:" + id.ToString(), command,
                         [this, id](const Result<proto::ControlCommandResult>& result) {
-                          if (!result.ok()) {
-                            return;  // Leadership was lost; `condemned` is cleared when it returns.
+                          // Else leadership was lost: a new term begins with nobody condemned.
+                          if (result.ok()) {
+                            context_.condemned.erase(id);
                           }
-                          context_.condemned.erase(id);
-                          context_.detector.Forget(id);
-                          context_.loads.erase(id);
                         });
 }
 
--- a/src/coordinator/lease_table.cc
+++ b/src/coordinator/lease_table.cc
@@ -63,6 +63,9 @@
   for (auto& [node, holder] : holders_) {
     std::erase_if(holder.ends, [now](const auto& entry) { return entry.second <= now; });
   }
+  if (now >= unknown_until_) {
+    std::erase_if(holders_, [](const auto& entry) { return entry.second.ends.empty(); });
+  }
 }
 
 }  // namespace cloverbank
--- a/src/coordinator/server_registry.cc
+++ b/src/coordinator/server_registry.cc
@@ -1,5 +1,7 @@
 #include "coordinator/server_registry.h"
 
+#include <algorithm>
+
 namespace cloverbank {
 namespace {
 
@@ -159,6 +161,13 @@
          first->disk_id() == second->disk_id();
 }
 
+bool ServerRegistry::KnowsStoreMachine(const std::string& machine) const {
+  return retired_machines_.contains(machine) ||
+         std::any_of(servers_.begin(), servers_.end(), [&machine](const auto& entry) {
+           return entry.second.machine() == machine && entry.second.role() != proto::ROLE_GATEWAY;
+         });
+}
+
 void ServerRegistry::Save(proto::ControlStateSnapshot* snapshot) const {
   snapshot->set_next_node_id(next_node_id_.value());
   for (const auto& [id, server] : servers_) {
--- a/src/coordinator/server_registry.h
+++ b/src/coordinator/server_registry.h
@@ -63,6 +63,8 @@
   NodeId LaterLifeOf(const proto::Server& server) const;
   /// Whether `left` and `right` are backups that keep, or kept, their replicas on the same disk.
   bool SameDisk(NodeId left, NodeId right) const;
+  /// Whether a queue or backup node, dead or live, of that machine is kept, or it is retired.
+  bool KnowsStoreMachine(const std::string& machine) const;
   const std::set<std::string>& retired_machines() const { return retired_machines_; }
   NodeId next_node_id() const { return next_node_id_; }
 
--- a/tests/coordinator/control_state_test.cc
+++ b/tests/coordinator/control_state_test.cc
@@ -104,8 +104,7 @@
   EXPECT_EQ(control.FinishRecovery(a), StatusCode::kConflict);
   EXPECT_EQ(control.FinishAssignment(a, c, {0}), StatusCode::kOk);
   EXPECT_EQ(control.FinishAssignment(a, c, {0}), StatusCode::kOk);
-  EXPECT_EQ(control.state.partitions().recoveries().at(a).phase(),
-            proto::RECOVERY_PHASE_RELEASING);
+  EXPECT_EQ(control.state.partitions().recoveries().at(a).phase(), proto::RECOVERY_PHASE_RELEASING);
   EXPECT_EQ(control.FinishRecovery(a), StatusCode::kOk);
   EXPECT_EQ(control.FinishAssignment(a, c, {0}), StatusCode::kOk) << "a repeat after the end";
   EXPECT_EQ(control.state.partitions().recoveries().count(b), 1U);
--- /dev/null
+++ b/tests/coordinator/coordinator_service_test.cc
@@ -0,0 +1,326 @@
+// The coordinator service in the simulated world, over a log that a test steers.
+#include "coordinator/coordinator_service.h"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include "control_commands.h"
+#include "fake_group.h"
+#include "simulation/simulated_world.h"
+#include "test_node.h"
+
+namespace cloverbank {
+namespace {
+
+using ::testing::Contains;
+using ::testing::HasSubstr;
+using ::testing::IsEmpty;
+
+/// One coordinator process.
+struct Member {
+  Member(FakeGroup& group, Environment& environment)
+      : state(4), log(group, environment, state), service(environment, log, state) {
+    service.Start();
+  }
+  ControlState state;
+  FakeLog log;
+  CoordinatorService service;
+};
+
+class CoordinatorServiceTest : public testing::Test {
+ protected:
+  CoordinatorServiceTest() {
+    for (const char* name : {"c1", "c2", "c3"}) {
+      SimulatedMachine& machine = world.AddMachine(name, std::string("10.0.1.") + name[1]);
+      coordinators.push_back(machine.endpoint());
+      machine.SetProgram([this, name](Environment& environment, DataFolder&) {
+        auto member = std::make_shared<Member>(group, environment);
+        members[name] = member.get();
+        return member;
+      });
+      machine.Start();
+    }
+    members["c1"]->log.Lead();
+  }
+
+  /// Starts a machine with one role.
+  SimulatedMachine& Add(proto::Role role, const std::string& name) {
+    SimulatedMachine& machine = world.AddMachine(name, "10.0.2." + std::to_string(++hosts));
+    TestDisk* disk = nullptr;
+    if (role == proto::ROLE_BACKUP) {
+      disk = &disks[name];
+      disk->id = "disk of " + name;
+    }
+    machine.SetProgram([this, role, name, disk](Environment& environment, DataFolder&) {
+      auto node = std::make_shared<TestNode>(environment, role, name, coordinators, disk);
+      nodes[name] = node.get();
+      return node;
+    });
+    machine.Start();
+    return machine;
+  }
+
+  template <typename Response, typename Request>
+  Result<Response> Call(const Endpoint& to, std::string_view method, const Request& request,
+                        Duration limit = seconds(10)) {
+    std::optional<PeerReply> reply;
+    world.CallPeer(to, method, request.SerializeAsString(), limit,
+                   [&reply](PeerReply answer) { reply = std::move(answer); });
+    world.RunUntil([&reply] { return reply.has_value(); }, limit + seconds(1));
+    if (!reply.has_value() || !reply->status.ok()) {
+      return reply.has_value() ? reply->status : Status(StatusCode::kInternal, "no answer");
+    }
+    Response response;
+    response.ParseFromString(reply->body);
+    return response;
+  }
+
+  proto::ConfigurationTransaction Change(const std::string& operation_id) {
+    auto transaction = MakeTransaction(operation_id, state().configuration().version().value());
+    AddTenant(&transaction, operation_id);
+    return transaction;
+  }
+  Result<proto::SubmitTransactionResponse> Submit(
+      const proto::ConfigurationTransaction& transaction, std::size_t coordinator = 0) {
+    proto::SubmitTransactionRequest request;
+    *request.mutable_transaction() = transaction;
+    return Call<proto::SubmitTransactionResponse>(coordinators[coordinator],
+                                                  "coordinator.SubmitTransaction", request);
+  }
+  proto::GetFleetStatusResponse FleetStatus(std::size_t coordinator = 0) {
+    const auto status = Call<proto::GetFleetStatusResponse>(
+        coordinators[coordinator], "coordinator.GetFleetStatus", proto::GetFleetStatusRequest());
+    EXPECT_TRUE(status.ok());
+    return status.ok() ? *status : proto::GetFleetStatusResponse();
+  }
+  const ControlState& state() { return members["c1"]->state; }
+  Duration Elapsed(TimePoint since) const { return world.Now() - since; }
+  bool IsDead(std::uint64_t node) {
+    const proto::Server* server = state().servers().Find(NodeId(node));
+    return server == nullptr || !IsLive(*server);
+  }
+  std::size_t Owned(const std::string& node) {
+    return state().partitions().OwnedBy(NodeId(nodes[node]->node_id)).size();
+  }
+  void CommitHead(const std::string& queue, const std::string& backup) {
+    proto::CommitHeadRequest request;
+    proto::LogHead& head = *request.mutable_head();
+    head.set_node_id(nodes[queue]->node_id);
+    head.set_segment_id(1);
+    head.set_epoch(1);
+    head.add_backups(nodes[backup]->node_id);
+    EXPECT_TRUE(
+        Call<proto::CommitHeadResponse>(coordinators[0], "coordinator.CommitHead", request).ok());
+    proto::StoredSegment stored;
+    stored.set_segment_id(1);
+    stored.set_epoch(1);
+    stored.add_digest(1);
+    disks[backup].segments[nodes[queue]->node_id] = {stored};
+  }
+
+  SimulatedWorld world{11};
+  FakeGroup group;
+  std::vector<Endpoint> coordinators;
+  std::map<std::string, Member*> members;
+  std::map<std::string, TestNode*> nodes;
+  std::map<std::string, TestDisk> disks;
+  int hosts = 0;
+};
+
+TEST_F(CoordinatorServiceTest, OthersNameTheLeader) {
+  const auto refused = Submit(Change("a"), 1);
+  EXPECT_EQ(refused.status().code(), StatusCode::kNotLeader);
+  EXPECT_EQ(refused.status().detail(), coordinators[0].ToString());
+  group.lease = false;
+  EXPECT_EQ(Submit(Change("a")).status().code(), StatusCode::kNotLeader);
+}
+
+TEST_F(CoordinatorServiceTest, AcknowledgedWithinARoundTripWhenAllConfirm) {
+  Add(proto::ROLE_GATEWAY, "g1");
+  Add(proto::ROLE_GATEWAY, "g2");
+  world.RunFor(seconds(5));
+  const TimePoint sent = world.Now();
+  const auto answer = Submit(Change("a"));
+  ASSERT_TRUE(answer.ok());
+  EXPECT_EQ(answer->result().outcome(), proto::TRANSACTION_OUTCOME_APPLIED);
+  EXPECT_NE(answer->result().in_force_at_ms(), 0);
+  EXPECT_LT(Elapsed(sent), milliseconds(400));
+  EXPECT_EQ(nodes["g1"]->configuration_version, 2U);
+  EXPECT_EQ(nodes["g2"]->configuration_version, 2U);
+  const auto again = Submit(Change("a"));  // Another content: expected_version has moved on.
+  EXPECT_EQ(again->result().outcome(), proto::TRANSACTION_OUTCOME_INVALID);
+}
+
+TEST_F(CoordinatorServiceTest, CutOffGatewayDelaysTheAcknowledgementToTheEndOfItsLease) {
+  Add(proto::ROLE_GATEWAY, "g1");
+  world.RunFor(seconds(5));
+  world.Isolate("g1");
+  const auto transaction = Change("a");
+  const auto answer = Submit(transaction);
+  ASSERT_TRUE(answer.ok());
+  EXPECT_FALSE(nodes["g1"]->LeaseValid());
+  EXPECT_EQ(Submit(transaction)->SerializeAsString(), answer->SerializeAsString());
+}
+
+TEST_F(CoordinatorServiceTest, GatewayThatNeverConfirmsDoesNotBlockLongerThanALease) {
+  Add(proto::ROLE_GATEWAY, "g1");
+  world.RunFor(seconds(5));
+  nodes["g1"]->confirms = false;
+  const TimePoint sent = world.Now();
+  ASSERT_TRUE(Submit(Change("a")).ok());
+  EXPECT_GE(world.Now(), nodes["g1"]->old_lease_end);
+  EXPECT_LT(Elapsed(sent), milliseconds(3100));
+}
+
+TEST_F(CoordinatorServiceTest, ResendToTheNextLeaderWaitsForUnknownLeases) {
+  Add(proto::ROLE_GATEWAY, "g1");
+  world.RunFor(seconds(5));
+  world.Isolate("g1");
+  const auto transaction = Change("a");
+  std::optional<PeerReply> first;
+  proto::SubmitTransactionRequest request;
+  *request.mutable_transaction() = transaction;
+  world.CallPeer(coordinators[0], "coordinator.SubmitTransaction", request.SerializeAsString(),
+                 seconds(9), [&first](PeerReply reply) { first = std::move(reply); });
+  world.RunFor(milliseconds(500));
+  EXPECT_FALSE(first.has_value()) << "committed, not in force";
+  members["c2"]->log.Lead();
+  const TimePoint began = world.Now();
+  world.RunFor(milliseconds(100));
+  ASSERT_TRUE(first.has_value());
+  EXPECT_EQ(first->status.code(), StatusCode::kNotLeader);
+  const auto answer = Submit(transaction, 1);
+  ASSERT_TRUE(answer.ok());
+  EXPECT_EQ(answer->result().outcome(), proto::TRANSACTION_OUTCOME_APPLIED);
+  EXPECT_GE(Elapsed(began), seconds(3));
+  EXPECT_FALSE(nodes["g1"]->LeaseValid());
+}
+
+TEST_F(CoordinatorServiceTest, HeartbeatsOfUnknownAndEarlierLivesAreFenced) {
+  Add(proto::ROLE_QUEUE, "q1");
+  world.RunFor(seconds(1));
+  proto::HeartbeatRequest heartbeat;
+  heartbeat.set_node_id(999);
+  const auto beat = [&] {
+    return Call<proto::HeartbeatResponse>(coordinators[0], "coordinator.Heartbeat", heartbeat)
+        .status()
+        .code();
+  };
+  EXPECT_EQ(beat(), StatusCode::kFenced);
+  heartbeat.set_node_id(nodes["q1"]->node_id);
+  EXPECT_EQ(beat(), StatusCode::kFenced) << "another incarnation";
+}
+
+TEST_F(CoordinatorServiceTest, SilentNodeIsDeadAfterItsLeaseAndFencedWhenItWakes) {
+  SimulatedMachine& machine = Add(proto::ROLE_QUEUE, "q1");
+  world.RunFor(seconds(3));
+  const std::uint64_t id = nodes["q1"]->node_id;
+  machine.Freeze();
+  const TimePoint frozen = world.Now();
+  while (!IsDead(id) && Elapsed(frozen) < seconds(9)) {
+    world.RunFor(milliseconds(10));
+  }
+  EXPECT_GE(world.Now(), nodes["q1"]->lease_end);
+  EXPECT_LT(Elapsed(frozen), seconds(4));
+  machine.Wake();
+  world.RunFor(seconds(2));
+  EXPECT_EQ(nodes["q1"]->fenced, 1);
+  EXPECT_NE(nodes["q1"]->node_id, id);
+}
+
+TEST_F(CoordinatorServiceTest, NobodyDiesOfTheLeadersOwnPause) {
+  Add(proto::ROLE_QUEUE, "q1");
+  world.RunFor(seconds(3));
+  const std::uint64_t id = nodes["q1"]->node_id;
+  group.lease = false;
+  world.RunFor(seconds(20));
+  EXPECT_FALSE(nodes["q1"]->LeaseValid());
+  group.lease = true;
+  world.RunFor(seconds(5));
+  world.machine("c1").Freeze();
+  world.RunFor(seconds(20));
+  world.machine("c1").Wake();
+  world.RunFor(seconds(5));
+  EXPECT_FALSE(IsDead(id));
+  EXPECT_TRUE(nodes["q1"]->LeaseValid());
+}
+
+TEST_F(CoordinatorServiceTest, StoresThatStartTogetherShareThePartitions) {
+  for (const char* name : {"q1", "q2"}) {
+    Add(proto::ROLE_QUEUE, name);
+    world.RunFor(milliseconds(300));
+  }
+  world.RunFor(seconds(2));
+  EXPECT_EQ(Owned("q1"), 2U);
+  EXPECT_EQ(Owned("q2"), 2U);
+}
+
+TEST_F(CoordinatorServiceTest, RecoveryOutlivesALeaderChange) {
+  SimulatedMachine& store = Add(proto::ROLE_QUEUE, "q1");
+  Add(proto::ROLE_BACKUP, "b1");
+  world.RunFor(seconds(3));
+  CommitHead("q1", "b1");
+  const std::uint64_t dead = nodes["q1"]->node_id;
+  Add(proto::ROLE_QUEUE, "q2");
+  world.RunFor(seconds(1));
+  nodes["q2"]->finishes = false;
+  store.LosePower();
+  world.RunFor(seconds(6));
+  EXPECT_EQ(state().partitions().recoveries().at(NodeId(dead)).phase(),
+            proto::RECOVERY_PHASE_REPLAYING);
+  EXPECT_THAT(FleetStatus().problems(), Contains(HasSubstr("to replay 4 partitions")));
+  members["c3"]->log.Lead();
+  nodes["q2"]->finishes = true;
+  world.RunFor(seconds(2));
+  EXPECT_EQ(Owned("q2"), 4U);
+  EXPECT_THAT(state().partitions().recoveries(), IsEmpty());
+  EXPECT_TRUE(disks["b1"].fenced.contains(dead));
+  EXPECT_FALSE(disks["b1"].segments.contains(dead));
+}
+
+TEST_F(CoordinatorServiceTest, BackupThatMissedTheReleaseIsSweptWhenItReturns) {
+  SimulatedMachine& store = Add(proto::ROLE_QUEUE, "q1");
+  Add(proto::ROLE_BACKUP, "b1");
+  SimulatedMachine& away = Add(proto::ROLE_BACKUP, "b2");
+  world.RunFor(seconds(3));
+  CommitHead("q1", "b1");
+  const std::uint64_t dead = nodes["q1"]->node_id;
+  disks["b2"].segments[dead] = disks["b1"].segments[dead];
+  away.LosePower();
+  world.RunFor(seconds(5));
+  EXPECT_THAT(FleetStatus().problems(), Contains(HasSubstr("the backup on b2")));
+  store.LosePower();
+  Add(proto::ROLE_QUEUE, "q2");
+  world.RunFor(seconds(8));
+  EXPECT_EQ(Owned("q2"), 4U);
+  away.Start();
+  world.RunFor(seconds(1));
+  EXPECT_FALSE(disks["b2"].segments.contains(dead));
+}
+
+TEST_F(CoordinatorServiceTest, RetiredStoreHandsItsPartitionsOverAndIsReportedEmpty) {
+  Add(proto::ROLE_QUEUE, "q1");
+  Add(proto::ROLE_BACKUP, "b1");
+  world.RunFor(seconds(3));
+  CommitHead("q1", "b1");
+  Add(proto::ROLE_QUEUE, "q2");
+  world.RunFor(seconds(1));
+  proto::RetireServerRequest request;
+  request.set_machine("nobody");
+  EXPECT_EQ(Call<proto::RetireServerResponse>(coordinators[0], "coordinator.RetireServer", request)
+                .status()
+                .code(),
+            StatusCode::kNotFound);
+  request.set_machine("q1");
+  const auto retired =
+      Call<proto::RetireServerResponse>(coordinators[0], "coordinator.RetireServer", request);
+  ASSERT_TRUE(retired.ok());
+  EXPECT_EQ(retired->node_ids_size(), 1);
+  world.RunFor(seconds(2));
+  EXPECT_EQ(Owned("q2"), 4U);
+  EXPECT_TRUE(nodes["q1"]->LeaseValid());
+  EXPECT_THAT(FleetStatus().problems(), Contains(HasSubstr("machine q1 is empty; stop it")));
+}
+
+}  // namespace
+}  // namespace cloverbank
