Add the queue node's cores: batch store, work leases, backup choice, fair queue

A partition's batches, the rights to start their items, the choice of backups and the order of work are decided without sockets, clocks or randomness of their own.

--- /dev/null
+++ b/src/queue/backup_selector.cc
@@ -0,0 +1,74 @@
+#include "queue/backup_selector.h"
+
+#include <algorithm>
+#include <map>
+#include <string>
+
+namespace cloverbank {
+namespace {
+
+struct Candidates {
+  std::vector<const proto::Server*> regular;
+  std::vector<const proto::Server*> spare;
+};
+
+void Shuffle(std::vector<const proto::Server*>& servers,
+             const std::function<std::uint64_t()>& random) {
+  for (std::size_t left = servers.size(); left > 1; --left) {
+    std::swap(servers[left - 1], servers[random() % left]);
+  }
+}
+
+Candidates Gather(const FleetView& fleet, const BackupRequest& request) {
+  Candidates candidates;
+  for (const auto& [id, server] : fleet.servers) {
+    if (!TakesNewSegments(server) || request.holders.contains(id) || request.avoid.contains(id)) {
+      continue;
+    }
+    (server.spare() ? candidates.spare : candidates.regular).push_back(&server);
+  }
+  return candidates;
+}
+
+/// Takes up to `count` of `servers` (in their shuffled order), each time from a zone used least.
+void TakeSpread(std::vector<const proto::Server*> servers, std::size_t count,
+                std::map<std::string, int>& zone_use, std::vector<NodeId>* chosen) {
+  for (; count > 0 && !servers.empty(); --count) {
+    const auto best = std::min_element(servers.begin(), servers.end(),
+                                       [&](const proto::Server* left, const proto::Server* right) {
+                                         return zone_use[left->zone()] < zone_use[right->zone()];
+                                       });
+    ++zone_use[(*best)->zone()];
+    chosen->push_back(NodeId((*best)->node_id()));
+    servers.erase(best);
+  }
+}
+
+}  // namespace
+
+bool TakesNewSegments(const proto::Server& server) {
+  return server.role() == proto::ROLE_BACKUP && server.state() == proto::SERVER_STATE_UP;
+}
+
+std::vector<NodeId> SelectBackups(const FleetView& fleet, const BackupRequest& request,
+                                  const std::function<std::uint64_t()>& random) {
+  Candidates candidates = Gather(fleet, request);
+  Shuffle(candidates.regular, random);
+  Shuffle(candidates.spare, random);
+  std::map<std::string, int> zone_use;
+  for (const NodeId holder : request.holders) {
+    const auto server = fleet.servers.find(holder);
+    if (server != fleet.servers.end()) {
+      ++zone_use[server->second.zone()];
+    }
+  }
+  std::vector<NodeId> chosen;
+  TakeSpread(candidates.regular, request.count, zone_use, &chosen);
+  const std::size_t held = request.holders.size() + chosen.size();
+  const std::size_t short_of_copies = request.copies > held ? request.copies - held : 0;
+  const std::size_t spares = std::min(request.count - chosen.size(), short_of_copies);
+  TakeSpread(candidates.spare, spares, zone_use, &chosen);
+  return chosen;
+}
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/queue/backup_selector.h
@@ -0,0 +1,33 @@
+#pragma once
+/// @file
+/// Choice of the backups for a segment: at random (RAMCloud page, "Normal Operation Walkthrough"
+/// step 6.2) among the backups that are up, one a zone where zones allow. Spare backups on front
+/// machines are taken only for places that the store machines' backups can not fill.
+///
+/// Pure: random numbers come from the caller. Threads: none of its own.
+
+#include <cstdint>
+#include <functional>
+#include <set>
+#include <vector>
+
+#include "base/ids.h"
+#include "node/node_agent.h"
+
+namespace cloverbank {
+
+struct BackupRequest {
+  std::size_t count = 0;          ///< How many to choose.
+  std::size_t copies = 0;         ///< Copies wanted in all: spares count only below this.
+  std::set<NodeId> holders = {};  ///< Hold the segment already: not chosen, their zones are taken.
+  std::set<NodeId> avoid = {};    ///< Failed or refused lately, or out of disk: not chosen.
+};
+
+/// @return up to `count` different backups; fewer when there are no more.
+std::vector<NodeId> SelectBackups(const FleetView& fleet, const BackupRequest& request,
+                                  const std::function<std::uint64_t()>& random);
+
+/// @return whether `server` is a backup that may be given new segments.
+bool TakesNewSegments(const proto::Server& server);
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/queue/batch_store.cc
@@ -0,0 +1,288 @@
+#include "queue/batch_store.h"
+
+#include <algorithm>
+
+#include "queue/list_cursor.h"
+
+namespace cloverbank {
+namespace {
+
+Status Corrupt(const std::string& what, const std::string& batch_id) {
+  return {StatusCode::kCorrupt, what + " (batch " + batch_id + ")"};
+}
+
+std::size_t PageLimit(std::uint32_t asked) {
+  return asked == 0 ? kDefaultPageEntries : std::min(asked, kLargestPageEntries);
+}
+
+}  // namespace
+
+Status BatchStore::Apply(proto::LogEntry entry) {
+  if (entry.has_partition_mark()) {
+    next_sequence_ =
+        std::max(next_sequence_, PartitionSequence(entry.partition_mark().next_sequence()));
+    return Status::Ok();
+  }
+  const PartitionSequence sequence(entry.sequence());
+  if (sequence < next_sequence_) {
+    return Status::Ok();
+  }
+  Status status = ApplyPayload(entry);
+  if (status.ok()) {
+    next_sequence_ = sequence.Next();
+  }
+  return status;
+}
+
+Status BatchStore::ApplyPayload(proto::LogEntry& entry) {
+  switch (entry.payload_case()) {
+    case proto::LogEntry::kBatchItems:
+      return ApplyItems(*entry.mutable_batch_items());
+    case proto::LogEntry::kBatchAccepted:
+      return ApplyAccepted(*entry.mutable_batch_accepted(), PartitionSequence(entry.sequence()));
+    case proto::LogEntry::kItemStarted:
+      return ApplyStarted(entry.item_started());
+    case proto::LogEntry::kItemFinished:
+      return ApplyFinished(*entry.mutable_item_finished());
+    case proto::LogEntry::kBatchCancelled:
+      ApplyCancelled(entry.batch_cancelled());
+      return Status::Ok();
+    case proto::LogEntry::kBatchSettled:
+      ApplySettled(entry.batch_settled());
+      return Status::Ok();
+    case proto::LogEntry::kBatchRemoved:
+      ApplyRemoved(entry.batch_removed().batch_id());
+      return Status::Ok();
+    default:
+      return Corrupt("entry is of no kind that belongs to a partition", "");
+  }
+}
+
+Status BatchStore::ApplyItems(proto::BatchItems& items) {
+  std::vector<proto::BatchItem>& gathered = unaccepted_[items.batch_id()];
+  if (items.first_index() != gathered.size()) {
+    return Corrupt("items do not follow the ones before", items.batch_id());
+  }
+  for (proto::BatchItem& item : *items.mutable_items()) {
+    gathered.push_back(std::move(item));
+  }
+  return Status::Ok();
+}
+
+Status BatchStore::ApplyAccepted(proto::BatchAccepted& accepted, PartitionSequence sequence) {
+  const auto gathered = unaccepted_.find(accepted.batch_id());
+  const std::size_t item_count = gathered == unaccepted_.end() ? 0 : gathered->second.size();
+  if (item_count != accepted.item_count() || by_id_.contains(accepted.batch_id())) {
+    return Corrupt("batch does not match its items", accepted.batch_id());
+  }
+  auto batch = std::make_unique<StoredBatch>();
+  batch->accepted = std::move(accepted);
+  batch->position = sequence;
+  if (gathered != unaccepted_.end()) {
+    batch->items = std::move(gathered->second);
+    unaccepted_.erase(gathered);
+  }
+  batch->items.shrink_to_fit();
+  batch->phases.assign(batch->items.size(), ItemPhase::kWaiting);
+  Tenant& tenant = tenants_[batch->accepted.tenant()];
+  tenant.by_position.emplace(sequence, batch.get());
+  if (!batch->accepted.idempotency_key().empty()) {
+    tenant.by_key.emplace(batch->accepted.idempotency_key(), batch.get());
+  }
+  tenant.open_items += batch->items.size();
+  open_items_ += batch->items.size();
+  by_id_.emplace(batch->accepted.batch_id(), batch.get());
+  batches_.emplace(sequence, std::move(batch));
+  return Status::Ok();
+}
+
+Status BatchStore::ApplyStarted(const proto::ItemStarted& started) {
+  StoredBatch* batch = FindMutable(started.batch_id());
+  if (batch == nullptr || started.item_index() >= batch->items.size()) {
+    return Corrupt("started item does not exist", started.batch_id());
+  }
+  ItemPhase& phase = batch->phases[started.item_index()];
+  if (phase == ItemPhase::kWaiting) {
+    phase = ItemPhase::kStarted;
+  }
+  return Status::Ok();
+}
+
+Status BatchStore::ApplyFinished(proto::ItemFinished& finished) {
+  StoredBatch* batch = FindMutable(finished.batch_id());
+  if (batch == nullptr || finished.item_index() >= batch->items.size()) {
+    return Corrupt("finished item does not exist", finished.batch_id());
+  }
+  if (batch->phases[finished.item_index()] == ItemPhase::kFinished) {
+    return Status::Ok();  // The first result won.
+  }
+  StoredResult result;
+  result.item_index = static_cast<std::uint32_t>(finished.item_index());
+  result.outcome = finished.outcome();
+  result.output = std::move(*finished.mutable_output());
+  result.error = std::move(*finished.mutable_error());
+  AddResult(*batch, std::move(result), finished.finished_at_ms());
+  return Status::Ok();
+}
+
+void BatchStore::AddResult(StoredBatch& batch, StoredResult result, std::int64_t wall_ms) {
+  batch.phases[result.item_index] = ItemPhase::kFinished;
+  switch (result.outcome) {
+    case proto::ITEM_OUTCOME_SUCCEEDED:
+      ++batch.succeeded;
+      break;
+    case proto::ITEM_OUTCOME_FAILED:
+      ++batch.failed;
+      break;
+    case proto::ITEM_OUTCOME_CANCELLED:
+      ++batch.cancelled_items;
+      break;
+    default:
+      ++batch.unknown;
+  }
+  batch.results.push_back(std::move(result));
+  --open_items_;
+  --tenants_[batch.accepted.tenant()].open_items;
+  if (batch.AllFinished()) {
+    batch.finished_at_ms = wall_ms;
+  }
+}
+
+void BatchStore::ApplyCancelled(const proto::BatchCancelled& cancelled) {
+  StoredBatch* batch = FindMutable(cancelled.batch_id());
+  if (batch != nullptr && !batch->AllFinished()) {
+    batch->cancelled = true;
+  }
+}
+
+void BatchStore::ApplySettled(const proto::BatchSettled& settled) {
+  StoredBatch* batch = FindMutable(settled.batch_id());
+  if (batch == nullptr || !batch->cancelled) {
+    return;
+  }
+  for (std::uint32_t index = 0; index < batch->items.size(); ++index) {
+    if (batch->phases[index] != ItemPhase::kFinished) {
+      AddResult(*batch, {index, proto::ITEM_OUTCOME_CANCELLED, {}, {}}, settled.settled_at_ms());
+    }
+  }
+}
+
+void BatchStore::ApplyRemoved(const std::string& batch_id) {
+  StoredBatch* batch = FindMutable(batch_id);
+  if (batch == nullptr) {
+    return;
+  }
+  const auto found = tenants_.find(batch->accepted.tenant());
+  Tenant& tenant = found->second;
+  open_items_ -= batch->open_items();
+  tenant.open_items -= batch->open_items();
+  tenant.by_key.erase(batch->accepted.idempotency_key());
+  tenant.by_position.erase(batch->position);
+  if (tenant.by_position.empty()) {
+    tenants_.erase(found);
+  }
+  by_id_.erase(batch_id);
+  batches_.erase(batch->position);
+}
+
+void BatchStore::DropUnaccepted(const std::string& batch_id) { unaccepted_.erase(batch_id); }
+void BatchStore::DropAllUnaccepted() { unaccepted_.clear(); }
+
+StoredBatch* BatchStore::FindMutable(const std::string& batch_id) {
+  const auto found = by_id_.find(batch_id);
+  return found == by_id_.end() ? nullptr : found->second;
+}
+
+const StoredBatch* BatchStore::Find(const std::string& batch_id) const {
+  const auto found = by_id_.find(batch_id);
+  return found == by_id_.end() ? nullptr : found->second;
+}
+
+const StoredBatch* BatchStore::FindByKey(const std::string& tenant,
+                                         const std::string& idempotency_key) const {
+  const auto found = tenants_.find(tenant);
+  if (found == tenants_.end()) {
+    return nullptr;
+  }
+  const auto batch = found->second.by_key.find(idempotency_key);
+  return batch == found->second.by_key.end() ? nullptr : batch->second;
+}
+
+Result<proto::BatchList> BatchStore::ListBatches(const std::string& tenant,
+                                                 const std::string& cursor,
+                                                 std::uint32_t limit) const {
+  Result<std::uint64_t> after = ParseCursor(cursor);
+  if (!after.ok()) {
+    return after.status();
+  }
+  proto::BatchList list;
+  list.set_next_cursor(FormatCursor(*after));
+  const auto found = tenants_.find(tenant);
+  if (found == tenants_.end()) {
+    return list;
+  }
+  const auto& by_position = found->second.by_position;
+  auto next = by_position.upper_bound(PartitionSequence(*after));
+  for (std::size_t left = PageLimit(limit); left > 0 && next != by_position.end(); --left, ++next) {
+    *list.add_batches() = next->second->ToStatus();
+    list.set_next_cursor(FormatCursor(next->first.value()));
+  }
+  list.set_more(next != by_position.end());
+  return list;
+}
+
+Result<proto::ResultList> BatchStore::ListResults(const std::string& batch_id,
+                                                  const std::string& cursor,
+                                                  std::uint32_t limit) const {
+  const StoredBatch* batch = Find(batch_id);
+  if (batch == nullptr) {
+    return Status(StatusCode::kNotFound, "no batch " + batch_id);
+  }
+  Result<std::uint64_t> after = ParseCursor(cursor);
+  if (!after.ok()) {
+    return after.status();
+  }
+  proto::ResultList list;
+  list.set_state(batch->state());
+  std::uint64_t position = *after;
+  std::size_t bytes = 0;
+  for (std::size_t left = PageLimit(limit);
+       left > 0 && position < batch->results.size() && bytes < kLargestPageBytes; --left) {
+    const StoredResult& result = batch->results[position];
+    ++position;
+    proto::ItemResult* listed = list.add_results();
+    listed->set_position(position);
+    listed->set_custom_id(batch->items[result.item_index].custom_id());
+    listed->set_item_index(result.item_index);
+    listed->set_outcome(result.outcome);
+    listed->set_output(result.output);
+    listed->set_error(result.error);
+    bytes += result.output.size() + result.error.size();
+  }
+  list.set_next_cursor(FormatCursor(position));
+  list.set_more(position < batch->results.size());
+  return list;
+}
+
+std::uint64_t BatchStore::OpenItems(const std::string& tenant) const {
+  const auto found = tenants_.find(tenant);
+  return found == tenants_.end() ? 0 : found->second.open_items;
+}
+
+std::vector<std::string> BatchStore::FinishedUpTo(std::int64_t wall_ms) const {
+  std::vector<std::string> ids;
+  for (const auto& [position, batch] : batches_) {
+    if (batch->AllFinished() && batch->finished_at_ms <= wall_ms) {
+      ids.push_back(batch->accepted.batch_id());
+    }
+  }
+  return ids;
+}
+
+void BatchStore::ForEach(const std::function<void(const StoredBatch&)>& visit) const {
+  for (const auto& [position, batch] : batches_) {
+    visit(*batch);
+  }
+}
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/queue/batch_store.h
@@ -0,0 +1,95 @@
+#pragma once
+/// @file
+/// The batches of one partition: a pure state machine over the partition's log entries. `Apply` is
+/// the only mutation and depends on nothing but the entries, so the same entries always give the
+/// same state, also after a recovery. Only entries that are held by the backups are applied, in
+/// order of sequence; therefore a list never shows what could still be lost, and never changes
+/// where it was read.
+///
+/// Threads: none of its own.
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/status.h"
+#include "proto/batch.pb.h"
+#include "proto/log.pb.h"
+#include "queue/stored_batch.h"
+
+namespace cloverbank {
+
+/// Entries a page holds when the request names no limit, and at most.
+inline constexpr std::uint32_t kDefaultPageEntries = 100;
+inline constexpr std::uint32_t kLargestPageEntries = 1000;
+/// A page of results ends early once it holds this many bytes of output.
+inline constexpr std::size_t kLargestPageBytes = 1U << 20U;
+
+class BatchStore {
+ public:
+  /// Applies one held entry. Entries whose sequence was applied before are skipped, and so are
+  /// second results of an item. @return kCorrupt for an entry that no correct log holds (state
+  /// unchanged).
+  Status Apply(proto::LogEntry entry);
+
+  /// Forgets the items of a batch whose BatchAccepted was never logged.
+  void DropUnaccepted(const std::string& batch_id);
+  /// Same for all such batches, at the end of a replay.
+  void DropAllUnaccepted();
+
+  /// @return nullptr if there is no such batch.
+  const StoredBatch* Find(const std::string& batch_id) const;
+  /// @return the batch that was accepted under this key, or nullptr.
+  const StoredBatch* FindByKey(const std::string& tenant, const std::string& idempotency_key) const;
+
+  /// A page of the tenant's batches after `cursor` (empty: from the start), in the order in which
+  /// they were accepted. A cursor at or beyond the end gives an empty page and can be asked again.
+  /// @return kInvalidArgument for a cursor that was never given out.
+  Result<proto::BatchList> ListBatches(const std::string& tenant, const std::string& cursor,
+                                       std::uint32_t limit) const;
+  /// A page of a batch's results after `cursor`, in order of logging; kNotFound, kInvalidArgument.
+  Result<proto::ResultList> ListResults(const std::string& batch_id, const std::string& cursor,
+                                        std::uint32_t limit) const;
+
+  /// Items without a result, of one tenant and of all.
+  std::uint64_t OpenItems(const std::string& tenant) const;
+  std::uint64_t open_items() const { return open_items_; }
+  /// @return ids of batches that had all results at or before `wall_ms`, in order of acceptance.
+  std::vector<std::string> FinishedUpTo(std::int64_t wall_ms) const;
+  /// Runs `visit` for every batch, in order of acceptance.
+  void ForEach(const std::function<void(const StoredBatch&)>& visit) const;
+
+  /// One more than the highest sequence applied or reserved by a PartitionMark.
+  PartitionSequence next_sequence() const { return next_sequence_; }
+
+ private:
+  struct Tenant {
+    std::map<PartitionSequence, StoredBatch*> by_position;
+    std::unordered_map<std::string, StoredBatch*> by_key;
+    std::uint64_t open_items = 0;
+  };
+
+  Status ApplyPayload(proto::LogEntry& entry);
+  Status ApplyItems(proto::BatchItems& items);
+  Status ApplyAccepted(proto::BatchAccepted& accepted, PartitionSequence sequence);
+  Status ApplyStarted(const proto::ItemStarted& started);
+  Status ApplyFinished(proto::ItemFinished& finished);
+  void ApplyCancelled(const proto::BatchCancelled& cancelled);
+  void ApplySettled(const proto::BatchSettled& settled);
+  void ApplyRemoved(const std::string& batch_id);
+  void AddResult(StoredBatch& batch, StoredResult result, std::int64_t wall_ms);
+  StoredBatch* FindMutable(const std::string& batch_id);
+
+  std::map<PartitionSequence, std::unique_ptr<StoredBatch>> batches_;
+  std::unordered_map<std::string, StoredBatch*> by_id_;
+  std::unordered_map<std::string, Tenant> tenants_;
+  std::unordered_map<std::string, std::vector<proto::BatchItem>> unaccepted_;
+  std::uint64_t open_items_ = 0;
+  PartitionSequence next_sequence_{1};
+};
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/queue/list_cursor.h
@@ -0,0 +1,33 @@
+#pragma once
+/// @file
+/// Cursors of lists: the position after which the next page begins. Opaque to clients. Positions
+/// come from the log, so a cursor stays good over recoveries and can be asked again at the end of a
+/// list.
+
+#include <charconv>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "base/status.h"
+
+namespace cloverbank {
+
+inline std::string FormatCursor(std::uint64_t position) { return "p" + std::to_string(position); }
+
+/// @return the position; 0 for the empty cursor; kInvalidArgument for text that no list gave out.
+inline Result<std::uint64_t> ParseCursor(std::string_view cursor) {
+  if (cursor.empty()) {
+    return std::uint64_t{0};
+  }
+  std::uint64_t position = 0;
+  const char* end = cursor.data() + cursor.size();
+  const auto parsed = std::from_chars(cursor.data() + 1, end, position);
+  if (cursor.front() != 'p' || cursor.size() < 2 || parsed.ec != std::errc() || parsed.ptr != end) {
+    return Status(StatusCode::kInvalidArgument,
+                  "cursor is not one that a list returned; pass next_cursor as it came");
+  }
+  return position;
+}
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/queue/stored_batch.h
@@ -0,0 +1,48 @@
+#pragma once
+/// @file
+/// One accepted batch as its partition's owner holds it in memory. Rebuilt from log entries alone.
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "base/ids.h"
+#include "proto/batch.pb.h"
+
+namespace cloverbank {
+
+enum class ItemPhase : std::uint8_t {
+  kWaiting,   ///< No result; for routes that must not repeat also: never logged as started.
+  kStarted,   ///< Logged as started; has no result.
+  kFinished,  ///< Has its one result.
+};
+
+/// The one result of an item. Its place in `StoredBatch::results` never changes.
+struct StoredResult {
+  std::uint32_t item_index = 0;
+  proto::ItemOutcome outcome = proto::ITEM_OUTCOME_UNSPECIFIED;
+  std::string output;
+  std::string error;
+};
+
+struct StoredBatch {
+  proto::BatchAccepted accepted;
+  /// Sequence of its BatchAccepted entry: its place in its tenant's list.
+  PartitionSequence position;
+  std::vector<proto::BatchItem> items;
+  std::vector<ItemPhase> phases;
+  std::vector<StoredResult> results;
+  std::uint64_t succeeded = 0;
+  std::uint64_t failed = 0;
+  std::uint64_t unknown = 0;
+  std::uint64_t cancelled_items = 0;
+  bool cancelled = false;
+  std::int64_t finished_at_ms = 0;  ///< 0 until every item has its result.
+
+  bool AllFinished() const { return results.size() == items.size(); }
+  std::uint64_t open_items() const { return items.size() - results.size(); }
+  proto::BatchState state() const;
+  proto::BatchStatus ToStatus() const;
+};
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/queue/work_leases.cc
@@ -0,0 +1,104 @@
+#include "queue/work_leases.h"
+
+#include <limits>
+
+namespace cloverbank {
+
+const WorkLease& WorkLeases::Grant(const WorkItemKey& item, std::uint64_t gateway_node_id,
+                                   Incarnation incarnation, bool idempotent, TimePoint now) {
+  const WorkLeaseId id = next_id_;
+  next_id_ = next_id_.Next();
+  by_item_[item] = id;
+  WorkLease& lease = by_id_[id];
+  lease = {id, item, gateway_node_id, incarnation, idempotent, now, false};
+  return lease;
+}
+
+bool WorkLeases::Renew(WorkLeaseId id, std::uint64_t gateway_node_id, Incarnation incarnation,
+                       TimePoint now) {
+  const auto found = by_id_.find(id);
+  if (found == by_id_.end() || found->second.gateway_node_id != gateway_node_id ||
+      found->second.incarnation != incarnation) {
+    return false;
+  }
+  found->second.heard = now;
+  return true;
+}
+
+const WorkLease* WorkLeases::Find(const WorkItemKey& item) const {
+  const auto found = by_item_.find(item);
+  return found == by_item_.end() ? nullptr : &by_id_.at(found->second);
+}
+
+ReportAction WorkLeases::Decide(const proto::WorkReport& report, const WorkItemKey& item,
+                                bool has_result) const {
+  const WorkLease* lease = Find(item);
+  if (has_result || (lease != nullptr && lease->reporting)) {
+    return ReportAction::kDrop;
+  }
+  if (report.disposition() == proto::WORK_DISPOSITION_FINISHED) {
+    // Taken also from a lease that has ended: the work was done, and the first result logged wins.
+    return ReportAction::kLogResult;
+  }
+  const bool current = lease != nullptr && lease->id == WorkLeaseId(report.lease_id());
+  if (!current) {
+    return ReportAction::kDrop;
+  }
+  if (report.disposition() == proto::WORK_DISPOSITION_NOT_RUN || lease->idempotent) {
+    return ReportAction::kReturnItem;
+  }
+  return ReportAction::kLogUnknown;
+}
+
+void WorkLeases::SetReporting(const WorkItemKey& item, bool reporting, TimePoint now) {
+  const auto found = by_item_.find(item);
+  if (found == by_item_.end()) {
+    return;
+  }
+  WorkLease& lease = by_id_.at(found->second);
+  lease.reporting = reporting;
+  lease.heard = now;
+}
+
+void WorkLeases::End(const WorkItemKey& item) {
+  const auto found = by_item_.find(item);
+  if (found == by_item_.end()) {
+    return;
+  }
+  by_id_.erase(found->second);
+  by_item_.erase(found);
+}
+
+std::vector<WorkLease> WorkLeases::EndSilent(TimePoint now) {
+  std::vector<WorkLease> ended;
+  for (const auto& [id, lease] : by_id_) {
+    if (!lease.reporting && now - lease.heard >= kWorkLeaseSilence) {
+      ended.push_back(lease);
+    }
+  }
+  for (const WorkLease& lease : ended) {
+    End(lease.item);
+  }
+  return ended;
+}
+
+void WorkLeases::EndPartition(PartitionId partition) {
+  auto item = by_item_.lower_bound({partition, "", 0});
+  while (item != by_item_.end() && item->first.partition == partition) {
+    by_id_.erase(item->second);
+    item = by_item_.erase(item);
+  }
+}
+
+std::size_t WorkLeases::CountOf(PartitionId partition, const std::string& batch_id) const {
+  std::size_t count = 0;
+  for (auto item = by_item_.lower_bound({partition, batch_id, 0});
+       item != by_item_.end() && item->first.partition == partition &&
+       item->first.batch_id == batch_id;
+       ++item) {
+    ++count;
+  }
+  return count;
+}
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/queue/work_leases.h
@@ -0,0 +1,90 @@
+#pragma once
+/// @file
+/// Rights to start batch items, as the partition's owner keeps them: who holds which item and when
+/// it was last heard of. Not durable: after a recovery no lease is known, and items that must not
+/// repeat are told from the log's ItemStarted entries.
+///
+/// Pure: the time comes with each call. Threads: none of its own.
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "proto/batch.pb.h"
+
+namespace cloverbank {
+
+/// A lease that was neither renewed nor reported for this long is over.
+inline constexpr Duration kWorkLeaseSilence = seconds(5);
+/// An item must be started within this time of its grant.
+inline constexpr Duration kWorkLeaseStartWindow = seconds(2);
+
+/// Names one item of one batch.
+struct WorkItemKey {
+  PartitionId partition;
+  std::string batch_id;
+  std::uint32_t index = 0;
+  auto operator<=>(const WorkItemKey&) const = default;
+};
+
+struct WorkLease {
+  WorkLeaseId id;
+  WorkItemKey item;
+  std::uint64_t gateway_node_id = 0;  ///< 0: adopted after a recovery, holder not known.
+  Incarnation incarnation;            ///< Of the gateway.
+  bool idempotent = false;
+  TimePoint heard;         ///< Last sign of life of its holder.
+  bool reporting = false;  ///< Its result is being logged: silence no longer counts.
+};
+
+/// What to do with one report.
+enum class ReportAction : std::uint8_t {
+  kDrop,        ///< The item has its result already, or the report says nothing new.
+  kLogResult,   ///< Log ItemFinished with the reported outcome.
+  kLogUnknown,  ///< Log ItemFinished with ITEM_OUTCOME_UNKNOWN.
+  kReturnItem,  ///< Let another gateway run it.
+};
+
+class WorkLeases {
+ public:
+  /// @param first ids are given out from here on; different for every life of every queue node.
+  explicit WorkLeases(WorkLeaseId first) : next_id_(first) {}
+
+  /// Gives out `item`. Requires that it is not leased.
+  const WorkLease& Grant(const WorkItemKey& item, std::uint64_t gateway_node_id,
+                         Incarnation incarnation, bool idempotent, TimePoint now);
+  /// Renews a running lease. @return false if it is not current: its holder should stop.
+  bool Renew(WorkLeaseId id, std::uint64_t gateway_node_id, Incarnation incarnation, TimePoint now);
+  /// @return the current lease of `item`, or nullptr.
+  const WorkLease* Find(const WorkItemKey& item) const;
+  /// @return what a report under `lease` means, given whether the item `has_result`.
+  ReportAction Decide(const proto::WorkReport& report, const WorkItemKey& item,
+                      bool has_result) const;
+
+  /// Marks that the item's result is on its way to the log (true), or was refused by it (false).
+  void SetReporting(const WorkItemKey& item, bool reporting, TimePoint now);
+  /// Ends the item's lease, if any.
+  void End(const WorkItemKey& item);
+  /// Ends and returns the leases that were silent for `kWorkLeaseSilence`.
+  std::vector<WorkLease> EndSilent(TimePoint now);
+  /// Ends every lease of the partition (it went to another owner).
+  void EndPartition(PartitionId partition);
+
+  /// @return how many items of the batch are leased.
+  std::size_t CountOf(PartitionId partition, const std::string& batch_id) const;
+  std::size_t size() const { return by_id_.size(); }
+
+ private:
+  std::map<WorkLeaseId, WorkLease> by_id_;
+  std::map<WorkItemKey, WorkLeaseId> by_item_;
+  WorkLeaseId next_id_;
+};
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/scheduler/fair_queue.cc
@@ -0,0 +1,185 @@
+#include "scheduler/fair_queue.h"
+
+#include <algorithm>
+#include <unordered_map>
+
+namespace cloverbank {
+
+std::vector<OrderedItem> GroupByPrefix(
+    std::uint32_t item_count, const std::function<std::string_view(std::uint32_t)>& prefix_key,
+    const std::function<bool(std::uint32_t)>& is_waiting) {
+  // A counting sort by group: the number of a group is the order of its first item.
+  std::unordered_map<std::string_view, std::uint32_t> group_of_key;
+  std::vector<std::uint32_t> waiting;
+  std::vector<std::uint32_t> group_of_waiting;
+  std::vector<std::uint32_t> group_sizes;
+  for (std::uint32_t index = 0; index < item_count; ++index) {
+    if (!is_waiting(index)) {
+      continue;
+    }
+    const auto next_group = static_cast<std::uint32_t>(group_sizes.size());
+    const std::uint32_t group =
+        group_of_key.try_emplace(prefix_key(index), next_group).first->second;
+    if (group == next_group) {
+      group_sizes.push_back(0);
+    }
+    ++group_sizes[group];
+    waiting.push_back(index);
+    group_of_waiting.push_back(group);
+  }
+  std::vector<std::uint32_t> group_starts(group_sizes.size(), 0);
+  for (std::size_t group = 1; group < group_sizes.size(); ++group) {
+    group_starts[group] = group_starts[group - 1] + group_sizes[group - 1];
+  }
+  std::vector<std::uint32_t> filled(group_sizes.size(), 0);
+  std::vector<OrderedItem> ordered(waiting.size());
+  for (std::size_t i = 0; i < waiting.size(); ++i) {
+    const std::uint32_t group = group_of_waiting[i];
+    const std::uint32_t place = filled[group]++;
+    ordered[group_starts[group] + place] = {waiting[i], place == 0 ? 1U : 0U};
+  }
+  return ordered;
+}
+
+void FairQueue::SetTenantWeight(const std::string& tenant, std::uint32_t weight) {
+  weights_[tenant] = std::max<std::uint32_t>(weight, 1);
+}
+
+FairQueue::Pass FairQueue::Weight(const std::string& tenant) const {
+  const auto found = weights_.find(tenant);
+  return found == weights_.end() ? 1 : found->second;
+}
+
+QueuedBatchId FairQueue::AddBatch(const std::string& tenant, const std::string& backend,
+                                  std::vector<OrderedItem> items) {
+  last_id_ = last_id_.Next();
+  Batch& batch = batches_[last_id_];
+  batch.tenant = tenant;
+  batch.backend = backend;
+  batch.items = std::move(items);
+  waiting_count_ += batch.waiting();
+  if (batch.waiting() > 0) {
+    Activate(last_id_, batch);
+  }
+  return last_id_;
+}
+
+void FairQueue::RemoveBatch(QueuedBatchId id) {
+  const auto found = batches_.find(id);
+  if (found == batches_.end()) {
+    return;
+  }
+  Deactivate(id, found->second);
+  waiting_count_ -= found->second.waiting();
+  batches_.erase(found);
+}
+
+void FairQueue::ReturnItem(QueuedBatchId id, std::uint32_t index) {
+  const auto found = batches_.find(id);
+  if (found == batches_.end()) {
+    return;
+  }
+  Batch& batch = found->second;
+  const bool was_idle = batch.waiting() == 0;
+  batch.returned.push_back(index);
+  ++waiting_count_;
+  if (was_idle) {
+    Activate(id, batch);
+  }
+}
+
+void FairQueue::SetBackend(QueuedBatchId id, const std::string& backend) {
+  const auto found = batches_.find(id);
+  if (found == batches_.end() || found->second.backend == backend) {
+    return;
+  }
+  Deactivate(id, found->second);
+  found->second.backend = backend;
+  if (found->second.waiting() > 0) {
+    Activate(id, found->second);
+  }
+}
+
+bool FairQueue::HasWaiting(const std::string& backend) const {
+  const auto found = backends_.find(backend);
+  return found != backends_.end() && !found->second.order.empty();
+}
+
+void FairQueue::Activate(QueuedBatchId id, Batch& batch) {
+  BackendQueue& backend = backends_[batch.backend];
+  TenantQueue& tenant = backend.tenants[batch.tenant];
+  if (tenant.batches.empty()) {
+    // Idle time earns no credit.
+    tenant.pass = std::max(tenant.pass, backend.virtual_time);
+    backend.order.emplace(tenant.pass, batch.tenant);
+  }
+  batch.pass = std::max(batch.pass, tenant.virtual_time);
+  tenant.batches.emplace(batch.pass, id);
+}
+
+void FairQueue::Deactivate(QueuedBatchId id, const Batch& batch) {
+  const auto backend = backends_.find(batch.backend);
+  if (backend == backends_.end()) {
+    return;
+  }
+  const auto tenant = backend->second.tenants.find(batch.tenant);
+  if (tenant == backend->second.tenants.end() ||
+      tenant->second.batches.erase({batch.pass, id}) == 0 || !tenant->second.batches.empty()) {
+    return;
+  }
+  backend->second.order.erase({tenant->second.pass, batch.tenant});
+}
+
+std::vector<PickedItem> FairQueue::Pick(const std::string& backend_name, std::size_t limit) {
+  std::vector<PickedItem> picked;
+  const auto found = backends_.find(backend_name);
+  if (found == backends_.end()) {
+    return picked;
+  }
+  BackendQueue& backend = found->second;
+  while (picked.size() < limit && !backend.order.empty()) {
+    const std::string tenant_name = backend.order.begin()->second;
+    TenantQueue& tenant = backend.tenants[tenant_name];
+    backend.virtual_time = tenant.pass;
+    const QueuedBatchId id = tenant.batches.begin()->second;
+    Batch& batch = batches_[id];
+    tenant.virtual_time = batch.pass;
+    Deactivate(id, batch);
+    const std::size_t taken =
+        TakeRun(id, batch, std::min(limit - picked.size(), kLongestRun), &picked);
+    waiting_count_ -= taken;
+    batch.pass += taken * kPassScale;
+    const Pass charge = taken * kPassScale / Weight(tenant_name);
+    if (!tenant.batches.empty()) {
+      backend.order.erase({tenant.pass, tenant_name});
+      backend.order.emplace(tenant.pass + charge, tenant_name);
+    }
+    tenant.pass += charge;
+    if (batch.waiting() > 0) {
+      Activate(id, batch);
+    }
+  }
+  return picked;
+}
+
+std::size_t FairQueue::TakeRun(QueuedBatchId id, Batch& batch, std::size_t limit,
+                               std::vector<PickedItem>* picked) {
+  std::size_t taken = 0;
+  while (taken < limit && !batch.returned.empty()) {
+    picked->push_back({id, batch.returned.front()});
+    batch.returned.pop_front();
+    ++taken;
+  }
+  if (taken > 0) {
+    return taken;
+  }
+  do {
+    picked->push_back({id, batch.items[batch.next].index});
+    ++batch.next;
+    ++taken;
+  } while (taken < limit && batch.next < batch.items.size() &&
+           batch.items[batch.next].starts_group == 0);
+  return taken;
+}
+
+}  // namespace cloverbank
