--- /dev/null
+++ b/src/queue/batch_intake.cc
@@ -0,0 +1,218 @@
+#include "queue/batch_intake.h"
+
+#include <array>
+#include <charconv>
+#include <string_view>
+#include <unordered_set>
+
+#include "base/checksum.h"
+
+namespace cloverbank {
+namespace {
+
+/// Items are logged in entries of about this many bytes.
+constexpr std::size_t kItemsEntryBytes = 128U << 10U;
+
+Status Invalid(const std::string& message) { return {StatusCode::kInvalidArgument, message}; }
+
+Status KeyReused(const std::string& key) {
+  return {StatusCode::kConflict,
+          "idempotency key \"" + key + "\" was used for another batch; choose a new one"};
+}
+
+const proto::Tenant* FindTenant(const proto::RoutingConfiguration& configuration,
+                                const std::string& name) {
+  for (const proto::Tenant& tenant : configuration.tenants()) {
+    if (tenant.name() == name) {
+      return &tenant;
+    }
+  }
+  return nullptr;
+}
+
+}  // namespace
+
+BatchIntake::BatchIntake(Environment& environment, NodeAgent& agent, SegmentLog& log,
+                         Accepted on_accepted)
+    : environment_(environment), agent_(agent), log_(log), on_accepted_(std::move(on_accepted)) {}
+
+Status BatchIntake::Check(const proto::SubmitBatch& batch) const {
+  if (batch.tenant().empty() || batch.route().empty() || batch.items().empty()) {
+    return Invalid("a batch needs a tenant, a route and at least one item");
+  }
+  std::unordered_set<std::string_view> ids;
+  for (const proto::BatchItem& item : batch.items()) {
+    if (!ids.insert(item.custom_id()).second) {
+      return Invalid("custom_id \"" + item.custom_id() + "\" is used twice");
+    }
+    if (item.ByteSizeLong() > log_.largest_entry() / 2) {
+      return Invalid("item \"" + item.custom_id() + "\" is larger than " +
+                     std::to_string(log_.largest_entry() / 2) + " bytes");
+    }
+  }
+  return Status::Ok();
+}
+
+Status BatchIntake::CheckLimit(const OwnedPartition& partition,
+                               const proto::SubmitBatch& batch) const {
+  const proto::Tenant* tenant = FindTenant(agent_.configuration(), batch.tenant());
+  if (tenant == nullptr || tenant->max_open_items() == 0) {
+    return Status::Ok();
+  }
+  const std::uint64_t open = partition.OpenItems(batch.tenant());
+  const auto more = static_cast<std::uint64_t>(batch.items_size());
+  if (open + more <= tenant->max_open_items()) {
+    return Status::Ok();
+  }
+  return {StatusCode::kResourceExhausted,
+          "tenant has " + std::to_string(open) + " unfinished items and may have " +
+              std::to_string(tenant->max_open_items()) + "; submit again when some are finished"};
+}
+
+bool BatchIntake::MeetEarlier(OwnedPartition& partition, const Key& key, std::uint64_t checksum,
+                              Reply& reply) {
+  const std::string& idempotency_key = std::get<2>(key);
+  if (idempotency_key.empty()) {
+    return false;
+  }
+  const auto waiting = under_way_.find(key);
+  if (waiting != under_way_.end()) {
+    if (waiting->second->accepted.request_checksum() == checksum) {
+      waiting->second->replies.push_back(std::move(reply));
+    } else {
+      reply(KeyReused(idempotency_key));
+    }
+    return true;
+  }
+  const StoredBatch* earlier = partition.store().FindByKey(std::get<1>(key), idempotency_key);
+  if (earlier == nullptr) {
+    return false;
+  }
+  if (earlier->accepted.request_checksum() != checksum) {
+    reply(KeyReused(idempotency_key));
+    return true;
+  }
+  proto::SubmitBatchResponse response;
+  *response.mutable_status() = earlier->ToStatus();
+  response.set_resent(true);
+  reply(std::move(response));
+  return true;
+}
+
+void BatchIntake::Submit(const std::shared_ptr<OwnedPartition>& partition,
+                         proto::SubmitBatchRequest request, Reply reply) {
+  const proto::SubmitBatch& batch = request.batch();
+  const std::uint64_t checksum = Checksum(batch.SerializeAsString());
+  const Key key(partition->id(), batch.tenant(), batch.idempotency_key());
+  if (MeetEarlier(*partition, key, checksum, reply)) {
+    return;
+  }
+  Status status = Check(batch);
+  status = status.ok() ? CheckLimit(*partition, batch) : status;
+  status = status.ok() ? log_.Accepting() : status;
+  if (!status.ok()) {
+    reply(std::move(status));
+    return;
+  }
+  const SubmissionPtr submission = Begin(partition, std::move(request), checksum);
+  submission->replies.push_back(std::move(reply));
+  if (!std::get<2>(key).empty()) {
+    under_way_[key] = submission;
+  }
+  LogNext(submission);
+}
+
+BatchIntake::SubmissionPtr BatchIntake::Begin(const std::shared_ptr<OwnedPartition>& partition,
+                                              proto::SubmitBatchRequest request,
+                                              std::uint64_t checksum) {
+  auto submission = std::make_shared<Submission>();
+  submission->partition = partition;
+  submission->batch = std::move(*request.mutable_batch());
+  proto::BatchAccepted& accepted = submission->accepted;
+  accepted.set_batch_id(NewBatchId(*partition));
+  accepted.set_tenant(submission->batch.tenant());
+  accepted.set_idempotency_key(submission->batch.idempotency_key());
+  accepted.set_route(submission->batch.route());
+  accepted.set_item_count(static_cast<std::uint64_t>(submission->batch.items_size()));
+  accepted.set_request_checksum(checksum);
+  accepted.set_idempotent(request.idempotent());
+  partition->ReserveItems(accepted.tenant(), accepted.item_count());
+  return submission;
+}
+
+std::string BatchIntake::NewBatchId(const OwnedPartition& partition) {
+  std::array<char, 16> digits{};
+  const auto end =
+      std::to_chars(digits.data(), digits.data() + digits.size(), environment_.Random(), 16);
+  return partition.id().ToString() + "-" + std::string(digits.data(), end.ptr);
+}
+
+proto::LogEntry BatchIntake::NextItems(Submission& submission) const {
+  proto::LogEntry entry;
+  proto::BatchItems& items = *entry.mutable_batch_items();
+  items.set_batch_id(submission.accepted.batch_id());
+  items.set_first_index(static_cast<std::uint64_t>(submission.next_item));
+  const std::size_t limit = std::min<std::size_t>(kItemsEntryBytes, log_.largest_entry() / 2);
+  std::size_t bytes = 0;
+  while (submission.next_item < submission.batch.items_size() && bytes < limit) {
+    proto::BatchItem& item = *submission.batch.mutable_items(submission.next_item);
+    bytes += item.ByteSizeLong();
+    if (bytes > limit && items.items_size() > 0) {
+      break;
+    }
+    *items.add_items() = std::move(item);
+    ++submission.next_item;
+  }
+  return entry;
+}
+
+void BatchIntake::LogNext(const SubmissionPtr& submission) {
+  std::vector<proto::LogEntry> entries;
+  entries.push_back(NextItems(*submission));
+  const bool last = submission->next_item == submission->batch.items_size();
+  if (last) {
+    submission->accepted.set_accepted_at_ms(environment_.WallMilliseconds());
+    *entries.emplace_back().mutable_batch_accepted() = submission->accepted;
+  }
+  submission->partition->Log(
+      std::move(entries), [weak = weak_from_this(), submission, last](const Status& status) {
+        const auto self = weak.lock();
+        if (self == nullptr) {
+          for (const Reply& reply : submission->replies) {
+            reply(Status(StatusCode::kUnknownOutcome, "this queue node's life ended"));
+          }
+        } else if (!status.ok() || last) {
+          self->Finish(submission, status);
+        } else {
+          self->LogNext(submission);
+        }
+      });
+}
+
+void BatchIntake::Finish(const SubmissionPtr& submission, const Status& status) {
+  OwnedPartition& partition = *submission->partition;
+  const proto::BatchAccepted& accepted = submission->accepted;
+  partition.ReleaseItems(accepted.tenant(), accepted.item_count());
+  const auto waiting =
+      under_way_.find({partition.id(), accepted.tenant(), accepted.idempotency_key()});
+  if (waiting != under_way_.end() && waiting->second == submission) {
+    under_way_.erase(waiting);
+  }
+  const StoredBatch* batch = partition.store().Find(accepted.batch_id());
+  if (!status.ok() || batch == nullptr) {
+    partition.DropUnaccepted(accepted.batch_id());
+    for (const Reply& reply : submission->replies) {
+      reply(status.ok() ? Status(StatusCode::kInternal, "batch was not applied") : status);
+    }
+    return;
+  }
+  on_accepted_(partition, *batch);
+  proto::SubmitBatchResponse response;
+  *response.mutable_status() = batch->ToStatus();
+  for (const Reply& reply : submission->replies) {
+    reply(response);
+    response.set_resent(true);
+  }
+}
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/queue/batch_intake.h
@@ -0,0 +1,69 @@
+#pragma once
+/// @file
+/// Takes in submitted batches: checks them, logs the items in pieces and BatchAccepted last, and
+/// answers when that is held. A resent submission (same tenant and idempotency key) meets its first
+/// one, whether that is accepted or still on its way to the log.
+///
+/// Threads: the owner's event loop only. Made by `std::make_shared`.
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include "base/ids.h"
+#include "node/node_agent.h"
+#include "proto/batch.pb.h"
+#include "queue/owned_partition.h"
+#include "runtime/environment.h"
+
+namespace cloverbank {
+
+class BatchIntake : public std::enable_shared_from_this<BatchIntake> {
+ public:
+  using Reply = std::function<void(Result<proto::SubmitBatchResponse>)>;
+  using Accepted = std::function<void(OwnedPartition&, const StoredBatch&)>;
+
+  /// @param on_accepted runs when a new batch is held and applied, before its submission is
+  /// answered.
+  BatchIntake(Environment& environment, NodeAgent& agent, SegmentLog& log, Accepted on_accepted);
+
+  /// Refuses kInvalidArgument (malformed), kConflict (key used for another body),
+  /// kResourceExhausted (the tenant's limit), kUnavailable (the log takes nothing now): certainly
+  /// not accepted.
+  void Submit(const std::shared_ptr<OwnedPartition>& partition, proto::SubmitBatchRequest request,
+              Reply reply);
+
+ private:
+  using Key = std::tuple<PartitionId, std::string, std::string>;  ///< Partition, tenant, key.
+  /// One batch on its way to the log.
+  struct Submission {
+    std::shared_ptr<OwnedPartition> partition;
+    proto::SubmitBatch batch;
+    proto::BatchAccepted accepted;
+    int next_item = 0;
+    std::vector<Reply> replies;
+  };
+  using SubmissionPtr = std::shared_ptr<Submission>;
+
+  Status Check(const proto::SubmitBatch& batch) const;
+  Status CheckLimit(const OwnedPartition& partition, const proto::SubmitBatch& batch) const;
+  /// @return whether the request met an earlier submission and needs nothing more.
+  bool MeetEarlier(OwnedPartition& partition, const Key& key, std::uint64_t checksum, Reply& reply);
+  SubmissionPtr Begin(const std::shared_ptr<OwnedPartition>& partition,
+                      proto::SubmitBatchRequest request, std::uint64_t checksum);
+  std::string NewBatchId(const OwnedPartition& partition);
+  void LogNext(const SubmissionPtr& submission);
+  proto::LogEntry NextItems(Submission& submission) const;
+  void Finish(const SubmissionPtr& submission, const Status& status);
+
+  Environment& environment_;
+  NodeAgent& agent_;
+  SegmentLog& log_;
+  Accepted on_accepted_;
+  std::map<Key, SubmissionPtr> under_way_;
+};
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/queue/owned_partition.cc
@@ -0,0 +1,64 @@
+#include "queue/owned_partition.h"
+
+#include "base/logging.h"
+
+namespace cloverbank {
+
+proto::LogEntry MakePartitionMark(PartitionId partition, PartitionSequence next,
+                                  bool discard_earlier) {
+  proto::LogEntry entry;
+  entry.set_partition_tag(PartitionTag(partition));
+  entry.mutable_partition_mark()->set_next_sequence(next.value());
+  entry.mutable_partition_mark()->set_discard_earlier(discard_earlier);
+  return entry;
+}
+
+OwnedPartition::OwnedPartition(PartitionId id, std::unique_ptr<BatchStore> store, SegmentLog& log)
+    : id_(id), store_(std::move(store)), log_(log), next_sequence_(store_->next_sequence()) {}
+
+void OwnedPartition::Log(std::vector<proto::LogEntry> entries, Done done) {
+  for (proto::LogEntry& entry : entries) {
+    entry.set_partition_tag(PartitionTag(id_));
+    entry.set_sequence(next_sequence_.value());
+    next_sequence_ = next_sequence_.Next();
+  }
+  auto applied = std::make_shared<std::vector<proto::LogEntry>>(entries);
+  log_.Append(std::move(entries), [weak = weak_from_this(), applied,
+                                   done = std::move(done)](const Status& status) {
+    const auto self = weak.lock();
+    if (self == nullptr || !self->active_) {
+      done(Status(StatusCode::kUnknownOutcome, "the partition was given up meanwhile"));
+      return;
+    }
+    for (std::size_t i = 0; status.ok() && i < applied->size(); ++i) {
+      Status result = self->store_->Apply(std::move((*applied)[i]));
+      if (!result.ok()) {
+        cloverbank::Log(LogLevel::kError, "entry_not_applied", {{"status", result.ToString()}});
+      }
+    }
+    done(status);
+  });
+}
+
+void OwnedPartition::ReserveItems(const std::string& tenant, std::uint64_t count) {
+  reserved_items_[tenant] += count;
+}
+
+void OwnedPartition::ReleaseItems(const std::string& tenant, std::uint64_t count) {
+  const auto found = reserved_items_.find(tenant);
+  found->second -= count;
+  if (found->second == 0) {
+    reserved_items_.erase(found);
+  }
+}
+
+std::uint64_t OwnedPartition::OpenItems(const std::string& tenant) const {
+  const auto reserved = reserved_items_.find(tenant);
+  return store_->OpenItems(tenant) + (reserved == reserved_items_.end() ? 0 : reserved->second);
+}
+
+proto::LogEntry OwnedPartition::Mark() const {
+  return MakePartitionMark(id_, next_sequence_, false);
+}
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/queue/owned_partition.h
@@ -0,0 +1,67 @@
+#pragma once
+/// @file
+/// A partition that this queue node owns: its batches, and the one way to change them, which is to
+/// log entries under the partition's next sequences and to apply them once they are held.
+///
+/// Threads: the owner's event loop only. Made by `std::make_shared`.
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/ids.h"
+#include "queue/batch_store.h"
+#include "queue/segment_log.h"
+
+namespace cloverbank {
+
+/// Detail of the kConflict that a request for a partition of another owner gets.
+inline constexpr const char* kNotOwnerDetail = "not_owner";
+
+class OwnedPartition : public std::enable_shared_from_this<OwnedPartition> {
+ public:
+  using Done = std::function<void(Status)>;
+
+  OwnedPartition(PartitionId id, std::unique_ptr<BatchStore> store, SegmentLog& log);
+
+  PartitionId id() const { return id_; }
+  const BatchStore& store() const { return *store_; }
+
+  /// Logs the entries together. `done` runs later, after they were applied (OK), or as
+  /// `SegmentLog::Append` says; kUnknownOutcome also when the partition was given up meanwhile.
+  void Log(std::vector<proto::LogEntry> entries, Done done);
+
+  /// Forgets the logged items of a batch that was then refused.
+  void DropUnaccepted(const std::string& batch_id) { store_->DropUnaccepted(batch_id); }
+
+  /// Items of submissions that are on their way to the log; they count for the tenant's limit.
+  void ReserveItems(const std::string& tenant, std::uint64_t count);
+  void ReleaseItems(const std::string& tenant, std::uint64_t count);
+  std::uint64_t OpenItems(const std::string& tenant) const;
+
+  /// The node no longer owns it: nothing is answered from it any more.
+  void Deactivate() { active_ = false; }
+  bool active() const { return active_; }
+
+  /// @return where the partition stands, for the start of a segment.
+  proto::LogEntry Mark() const;
+
+ private:
+  PartitionId id_;
+  std::unique_ptr<BatchStore> store_;
+  SegmentLog& log_;
+  PartitionSequence next_sequence_;  ///< For the next entry; those before may be under way.
+  std::map<std::string, std::uint64_t> reserved_items_;
+  bool active_ = true;
+};
+
+/// Stored in an entry's `partition_tag`.
+inline std::uint64_t PartitionTag(PartitionId partition) { return partition.value() + 1; }
+
+/// @return an entry that says where a partition stands.
+proto::LogEntry MakePartitionMark(PartitionId partition, PartitionSequence next,
+                                  bool discard_earlier);
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/queue/partition_recovery.h
@@ -0,0 +1,87 @@
+#pragma once
+/// @file
+/// Recovery of some partitions of one dead queue node by this one (RAMCloud page, recovery steps 5
+/// and 6): reads their entries from the backups, logs them anew, and when they are held reports to
+/// the coordinators. Until the coordinators commit this node as the owner, nothing of it counts.
+///
+/// Threads: the owner's event loop only. Made by `std::make_shared`.
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/ids.h"
+#include "node/node_agent.h"
+#include "proto/log.pb.h"
+#include "queue/batch_store.h"
+#include "queue/segment_log.h"
+
+namespace cloverbank {
+
+class PartitionRecovery : public std::enable_shared_from_this<PartitionRecovery> {
+ public:
+  /// @param partitions of `request` that this recovery takes on.
+  PartitionRecovery(Environment& environment, NodeAgent& agent, SegmentLog& log,
+                    proto::RecoverPartitionsRequest request, std::vector<PartitionId> partitions,
+                    std::function<void(const std::string&)> fenced);
+
+  void Start();
+  /// The coordinators asked again: their list of backups may be newer.
+  void UpdateSources(const proto::RecoverPartitionsRequest& request);
+
+  NodeId dead_node() const { return NodeId(request_.dead_node_id()); }
+  bool Covers(PartitionId partition) const { return parts_.contains(partition); }
+  /// Gives the partition up (it is recovered from another log now).
+  void Drop(PartitionId partition);
+  /// @return the partition's batches once its entries are held, else nullptr. Taking ends its part.
+  std::unique_ptr<BatchStore> TakeStore(PartitionId partition);
+  /// Whether no partition is left to it.
+  bool Over() const { return parts_.empty(); }
+  /// @return marks of the partitions whose entries are held.
+  std::vector<proto::LogEntry> Marks() const;
+
+ private:
+  /// Replay of one partition.
+  struct Part {
+    std::vector<proto::LogEntry> entries;
+    std::size_t logged = 0;
+    PartitionSequence next_sequence;
+    std::unique_ptr<BatchStore> store;
+    bool held = false;
+  };
+  struct Source {
+    std::size_t tries = 0;
+    bool reading = false;
+    bool read = false;
+    std::vector<proto::LogEntry> entries;
+  };
+
+  void ReadMore();
+  void Read(std::size_t position);
+  void TakeRead(std::size_t position, Result<proto::GetRecoveryDataResponse> result);
+  void Sort();
+  void LogMore();
+  std::vector<proto::LogEntry> NextChunk(PartitionId partition, Part& part) const;
+  void TakeLogged(PartitionId partition, std::shared_ptr<std::vector<proto::LogEntry>> chunk,
+                  const Status& status);
+  void Report();
+  void TakeReport(const Status& status);
+  void Later(void (PartitionRecovery::*step)());
+
+  Environment& environment_;
+  NodeAgent& agent_;
+  SegmentLog& log_;
+  proto::RecoverPartitionsRequest request_;
+  std::function<void(const std::string&)> fenced_;
+  std::map<PartitionId, Part> parts_;
+  std::vector<Source> sources_;  ///< One a segment of the request.
+  std::size_t reading_ = 0;
+  bool sorted_ = false;
+  bool logging_ = false;
+  bool reporting_ = false;
+  bool reported_ = false;
+};
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/queue/partition_replay.cc
@@ -0,0 +1,48 @@
+#include "queue/partition_replay.h"
+
+#include <algorithm>
+#include <string>
+#include <unordered_set>
+
+#include "queue/segment_usage.h"
+
+namespace cloverbank {
+
+void PartitionReplay::Add(proto::LogEntry entry) {
+  if (entry.has_partition_mark()) {
+    const proto::PartitionMark& mark = entry.partition_mark();
+    if (mark.discard_earlier()) {
+      entries_.clear();
+      next_sequence_ = PartitionSequence(1);
+    }
+    next_sequence_ = std::max(next_sequence_, PartitionSequence(mark.next_sequence()));
+    return;
+  }
+  const PartitionSequence sequence(entry.sequence());
+  next_sequence_ = std::max(next_sequence_, sequence.Next());
+  entries_.emplace(sequence, std::move(entry));
+}
+
+std::vector<proto::LogEntry> PartitionReplay::TakeEntries() {
+  std::unordered_set<std::string> accepted;
+  for (const auto& [sequence, entry] : entries_) {
+    if (entry.has_batch_accepted()) {
+      accepted.insert(entry.batch_accepted().batch_id());
+    }
+  }
+  for (const auto& [sequence, entry] : entries_) {
+    if (entry.has_batch_removed()) {
+      accepted.erase(entry.batch_removed().batch_id());
+    }
+  }
+  std::vector<proto::LogEntry> live;
+  for (auto& [sequence, entry] : entries_) {
+    if (accepted.contains(BatchIdOf(entry))) {
+      live.push_back(std::move(entry));
+    }
+  }
+  entries_.clear();
+  return live;
+}
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/queue/queue_life.cc
@@ -0,0 +1,312 @@
+#include "queue/queue_life.h"
+
+#include <algorithm>
+#include <set>
+
+#include "base/logging.h"
+
+namespace cloverbank {
+namespace {
+
+/// Batches removed from one partition in one sweep.
+constexpr std::size_t kRemovedPerSweep = 500;
+
+}  // namespace
+
+QueueLife::QueueLife(Environment& environment, NodeAgent& agent, QueueOptions options,
+                     std::function<void(const std::string&)> fenced)
+    : environment_(environment),
+      agent_(agent),
+      options_(options),
+      fenced_(std::move(fenced)),
+      log_(
+          environment, agent, options.log, [this] { return Marks(); },
+          [this](const std::string& reason) { fenced_(reason); }),
+      dispatcher_(std::make_shared<WorkDispatcher>(environment, agent)),
+      intake_(std::make_shared<BatchIntake>(
+          environment, agent, log_, [this](OwnedPartition& partition, const StoredBatch& batch) {
+            dispatcher_->AddBatch(partition, batch);
+          })) {}
+
+void QueueLife::Start() {
+  log_.Start();
+  SyncOwnership();
+  Tick();
+}
+
+void QueueLife::Stop() {
+  if (stopped_) {
+    return;
+  }
+  stopped_ = true;
+  log_.Stop();
+  dispatcher_->Shutdown();
+  for (const auto& [id, partition] : partitions_) {
+    partition->Deactivate();
+  }
+}
+
+void QueueLife::OnFleet() {
+  log_.OnFleet();
+  if (!stopped_) {
+    SyncOwnership();
+  }
+}
+
+void QueueLife::OnConfiguration() { dispatcher_->OnConfiguration(); }
+
+std::vector<proto::LogEntry> QueueLife::Marks() const {
+  std::vector<proto::LogEntry> marks;
+  for (const auto& [id, partition] : partitions_) {
+    marks.push_back(partition->Mark());
+  }
+  for (const auto& recovery : recoveries_) {
+    for (proto::LogEntry& mark : recovery->Marks()) {
+      marks.push_back(std::move(mark));
+    }
+  }
+  return marks;
+}
+
+void QueueLife::SyncOwnership() {
+  std::set<PartitionId> owned;
+  for (const auto& [id, partition] : agent_.fleet().partitions) {
+    if (NodeId(partition.owner()) == agent_.node_id() && agent_.node_id().valid()) {
+      owned.insert(id);
+    }
+  }
+  std::vector<PartitionId> lost;
+  for (const auto& [id, partition] : partitions_) {
+    if (!owned.contains(id)) {
+      lost.push_back(id);
+    }
+  }
+  for (const PartitionId id : lost) {
+    Deactivate(id);
+  }
+  for (const PartitionId id : owned) {
+    if (!partitions_.contains(id)) {
+      Activate(id);
+    }
+  }
+}
+
+void QueueLife::Activate(PartitionId id) {
+  // Without a recovery it is a partition that was never used: nothing was logged of it anywhere.
+  std::unique_ptr<BatchStore> store;
+  for (const auto& recovery : recoveries_) {
+    store = store == nullptr ? recovery->TakeStore(id) : std::move(store);
+  }
+  std::erase_if(recoveries_, [](const auto& recovery) { return recovery->Over(); });
+  const bool recovered = store != nullptr;
+  if (!recovered) {
+    store = std::make_unique<BatchStore>();
+  }
+  auto partition = std::make_shared<OwnedPartition>(id, std::move(store), log_);
+  Log(LogLevel::kInfo, "partition_activated",
+      {{"partition", id.value()},
+       {"recovered", recovered},
+       {"open_items", partition->store().open_items()}});
+  partitions_[id] = partition;
+  dispatcher_->AddPartition(partition);
+}
+
+void QueueLife::Deactivate(PartitionId id) {
+  Log(LogLevel::kInfo, "partition_given_up", {{"partition", id.value()}});
+  partitions_.at(id)->Deactivate();
+  dispatcher_->RemovePartition(id);
+  partitions_.erase(id);
+}
+
+Result<std::shared_ptr<OwnedPartition>> QueueLife::Answerable(std::uint64_t partition_id) const {
+  if (!agent_.LeaseValid()) {
+    return Status(StatusCode::kUnavailable, "this queue node has lost its lease");
+  }
+  const auto found = partitions_.find(PartitionId(partition_id));
+  if (found == partitions_.end()) {
+    return Status(StatusCode::kConflict,
+                  "partition " + std::to_string(partition_id) + " is not owned by this node",
+                  kNotOwnerDetail);
+  }
+  return found->second;
+}
+
+void QueueLife::Submit(const proto::SubmitBatchRequest& request,
+                       Reply<proto::SubmitBatchResponse> reply) {
+  auto partition = Answerable(request.partition_id());
+  if (!partition.ok()) {
+    reply(partition.status());
+    return;
+  }
+  intake_->Submit(*partition, request, std::move(reply));
+}
+
+void QueueLife::Get(const proto::GetBatchRequest& request, Reply<proto::GetBatchResponse> reply) {
+  const auto partition = Answerable(request.partition_id());
+  if (!partition.ok()) {
+    reply(partition.status());
+    return;
+  }
+  const StoredBatch* batch = (*partition)->store().Find(request.batch_id());
+  if (batch == nullptr) {
+    reply(Status(StatusCode::kNotFound, "no batch " + request.batch_id()));
+    return;
+  }
+  proto::GetBatchResponse response;
+  *response.mutable_status() = batch->ToStatus();
+  reply(std::move(response));
+}
+
+void QueueLife::ListBatches(const proto::ListBatchesRequest& request,
+                            Reply<proto::ListBatchesResponse> reply) {
+  const auto partition = Answerable(request.partition_id());
+  if (!partition.ok()) {
+    reply(partition.status());
+    return;
+  }
+  auto list =
+      (*partition)->store().ListBatches(request.tenant(), request.cursor(), request.limit());
+  if (!list.ok()) {
+    reply(list.status());
+    return;
+  }
+  proto::ListBatchesResponse response;
+  *response.mutable_list() = std::move(*list);
+  reply(std::move(response));
+}
+
+void QueueLife::ListResults(const proto::ListResultsRequest& request,
+                            Reply<proto::ListResultsResponse> reply) {
+  const auto partition = Answerable(request.partition_id());
+  if (!partition.ok()) {
+    reply(partition.status());
+    return;
+  }
+  auto list =
+      (*partition)->store().ListResults(request.batch_id(), request.cursor(), request.limit());
+  if (!list.ok()) {
+    reply(list.status());
+    return;
+  }
+  proto::ListResultsResponse response;
+  *response.mutable_list() = std::move(*list);
+  reply(std::move(response));
+}
+
+void QueueLife::Cancel(const proto::CancelBatchRequest& request,
+                       Reply<proto::CancelBatchResponse> reply) {
+  const auto partition = Answerable(request.partition_id());
+  if (!partition.ok()) {
+    reply(partition.status());
+    return;
+  }
+  dispatcher_->Cancel(*partition, request.batch_id(), std::move(reply));
+}
+
+void QueueLife::Acquire(const proto::AcquireWorkRequest& request,
+                        Reply<proto::AcquireWorkResponse> reply) {
+  if (!agent_.LeaseValid()) {
+    reply(Status(StatusCode::kUnavailable, "this queue node has lost its lease"));
+    return;
+  }
+  dispatcher_->Acquire(request, std::move(reply));
+}
+
+void QueueLife::Report(const proto::ReportWorkRequest& request,
+                       Reply<proto::ReportWorkResponse> reply) {
+  if (!agent_.LeaseValid()) {
+    reply(Status(StatusCode::kUnavailable, "this queue node has lost its lease"));
+    return;
+  }
+  dispatcher_->Report(request, std::move(reply));
+}
+
+void QueueLife::Recover(const proto::RecoverPartitionsRequest& request,
+                        Reply<proto::RecoverPartitionsResponse> reply) {
+  if (NodeId(request.queue_node_id()) != agent_.node_id()) {
+    reply(Status(StatusCode::kConflict, "this node has another id now"));
+    return;
+  }
+  std::vector<PartitionId> fresh;
+  bool done = true;
+  for (const std::uint64_t number : request.partition_ids()) {
+    const PartitionId id(number);
+    if (partitions_.contains(id)) {
+      continue;
+    }
+    done = false;
+    bool covered = false;
+    for (const auto& recovery : recoveries_) {
+      if (recovery->dead_node() == NodeId(request.dead_node_id())) {
+        recovery->UpdateSources(request);
+        covered = covered || recovery->Covers(id);
+      } else {
+        recovery->Drop(id);  // From an earlier owner's log, and never committed.
+      }
+    }
+    if (!covered) {
+      fresh.push_back(id);
+    }
+  }
+  std::erase_if(recoveries_, [](const auto& recovery) { return recovery->Over(); });
+  if (!fresh.empty()) {
+    recoveries_.push_back(
+        std::make_shared<PartitionRecovery>(environment_, agent_, log_, request, fresh, fenced_));
+    recoveries_.back()->Start();
+  }
+  proto::RecoverPartitionsResponse response;
+  response.set_done(done);
+  reply(std::move(response));
+}
+
+void QueueLife::Tick() {
+  environment_.ScheduleAfter(options_.tick, [weak = weak_from_this()] {
+    const auto self = weak.lock();
+    if (self == nullptr || self->stopped_) {
+      return;
+    }
+    self->dispatcher_->Tick();
+    self->SweepFinished();
+    self->ReportLoad();
+    self->Tick();
+  });
+}
+
+void QueueLife::SweepFinished() {
+  if (environment_.Now() - swept_at_ < options_.retention_sweep || !log_.Accepting().ok()) {
+    return;
+  }
+  swept_at_ = environment_.Now();
+  const std::uint64_t configured = agent_.configuration().batch().retention_s();
+  const Duration retention = configured == 0 ? options_.default_retention : seconds(configured);
+  const std::int64_t cutoff =
+      environment_.WallMilliseconds() - std::chrono::duration_cast<milliseconds>(retention).count();
+  for (const auto& [id, partition] : partitions_) {
+    std::vector<proto::LogEntry> entries;
+    for (std::string& batch_id : partition->store().FinishedUpTo(cutoff)) {
+      if (entries.size() < kRemovedPerSweep) {
+        entries.emplace_back().mutable_batch_removed()->set_batch_id(std::move(batch_id));
+      }
+    }
+    if (!entries.empty()) {
+      partition->Log(std::move(entries), [](const Status&) {});
+    }
+  }
+}
+
+void QueueLife::ReportLoad() {
+  std::uint64_t open_items = 0;
+  for (const auto& [id, partition] : partitions_) {
+    open_items += partition->store().open_items();
+  }
+  Metrics& metrics = environment_.metrics();
+  metrics.SetGauge("queue_open_items", static_cast<double>(open_items));
+  metrics.SetGauge("queue_partitions", static_cast<double>(partitions_.size()));
+  metrics.SetGauge("queue_work_leases", static_cast<double>(dispatcher_->leases()));
+  metrics.SetGauge("queue_log_segments", static_cast<double>(log_.live_segments()));
+  const bool degraded = log_.degraded();
+  metrics.SetGauge("queue_log_degraded", degraded ? 1 : 0);
+  agent_.SetLoad(0, open_items, degraded);
+}
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/queue/queue_life.h
@@ -0,0 +1,86 @@
+#pragma once
+/// @file
+/// One life of a queue node, from its registration under a node id until that id is dead: its log,
+/// the partitions it owns, and what it answers. Everything in it is dropped with the life; the
+/// durable part is in the log.
+///
+/// Threads: the owner's event loop only. Made by `std::make_shared`.
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/ids.h"
+#include "node/node_agent.h"
+#include "proto/batch.pb.h"
+#include "proto/log.pb.h"
+#include "queue/batch_intake.h"
+#include "queue/owned_partition.h"
+#include "queue/partition_recovery.h"
+#include "queue/segment_log.h"
+#include "queue/work_dispatcher.h"
+#include "runtime/environment.h"
+
+namespace cloverbank {
+
+struct QueueOptions {
+  SegmentLogOptions log;
+  Duration tick = milliseconds(250);              ///< Between looks at silent leases and cancels.
+  Duration retention_sweep = seconds(30);         ///< Between looks for batches to remove.
+  Duration default_retention = seconds(604'800);  ///< Where the configuration names none.
+};
+
+class QueueLife : public std::enable_shared_from_this<QueueLife> {
+ public:
+  template <typename Response>
+  using Reply = std::function<void(Result<Response>)>;
+
+  QueueLife(Environment& environment, NodeAgent& agent, QueueOptions options,
+            std::function<void(const std::string& reason)> fenced);
+
+  void Start();
+  /// Ends it: what waits for the log gets kUnknownOutcome, what waits for work kUnavailable.
+  void Stop();
+  void OnFleet();
+  void OnConfiguration();
+
+  void Submit(const proto::SubmitBatchRequest& request, Reply<proto::SubmitBatchResponse> reply);
+  void Get(const proto::GetBatchRequest& request, Reply<proto::GetBatchResponse> reply);
+  void ListBatches(const proto::ListBatchesRequest& request,
+                   Reply<proto::ListBatchesResponse> reply);
+  void ListResults(const proto::ListResultsRequest& request,
+                   Reply<proto::ListResultsResponse> reply);
+  void Cancel(const proto::CancelBatchRequest& request, Reply<proto::CancelBatchResponse> reply);
+  void Acquire(const proto::AcquireWorkRequest& request, Reply<proto::AcquireWorkResponse> reply);
+  void Report(const proto::ReportWorkRequest& request, Reply<proto::ReportWorkResponse> reply);
+  void Recover(const proto::RecoverPartitionsRequest& request,
+               Reply<proto::RecoverPartitionsResponse> reply);
+
+ private:
+  /// @return the partition if this node may answer for it now: kUnavailable without the lease,
+  /// kConflict (detail `kNotOwnerDetail`) for one it does not own.
+  Result<std::shared_ptr<OwnedPartition>> Answerable(std::uint64_t partition_id) const;
+  void SyncOwnership();
+  void Activate(PartitionId partition);
+  void Deactivate(PartitionId partition);
+  std::vector<proto::LogEntry> Marks() const;
+  void Tick();
+  void SweepFinished();
+  void ReportLoad();
+
+  Environment& environment_;
+  NodeAgent& agent_;
+  QueueOptions options_;
+  std::function<void(const std::string&)> fenced_;
+  SegmentLog log_;
+  std::shared_ptr<WorkDispatcher> dispatcher_;
+  std::shared_ptr<BatchIntake> intake_;
+  std::map<PartitionId, std::shared_ptr<OwnedPartition>> partitions_;
+  std::vector<std::shared_ptr<PartitionRecovery>> recoveries_;
+  TimePoint swept_at_;
+  bool stopped_ = false;
+};
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/queue/queue_service.cc
@@ -0,0 +1,104 @@
+#include "queue/queue_service.h"
+
+#include "base/logging.h"
+#include "runtime/typed_peer.h"
+
+namespace cloverbank {
+
+QueueService::QueueService(Environment& environment, NodeAgent& agent, QueueOptions options)
+    : environment_(environment), agent_(agent), options_(options) {}
+
+QueueService::~QueueService() = default;
+
+void QueueService::Start() {
+  ServeBatches();
+  ServeWork();
+  const std::weak_ptr<bool> alive = alive_;
+  const auto guarded = [alive](std::function<void()> action) {
+    return [alive, action = std::move(action)] {
+      if (!alive.expired()) {
+        action();
+      }
+    };
+  };
+  agent_.OnRegistered(guarded([this] { BeginLife(); }));
+  agent_.OnFenced(guarded([this] { EndLife(); }));
+  agent_.OnFleet(guarded([this] {
+    if (life_ != nullptr) {
+      life_->OnFleet();
+    }
+  }));
+  agent_.OnConfiguration(guarded([this] {
+    if (life_ != nullptr) {
+      life_->OnConfiguration();
+    }
+  }));
+}
+
+void QueueService::BeginLife() {
+  EndLife();
+  life_ = std::make_shared<QueueLife>(
+      environment_, agent_, options_,
+      [this](const std::string& reason) { agent_.AbandonNodeId(reason); });
+  Log(LogLevel::kInfo, "queue_life_begins", {{"node", agent_.node_id().value()}});
+  life_->Start();
+}
+
+void QueueService::EndLife() {
+  if (life_ == nullptr) {
+    return;
+  }
+  Log(LogLevel::kWarning, "queue_life_ends", {});
+  environment_.metrics().Increment("queue_lives_ended_total");
+  const std::shared_ptr<QueueLife> ended = std::move(life_);
+  life_ = nullptr;
+  ended->Stop();
+  // It may be on the stack now, and its log's last answers are still to come.
+  environment_.ScheduleAfter(Duration::zero(), [ended] {});
+}
+
+template <typename Request, typename Response>
+void QueueService::Serve(std::string_view method,
+                         void (QueueLife::*handler)(const Request&, QueueLife::Reply<Response>)) {
+  ServePeer<Request, Response>(
+      environment_, method,
+      [this, handler, alive = std::weak_ptr<bool>(alive_), name = std::string(method)](
+          const Request& request, const std::string&, std::function<void(Result<Response>)> reply) {
+        if (alive.expired() || life_ == nullptr) {
+          reply(Status(StatusCode::kUnavailable, "this queue node is not registered"));
+          return;
+        }
+        const auto counted = [this, alive, name, reply](Result<Response> result) {
+          if (!result.ok() && !alive.expired()) {
+            environment_.metrics().Increment(
+                "queue_refusals_total",
+                {{"method", name}, {"reason", StatusCodeName(result.status().code())}});
+          }
+          reply(std::move(result));
+        };
+        ((*life_).*handler)(request, counted);
+      });
+}
+
+void QueueService::ServeBatches() {
+  Serve<proto::SubmitBatchRequest, proto::SubmitBatchResponse>("queue.SubmitBatch",
+                                                               &QueueLife::Submit);
+  Serve<proto::GetBatchRequest, proto::GetBatchResponse>("queue.GetBatch", &QueueLife::Get);
+  Serve<proto::ListBatchesRequest, proto::ListBatchesResponse>("queue.ListBatches",
+                                                               &QueueLife::ListBatches);
+  Serve<proto::ListResultsRequest, proto::ListResultsResponse>("queue.ListResults",
+                                                               &QueueLife::ListResults);
+  Serve<proto::CancelBatchRequest, proto::CancelBatchResponse>("queue.CancelBatch",
+                                                               &QueueLife::Cancel);
+}
+
+void QueueService::ServeWork() {
+  Serve<proto::AcquireWorkRequest, proto::AcquireWorkResponse>("queue.AcquireWork",
+                                                               &QueueLife::Acquire);
+  Serve<proto::ReportWorkRequest, proto::ReportWorkResponse>("queue.ReportWork",
+                                                             &QueueLife::Report);
+  Serve<proto::RecoverPartitionsRequest, proto::RecoverPartitionsResponse>(
+      "queue.RecoverPartitions", &QueueLife::Recover);
+}
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/queue/queue_service.h
@@ -0,0 +1,47 @@
+#pragma once
+/// @file
+/// A queue node (RAMCloud's master): owner of batch partitions. Serves the `queue.*` calls of
+/// batch.proto and log.proto. Each registration begins a new life under a fresh node id with an
+/// empty log
+/// (`QueueLife`); when the id is declared dead, everything waiting ends and the state is dropped.
+///
+/// Threads: the environment's event loop only.
+
+#include <memory>
+#include <string>
+
+#include "node/node_agent.h"
+#include "queue/queue_life.h"
+#include "runtime/environment.h"
+
+namespace cloverbank {
+
+class QueueService {
+ public:
+  /// `environment` and `agent` (of role queue) must outlive the service.
+  QueueService(Environment& environment, NodeAgent& agent, QueueOptions options);
+  ~QueueService();
+  QueueService(const QueueService&) = delete;
+  QueueService& operator=(const QueueService&) = delete;
+
+  /// Begins to serve; lives begin with the agent's registrations. Call it once, before the agent
+  /// starts.
+  void Start();
+
+ private:
+  void BeginLife();
+  void EndLife();
+  void ServeBatches();
+  void ServeWork();
+  template <typename Request, typename Response>
+  void Serve(std::string_view method,
+             void (QueueLife::*handler)(const Request&, QueueLife::Reply<Response>));
+
+  Environment& environment_;
+  NodeAgent& agent_;
+  QueueOptions options_;
+  std::shared_ptr<QueueLife> life_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/queue/work_dispatcher.h
@@ -0,0 +1,145 @@
+#pragma once
+/// @file
+/// Hands waiting items to gateways under work leases and takes their results in. The choice of
+/// items is `FairQueue`'s, the rights are `WorkLeases`'; this service ties them to the log: a start
+/// that must not repeat is logged before its grant leaves, a result counts once it is held.
+///
+/// A NOT_RUN report puts an item back, also one that must not repeat: it is certain that it did not
+/// run. Its ItemStarted entry stays in the log, so if this node dies before the item got its
+/// result, the next owner gives it the outcome unknown, which is all that the log then proves.
+///
+/// Threads: the owner's event loop only. Made by `std::make_shared`.
+
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/ids.h"
+#include "node/node_agent.h"
+#include "proto/batch.pb.h"
+#include "queue/owned_partition.h"
+#include "queue/work_leases.h"
+#include "runtime/environment.h"
+#include "scheduler/fair_queue.h"
+
+namespace cloverbank {
+
+class WorkDispatcher : public std::enable_shared_from_this<WorkDispatcher> {
+ public:
+  using AcquireReply = std::function<void(Result<proto::AcquireWorkResponse>)>;
+  using ReportReply = std::function<void(Result<proto::ReportWorkResponse>)>;
+  using CancelReply = std::function<void(Result<proto::CancelBatchResponse>)>;
+
+  WorkDispatcher(Environment& environment, NodeAgent& agent);
+
+  /// Takes a partition's waiting items up. Items logged as started get the time of a silent lease
+  /// for a result to come in from the gateway that runs them, and are then finished as unknown.
+  void AddPartition(const std::shared_ptr<OwnedPartition>& partition);
+  void RemovePartition(PartitionId partition);
+  /// A batch was accepted.
+  void AddBatch(OwnedPartition& partition, const StoredBatch& batch);
+
+  /// Answers with grants as soon as there are any, or empty after the request's hold time.
+  void Acquire(const proto::AcquireWorkRequest& request, AcquireReply reply);
+  /// Answers when every result in it is held; kConflict if any partition is not owned here.
+  void Report(const proto::ReportWorkRequest& request, ReportReply reply);
+  /// Answers when the cancel is held: from then on nothing of the batch is granted.
+  void Cancel(const std::shared_ptr<OwnedPartition>& partition, const std::string& batch_id,
+              CancelReply reply);
+
+  void OnConfiguration();
+  /// This life is over: gateways that wait for work are told so.
+  void Shutdown();
+  /// Ends silent leases and settles cancelled batches; call it a few times a second.
+  void Tick();
+
+  std::size_t leases() const { return leases_.size(); }
+  std::size_t waiting_items() const { return queue_.waiting_count(); }
+
+ private:
+  using BatchKey = std::pair<PartitionId, std::string>;
+  /// A held AcquireWork.
+  struct HeldAcquire {
+    proto::AcquireWorkRequest request;
+    TimePoint arrived;
+    AcquireReply reply;
+    TimerId timer = 0;
+  };
+  /// Grants whose starts are being logged.
+  struct PendingGrants {
+    HeldAcquire held;
+    std::vector<WorkItemKey> items;
+    std::size_t logs_under_way = 0;
+  };
+  using PendingGrantsPtr = std::shared_ptr<PendingGrants>;
+  using StartEntries = std::map<PartitionId, std::vector<proto::LogEntry>>;
+  /// One ReportWork whose results are being logged.
+  struct PendingReport {
+    ReportReply reply;
+    proto::ReportWorkResponse response;
+    Status status;
+    std::size_t logs_under_way = 0;
+  };
+  using PendingReportPtr = std::shared_ptr<PendingReport>;
+
+  // Batches (work_dispatcher.cc).
+  std::string BackendOf(const std::string& route) const;
+  void Enqueue(OwnedPartition& partition, const StoredBatch& batch);
+  void Dequeue(const BatchKey& key);
+  void ReturnItem(const WorkItemKey& item);
+  const StoredBatch* FindBatch(const WorkItemKey& item) const;
+  std::shared_ptr<OwnedPartition> FindPartition(PartitionId partition) const;
+  void Settle();
+  void TakeSettled(const BatchKey& key, const Status& status);
+  bool MaySettle(const BatchKey& key) const;
+
+  // Grants (work_grants.cc).
+  void ServeHeld();
+  void ExpireHeld(std::list<HeldAcquire>::iterator held);
+  /// @return the items taken for the request, leased.
+  std::vector<WorkItemKey> TakeItems(const proto::AcquireWorkRequest& request,
+                                     StartEntries* starts);
+  bool LeaseItem(const WorkItemKey& item, const proto::AcquireWorkRequest& request,
+                 StartEntries* starts);
+  void LogStarts(const PendingGrantsPtr& grants, StartEntries starts);
+  void TakeStarted(const PendingGrantsPtr& grants, PartitionId partition, const Status& status);
+  void SendGrants(const PendingGrantsPtr& grants);
+  bool MayGrant(const WorkItemKey& item) const;
+  proto::WorkGrant MakeGrant(const WorkItemKey& item, Duration held) const;
+
+  // Results (work_results.cc).
+  Status CheckReports(const proto::ReportWorkRequest& request) const;
+  void Renew(const proto::ReportWorkRequest& request, proto::ReportWorkResponse* response);
+  /// Decides one report. @return a result entry to log, or nothing.
+  bool TakeReport(const proto::WorkReport& report, PendingReport* pending, proto::LogEntry* entry);
+  void LogResults(const PendingReportPtr& pending, PartitionId partition,
+                  std::vector<proto::LogEntry> entries);
+  void TakeResults(PartitionId partition, const std::vector<WorkItemKey>& items,
+                   const Status& status);
+  static void Answer(const PendingReportPtr& pending);
+  proto::LogEntry MakeFinished(const WorkItemKey& item, proto::ItemOutcome outcome) const;
+  void EndSilentLeases();
+  void LogUnknown();
+
+  Environment& environment_;
+  NodeAgent& agent_;
+  FairQueue queue_;
+  WorkLeases leases_;
+  std::map<PartitionId, std::shared_ptr<OwnedPartition>> partitions_;
+  /// Cancelled batches of a partition are not settled before: leases of the last owner may run.
+  std::map<PartitionId, TimePoint> settle_from_;
+  std::map<BatchKey, QueuedBatchId> queued_;
+  std::map<QueuedBatchId, BatchKey> queued_keys_;
+  std::set<BatchKey> unsettled_;
+  std::set<BatchKey> settling_;
+  std::list<HeldAcquire> held_;
+  std::set<WorkItemKey> unknown_due_;  ///< To be finished as unknown.
+  std::set<WorkItemKey> unknown_under_way_;
+};
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/queue/work_grants.cc
@@ -0,0 +1,185 @@
+// Grants: which items a gateway that asks for work is given, and when.
+
+#include "queue/work_dispatcher.h"
+
+namespace cloverbank {
+namespace {
+
+constexpr std::size_t kLargestGrants = 1000;
+/// An answer ends once its items hold this many bytes.
+constexpr std::size_t kLargestGrantBytes = 4U << 20U;
+constexpr Duration kLongestHold = seconds(5);
+
+}  // namespace
+
+void WorkDispatcher::Acquire(const proto::AcquireWorkRequest& request, AcquireReply reply) {
+  held_.push_back({request, environment_.Now(), std::move(reply), 0});
+  const auto held = std::prev(held_.end());
+  const Duration hold = std::min<Duration>(milliseconds(request.hold_ms()), kLongestHold);
+  held->timer = environment_.ScheduleAfter(hold, [weak = weak_from_this(), held] {
+    if (const auto self = weak.lock()) {
+      self->ExpireHeld(held);
+    }
+  });
+  ServeHeld();
+}
+
+void WorkDispatcher::ExpireHeld(std::list<HeldAcquire>::iterator held) {
+  const AcquireReply reply = std::move(held->reply);
+  held_.erase(held);
+  reply(proto::AcquireWorkResponse());
+}
+
+void WorkDispatcher::Shutdown() {
+  for (const HeldAcquire& held : held_) {
+    environment_.CancelTimer(held.timer);
+    held.reply(Status(StatusCode::kUnavailable, "this queue node's life ended"));
+  }
+  held_.clear();
+}
+
+void WorkDispatcher::ServeHeld() {
+  if (agent_.configuration().batch().paused() || !agent_.LeaseValid()) {
+    return;
+  }
+  for (auto held = held_.begin(); held != held_.end() && queue_.waiting_count() > 0;) {
+    const auto next = std::next(held);
+    StartEntries starts;
+    std::vector<WorkItemKey> items = TakeItems(held->request, &starts);
+    if (!items.empty()) {
+      environment_.CancelTimer(held->timer);
+      auto grants = std::make_shared<PendingGrants>();
+      grants->held = std::move(*held);
+      grants->items = std::move(items);
+      held_.erase(held);
+      LogStarts(grants, std::move(starts));
+    }
+    held = next;
+  }
+}
+
+std::vector<WorkItemKey> WorkDispatcher::TakeItems(const proto::AcquireWorkRequest& request,
+                                                   StartEntries* starts) {
+  std::vector<WorkItemKey> items;
+  std::size_t bytes = 0;
+  for (const proto::WorkRoom& room : request.room()) {
+    std::size_t slots = room.slots();
+    while (slots > 0 && items.size() < kLargestGrants && bytes < kLargestGrantBytes) {
+      const std::size_t asked = std::min(slots, FairQueue::kLongestRun);
+      const auto picked = queue_.Pick(room.backend(), asked);
+      if (picked.empty()) {
+        break;
+      }
+      for (const PickedItem& pick : picked) {
+        const BatchKey& key = queued_keys_.at(pick.batch);
+        const WorkItemKey item{key.first, key.second, pick.index};
+        if (LeaseItem(item, request, starts)) {
+          items.push_back(item);
+          bytes += FindBatch(item)->items[item.index].ByteSizeLong();
+          --slots;
+        }
+      }
+    }
+  }
+  return items;
+}
+
+bool WorkDispatcher::LeaseItem(const WorkItemKey& item, const proto::AcquireWorkRequest& request,
+                               StartEntries* starts) {
+  const StoredBatch* batch = FindBatch(item);
+  const bool waiting = batch != nullptr && !batch->cancelled &&
+                       batch->phases[item.index] != ItemPhase::kFinished &&
+                       leases_.Find(item) == nullptr;
+  if (!waiting) {
+    return false;  // A late report brought its result while it was queued.
+  }
+  const bool idempotent = batch->accepted.idempotent();
+  leases_.Grant(item, request.gateway_node_id(), Incarnation(request.incarnation()), idempotent,
+                environment_.Now());
+  if (!idempotent && batch->phases[item.index] == ItemPhase::kWaiting) {
+    proto::ItemStarted& started = *(*starts)[item.partition].emplace_back().mutable_item_started();
+    started.set_batch_id(item.batch_id);
+    started.set_item_index(item.index);
+  }
+  return true;
+}
+
+void WorkDispatcher::LogStarts(const PendingGrantsPtr& grants, StartEntries starts) {
+  if (starts.empty()) {
+    SendGrants(grants);
+    return;
+  }
+  grants->logs_under_way = starts.size();
+  for (auto& [id, entries] : starts) {
+    FindPartition(id)->Log(
+        std::move(entries), [weak = weak_from_this(), grants, id = id](const Status& status) {
+          if (const auto self = weak.lock()) {
+            self->TakeStarted(grants, id, status);
+          } else if (--grants->logs_under_way == 0) {
+            grants->held.reply(Status(StatusCode::kUnavailable, "this queue node's life ended"));
+          }
+        });
+  }
+}
+
+void WorkDispatcher::TakeStarted(const PendingGrantsPtr& grants, PartitionId partition,
+                                 const Status& status) {
+  if (!status.ok()) {
+    // Certain that the grant did not leave: the items wait again.
+    std::erase_if(grants->items, [&](const WorkItemKey& item) {
+      const StoredBatch* batch = item.partition == partition ? FindBatch(item) : nullptr;
+      if (item.partition != partition || (batch != nullptr && batch->accepted.idempotent())) {
+        return false;
+      }
+      leases_.End(item);
+      ReturnItem(item);
+      return true;
+    });
+  }
+  if (--grants->logs_under_way == 0) {
+    SendGrants(grants);
+  }
+}
+
+bool WorkDispatcher::MayGrant(const WorkItemKey& item) const {
+  const StoredBatch* batch = FindBatch(item);
+  return batch != nullptr && !batch->cancelled &&
+         batch->phases[item.index] != ItemPhase::kFinished &&
+         !agent_.configuration().batch().paused() && agent_.LeaseValid();
+}
+
+proto::WorkGrant WorkDispatcher::MakeGrant(const WorkItemKey& item, Duration held) const {
+  const StoredBatch* batch = FindBatch(item);
+  proto::WorkGrant grant;
+  grant.set_lease_id(leases_.Find(item)->id.value());
+  grant.set_partition_id(item.partition.value());
+  grant.set_batch_id(item.batch_id);
+  grant.set_item_index(item.index);
+  *grant.mutable_item() = batch->items[item.index];
+  grant.set_route(batch->accepted.route());
+  grant.set_idempotent(batch->accepted.idempotent());
+  // Counts from when the request was sent, which was before it arrived and was held here.
+  const auto window = std::chrono::duration_cast<milliseconds>(held + kWorkLeaseStartWindow);
+  grant.set_start_within_ms(static_cast<std::uint32_t>(window.count()));
+  return grant;
+}
+
+void WorkDispatcher::SendGrants(const PendingGrantsPtr& grants) {
+  proto::AcquireWorkResponse response;
+  const Duration held = environment_.Now() - grants->held.arrived;
+  for (const WorkItemKey& item : grants->items) {
+    if (leases_.Find(item) == nullptr) {
+      continue;  // Its partition was given up.
+    }
+    if (MayGrant(item)) {
+      *response.add_grants() = MakeGrant(item, held);
+    } else {
+      leases_.End(item);
+      ReturnItem(item);
+    }
+  }
+  environment_.metrics().Increment("queue_grants_total", {}, response.grants_size());
+  grants->held.reply(std::move(response));
+}
+
+}  // namespace cloverbank
--- a/src/queue/work_leases.cc
+++ b/src/queue/work_leases.cc
@@ -14,15 +14,15 @@
   return lease;
 }
 
-bool WorkLeases::Renew(WorkLeaseId id, std::uint64_t gateway_node_id, Incarnation incarnation,
-                       TimePoint now) {
+const WorkLease* WorkLeases::Renew(WorkLeaseId id, std::uint64_t gateway_node_id,
+                                   Incarnation incarnation, TimePoint now) {
   const auto found = by_id_.find(id);
   if (found == by_id_.end() || found->second.gateway_node_id != gateway_node_id ||
       found->second.incarnation != incarnation) {
-    return false;
+    return nullptr;
   }
   found->second.heard = now;
-  return true;
+  return &found->second;
 }
 
 const WorkLease* WorkLeases::Find(const WorkItemKey& item) const {
@@ -33,9 +33,12 @@
 ReportAction WorkLeases::Decide(const proto::WorkReport& report, const WorkItemKey& item,
                                 bool has_result) const {
   const WorkLease* lease = Find(item);
-  if (has_result || (lease != nullptr && lease->reporting)) {
+  if (has_result) {
     return ReportAction::kDrop;
   }
+  if (lease != nullptr && lease->reporting) {
+    return ReportAction::kWait;
+  }
   if (report.disposition() == proto::WORK_DISPOSITION_FINISHED) {
     // Taken also from a lease that has ended: the work was done, and the first result logged wins.
     return ReportAction::kLogResult;
--- a/src/queue/work_leases.h
+++ b/src/queue/work_leases.h
@@ -50,6 +50,7 @@
   kLogResult,   ///< Log ItemFinished with the reported outcome.
   kLogUnknown,  ///< Log ItemFinished with ITEM_OUTCOME_UNKNOWN.
   kReturnItem,  ///< Let another gateway run it.
+  kWait,        ///< A result of the item is on its way to the log: to be asked again.
 };
 
 class WorkLeases {
@@ -60,8 +61,9 @@
   /// Gives out `item`. Requires that it is not leased.
   const WorkLease& Grant(const WorkItemKey& item, std::uint64_t gateway_node_id,
                          Incarnation incarnation, bool idempotent, TimePoint now);
-  /// Renews a running lease. @return false if it is not current: its holder should stop.
-  bool Renew(WorkLeaseId id, std::uint64_t gateway_node_id, Incarnation incarnation, TimePoint now);
+  /// Renews a running lease. @return nullptr if it is not current: its holder should stop.
+  const WorkLease* Renew(WorkLeaseId id, std::uint64_t gateway_node_id, Incarnation incarnation,
+                         TimePoint now);
   /// @return the current lease of `item`, or nullptr.
   const WorkLease* Find(const WorkItemKey& item) const;
   /// @return what a report under `lease` means, given whether the item `has_result`.
--- a/tests/queue/work_leases_test.cc
+++ b/tests/queue/work_leases_test.cc
@@ -31,18 +31,18 @@
 
 TEST_F(WorkLeasesTest, SilenceEndsALeaseAndRenewalKeepsIt) {
   const WorkLeaseId id = Grant(true);
-  EXPECT_TRUE(leases_.Renew(id, kGateway, kIncarnation, now_ + seconds(4)));
+  EXPECT_NE(leases_.Renew(id, kGateway, kIncarnation, now_ + seconds(4)), nullptr);
   EXPECT_TRUE(leases_.EndSilent(now_ + seconds(8)).empty());
   const auto ended = leases_.EndSilent(now_ + seconds(9));
   ASSERT_EQ(ended.size(), 1U);
   EXPECT_EQ(ended[0].item, kItem);
-  EXPECT_FALSE(leases_.Renew(id, kGateway, kIncarnation, now_ + seconds(9)));
+  EXPECT_EQ(leases_.Renew(id, kGateway, kIncarnation, now_ + seconds(9)), nullptr);
 }
 
 TEST_F(WorkLeasesTest, OnlyItsHolderRenews) {
   const WorkLeaseId id = Grant(true);
-  EXPECT_FALSE(leases_.Renew(id, kGateway + 1, kIncarnation, now_));
-  EXPECT_FALSE(leases_.Renew(id, kGateway, Incarnation(78), now_));
+  EXPECT_EQ(leases_.Renew(id, kGateway + 1, kIncarnation, now_), nullptr);
+  EXPECT_EQ(leases_.Renew(id, kGateway, Incarnation(78), now_), nullptr);
 }
 
 TEST_F(WorkLeasesTest, DecidesReportsOfTheCurrentLease) {
@@ -70,7 +70,7 @@
   const WorkLeaseId id = Grant(true);
   leases_.SetReporting(kItem, true, now_);
   EXPECT_TRUE(leases_.EndSilent(now_ + seconds(60)).empty());
-  EXPECT_EQ(Decide(id, proto::WORK_DISPOSITION_FINISHED), ReportAction::kDrop);
+  EXPECT_EQ(Decide(id, proto::WORK_DISPOSITION_FINISHED), ReportAction::kWait);
   leases_.SetReporting(kItem, false, now_ + seconds(60));
   EXPECT_TRUE(leases_.EndSilent(now_ + seconds(64)).empty());
   EXPECT_EQ(leases_.EndSilent(now_ + seconds(65)).size(), 1U);
