--- a/tests/queue/fake_coordinator.h
+++ b/tests/queue/fake_coordinator.h
@@ -112,6 +112,13 @@
     if (state_.IsDead(request.queue_node_id())) {
       return Status(StatusCode::kFenced, "dead");
     }
+    for (const std::uint64_t partition : request.partition_ids()) {
+      const proto::Partition& known = state_.partitions[partition];
+      const bool open = known.owner() == 0 && known.recovering_from() == request.dead_node_id();
+      if (!open && known.owner() != request.queue_node_id()) {
+        return Status(StatusCode::kConflict, "recovered by another node");
+      }
+    }
     state_.finished.push_back(request);
     for (const std::uint64_t partition : request.partition_ids()) {
       state_.partitions[partition].set_recovering_from(0);
--- /dev/null
+++ b/tests/queue/queue_service_test.cc
@@ -0,0 +1,335 @@
+#include "queue/queue_service.h"
+
+#include <gtest/gtest.h>
+
+#include "queue/queue_world.h"
+
+namespace cloverbank {
+namespace {
+
+using proto::WORK_DISPOSITION_FINISHED;
+using proto::WORK_DISPOSITION_NOT_RUN;
+using proto::WORK_DISPOSITION_UNKNOWN;
+
+class QueueServiceTest : public testing::Test {
+ protected:
+  QueueServiceTest() : world(21) {
+    world.AddQueue("q1");
+    world.Own("q1");
+  }
+  QueueWorld world;
+};
+
+TEST_F(QueueServiceTest, AcceptedBatchIsListedAndAResentOneMeetsIt) {
+  const std::string id = world.Accept("q1", "key", 20);
+  EXPECT_EQ(world.BatchIds("q1"), std::vector<std::string>{id});
+  const auto resent = world.Submit("q1", QueueWorld::MakeBatch("key", 20));
+  ASSERT_TRUE(resent.ok());
+  EXPECT_TRUE(resent->resent());
+  EXPECT_EQ(resent->status().batch_id(), id);
+  const auto other = world.Submit("q1", QueueWorld::MakeBatch("key", 21));
+  EXPECT_EQ(other.status().code(), StatusCode::kConflict);
+  EXPECT_EQ(world.BatchIds("q1").size(), 1U);
+}
+
+TEST_F(QueueServiceTest, SubmissionsAtTheSameTimeBecomeOneBatch) {
+  std::set<std::string> ids;
+  int answers = 0;
+  int resent = 0;
+  for (int i = 0; i < 3; ++i) {
+    world.world.CallPeer(world.world.machine("q1").endpoint(), "queue.SubmitBatch",
+                         QueueWorld::MakeBatch("key", 4000).SerializeAsString(), seconds(10),
+                         [&](const PeerReply& reply) {
+                           proto::SubmitBatchResponse response;
+                           ASSERT_TRUE(reply.status.ok());
+                           ASSERT_TRUE(response.ParseFromString(reply.body));
+                           ids.insert(response.status().batch_id());
+                           resent += response.resent() ? 1 : 0;
+                           ++answers;
+                         });
+  }
+  ASSERT_TRUE(world.world.RunUntil([&] { return answers == 3; }, seconds(10)));
+  EXPECT_EQ(ids.size(), 1U);
+  EXPECT_EQ(resent, 2);
+}
+
+TEST_F(QueueServiceTest, RefusesMalformedBatchesAndOtherPartitions) {
+  auto twice = QueueWorld::MakeBatch("key", 2);
+  twice.mutable_batch()->mutable_items(1)->set_custom_id("item0");
+  EXPECT_EQ(world.Submit("q1", twice).status().code(), StatusCode::kInvalidArgument);
+  auto elsewhere = QueueWorld::MakeBatch("key", 2);
+  elsewhere.set_partition_id(5);
+  const auto refused = world.Submit("q1", elsewhere);
+  EXPECT_EQ(refused.status().code(), StatusCode::kConflict);
+  EXPECT_EQ(refused.status().detail(), kNotOwnerDetail);
+}
+
+TEST_F(QueueServiceTest, TenantsLimitCountsUnfinishedItems) {
+  proto::Tenant* tenant = world.coordinator.configuration.add_tenants();
+  tenant->set_name("studio");
+  tenant->set_max_open_items(10);
+  world.PublishConfiguration();
+  world.Accept("q1", "first", 8);
+  EXPECT_EQ(world.Submit("q1", QueueWorld::MakeBatch("second", 3)).status().code(),
+            StatusCode::kResourceExhausted);
+  for (const auto& grant : world.Acquire("q1", 1)) {
+    EXPECT_TRUE(world.Finish("q1", grant).ok());
+  }
+  EXPECT_TRUE(world.Submit("q1", QueueWorld::MakeBatch("second", 3)).ok());
+}
+
+TEST_F(QueueServiceTest, WorksABatchOffWithOneResultAnItem) {
+  const std::string id = world.Accept("q1", "key", 10, "unlock");
+  std::set<std::uint64_t> seen;
+  for (int round = 0; round < 5; ++round) {
+    for (const auto& grant : world.Acquire("q1", 2)) {
+      EXPECT_TRUE(seen.insert(grant.item_index()).second);
+      EXPECT_EQ(grant.item().custom_id(), "item" + std::to_string(grant.item_index()));
+      EXPECT_FALSE(grant.idempotent());
+      EXPECT_TRUE(world.Finish("q1", grant, "first").ok());
+      EXPECT_TRUE(world.Finish("q1", grant, "again").ok());
+    }
+  }
+  EXPECT_EQ(seen.size(), 10U);
+  const auto status = world.StatusOf("q1", id);
+  EXPECT_EQ(status.state(), proto::BATCH_STATE_FINISHED);
+  EXPECT_EQ(status.succeeded(), 10U);
+  for (const std::string& result : world.Results("q1", id)) {
+    EXPECT_NE(result.find("first"), std::string::npos);
+  }
+  EXPECT_TRUE(world.Acquire("q1", 5).empty());
+}
+
+TEST_F(QueueServiceTest, HeldRequestForWorkIsAnsweredByANewBatch) {
+  std::vector<proto::WorkGrant> grants;
+  proto::AcquireWorkRequest request;
+  request.add_room()->set_backend("model");
+  request.mutable_room(0)->set_slots(3);
+  request.set_hold_ms(2000);
+  world.world.CallPeer(world.world.machine("q1").endpoint(), "queue.AcquireWork",
+                       request.SerializeAsString(), seconds(4), [&](const PeerReply& reply) {
+                         proto::AcquireWorkResponse response;
+                         ASSERT_TRUE(response.ParseFromString(reply.body));
+                         grants.assign(response.grants().begin(), response.grants().end());
+                       });
+  world.world.RunFor(milliseconds(1000));
+  EXPECT_TRUE(grants.empty());
+  world.Accept("q1", "key", 5);
+  ASSERT_TRUE(world.world.RunUntil([&] { return !grants.empty(); }, milliseconds(100)));
+  EXPECT_EQ(grants.size(), 3U);
+  // The window counts from when the request was sent, so the time it was held here is added.
+  EXPECT_GE(grants[0].start_within_ms(), 3000U);
+  EXPECT_LE(grants[0].start_within_ms(), 3100U);
+}
+
+TEST_F(QueueServiceTest, SilentLeaseOfARepeatableItemIsGrantedAgain) {
+  world.Accept("q1", "key", 1);
+  const auto first = world.Acquire("q1", 1);
+  ASSERT_EQ(first.size(), 1U);
+  world.world.RunFor(seconds(4));
+  EXPECT_TRUE(world.Report("q1", {}, first)->ended_lease_ids().empty());
+  world.world.RunFor(seconds(4));
+  EXPECT_TRUE(world.Acquire("q1", 1).empty());
+  world.world.RunFor(seconds(2));
+  const auto second = world.Acquire("q1", 1);
+  ASSERT_EQ(second.size(), 1U);
+  EXPECT_NE(second[0].lease_id(), first[0].lease_id());
+  EXPECT_EQ(world.Report("q1", {}, first)->ended_lease_ids_size(), 1);
+}
+
+TEST_F(QueueServiceTest, SilentLeaseOfAnotherItemEndsAsUnknown) {
+  const std::string id = world.Accept("q1", "key", 1, "unlock");
+  const auto grants = world.Acquire("q1", 1);
+  world.world.RunFor(seconds(6));
+  EXPECT_TRUE(world.Acquire("q1", 1).empty());
+  EXPECT_EQ(world.StatusOf("q1", id).unknown(), 1U);
+  EXPECT_TRUE(world.Finish("q1", grants.at(0), "late").ok());
+  EXPECT_EQ(world.Results("q1", id), std::vector<std::string>{"0:3:"});
+}
+
+TEST_F(QueueServiceTest, ItemGivenBackIsGrantedAgain) {
+  world.Accept("q1", "key", 1, "unlock");
+  const auto first = world.Acquire("q1", 1);
+  ASSERT_TRUE(
+      world.Report("q1", {QueueWorld::MakeReport(first.at(0), WORK_DISPOSITION_NOT_RUN)}).ok());
+  const auto second = world.Acquire("q1", 1);
+  ASSERT_EQ(second.size(), 1U);
+  EXPECT_EQ(second[0].item_index(), first[0].item_index());
+}
+
+TEST_F(QueueServiceTest, NothingIsGrantedAfterACancelAndEveryItemGetsOneResult) {
+  const std::string id = world.Accept("q1", "key", 4, "unlock");
+  const auto grants = world.Acquire("q1", 2);
+  ASSERT_EQ(grants.size(), 2U);
+  proto::CancelBatchRequest cancel;
+  cancel.set_batch_id(id);
+  const auto cancelled = world.Call<proto::CancelBatchResponse>("q1", "queue.CancelBatch", cancel);
+  ASSERT_TRUE(cancelled.ok());
+  EXPECT_EQ(cancelled->status().state(), proto::BATCH_STATE_CANCELLED);
+  EXPECT_TRUE(world.Acquire("q1", 5).empty());
+  EXPECT_EQ(world.Report("q1", {}, grants)->ended_lease_ids_size(), 2);
+  EXPECT_TRUE(world.Finish("q1", grants[0], "ran").ok());
+  ASSERT_TRUE(
+      world.Report("q1", {QueueWorld::MakeReport(grants[1], WORK_DISPOSITION_NOT_RUN)}).ok());
+  world.world.RunFor(seconds(6));
+  EXPECT_EQ(world.Results("q1", id), (std::vector<std::string>{"0:1:ran", "1:4:", "2:4:", "3:4:"}));
+  EXPECT_TRUE(world.Call<proto::CancelBatchResponse>("q1", "queue.CancelBatch", cancel).ok());
+}
+
+TEST_F(QueueServiceTest, NothingIsGrantedWhilePaused) {
+  world.Accept("q1", "key", 2);
+  world.coordinator.configuration.mutable_batch()->set_paused(true);
+  world.PublishConfiguration();
+  EXPECT_TRUE(world.Acquire("q1", 2).empty());
+  world.coordinator.configuration.mutable_batch()->set_paused(false);
+  world.PublishConfiguration();
+  EXPECT_EQ(world.Acquire("q1", 2).size(), 2U);
+}
+
+TEST_F(QueueServiceTest, AnswersNothingWithoutItsLease) {
+  const std::string id = world.Accept("q1", "key", 1);
+  world.world.Cut("q1", "control");
+  world.world.RunFor(seconds(4));
+  proto::GetBatchRequest get;
+  get.set_batch_id(id);
+  EXPECT_EQ(world.Call<proto::GetBatchResponse>("q1", "queue.GetBatch", get).status().code(),
+            StatusCode::kUnavailable);
+  EXPECT_EQ(world.Submit("q1", QueueWorld::MakeBatch("new", 1)).status().code(),
+            StatusCode::kUnavailable);
+}
+
+TEST_F(QueueServiceTest, RemovesBatchesAfterTheirRetentionAndNeverReusesPositions) {
+  world.AddQueue("q2");
+  world.AddQueue("q3");
+  const std::string old_id = world.Accept("q1", "old", 1);
+  EXPECT_TRUE(world.Finish("q1", world.Acquire("q1", 1).at(0)).ok());
+  const std::uint64_t old_position = world.StatusOf("q1", old_id).position();
+  world.coordinator.configuration.mutable_batch()->set_retention_s(1);
+  world.PublishConfiguration();
+  ASSERT_TRUE(world.world.RunUntil([&] { return world.BatchIds("q1").empty(); }, seconds(60)));
+  world.FailOver("q1", "q2");
+  world.FailOver("q2", "q3");
+  const std::string new_id = world.Accept("q3", "new", 1);
+  EXPECT_GT(world.StatusOf("q3", new_id).position(), old_position + 1);
+  EXPECT_EQ(world.BatchIds("q3", "p" + std::to_string(old_position)),
+            std::vector<std::string>{new_id});
+}
+
+class QueueRecoveryTest : public QueueServiceTest {
+ protected:
+  QueueRecoveryTest() {
+    world.AddQueue("q2");
+    world.AddQueue("q3");
+  }
+};
+
+TEST_F(QueueRecoveryTest, ListsAndResultsGoOnAtTheNextOwner) {
+  std::vector<std::string> ids;
+  for (int i = 0; i < 5; ++i) {
+    ids.push_back(world.Accept("q1", "key" + std::to_string(i), 10));
+  }
+  for (const auto& grant : world.Acquire("q1", 12)) {
+    EXPECT_TRUE(world.Finish("q1", grant, "before").ok());
+  }
+  const auto results = world.Results("q1", ids[0]);
+  world.FailOver("q1", "q2");
+  EXPECT_EQ(world.BatchIds("q2"), ids);
+  EXPECT_EQ(world.Results("q2", ids[0]), results);
+  std::size_t left = 0;
+  for (const auto& grant : world.Acquire("q2", 100)) {
+    EXPECT_TRUE(world.Finish("q2", grant, "after").ok());
+    ++left;
+  }
+  EXPECT_EQ(left, 38U);
+  const auto later = world.Results("q2", ids[0]);
+  ASSERT_EQ(later.size(), 10U);
+  EXPECT_TRUE(std::equal(results.begin(), results.end(), later.begin()));
+  EXPECT_TRUE(world.Submit("q2", QueueWorld::MakeBatch("key3", 10))->resent());
+}
+
+TEST_F(QueueRecoveryTest, StartedItemsThatMustNotRepeatEndAsUnknownOrWithALateResult) {
+  const std::string id = world.Accept("q1", "key", 3, "unlock");
+  const auto grants = world.Acquire("q1", 2);
+  ASSERT_EQ(grants.size(), 2U);
+  world.FailOver("q1", "q2");
+  const auto after = world.Acquire("q2", 5);
+  ASSERT_EQ(after.size(), 1U);
+  EXPECT_EQ(after[0].item_index(), 2U);
+  EXPECT_TRUE(world.Finish("q2", grants[1], "ran at the old owner").ok());
+  EXPECT_TRUE(world.Finish("q2", after[0]).ok());
+  world.world.RunFor(seconds(6));
+  EXPECT_EQ(world.Results("q2", id),
+            (std::vector<std::string>{"1:1:ran at the old owner", "2:1:done", "0:3:"}));
+}
+
+TEST_F(QueueRecoveryTest, AReplayThatIsGivenUpLeavesNothing) {
+  std::vector<std::string> ids;
+  for (int i = 0; i < 4; ++i) {
+    ids.push_back(world.Accept("q1", "key" + std::to_string(i), 5));
+  }
+  const std::uint64_t first = world.QueueId("q1");
+  world.world.machine("q1").Kill();
+  world.coordinator.MarkDead(first);
+  // q2 replays, but its report never arrives; q3 is given the partition and then dies too.
+  world.world.Cut("q2", "control");
+  ASSERT_TRUE(world.StartRecovery(first, "q2").ok());
+  world.world.RunFor(milliseconds(500));
+  ASSERT_TRUE(world.StartRecovery(first, "q3").ok());
+  ASSERT_TRUE(world.world.RunUntil([&] { return world.Owns("q3"); }, seconds(5)));
+  world.world.HealAll();
+  world.world.RunFor(milliseconds(300));
+  ids.push_back(world.Accept("q3", "late", 5));
+  EXPECT_EQ(world.BatchIds("q3"), ids);
+  proto::GetBatchRequest get;
+  get.set_batch_id(ids[0]);
+  EXPECT_EQ(world.Call<proto::GetBatchResponse>("q2", "queue.GetBatch", get).status().code(),
+            StatusCode::kConflict);
+}
+
+TEST_F(QueueRecoveryTest, ReplayAfterAnEarlierOneIntoTheSameLogIsExact) {
+  std::vector<std::string> ids = {world.Accept("q1", "first", 5)};
+  const std::uint64_t first = world.QueueId("q1");
+  world.world.machine("q1").Kill();
+  world.coordinator.MarkDead(first);
+  // q2 replays in vain: the partition goes to q3, where the batch is worked off and removed.
+  world.world.Cut("q2", "control");
+  ASSERT_TRUE(world.StartRecovery(first, "q2").ok());
+  world.world.RunFor(milliseconds(500));
+  ASSERT_TRUE(world.StartRecovery(first, "q3").ok());
+  ASSERT_TRUE(world.world.RunUntil([&] { return world.Owns("q3"); }, seconds(5)));
+  world.world.HealAll();
+  world.world.RunFor(milliseconds(300));
+  for (const auto& grant : world.Acquire("q3", 5)) {
+    EXPECT_TRUE(world.Finish("q3", grant).ok());
+  }
+  world.coordinator.configuration.mutable_batch()->set_retention_s(1);
+  world.PublishConfiguration();
+  ASSERT_TRUE(world.world.RunUntil([&] { return world.BatchIds("q3").empty(); }, seconds(60)));
+  const std::string second = world.Accept("q3", "second", 2);
+  // Then q2 gets it after all, and its own log is replayed at the end.
+  world.FailOver("q3", "q2");
+  EXPECT_EQ(world.BatchIds("q2"), std::vector<std::string>{second});
+  world.world.machine("q1").Start();
+  world.world.RunFor(milliseconds(500));
+  world.FailOver("q2", "q1");
+  EXPECT_EQ(world.BatchIds("q1"), std::vector<std::string>{second});
+  EXPECT_EQ(world.Acquire("q1", 10).size(), 2U);
+}
+
+TEST_F(QueueRecoveryTest, AFencedOwnerStopsAndComesBackEmpty) {
+  world.Accept("q1", "key", 2);
+  const std::uint64_t first = world.QueueId("q1");
+  world.world.machine("q1").Freeze();
+  world.coordinator.MarkDead(first);
+  ASSERT_TRUE(world.StartRecovery(first, "q2").ok());
+  ASSERT_TRUE(world.world.RunUntil([&] { return world.Owns("q2"); }, seconds(10)));
+  world.world.machine("q1").Wake();
+  EXPECT_FALSE(world.Submit("q1", QueueWorld::MakeBatch("late", 1)).ok());
+  world.world.RunFor(seconds(2));
+  EXPECT_NE(world.QueueId("q1"), first);
+  EXPECT_NE(world.QueueId("q1"), 0U);
+  EXPECT_EQ(world.BatchIds("q2").size(), 1U);
+}
+
+}  // namespace
+}  // namespace cloverbank
