--- a/src/queue/queue_life.h
+++ b/src/queue/queue_life.h
@@ -45,6 +45,8 @@
   void Stop();
   void OnFleet();
   void OnConfiguration();
+  /// Whether some of the log has fewer copies than wanted.
+  bool degraded() const { return log_.degraded(); }
 
   void Submit(const proto::SubmitBatchRequest& request, Reply<proto::SubmitBatchResponse> reply);
   void Get(const proto::GetBatchRequest& request, Reply<proto::GetBatchResponse> reply);
--- a/src/queue/queue_service.h
+++ b/src/queue/queue_service.h
@@ -27,6 +27,8 @@
   /// Begins to serve; lives begin with the agent's registrations. Call it once, before the agent
   /// starts.
   void Start();
+  /// Whether its log is not open, or some of it has fewer copies than wanted.
+  bool degraded() const { return life_ == nullptr || life_->degraded(); }
 
  private:
   void BeginLife();
--- /dev/null
+++ b/tests/queue/batch_workload.h
@@ -0,0 +1,394 @@
+#pragma once
+/// @file
+/// Clients and a gateway's worker over a `FleetWorld`, and the promises they check all the time: an
+/// accepted batch stays listed at its place, results never move, an item that must not repeat is
+/// started once, and in the end every item of every accepted batch has exactly one result.
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/checksum.h"
+#include "proto/batch.pb.h"
+#include "proto/configuration.pb.h"
+#include "queue/fleet_world.h"
+
+namespace cloverbank {
+
+class BatchWorkload {
+ public:
+  explicit BatchWorkload(FleetWorld& fleet) : fleet_(fleet), world_(fleet.world) {}
+
+  /// Begins to submit, list and work, for as long as the world runs.
+  void Start() {
+    Configure();
+    SubmitLoop();
+    ListLoop();
+    for (const std::string& store : fleet_.stores) {
+      AcquireLoop(store);
+    }
+    ReportLoop();
+  }
+  /// Submits nothing new from now on; what is under way goes on.
+  void StopSubmitting() { submitting_ = false; }
+
+  /// Whether every accepted batch was seen finished and nothing is under way.
+  bool Done() const {
+    for (const auto& [id, batch] : accepted_) {
+      if (batch.results.size() != static_cast<std::size_t>(batch.items)) {
+        return false;
+      }
+    }
+    return configured_ && pending_submissions_ == 0;
+  }
+  std::size_t accepted() const { return accepted_.size(); }
+  std::size_t runs() const { return runs_; }
+  std::size_t CountOutcome(proto::ItemOutcome outcome) const {
+    std::size_t count = 0;
+    for (const auto& [id, batch] : accepted_) {
+      for (const proto::ItemResult& result : batch.results) {
+        count += result.outcome() == outcome ? 1 : 0;
+      }
+    }
+    return count;
+  }
+  const std::vector<std::string>& violations() const { return violations_; }
+  /// For messages when a run does not end.
+  std::string Unfinished() const;
+
+ private:
+  struct AcceptedBatch {
+    int items = 0;
+    bool idempotent = false;
+    std::uint64_t partition = 0;
+    std::string tenant;
+    std::vector<proto::ItemResult> results;
+  };
+  struct Run {
+    proto::WorkGrant grant;
+    TimePoint ends;
+    proto::WorkDisposition disposition = proto::WORK_DISPOSITION_FINISHED;
+    std::string output;
+    bool reporting = false;
+  };
+  using ItemKey = std::pair<std::string, std::uint64_t>;
+
+  void Violation(const std::string& what) { violations_.push_back(what); }
+  template <typename Response, typename Request>
+  void Call(const std::string& machine, std::string_view method, const Request& request,
+            Duration deadline, std::function<void(Result<Response>)> done) {
+    world_.CallPeer(world_.machine(machine).endpoint(), method, request.SerializeAsString(),
+                    deadline, [done](const PeerReply& reply) {
+                      Response response;
+                      if (!reply.status.ok() || !response.ParseFromString(reply.body)) {
+                        done(reply.status);
+                      } else {
+                        done(std::move(response));
+                      }
+                    });
+  }
+  const std::string& AnyStore() { return fleet_.stores[world_.RandomBelow(fleet_.stores.size())]; }
+  static std::uint64_t PartitionOf(const std::string& tenant) {
+    return Checksum(tenant) % FleetWorld::kPartitions;
+  }
+
+  void Configure();
+  void SubmitLoop();
+  void Submit(std::shared_ptr<proto::SubmitBatchRequest> request);
+  void TakeAccepted(const proto::SubmitBatchRequest& request, const proto::BatchStatus& status);
+  void ListLoop();
+  void ListTenant(const std::string& tenant);
+  void ListResults(const std::string& batch_id);
+  void AcquireLoop(const std::string& store);
+  void TakeGrant(const proto::WorkGrant& grant, TimePoint sent);
+  void ReportLoop();
+  void Report(const std::string& store);
+
+  static constexpr std::uint64_t kGateway = 1'000'000;
+  FleetWorld& fleet_;
+  SimulatedWorld& world_;
+  bool configured_ = false;
+  bool submitting_ = true;
+  int submitted_ = 0;
+  int pending_submissions_ = 0;
+  std::size_t runs_ = 0;
+  std::map<std::string, AcceptedBatch> accepted_;
+  std::map<std::string, std::vector<std::string>> listed_;  ///< Batch ids by tenant.
+  std::map<std::uint64_t, Run> running_;                    ///< By lease.
+  std::map<ItemKey, std::vector<std::string>> starts_;      ///< Outputs of every run of an item.
+  std::vector<std::string> violations_;
+};
+
+inline void BatchWorkload::Configure() {
+  proto::SubmitTransactionRequest request;
+  proto::ConfigurationTransaction& transaction = *request.mutable_transaction();
+  transaction.set_operation_id("setup");
+  transaction.set_expected_version(1);
+  for (const std::string name : {"describe", "unlock"}) {
+    proto::Route& route = *transaction.add_changes()->mutable_set_route();
+    route.set_name(name);
+    route.set_backend_kind(proto::BACKEND_KIND_MODEL);
+    route.set_backend("model");
+    route.set_idempotent(name == "describe");
+    route.set_priority(proto::PRIORITY_BATCH);
+    route.set_deadline_ms(10'000);
+    route.set_accepts_batches(true);
+  }
+  const std::string front = fleet_.fronts[world_.RandomBelow(fleet_.fronts.size())];
+  Call<proto::SubmitTransactionResponse>(
+      front, "coordinator.SubmitTransaction", request, seconds(3),
+      [this](const Result<proto::SubmitTransactionResponse>& result) {
+        if (result.ok() && result->result().outcome() == proto::TRANSACTION_OUTCOME_APPLIED) {
+          configured_ = true;
+        } else {
+          if (result.ok()) {
+            Violation("configuration refused: " + result->result().DebugString());
+          }
+          world_.ScheduleAfter(milliseconds(200), [this] { Configure(); });
+        }
+      });
+}
+
+inline void BatchWorkload::SubmitLoop() {
+  if (submitting_) {
+    auto request = std::make_shared<proto::SubmitBatchRequest>();
+    proto::SubmitBatch& batch = *request->mutable_batch();
+    batch.set_tenant("tenant" + std::to_string(world_.RandomBelow(4)));
+    batch.set_idempotency_key("key" + std::to_string(++submitted_));
+    batch.set_route(world_.RandomBelow(2) == 0 ? "describe" : "unlock");
+    request->set_idempotent(batch.route() == "describe");
+    request->set_partition_id(PartitionOf(batch.tenant()));
+    const std::uint64_t items = 1 + world_.RandomBelow(20);
+    for (std::uint64_t i = 0; i < items; ++i) {
+      proto::BatchItem* item = batch.add_items();
+      item->set_custom_id("item" + std::to_string(i));
+      item->set_prompt(std::string(world_.RandomBelow(500), 'p'));
+    }
+    ++pending_submissions_;
+    Submit(std::move(request));
+  }
+  world_.ScheduleAfter(milliseconds(50 + world_.RandomBelow(400)), [this] { SubmitLoop(); });
+}
+
+inline void BatchWorkload::Submit(std::shared_ptr<proto::SubmitBatchRequest> request) {
+  Call<proto::SubmitBatchResponse>(
+      AnyStore(), "queue.SubmitBatch", *request, seconds(3),
+      [this, request](const Result<proto::SubmitBatchResponse>& result) {
+        if (result.ok()) {
+          --pending_submissions_;
+          TakeAccepted(*request, result->status());
+        } else {
+          world_.ScheduleAfter(milliseconds(50), [this, request] { Submit(request); });
+        }
+      });
+}
+
+inline void BatchWorkload::TakeAccepted(const proto::SubmitBatchRequest& request,
+                                        const proto::BatchStatus& status) {
+  if (accepted_.contains(status.batch_id())) {
+    Violation("batch " + status.batch_id() + " accepted twice");
+  }
+  AcceptedBatch& batch = accepted_[status.batch_id()];
+  batch.items = request.batch().items_size();
+  batch.idempotent = request.idempotent();
+  batch.partition = request.partition_id();
+  batch.tenant = request.batch().tenant();
+  if (status.total() != static_cast<std::uint64_t>(batch.items)) {
+    Violation("batch " + status.batch_id() + " has another number of items");
+  }
+}
+
+inline void BatchWorkload::ListLoop() {
+  for (int i = 0; i < 4; ++i) {
+    ListTenant("tenant" + std::to_string(i));
+  }
+  for (const auto& [id, batch] : accepted_) {
+    if (batch.results.size() != static_cast<std::size_t>(batch.items)) {
+      ListResults(id);
+    }
+  }
+  world_.ScheduleAfter(milliseconds(500), [this] { ListLoop(); });
+}
+
+inline void BatchWorkload::ListTenant(const std::string& tenant) {
+  proto::ListBatchesRequest request;
+  request.set_tenant(tenant);
+  request.set_partition_id(PartitionOf(tenant));
+  request.set_limit(1000);
+  std::set<std::string> expected;
+  for (const auto& [id, batch] : accepted_) {
+    if (batch.tenant == tenant) {
+      expected.insert(id);
+    }
+  }
+  const std::size_t known = listed_[tenant].size();
+  Call<proto::ListBatchesResponse>(
+      AnyStore(), "queue.ListBatches", request, seconds(2),
+      [this, tenant, expected, known](const Result<proto::ListBatchesResponse>& result) {
+        if (!result.ok()) {
+          return;
+        }
+        std::vector<std::string> ids;
+        for (const proto::BatchStatus& status : result->list().batches()) {
+          ids.push_back(status.batch_id());
+        }
+        for (const std::string& id : expected) {
+          if (std::find(ids.begin(), ids.end(), id) == ids.end()) {
+            Violation("accepted batch " + id + " is not listed");
+          }
+        }
+        std::vector<std::string>& before = listed_[tenant];
+        const std::size_t shared = std::min(before.size(), ids.size());
+        if (ids.size() < known || !std::equal(ids.begin(), ids.begin() + shared, before.begin())) {
+          Violation("the list of " + tenant + " changed where it had been read");
+        }
+        if (ids.size() > before.size()) {
+          before = ids;
+        }
+      });
+}
+
+inline void BatchWorkload::ListResults(const std::string& batch_id) {
+  proto::ListResultsRequest request;
+  request.set_partition_id(accepted_[batch_id].partition);
+  request.set_batch_id(batch_id);
+  request.set_limit(1000);
+  const std::size_t known = accepted_[batch_id].results.size();
+  Call<proto::ListResultsResponse>(
+      AnyStore(), "queue.ListResults", request, seconds(2),
+      [this, batch_id, known](const Result<proto::ListResultsResponse>& result) {
+        if (!result.ok()) {
+          return;
+        }
+        std::vector<proto::ItemResult> results(result->list().results().begin(),
+                                               result->list().results().end());
+        AcceptedBatch& batch = accepted_[batch_id];
+        std::set<std::uint64_t> items;
+        for (std::size_t i = 0; i < results.size(); ++i) {
+          if (!items.insert(results[i].item_index()).second) {
+            Violation("an item of " + batch_id + " has two results");
+          }
+          if (i < batch.results.size() &&
+              results[i].SerializeAsString() != batch.results[i].SerializeAsString()) {
+            Violation("a listed result of " + batch_id + " changed");
+          }
+          const auto& outputs = starts_[{batch_id, results[i].item_index()}];
+          if (results[i].outcome() == proto::ITEM_OUTCOME_SUCCEEDED &&
+              std::find(outputs.begin(), outputs.end(), results[i].output()) == outputs.end()) {
+            Violation("a result of " + batch_id + " comes from no run");
+          }
+        }
+        if (results.size() < known) {
+          Violation("results of " + batch_id + " were lost");
+        }
+        if (results.size() > batch.results.size()) {
+          batch.results = std::move(results);
+        }
+      });
+}
+
+inline void BatchWorkload::AcquireLoop(const std::string& store) {
+  proto::AcquireWorkRequest request;
+  request.set_gateway_node_id(kGateway);
+  request.set_incarnation(1);
+  request.add_room()->set_backend("model");
+  request.mutable_room(0)->set_slots(static_cast<std::uint32_t>(1 + world_.RandomBelow(10)));
+  request.set_hold_ms(300);
+  const TimePoint sent = world_.Now();
+  Call<proto::AcquireWorkResponse>(
+      store, "queue.AcquireWork", request, seconds(1),
+      [this, store, sent](const Result<proto::AcquireWorkResponse>& result) {
+        if (result.ok()) {
+          for (const proto::WorkGrant& grant : result->grants()) {
+            TakeGrant(grant, sent);
+          }
+        }
+        world_.ScheduleAfter(milliseconds(20), [this, store] { AcquireLoop(store); });
+      });
+}
+
+inline void BatchWorkload::TakeGrant(const proto::WorkGrant& grant, TimePoint sent) {
+  Run run;
+  run.grant = grant;
+  const bool late = world_.Now() >= sent + milliseconds(grant.start_within_ms());
+  if (late || world_.RandomBelow(20) == 0) {
+    run.disposition = proto::WORK_DISPOSITION_NOT_RUN;
+    run.ends = world_.Now();
+  } else {
+    std::vector<std::string>& outputs = starts_[{grant.batch_id(), grant.item_index()}];
+    if (!grant.idempotent() && !outputs.empty()) {
+      Violation("item " + std::to_string(grant.item_index()) + " of " + grant.batch_id() +
+                " was started twice");
+    }
+    run.output = "run" + std::to_string(++runs_);
+    outputs.push_back(run.output);
+    run.ends = world_.Now() + milliseconds(5 + world_.RandomBelow(1500));
+  }
+  if (!running_.emplace(grant.lease_id(), run).second) {
+    Violation("lease " + std::to_string(grant.lease_id()) + " was given out twice");
+  }
+}
+
+inline void BatchWorkload::ReportLoop() {
+  for (const std::string& store : fleet_.stores) {
+    Report(store);
+  }
+  world_.ScheduleAfter(milliseconds(200), [this] { ReportLoop(); });
+}
+
+inline void BatchWorkload::Report(const std::string& store) {
+  // One partition a call and store by store: whoever owns it takes the call, the others refuse.
+  for (std::uint64_t partition = 0; partition < FleetWorld::kPartitions; ++partition) {
+    proto::ReportWorkRequest request;
+    request.set_gateway_node_id(kGateway);
+    request.set_incarnation(1);
+    std::vector<std::uint64_t> leases;
+    for (const auto& [lease, run] : running_) {
+      if (run.grant.partition_id() != partition) {
+        continue;
+      }
+      request.add_running_lease_ids(lease);
+      if (run.ends <= world_.Now()) {
+        proto::WorkReport* report = request.add_reports();
+        report->set_lease_id(lease);
+        report->set_partition_id(partition);
+        report->set_batch_id(run.grant.batch_id());
+        report->set_item_index(run.grant.item_index());
+        report->set_disposition(run.disposition);
+        if (run.disposition == proto::WORK_DISPOSITION_FINISHED) {
+          report->set_outcome(proto::ITEM_OUTCOME_SUCCEEDED);
+          report->set_output(run.output);
+        }
+        leases.push_back(lease);
+      }
+    }
+    if (request.running_lease_ids().empty()) {
+      continue;
+    }
+    Call<proto::ReportWorkResponse>(
+        store, "queue.ReportWork", request, seconds(2),
+        [this, leases](const Result<proto::ReportWorkResponse>& result) {
+          for (const std::uint64_t lease : leases) {
+            if (result.ok()) {
+              running_.erase(lease);
+            }
+          }
+        });
+  }
+}
+
+inline std::string BatchWorkload::Unfinished() const {
+  std::string text = "pending submissions " + std::to_string(pending_submissions_) + ", running " +
+                     std::to_string(running_.size());
+  for (const auto& [id, batch] : accepted_) {
+    if (batch.results.size() != static_cast<std::size_t>(batch.items)) {
+      text += "; " + id + (batch.idempotent ? " (repeatable) " : " ") +
+              std::to_string(batch.results.size()) + "/" + std::to_string(batch.items);
+    }
+  }
+  return text;
+}
+
+}  // namespace cloverbank
--- /dev/null
+++ b/tests/queue/durability_simulation_test.cc
@@ -0,0 +1,146 @@
+/// @file
+/// The whole batch fleet under seeded faults. A failing seed replays exactly.
+
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+
+#include "queue/batch_workload.h"
+
+namespace cloverbank {
+namespace {
+
+class DurabilityTest : public testing::TestWithParam<int> {
+ protected:
+  DurabilityTest() : fleet(static_cast<std::uint64_t>(GetParam())), workload(fleet) {
+    fleet.StartAll();
+    workload.Start();
+    fleet.world.RunFor(seconds(6));
+  }
+
+  SimulatedMachine& Machine(const std::string& name) { return fleet.world.machine(name); }
+  std::string RandomOf(const std::vector<std::string>& names) {
+    return names[fleet.world.RandomBelow(names.size())];
+  }
+  void StartLater(const std::string& name, Duration delay) {
+    fleet.world.ScheduleAfter(delay, [this, name] {
+      if (!Machine(name).running()) {
+        Machine(name).Start();
+      }
+    });
+  }
+  Duration RandomTime(std::uint64_t limit_ms) {
+    return milliseconds(fleet.world.RandomBelow(limit_ms));
+  }
+
+  /// Ends the faults, lets everything finish and checks what must hold.
+  void Conclude(std::size_t least_accepted) {
+    fleet.world.HealAll();
+    fleet.world.network() = NetworkBehaviour();
+    fleet.StartAll();
+    workload.StopSubmitting();
+    const bool done = fleet.world.RunUntil([this] { return workload.Done(); }, seconds(120));
+    EXPECT_TRUE(done) << workload.Unfinished();
+    fleet.world.RunFor(seconds(2));
+    for (std::size_t i = 0; i < workload.violations().size() && i < 10; ++i) {
+      ADD_FAILURE() << workload.violations()[i];
+    }
+    EXPECT_GE(workload.accepted(), least_accepted);
+    RecordProperty("accepted", static_cast<int>(workload.accepted()));
+    RecordProperty("unknown", static_cast<int>(workload.CountOutcome(proto::ITEM_OUTCOME_UNKNOWN)));
+  }
+
+  FleetWorld fleet;
+  BatchWorkload workload;
+};
+
+TEST_P(DurabilityTest, CalmFleetFinishesEverything) {
+  fleet.world.RunFor(seconds(5));
+  Conclude(10);
+  EXPECT_EQ(workload.CountOutcome(proto::ITEM_OUTCOME_UNKNOWN), 0U);
+}
+
+TEST_P(DurabilityTest, TwoStoresLoseTheirDisksAtOnce) {
+  ASSERT_TRUE(fleet.world.RunUntil([this] { return fleet.Whole(); }, seconds(20)));
+  fleet.world.RunFor(RandomTime(1000));
+  if (!fleet.Whole()) {
+    ASSERT_TRUE(fleet.world.RunUntil([this] { return fleet.Whole(); }, seconds(20)));
+  }
+  const std::uint64_t kept = fleet.world.RandomBelow(3);
+  for (std::uint64_t i = 0; i < 3; ++i) {
+    if (i != kept) {
+      Machine(fleet.stores[i]).LoseDisk();
+      StartLater(fleet.stores[i], seconds(1) + RandomTime(8000));
+    }
+  }
+  fleet.world.RunFor(seconds(15));
+  Conclude(10);
+}
+
+TEST_P(DurabilityTest, OneDiskAfterTheOtherOnceRepaired) {
+  for (int round = 0; round < 3; ++round) {
+    ASSERT_TRUE(fleet.world.RunUntil([this] { return fleet.Whole(); }, seconds(60)));
+    const std::string first = RandomOf(fleet.stores);
+    Machine(first).LoseDisk();
+    StartLater(first, RandomTime(6000));
+    fleet.world.RunFor(seconds(7));
+  }
+  Conclude(20);
+}
+
+TEST_P(DurabilityTest, AllStoresLosePowerTogether) {
+  for (int round = 0; round < 2; ++round) {
+    fleet.world.RunFor(RandomTime(3000));
+    for (const std::string& store : fleet.stores) {
+      Machine(store).LosePower();
+      StartLater(store, RandomTime(3000));
+    }
+    fleet.world.RunFor(seconds(12));
+  }
+  Conclude(10);
+}
+
+TEST_P(DurabilityTest, RandomKillsFreezesAndCuts) {
+  fleet.world.network().request_loss = 0.003;
+  fleet.world.network().reply_loss = 0.003;
+  fleet.world.network().request_duplication = 0.01;
+  for (int round = 0; round < 12; ++round) {
+    const bool store = fleet.world.RandomBelow(3) != 0;
+    const std::string name = RandomOf(store ? fleet.stores : fleet.fronts);
+    SimulatedMachine& machine = Machine(name);
+    if (machine.running()) {
+      switch (fleet.world.RandomBelow(4)) {
+        case 0:
+          machine.Kill();
+          StartLater(name, RandomTime(6000));
+          break;
+        case 1:
+          machine.LosePower();
+          StartLater(name, RandomTime(6000));
+          break;
+        case 2:
+          machine.Freeze();
+          fleet.world.ScheduleAfter(RandomTime(25000), [&machine] { machine.Wake(); });
+          break;
+        default:
+          fleet.world.Isolate(name);
+          fleet.world.ScheduleAfter(RandomTime(9000), [this, name] { fleet.world.Heal(name); });
+      }
+    }
+    fleet.world.RunFor(RandomTime(6000));
+  }
+  fleet.world.RunFor(seconds(25));
+  Conclude(10);
+}
+
+/// More seeds for longer trials: CLOVERBANK_SEEDS=200 test_queue --gtest_filter=...
+int SeedCount() {
+  constexpr int kDefaultSeeds = 6;
+  const char* text = std::getenv("CLOVERBANK_SEEDS");
+  return text == nullptr ? kDefaultSeeds : std::atoi(text);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, DurabilityTest, testing::Range(1, SeedCount() + 1));
+
+}  // namespace
+}  // namespace cloverbank
--- /dev/null
+++ b/tests/queue/fleet_world.h
@@ -0,0 +1,153 @@
+#pragma once
+/// @file
+/// A whole batch fleet in a simulated world, all with the real services: three front machines
+/// (coordinator, spare backup) and three store machines (queue node, backup), one of each a zone.
+
+#include <map>
+#include <memory>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "backup/backup_service.h"
+#include "consensus/raft_node.h"
+#include "coordinator/coordinator_service.h"
+#include "node/node_agent.h"
+#include "queue/queue_service.h"
+#include "simulation/simulated_world.h"
+
+namespace cloverbank {
+
+class FleetWorld {
+ public:
+  static constexpr int kMachinesEach = 3;
+  static constexpr std::uint32_t kPartitions = 4;
+
+  explicit FleetWorld(std::uint64_t seed) : world(seed) {
+    for (int i = 1; i <= kMachinesEach; ++i) {
+      fronts.push_back("f" + std::to_string(i));
+      stores.push_back("s" + std::to_string(i));
+      seeds_.push_back(world.AddMachine(fronts.back(), "10.0.1." + std::to_string(i)).endpoint());
+      world.AddMachine(stores.back(), "10.0.2." + std::to_string(i));
+    }
+    for (int i = 0; i < kMachinesEach; ++i) {
+      const std::string zone = "zone" + std::to_string(i);
+      AddFront(fronts[i], zone);
+      AddStore(stores[i], zone);
+    }
+    queue_options.log.segment_bytes = 64 << 10;
+    queue_options.log.write_bytes = 16 << 10;
+  }
+
+  void StartAll() {
+    for (const std::vector<std::string>* machines : {&fronts, &stores}) {
+      for (const std::string& name : *machines) {
+        if (!world.machine(name).running()) {
+          world.machine(name).Start();
+        }
+      }
+    }
+  }
+
+  /// Whether every store machine runs and has all copies wanted of its log.
+  bool Whole() {
+    for (const std::string& name : stores) {
+      if (!world.machine(name).running() || queues_[name].expired() ||
+          queues_[name].lock()->degraded()) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  SimulatedWorld world;
+  std::vector<std::string> fronts;
+  std::vector<std::string> stores;
+  QueueOptions queue_options;
+
+ private:
+  struct Front {
+    ControlState state{kPartitions};
+    std::unique_ptr<RaftNode> raft;
+    std::unique_ptr<CoordinatorService> coordinator;
+    std::unique_ptr<BackupService> backup;
+    std::unique_ptr<NodeAgent> backup_agent;
+  };
+  struct Store {
+    std::unique_ptr<BackupService> backup;
+    std::unique_ptr<NodeAgent> backup_agent;
+    std::unique_ptr<NodeAgent> queue_agent;
+    std::shared_ptr<QueueService> queue;
+  };
+
+  static void Require(const Status& status) {
+    if (!status.ok()) {
+      throw std::runtime_error(status.ToString());
+    }
+  }
+
+  NodeAgentOptions AgentOptions(const std::string& name, const std::string& zone,
+                                proto::Role role) const {
+    NodeAgentOptions options;
+    options.role = role;
+    options.machine = name;
+    options.zone = zone;
+    options.coordinators = seeds_;
+    return options;
+  }
+
+  std::unique_ptr<BackupService> LoadBackup(Environment& environment, DataFolder& folder) const {
+    BackupOptions options;
+    options.store.spare_disk_bytes = 1 << 20;
+    auto backup = std::make_unique<BackupService>(environment, folder, options);
+    Require(backup->Load());
+    return backup;
+  }
+
+  void AddFront(const std::string& name, const std::string& zone) {
+    world.machine(name).SetProgram(
+        [this, name, zone](Environment& environment, DataFolder& folder) {
+          auto front = std::make_shared<Front>();
+          RaftNodeOptions raft_options;
+          raft_options.seeds = seeds_;
+          front->raft = std::make_unique<RaftNode>(environment, folder, front->state, raft_options);
+          Require(front->raft->Load());
+          front->coordinator =
+              std::make_unique<CoordinatorService>(environment, *front->raft, front->state);
+          front->coordinator->Start();
+          front->raft->Start();
+          front->backup = LoadBackup(environment, folder);
+          NodeAgentOptions options = AgentOptions(name, zone, proto::ROLE_BACKUP);
+          options.spare = true;
+          options.disk_id = front->backup->disk_id();
+          front->backup_agent = std::make_unique<NodeAgent>(environment, options);
+          front->backup_agent->Start();
+          return front;
+        });
+  }
+
+  void AddStore(const std::string& name, const std::string& zone) {
+    world.machine(name).SetProgram(
+        [this, name, zone](Environment& environment, DataFolder& folder) {
+          auto store = std::make_shared<Store>();
+          store->backup = LoadBackup(environment, folder);
+          NodeAgentOptions options = AgentOptions(name, zone, proto::ROLE_BACKUP);
+          options.disk_id = store->backup->disk_id();
+          store->backup_agent = std::make_unique<NodeAgent>(environment, options);
+          store->backup_agent->Start();
+          store->queue_agent =
+              std::make_unique<NodeAgent>(environment, AgentOptions(name, zone, proto::ROLE_QUEUE));
+          store->queue =
+              std::make_shared<QueueService>(environment, *store->queue_agent, queue_options);
+          store->queue->Start();
+          store->queue_agent->Start();
+          queues_[name] = store->queue;
+          return store;
+        });
+  }
+
+  std::vector<Endpoint> seeds_;
+  std::map<std::string, std::weak_ptr<QueueService>> queues_;
+};
+
+}  // namespace cloverbank
