--- a/src/gateway/http_json.cc
+++ b/src/gateway/http_json.cc
@@ -1,7 +1,6 @@
 #include "gateway/http_json.h"
 
 #include <google/protobuf/message.h>
-#include <google/protobuf/util/json_util.h>
 
 #include <string_view>
 #include <utility>
@@ -13,10 +12,6 @@
 constexpr std::uint32_t kDefaultRetryAfterMs = 1000;
 constexpr std::string_view kJsonType = "application/json";
 
-bool IsBlank(const std::string& text) {
-  return text.find_first_not_of(" \t\r\n") == std::string::npos;
-}
-
 HttpResponse MakeJsonResponse(int http_status, const google::protobuf::Message& message) {
   HttpResponse response;
   response.status = http_status;
@@ -27,28 +22,6 @@
 
 }  // namespace
 
-std::string ToJson(const google::protobuf::Message& message) {
-  google::protobuf::util::JsonPrintOptions options;
-  options.preserve_proto_field_names = true;
-  options.always_print_primitive_fields = true;
-  std::string json;
-  const auto status = google::protobuf::util::MessageToJsonString(message, &json, options);
-  return status.ok() ? json : "{}";  // Only malformed Any messages fail; the schemas have none.
-}
-
-Status FromJson(const std::string& json, google::protobuf::Message* message) {
-  if (IsBlank(json)) {
-    return {StatusCode::kInvalidArgument, "the body is empty; expected a JSON object"};
-  }
-  const auto status = google::protobuf::util::JsonStringToMessage(json, message);
-  if (status.ok()) {
-    return Status::Ok();
-  }
-  return {StatusCode::kInvalidArgument, "the body is not a valid " +
-                                            message->GetDescriptor()->name() + ": " +
-                                            status.message().ToString()};
-}
-
 void SendJson(HttpResponder& responder, int http_status, const google::protobuf::Message& message) {
   responder.Send(MakeJsonResponse(http_status, message));
 }
