--- a/tests/settings/settings_test.cc
+++ b/tests/settings/settings_test.cc
@@ -104,11 +104,12 @@
 }
 
 TEST(SettingsTest, RefusesCombinationsThatBreakAPromise) {
-  const std::string short_death =
-      std::string(kGood) + "[control]\nnode_lease_ms = 3000\ndeath_after_ms = 1000\n";
-  EXPECT_NE(FindKey(ProblemsOf(short_death), "control.death_after_ms"), nullptr);
-  const std::string too_few = std::string(kGood) + "[log]\ncopies = 2\nminimum_copies = 3\n";
-  EXPECT_NE(FindKey(ProblemsOf(too_few), "log.minimum_copies"), nullptr);
+  const std::string good(kGood);
+  const auto short_death =
+      ProblemsOf(good + "[control]\nnode_lease_ms = 3000\ndeath_after_ms = 1000\n");
+  EXPECT_NE(FindKey(short_death, "control.death_after_ms"), nullptr);
+  const auto too_few = ProblemsOf(good + "[log]\ncopies = 2\nminimum_copies = 3\n");
+  EXPECT_NE(FindKey(too_few, "log.minimum_copies"), nullptr);
 }
 
 TEST(SettingsTest, MissingFileIsNamed) {
