--- a/src/storage/file_group.cc
+++ b/src/storage/file_group.cc
@@ -149,8 +149,9 @@
   }
   outcome.file_failed = writer.failed();
   if (!writer.wrote()) {
-    if (writer.created()) {
-      ::unlink(PathOf(name).c_str());  // Best effort: an empty file holds nothing acknowledged.
+    // Left behind, its entry in the folder would never be synced.
+    if (writer.created() && ::unlink(PathOf(name).c_str()) != 0) {
+      outcome.file_failed = true;
     }
     return outcome;
   }
