Assemble the daemon from its roles

cloverbankd ties one event loop, the servers on the client and peer ports, the data folder and the roles that the settings name, and stops cleanly at SIGTERM. The client can cancel all its calls, so that none of their callbacks outlives what it refers to.

--- /dev/null
+++ b/apps/cloverbankd/coordinator_role.cc
@@ -0,0 +1,67 @@
+// Assembly of the coordinator: control state, replicated log, service.
+#include "cloverbankd/role.h"
+#include "consensus/raft_node.h"
+#include "coordinator/control_state.h"
+#include "coordinator/coordinator_service.h"
+
+namespace cloverbank {
+namespace {
+
+/// Heartbeats within one election timeout, so that a lost one starts no election.
+constexpr int kHeartbeatsPerElectionTimeout = 4;
+
+RaftNodeOptions MakeRaftOptions(const RoleContext& context) {
+  RaftNodeOptions options;
+  options.seeds = context.settings.seeds;
+  options.election_timeout = context.settings.election_timeout;
+  options.heartbeat_interval = context.settings.election_timeout / kHeartbeatsPerElectionTimeout;
+  options.on_fatal = context.on_fatal;
+  return options;
+}
+
+CoordinatorOptions MakeCoordinatorOptions(const Settings& settings) {
+  CoordinatorOptions options;
+  options.node_lease = settings.node_lease;
+  options.death_after = settings.death_after;
+  options.wanted_store_backups = settings.copies;
+  return options;
+}
+
+class CoordinatorRole final : public Role {
+ public:
+  explicit CoordinatorRole(const RoleContext& context)
+      : state_(context.settings.partition_count),
+        log_(context.environment, *context.data_folder, state_, MakeRaftOptions(context)),
+        service_(context.environment, log_, state_, MakeCoordinatorOptions(context.settings)) {}
+
+  std::string_view name() const override { return "coordinator"; }
+
+  Status Start() override {
+    Status loaded = log_.Load();
+    if (loaded.ok()) {
+      service_.Start();
+      log_.Start();
+    }
+    return loaded;
+  }
+
+  std::optional<std::string> NotReadyReason() const override {
+    if (log_.HasLeaderLease() || log_.leader_endpoint().valid()) {
+      return std::nullopt;
+    }
+    return "no leader of the coordinator group is known";
+  }
+
+ private:
+  ControlState state_;
+  RaftNode log_;
+  CoordinatorService service_;
+};
+
+}  // namespace
+
+std::unique_ptr<Role> MakeCoordinatorRole(const RoleContext& context) {
+  return std::make_unique<CoordinatorRole>(context);
+}
+
+}  // namespace cloverbank
--- /dev/null
+++ b/apps/cloverbankd/daemon.cc
@@ -0,0 +1,165 @@
+#include "cloverbankd/daemon.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "base/logging.h"
+#include "cloverbankd/process_status.h"
+#include "cloverbankd/server_options.h"
+
+namespace cloverbank {
+namespace {
+
+constexpr Duration kDrainPollInterval = milliseconds(20);
+constexpr int kFailureExitCode = 1;
+
+HttpClientOptions MakeClientOptions(const Settings& settings) {
+  HttpClientOptions options;
+  options.local_address = settings.peer.host;
+  options.maximum_body_bytes = kMaximumPeerBodyBytes;
+  return options;
+}
+
+}  // namespace
+
+Daemon::Daemon(Settings settings, DaemonOptions options)
+    : settings_(std::move(settings)),
+      options_(options),
+      client_(std::make_unique<BeastHttpClient>(loop_, MakeClientOptions(settings_), &faults_)),
+      client_server_(std::make_unique<BeastHttpServer>(loop_, ClientServerOptions(settings_),
+                                                       metrics_, &faults_)),
+      peer_server_(std::make_unique<BeastHttpServer>(loop_, PeerServerOptions(settings_), metrics_,
+                                                     &faults_)),
+      environment_(std::make_unique<AsioEnvironment>(loop_, *client_, *peer_server_, settings_.peer,
+                                                     metrics_)) {}
+
+Daemon::~Daemon() {
+  // Callbacks of calls under way refer to the roles: drop them before the roles go.
+  client_server_.reset();
+  peer_server_.reset();
+  client_->CancelAll();
+  while (!roles_.empty()) {
+    roles_.pop_back();
+  }
+}
+
+Status Daemon::Start() {
+  loop_.OnStopSignal([this](int signal) {
+    Log(LogLevel::kInfo, "stop_signal", {{"signal", signal}});
+    RequestStop();
+  });
+  ServeProcessStatus(*client_server_, metrics_, [this] { return Readiness(); });
+  if (options_.allow_fault_injection) {
+    faults_.ServeAdmin(*client_server_);
+  }
+  Status started = OpenDataFolder();
+  if (started.ok()) {
+    started = StartRoles();
+  }
+  if (started.ok()) {
+    started = peer_server_->Listen();
+  }
+  if (started.ok()) {
+    started = client_server_->Listen();
+  }
+  return started;
+}
+
+Status Daemon::OpenDataFolder() {
+  if (settings_.data_folder.empty()) {
+    return Status::Ok();
+  }
+  data_folder_ = std::make_unique<PosixDataFolder>(
+      settings_.data_folder,
+      [this](std::function<void()> action) { loop_.Post(std::move(action)); });
+  return data_folder_->Open();
+}
+
+Status Daemon::StartRoles() {
+  const RoleContext context{settings_,          *environment_,
+                            *client_,           *client_server_,
+                            data_folder_.get(), [this](const Status& status) { Fail(status); }};
+  const std::vector<std::pair<bool, std::unique_ptr<Role> (*)(const RoleContext&)>> makers = {
+      {settings_.roles.coordinator, &MakeCoordinatorRole},
+      {settings_.roles.backup, &MakeBackupRole},
+      {settings_.roles.queue, &MakeQueueRole},
+      {settings_.roles.gateway, &MakeGatewayRole}};
+  for (const auto& [wanted, make] : makers) {
+    if (!wanted) {
+      continue;
+    }
+    auto role = make(context);
+    const std::string name(role->name());
+    Status started = role->Start();
+    if (!started.ok()) {
+      return {started.code(), "role " + name + ": " + started.message(), started.detail()};
+    }
+    roles_.push_back(std::move(role));
+    Log(LogLevel::kInfo, "role_started", {{"role", name}});
+  }
+  return Status::Ok();
+}
+
+int Daemon::Run() {
+  Log(LogLevel::kInfo, "daemon_started",
+      {{"machine", settings_.machine},
+       {"zone", settings_.zone},
+       {"client", client_server_->endpoint().ToString()},
+       {"peer", peer_server_->endpoint().ToString()}});
+  loop_.Run();
+  Log(LogLevel::kInfo, "daemon_stopped", {{"exit_code", exit_code_}});
+  return exit_code_;
+}
+
+void Daemon::Fail(const Status& status) {
+  Log(LogLevel::kError, "daemon_failed", {{"status", status.ToString()}});
+  exit_code_ = kFailureExitCode;
+  loop_.Stop();
+}
+
+void Daemon::RequestStop() {
+  if (stopping_) {
+    loop_.Stop();
+    return;
+  }
+  stopping_ = true;
+  stop_deadline_ = EventLoop::Now() + options_.stop_grace;
+  for (const auto& role : roles_) {
+    role->Drain();
+  }
+  client_server_->Drain([this] { server_idle_ = true; });
+  StopWhenDrained();
+}
+
+void Daemon::StopWhenDrained() {
+  const bool drained =
+      server_idle_ &&
+      std::all_of(roles_.begin(), roles_.end(), [](const auto& role) { return role->Drained(); });
+  const bool out_of_time = EventLoop::Now() >= stop_deadline_;
+  if (drained || out_of_time) {
+    if (!drained) {
+      Log(LogLevel::kWarning, "stop_grace_over",
+          {{"calls_in_progress", client_server_->calls_in_progress()}});
+    }
+    loop_.Stop();
+    return;
+  }
+  loop_.ScheduleAfter(kDrainPollInterval, [this] { StopWhenDrained(); });
+}
+
+proto::ReadinessReport Daemon::Readiness() const {
+  proto::ReadinessReport report;
+  report.set_ready(!stopping_);
+  for (const auto& role : roles_) {
+    const auto missing = role->NotReadyReason();
+    proto::RoleReadiness* readiness = report.add_roles();
+    readiness->set_role(std::string(role->name()));
+    readiness->set_ready(!missing.has_value());
+    readiness->set_reason(missing.value_or(""));
+    report.set_ready(report.ready() && !missing.has_value());
+  }
+  return report;
+}
+
+}  // namespace cloverbank
--- /dev/null
+++ b/apps/cloverbankd/main.cc
@@ -0,0 +1,92 @@
+// cloverbankd: one daemon whose settings name its roles.
+#include <CLI/CLI.hpp>
+#include <exception>
+#include <iostream>
+#include <string>
+#include <vector>
+
+#include "base/logging.h"
+#include "cloverbankd/daemon.h"
+#include "settings/settings.h"
+
+namespace cloverbank {
+namespace {
+
+constexpr int kStartFailed = 1;
+constexpr int kWrongSettings = 2;
+
+struct CommandLine {
+  std::string settings_path;
+  std::vector<std::string> overrides;
+  bool check_only = false;
+  DaemonOptions daemon;
+};
+
+/// @return the exit code if the process is to end now (help, wrong flags), else nothing.
+std::optional<int> ParseCommandLine(int argc, char** argv, CommandLine* line) {
+  CLI::App app{"cloverbankd: gateway, queue, backup and coordinator roles of a cloverbank fleet"};
+  std::uint32_t grace_seconds = 5;
+  app.add_option("--config", line->settings_path, "Settings file (TOML)")->required();
+  app.add_option("--set", line->overrides, "Override of one setting: section.key=value");
+  app.add_flag("--check-only", line->check_only, "Check the settings and exit");
+  app.add_flag("--allow-fault-injection", line->daemon.allow_fault_injection,
+               "Serve /admin/faults on the client port; for test fleets only");
+  app.add_option("--stop-grace-seconds", grace_seconds,
+                 "How long a clean stop waits for calls under way");
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& error) {
+    return app.exit(error) == 0 ? 0 : kWrongSettings;
+  }
+  line->daemon.stop_grace = seconds(grace_seconds);
+  return std::nullopt;
+}
+
+std::vector<SettingsOverride> SplitOverrides(const std::vector<std::string>& texts) {
+  std::vector<SettingsOverride> overrides;
+  for (const std::string& text : texts) {
+    const std::size_t equals = text.find('=');
+    const bool whole = equals != std::string::npos;
+    overrides.push_back({text.substr(0, equals), whole ? text.substr(equals + 1) : ""});
+  }
+  return overrides;
+}
+
+int RunDaemon(const CommandLine& line) {
+  Result<Settings> settings =
+      LoadSettings(line.settings_path, SplitOverrides(line.overrides), nullptr);
+  if (!settings.ok()) {
+    std::cerr << settings.status().message() << '\n';
+    return kWrongSettings;
+  }
+  if (line.check_only) {
+    std::cout << line.settings_path << ": the settings are valid\n";
+    return 0;
+  }
+  LoggingOptions logging = settings->logging;
+  logging.node_name = settings->machine;
+  ConfigureLogging(logging);
+  Daemon daemon(std::move(*settings), line.daemon);
+  const Status started = daemon.Start();
+  if (!started.ok()) {
+    Log(LogLevel::kError, "start_failed", {{"status", started.ToString()}});
+    return kStartFailed;
+  }
+  return daemon.Run();
+}
+
+}  // namespace
+}  // namespace cloverbank
+
+int main(int argc, char** argv) {
+  try {
+    cloverbank::CommandLine line;
+    if (const auto exit_code = cloverbank::ParseCommandLine(argc, argv, &line)) {
+      return *exit_code;
+    }
+    return cloverbank::RunDaemon(line);
+  } catch (const std::exception& error) {
+    std::cerr << "cloverbankd: " << error.what() << '\n';
+    return cloverbank::kStartFailed;
+  }
+}
--- a/src/net/beast_http_client.cc
+++ b/src/net/beast_http_client.cc
@@ -11,7 +11,14 @@
                                  const FaultInjector* faults)
     : shared_(std::make_shared<HttpClientShared>(loop, std::move(options), faults)) {}
 
-BeastHttpClient::~BeastHttpClient() = default;
+BeastHttpClient::~BeastHttpClient() { CancelAll(); }
+
+void BeastHttpClient::CancelAll() {
+  // Dropping one call's callbacks may cancel others, so take them one by one.
+  while (!shared_->active_calls.empty()) {
+    (*shared_->active_calls.begin())->Cancel();
+  }
+}
 
 std::shared_ptr<HttpCall> BeastHttpClient::Call(const Endpoint& to, HttpRequest request,
                                                 Duration deadline,
--- a/src/net/beast_http_client.h
+++ b/src/net/beast_http_client.h
@@ -38,7 +38,7 @@
  public:
   /// @param faults may be nullptr.
   BeastHttpClient(EventLoop& loop, HttpClientOptions options, const FaultInjector* faults);
-  /// Calls under way go on; idle connections are closed with the last of them.
+  /// Cancels the calls under way.
   ~BeastHttpClient() override;
   BeastHttpClient(const BeastHttpClient&) = delete;
   BeastHttpClient& operator=(const BeastHttpClient&) = delete;
@@ -49,6 +49,9 @@
   std::shared_ptr<HttpCall> Stream(const Endpoint& to, HttpRequest request, Duration deadline,
                                    Duration idle_limit, HttpStreamCallbacks callbacks) override;
 
+  /// Cancels the calls under way: none of their callbacks runs any more.
+  void CancelAll();
+
   /// @return connections kept open for later calls.
   std::size_t idle_connections() const;
 
--- a/src/net/client_call.cc
+++ b/src/net/client_call.cc
@@ -73,6 +73,7 @@
 }
 
 void ClientCall::Start() {
+  shared_->active_calls.insert(this);
   deadline_timer_ = shared_->loop.ScheduleAfter(limits_.deadline, [self = shared_from_this()] {
     self->deadline_timer_ = 0;
     self->OnDeadline();
@@ -85,10 +86,12 @@
 }
 
 void ClientCall::Cancel() {
-  if (!callbacks_) {
+  const auto self = shared_from_this();
+  const auto callbacks = std::exchange(callbacks_, nullptr);
+  if (!callbacks) {
     return;
   }
-  callbacks_.reset();
+  shared_->active_calls.erase(this);
   may_send_ = nullptr;
   EndTimers();
   CloseConnection();
@@ -287,6 +290,7 @@
   if (!callbacks) {
     return;
   }
+  shared_->active_calls.erase(this);
   may_send_ = nullptr;
   EndTimers();
   const bool reusable = kind == HttpOutcomeKind::kAnswered && parser_->keep_alive() &&
--- a/src/net/connection_pool.h
+++ b/src/net/connection_pool.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <memory>
 #include <unordered_map>
+#include <unordered_set>
 
 #include "net/beast_http_client.h"
 
@@ -63,6 +64,7 @@
   HttpClientOptions options;
   const FaultInjector* faults;
   ConnectionPool pool;
+  std::unordered_set<HttpCall*> active_calls;  ///< Started and not over.
   TimerId sweep_timer = 0;
 
  private:
