--- a/src/coordinator/configuration_objects.h
+++ b/src/coordinator/configuration_objects.h
@@ -18,6 +18,8 @@
 struct ConfigurationObjectKey {
   ConfigurationObjectKind kind = ConfigurationObjectKind::kNone;
   std::string name;
+  // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 takes the 0 that `a < b` expands to for
+  // it.
   auto operator<=>(const ConfigurationObjectKey&) const = default;
   /// "route \"x\"", for people.
   std::string ToString() const;
--- a/src/coordinator/coordinator_service.cc
+++ b/src/coordinator/coordinator_service.cc
@@ -5,11 +5,12 @@
 
 #include "base/logging.h"
 #include "coordinator/command_proposer.h"
-#include "coordinator/fleet_problems.h"
 #include "coordinator/heartbeat_handler.h"
 #include "coordinator/leader_context.h"
 #include "coordinator/leader_duties.h"
-#include "coordinator/proto_endpoint.h"
+#include "coordinator/leader_reply.h"
+#include "coordinator/node_requests.h"
+#include "coordinator/operator_requests.h"
 #include "coordinator/transaction_handler.h"
 #include "runtime/typed_peer.h"
 
@@ -19,9 +20,6 @@
 /// Gap between two ticks above which this process was frozen or starved.
 constexpr Duration kTickGapLimit = seconds(1);
 
-template <typename Response>
-using Reply = std::function<void(Result<Response>)>;
-
 }  // namespace
 
 struct CoordinatorService::State {
@@ -31,32 +29,16 @@
         proposer(context),
         heartbeats(context),
         transactions(context, proposer),
-        duties(context, proposer) {}
+        duties(context, proposer),
+        node_requests(context, proposer, duties),
+        operator_requests(context, proposer, duties) {}
 
   void ServeNodes();
   void ServeOperators();
-  template <typename Request, typename Response>
-  void Serve(std::string_view method,
-             void (State::*handler)(const Request& request, Reply<Response> reply));
-  /// Proposes `command` and answers with `respond(result)`, or with the refusal.
-  template <typename Response>
-  void ProposeAndAnswer(const proto::ControlCommand& command, Reply<Response> reply,
-                        std::function<Response(const proto::ControlCommandResult&)> respond);
-
-  void RegisterServer(const proto::RegisterServerRequest& request,
-                      Reply<proto::RegisterServerResponse> reply);
-  void CommitHead(const proto::CommitHeadRequest& request, Reply<proto::CommitHeadResponse> reply);
-  void FinishAssignment(const proto::FinishAssignmentRequest& request,
-                        Reply<proto::FinishAssignmentResponse> reply);
-  void RetireServer(const proto::RetireServerRequest& request,
-                    Reply<proto::RetireServerResponse> reply);
-  void GetConfiguration(const proto::GetConfigurationRequest& request,
-                        Reply<proto::GetConfigurationResponse> reply);
-  void GetFleetStatus(const proto::GetFleetStatusRequest& request,
-                      Reply<proto::GetFleetStatusResponse> reply);
-  void FillFleet(proto::GetFleetStatusResponse* response) const;
-  /// @return node ids of the machine's live store roles.
-  std::vector<NodeId> StoreNodesOf(const std::string& machine) const;
+  /// Lets `handler` of `requests` answer `method`, if this member may answer.
+  template <typename Requests, typename Request, typename Response>
+  void Serve(std::string_view method, Requests& requests,
+             void (Requests::*handler)(const Request& request, const Reply<Response>& reply));
 
   void Tick();
   void ScheduleTick();
@@ -77,6 +59,8 @@
   HeartbeatHandler heartbeats;
   TransactionHandler transactions;
   LeaderDuties duties;
+  NodeRequests node_requests;
+  OperatorRequests operator_requests;
 
   bool leading = false;
   std::uint64_t leading_term = 0;
@@ -111,19 +95,21 @@
 
 // ---- Peer methods ----
 
-template <typename Request, typename Response>
-void CoordinatorService::State::Serve(std::string_view method,
-                                      void (State::*handler)(const Request& request,
-                                                             Reply<Response> reply)) {
+template <typename Requests, typename Request, typename Response>
+void CoordinatorService::State::Serve(std::string_view method, Requests& requests,
+                                      void (Requests::*handler)(const Request& request,
+                                                                const Reply<Response>& reply)) {
   ServePeer<Request, Response>(
       context.environment, method,
-      [this, handler, name = std::string(method), alive = std::weak_ptr<bool>(context.alive)](
+      [this, &requests, handler, name = std::string(method),
+       alive = std::weak_ptr<bool>(context.alive)](
           const Request& request, const std::string& /*peer_address*/, Reply<Response> reply) {
         if (alive.expired()) {
           reply(Status(StatusCode::kUnavailable, "the coordinator is stopping"));
           return;
         }
-        auto counted = [this, name, reply = std::move(reply)](Result<Response> result) {
+        const Reply<Response> counted = [this, name,
+                                         reply = std::move(reply)](Result<Response> result) {
           if (!result.ok()) {
             context.environment.metrics().Increment(
                 "coordinator_refused_total",
@@ -131,32 +117,18 @@
           }
           reply(std::move(result));
         };
-        if (!Ready()) {
+        if (Ready()) {
+          (requests.*handler)(request, counted);
+        } else {
           counted(context.NotLeader());
-          return;
         }
-        (this->*handler)(request, std::move(counted));
       });
 }
 
-template <typename Response>
-void CoordinatorService::State::ProposeAndAnswer(
-    const proto::ControlCommand& command, Reply<Response> reply,
-    std::function<Response(const proto::ControlCommandResult&)> respond) {
-  proposer.Propose(command, [reply = std::move(reply), respond = std::move(respond)](
-                                const Result<proto::ControlCommandResult>& result) {
-    if (result.ok()) {
-      reply(respond(*result));
-    } else {
-      reply(result.status());
-    }
-  });
-}
-
 void CoordinatorService::State::ServeNodes() {
-  Serve("coordinator.RegisterServer", &State::RegisterServer);
-  Serve("coordinator.CommitHead", &State::CommitHead);
-  Serve("coordinator.FinishAssignment", &State::FinishAssignment);
+  Serve("coordinator.RegisterServer", node_requests, &NodeRequests::RegisterServer);
+  Serve("coordinator.CommitHead", node_requests, &NodeRequests::CommitHead);
+  Serve("coordinator.FinishAssignment", node_requests, &NodeRequests::FinishAssignment);
   ServePeer<proto::HeartbeatRequest, proto::HeartbeatResponse>(
       context.environment, "coordinator.Heartbeat",
       [this, alive = std::weak_ptr<bool>(context.alive)](const proto::HeartbeatRequest& request,
@@ -173,145 +145,10 @@
 }
 
 void CoordinatorService::State::ServeOperators() {
-  Serve("coordinator.RetireServer", &State::RetireServer);
-  Serve("coordinator.GetConfiguration", &State::GetConfiguration);
-  Serve("coordinator.GetFleetStatus", &State::GetFleetStatus);
-  ServePeer<proto::SubmitTransactionRequest, proto::SubmitTransactionResponse>(
-      context.environment, "coordinator.SubmitTransaction",
-      [this, alive = std::weak_ptr<bool>(context.alive)](
-          const proto::SubmitTransactionRequest& request, const std::string& /*peer_address*/,
-          TransactionHandler::Reply reply) {
-        if (alive.expired()) {
-          reply(Status(StatusCode::kUnavailable, "the coordinator is stopping"));
-          return;
-        }
-        Ready();
-        transactions.Submit(request.transaction(), std::move(reply));
-      });
-}
-
-void CoordinatorService::State::RegisterServer(const proto::RegisterServerRequest& request,
-                                               Reply<proto::RegisterServerResponse> reply) {
-  duties.InitializePartitions();
-  proto::ControlCommand command;
-  *command.mutable_register_server()->mutable_server() = request.server();
-  command.mutable_register_server()->set_previous_node_id(request.previous_node_id());
-  ProposeAndAnswer<proto::RegisterServerResponse>(
-      command, std::move(reply), [this](const proto::ControlCommandResult& result) {
-        context.detector.Heard(NodeId(result.node_id()), context.environment.Now());
-        proto::RegisterServerResponse response;
-        response.set_node_id(result.node_id());
-        response.set_partition_count(context.state.partitions().partition_count());
-        return response;
-      });
-}
-
-void CoordinatorService::State::CommitHead(const proto::CommitHeadRequest& request,
-                                           Reply<proto::CommitHeadResponse> reply) {
-  proto::ControlCommand command;
-  *command.mutable_commit_head()->mutable_head() = request.head();
-  ProposeAndAnswer<proto::CommitHeadResponse>(
-      command, std::move(reply),
-      [](const proto::ControlCommandResult&) { return proto::CommitHeadResponse(); });
-}
-
-void CoordinatorService::State::FinishAssignment(const proto::FinishAssignmentRequest& request,
-                                                 Reply<proto::FinishAssignmentResponse> reply) {
-  proto::ControlCommand command;
-  proto::FinishAssignmentCommand& finish = *command.mutable_finish_assignment();
-  finish.set_dead_node_id(request.dead_node_id());
-  finish.set_queue_node_id(request.queue_node_id());
-  *finish.mutable_partition_ids() = request.partition_ids();
-  ProposeAndAnswer<proto::FinishAssignmentResponse>(
-      command, std::move(reply),
-      [](const proto::ControlCommandResult&) { return proto::FinishAssignmentResponse(); });
-}
-
-std::vector<NodeId> CoordinatorService::State::StoreNodesOf(const std::string& machine) const {
-  std::vector<NodeId> nodes;
-  for (const auto& [id, server] : context.state.servers().servers()) {
-    if (server.machine() == machine && IsLive(server) && server.role() != proto::ROLE_GATEWAY) {
-      nodes.push_back(id);
-    }
-  }
-  return nodes;
-}
-
-void CoordinatorService::State::RetireServer(const proto::RetireServerRequest& request,
-                                             Reply<proto::RetireServerResponse> reply) {
-  if (!context.state.servers().KnowsStoreMachine(request.machine())) {
-    reply(Status(StatusCode::kNotFound, "there is no store machine called \"" + request.machine() +
-                                            "\"; see the fleet status for the names"));
-    return;
-  }
-  proto::ControlCommand command;
-  command.mutable_retire_machine()->set_machine(request.machine());
-  command.mutable_retire_machine()->set_cancel(request.cancel());
-  ProposeAndAnswer<proto::RetireServerResponse>(
-      command, std::move(reply),
-      [this, machine = request.machine()](const proto::ControlCommandResult&) {
-        proto::RetireServerResponse response;
-        for (const NodeId node : StoreNodesOf(machine)) {
-          response.add_node_ids(node.value());
-        }
-        return response;
-      });
-}
-
-void CoordinatorService::State::GetConfiguration(const proto::GetConfigurationRequest& request,
-                                                 Reply<proto::GetConfigurationResponse> reply) {
-  const ConfigurationStore& configuration = context.state.configuration();
-  proto::GetConfigurationResponse response;
-  *response.mutable_configuration() = configuration.Whole();
-  for (proto::HistoryRecord& record : configuration.History(request.history())) {
-    *response.add_history() = std::move(record);
-  }
-  response.set_in_force_version(configuration.in_force_version().value());
-  reply(std::move(response));
-}
-
-void CoordinatorService::State::GetFleetStatus(const proto::GetFleetStatusRequest& /*request*/,
-                                               Reply<proto::GetFleetStatusResponse> reply) {
-  proto::GetFleetStatusResponse response;
-  FillFleet(&response);
-  const std::vector<LogMember> members = context.log.members();
-  for (const LogMember& member : members) {
-    proto::CoordinatorMember* entry = response.add_coordinators();
-    entry->set_member_id(member.member_id);
-    *entry->mutable_endpoint() = ToProto(member.endpoint);
-    entry->set_learner(member.learner);
-    entry->set_leader(member.endpoint == context.log.leader_endpoint());
-  }
-  const FleetFacts facts{context.state,
-                         context.options,
-                         duties.recoveries(),
-                         duties.sweeper(),
-                         context.loads,
-                         members,
-                         GatewaysBehind(context.state, context.leases, context.environment.Now())};
-  for (std::string& problem : DescribeProblems(facts)) {
-    response.add_problems(std::move(problem));
-  }
-  reply(std::move(response));
-}
-
-void CoordinatorService::State::FillFleet(proto::GetFleetStatusResponse* response) const {
-  for (const auto& [id, server] : context.state.servers().servers()) {
-    *response->add_servers() = server;
-  }
-  for (const auto& [id, partition] : context.state.partitions().partitions()) {
-    *response->add_partitions() = partition;
-  }
-  for (const auto& [node, heads] : context.state.partitions().heads()) {
-    *response->add_heads() = heads.current;
-  }
-  for (const auto& [dead, recovery] : context.state.partitions().recoveries()) {
-    proto::Recovery* entry = response->add_recoveries();
-    *entry = recovery;
-    entry->set_waiting_for(duties.recoveries().WaitingFor(context.state, dead));
-  }
-  response->set_configuration_version(context.state.configuration().version().value());
-  response->set_in_force_version(context.state.configuration().in_force_version().value());
+  Serve("coordinator.RetireServer", operator_requests, &OperatorRequests::RetireServer);
+  Serve("coordinator.GetConfiguration", operator_requests, &OperatorRequests::GetConfiguration);
+  Serve("coordinator.GetFleetStatus", operator_requests, &OperatorRequests::GetFleetStatus);
+  Serve("coordinator.SubmitTransaction", transactions, &TransactionHandler::Submit);
 }
 
 // ---- Leadership and time ----
--- /dev/null
+++ b/src/coordinator/node_requests.h
@@ -0,0 +1,33 @@
+#pragma once
+/// @file
+/// What nodes ask of the leader besides heartbeats: registration, heads of logs, finished replays.
+/// Each is one command; the answer says how applying it went.
+
+#include "coordinator/command_proposer.h"
+#include "coordinator/leader_context.h"
+#include "coordinator/leader_duties.h"
+#include "coordinator/leader_reply.h"
+
+namespace cloverbank {
+
+class NodeRequests {
+ public:
+  NodeRequests(LeaderContext& context, CommandProposer& proposer, LeaderDuties& duties)
+      : context_(context), proposer_(proposer), duties_(duties) {}
+
+  void RegisterServer(const proto::RegisterServerRequest& request,
+                      const Reply<proto::RegisterServerResponse>& reply);
+  /// kFenced: the node is dead; kStaleEpoch: a newer head is committed.
+  void CommitHead(const proto::CommitHeadRequest& request,
+                  const Reply<proto::CommitHeadResponse>& reply);
+  /// kFenced: the node is dead; kConflict: the replay was given to another.
+  void FinishAssignment(const proto::FinishAssignmentRequest& request,
+                        const Reply<proto::FinishAssignmentResponse>& reply);
+
+ private:
+  LeaderContext& context_;
+  CommandProposer& proposer_;
+  LeaderDuties& duties_;
+};
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/coordinator/operator_requests.cc
@@ -0,0 +1,99 @@
+#include "coordinator/operator_requests.h"
+
+#include <utility>
+
+#include "coordinator/fleet_problems.h"
+#include "coordinator/proto_endpoint.h"
+#include "coordinator/transaction_handler.h"
+
+namespace cloverbank {
+
+std::vector<NodeId> OperatorRequests::StoreNodesOf(const std::string& machine) const {
+  std::vector<NodeId> nodes;
+  for (const auto& [id, server] : context_.state.servers().servers()) {
+    if (server.machine() == machine && IsLive(server) && server.role() != proto::ROLE_GATEWAY) {
+      nodes.push_back(id);
+    }
+  }
+  return nodes;
+}
+
+void OperatorRequests::RetireServer(const proto::RetireServerRequest& request,
+                                    const Reply<proto::RetireServerResponse>& reply) {
+  if (!context_.state.servers().KnowsStoreMachine(request.machine())) {
+    reply(Status(StatusCode::kNotFound, "there is no store machine called \"" + request.machine() +
+                                            "\"; see the fleet status for the names"));
+    return;
+  }
+  proto::ControlCommand command;
+  command.mutable_retire_machine()->set_machine(request.machine());
+  command.mutable_retire_machine()->set_cancel(request.cancel());
+  ProposeAndAnswer<proto::RetireServerResponse>(
+      proposer_, command, reply,
+      [this, machine = request.machine()](const proto::ControlCommandResult&) {
+        proto::RetireServerResponse response;
+        for (const NodeId node : StoreNodesOf(machine)) {
+          response.add_node_ids(node.value());
+        }
+        return response;
+      });
+}
+
+void OperatorRequests::GetConfiguration(const proto::GetConfigurationRequest& request,
+                                        const Reply<proto::GetConfigurationResponse>& reply) {
+  const ConfigurationStore& configuration = context_.state.configuration();
+  proto::GetConfigurationResponse response;
+  *response.mutable_configuration() = configuration.Whole();
+  for (proto::HistoryRecord& record : configuration.History(request.history())) {
+    *response.add_history() = std::move(record);
+  }
+  response.set_in_force_version(configuration.in_force_version().value());
+  reply(std::move(response));
+}
+
+void OperatorRequests::GetFleetStatus(const proto::GetFleetStatusRequest& /*request*/,
+                                      const Reply<proto::GetFleetStatusResponse>& reply) {
+  proto::GetFleetStatusResponse response;
+  FillFleet(&response);
+  const std::vector<LogMember> members = context_.log.members();
+  for (const LogMember& member : members) {
+    proto::CoordinatorMember* entry = response.add_coordinators();
+    entry->set_member_id(member.member_id);
+    *entry->mutable_endpoint() = ToProto(member.endpoint);
+    entry->set_learner(member.learner);
+    entry->set_leader(member.endpoint == context_.log.leader_endpoint());
+  }
+  const FleetFacts facts{
+      context_.state,
+      context_.options,
+      duties_.recoveries(),
+      duties_.sweeper(),
+      context_.loads,
+      members,
+      GatewaysBehind(context_.state, context_.leases, context_.environment.Now())};
+  for (std::string& problem : DescribeProblems(facts)) {
+    response.add_problems(std::move(problem));
+  }
+  reply(std::move(response));
+}
+
+void OperatorRequests::FillFleet(proto::GetFleetStatusResponse* response) const {
+  for (const auto& [id, server] : context_.state.servers().servers()) {
+    *response->add_servers() = server;
+  }
+  for (const auto& [id, partition] : context_.state.partitions().partitions()) {
+    *response->add_partitions() = partition;
+  }
+  for (const auto& [node, heads] : context_.state.partitions().heads()) {
+    *response->add_heads() = heads.current;
+  }
+  for (const auto& [dead, recovery] : context_.state.partitions().recoveries()) {
+    proto::Recovery* entry = response->add_recoveries();
+    *entry = recovery;
+    entry->set_waiting_for(duties_.recoveries().WaitingFor(context_.state, dead));
+  }
+  response->set_configuration_version(context_.state.configuration().version().value());
+  response->set_in_force_version(context_.state.configuration().in_force_version().value());
+}
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/coordinator/operator_requests.h
@@ -0,0 +1,39 @@
+#pragma once
+/// @file
+/// What operators ask of the leader besides transactions: the configuration, the state of the fleet
+/// and the retirement of store machines.
+
+#include <string>
+#include <vector>
+
+#include "coordinator/command_proposer.h"
+#include "coordinator/leader_context.h"
+#include "coordinator/leader_duties.h"
+#include "coordinator/leader_reply.h"
+
+namespace cloverbank {
+
+class OperatorRequests {
+ public:
+  OperatorRequests(LeaderContext& context, CommandProposer& proposer, const LeaderDuties& duties)
+      : context_(context), proposer_(proposer), duties_(duties) {}
+
+  /// kNotFound: no store machine of that name was ever seen.
+  void RetireServer(const proto::RetireServerRequest& request,
+                    const Reply<proto::RetireServerResponse>& reply);
+  void GetConfiguration(const proto::GetConfigurationRequest& request,
+                        const Reply<proto::GetConfigurationResponse>& reply);
+  void GetFleetStatus(const proto::GetFleetStatusRequest& request,
+                      const Reply<proto::GetFleetStatusResponse>& reply);
+
+ private:
+  void FillFleet(proto::GetFleetStatusResponse* response) const;
+  /// @return node ids of the machine's live store roles.
+  std::vector<NodeId> StoreNodesOf(const std::string& machine) const;
+
+  LeaderContext& context_;
+  CommandProposer& proposer_;
+  const LeaderDuties& duties_;
+};
+
+}  // namespace cloverbank
--- a/src/coordinator/transaction_handler.cc
+++ b/src/coordinator/transaction_handler.cc
@@ -39,11 +39,9 @@
   return behind;
 }
 
-void TransactionHandler::Submit(const proto::ConfigurationTransaction& transaction, Reply reply) {
-  if (!context_.MayAnswer()) {
-    reply(context_.NotLeader());
-    return;
-  }
+void TransactionHandler::Submit(const proto::SubmitTransactionRequest& request,
+                                const Reply<proto::SubmitTransactionResponse>& reply) {
+  const proto::ConfigurationTransaction& transaction = request.transaction();
   if (transaction.dry_run()) {
     reply(Respond(context_.state.configuration().Validate(transaction)));
     return;
@@ -52,23 +50,23 @@
   proto::ApplyTransactionCommand& apply = *command.mutable_apply_transaction();
   *apply.mutable_transaction() = transaction;
   apply.set_wall_ms(context_.environment.WallMilliseconds());
-  proposer_.Propose(command, [this, reply = std::move(reply)](
-                                 Result<proto::ControlCommandResult> applied) mutable {
-    if (!applied.ok()) {
+  proposer_.Propose(command, [this, reply](const Result<proto::ControlCommandResult>& applied) {
+    if (applied.ok()) {
+      TakeApplied(applied->transaction(), reply);
+    } else {
       reply(applied.status());
-      return;
     }
-    TakeApplied(applied->transaction(), std::move(reply));
   });
 }
 
-void TransactionHandler::TakeApplied(const proto::TransactionResult& result, Reply reply) {
+void TransactionHandler::TakeApplied(const proto::TransactionResult& result,
+                                     const Reply<proto::SubmitTransactionResponse>& reply) {
   if (result.outcome() != proto::TRANSACTION_OUTCOME_APPLIED) {
     CountRefusal(result);
     reply(Respond(result));
     return;
   }
-  waiting_.push_back({result, std::move(reply)});
+  waiting_.push_back({result, reply});
   AnswerInForce();
 }
 
--- a/src/coordinator/transaction_handler.h
+++ b/src/coordinator/transaction_handler.h
@@ -5,7 +5,6 @@
 /// lease has run out (docs/DESIGN.md section 4).
 
 #include <cstdint>
-#include <functional>
 #include <list>
 #include <string>
 #include <vector>
@@ -13,6 +12,7 @@
 #include "base/status.h"
 #include "coordinator/command_proposer.h"
 #include "coordinator/leader_context.h"
+#include "coordinator/leader_reply.h"
 #include "proto/coordinator.pb.h"
 
 namespace cloverbank {
@@ -26,13 +26,12 @@
 
 class TransactionHandler {
  public:
-  using Reply = std::function<void(Result<proto::SubmitTransactionResponse>)>;
-
   TransactionHandler(LeaderContext& context, CommandProposer& proposer)
       : context_(context), proposer_(proposer) {}
 
   /// Answers once the transaction is in force, or refused. A resend waits in the same way.
-  void Submit(const proto::ConfigurationTransaction& transaction, Reply reply);
+  void Submit(const proto::SubmitTransactionRequest& request,
+              const Reply<proto::SubmitTransactionResponse>& reply);
   /// Records versions that are in force by now and answers those that wait for them: call it after
   /// each confirmation, change and tick.
   void Review();
@@ -42,10 +41,11 @@
  private:
   struct Waiting {
     proto::TransactionResult result;
-    Reply reply;
+    Reply<proto::SubmitTransactionResponse> reply;
   };
 
-  void TakeApplied(const proto::TransactionResult& result, Reply reply);
+  void TakeApplied(const proto::TransactionResult& result,
+                   const Reply<proto::SubmitTransactionResponse>& reply);
   void AnswerInForce();
   void CountRefusal(const proto::TransactionResult& result);
 
