Hand leadership over, and follow members to new addresses

A stopping leader makes the member that is furthest on stand for election: no election timeout passes (under 200 ms in the simulator).

--- a/src/consensus/raft_core.cc
+++ b/src/consensus/raft_core.cc
@@ -68,6 +68,10 @@
     Refuse("not_leader");
     return Status(StatusCode::kNotLeader, "this member does not lead the group");
   }
+  if (transfer_target_ != 0) {
+    Refuse("handing_over");
+    return Status(StatusCode::kNotLeader, "this member is handing leadership over");
+  }
   if (log_.last_index() - commit_index_ >= options_.maximum_uncommitted_entries) {
     Refuse("too_many_uncommitted");
     return Status(StatusCode::kResourceExhausted, "too many commands wait for their commit");
--- a/src/consensus/raft_core.h
+++ b/src/consensus/raft_core.h
@@ -58,6 +58,9 @@
   void HandleInstallSnapshot(TimePoint now, const proto::InstallSnapshotRequest& request,
                              RaftReplyToken token);
 
+  /// The leader hands over to this member.
+  void HandleTimeoutNow(TimePoint now, const proto::TimeoutNowRequest& request);
+
   // Outcomes of this member's own requests.
   void HandleRequestVoteResponse(TimePoint now, const proto::RequestVoteRequest& request,
                                  const proto::RequestVoteResponse& response);
@@ -71,9 +74,14 @@
 
   /// Appends a command. kNotLeader: not appended; kResourceExhausted: not appended, too many wait.
   Result<RaftPosition> Propose(TimePoint now, std::string command);
-  /// Takes `member` in as a learner, in place of any other at its endpoint or of `replaces`.
-  /// OK when it is in the group already; kUnavailable when another change is under way.
-  Status AddLearner(TimePoint now, const proto::RaftMember& member, std::uint64_t replaces);
+  /// Takes `member` in as a learner, in place of any other at its endpoint or of `replaces`. A
+  /// member that is in the group already gets its new endpoint. kUnavailable: another change is
+  /// under way.
+  Status AdmitMember(TimePoint now, const proto::RaftMember& member, std::uint64_t replaces);
+  /// Hands leadership to the voter that is furthest on, e.g. before this process ends: refuses
+  /// proposals, and once that voter has everything makes it stand for election. From then on this
+  /// term's lease is over for good. kUnavailable: no other voter is heard.
+  Status TransferLeadership(TimePoint now);
   /// Makes `snapshot`, taken of the applied state, durable, and shortens the log afterwards.
   void StoreSnapshot(std::uint64_t index, std::string state);
 
@@ -125,7 +133,7 @@
 
   // raft_core_election.cc
   void StartPreVote(TimePoint now);
-  void StartElection(TimePoint now);
+  void StartElection(TimePoint now, bool transfer);
   void CountVote(TimePoint now, std::uint64_t voter_id);
   void SendVoteRequests();
   void BecomeLeader(TimePoint now);
@@ -156,7 +164,11 @@
   void AdvanceCommit(TimePoint now);
   TimePoint QuorumHeardSince(TimePoint now, bool count_start_of_term) const;
 
+  // raft_core_transfer.cc
+  void AdvanceTransfer(TimePoint now);
+
   // raft_core_membership.cc
+  Status MoveMember(TimePoint now, const proto::RaftMember& member);
   void ProposeConfiguration(TimePoint now, const proto::RaftConfiguration& configuration);
   void RebuildPeers();
   void AdvanceMembership(TimePoint now);
@@ -194,12 +206,17 @@
   std::set<std::uint64_t> votes_;
   RaftWriteId vote_write_ = 0;
   bool vote_requests_sent_ = false;
+  bool elected_by_transfer_ = false;
 
   // Leader.
   std::map<std::uint64_t, RaftPeer> peers_;
   std::uint64_t term_start_index_ = 0;
   TimePoint term_started_;
   std::uint64_t last_sequence_ = 0;
+  /// Who is to take over; 0 if nobody.
+  std::uint64_t transfer_target_ = 0;
+  bool transfer_sent_ = false;
+  TimePoint transfer_deadline_;
 
   // A snapshot being received: all chunks so far.
   proto::RaftSnapshot incoming_snapshot_;
--- a/src/consensus/raft_core_election.cc
+++ b/src/consensus/raft_core_election.cc
@@ -22,7 +22,8 @@
   CountVote(now, member_id());
 }
 
-void RaftCore::StartElection(TimePoint now) {
+void RaftCore::StartElection(TimePoint now, bool transfer) {
+  elected_by_transfer_ = transfer;
   role_ = RaftRole::kCandidate;
   votes_.clear();
   vote_requests_sent_ = false;
@@ -46,6 +47,7 @@
     request.set_last_log_index(log_.last_index());
     request.set_last_log_term(log_.last_term());
     request.set_pre_vote(pre_vote);
+    request.set_leadership_transfer(!pre_vote && elected_by_transfer_);
     request.set_cluster_id(cluster_id());
     request.set_recipient_id(member.member_id());
     const auto port = static_cast<std::uint16_t>(member.endpoint().port());
@@ -63,7 +65,7 @@
     return;
   }
   if (role_ == RaftRole::kPreCandidate) {
-    StartElection(now);
+    StartElection(now, false);
   } else {
     BecomeLeader(now);
   }
@@ -73,6 +75,8 @@
   role_ = RaftRole::kLeader;
   leader_id_ = member_id();
   term_started_ = now;
+  transfer_target_ = 0;
+  transfer_sent_ = false;
   peers_.clear();
   RebuildPeers();
   proto::RaftEntry entry;
@@ -154,7 +158,7 @@
 }
 
 bool RaftCore::HasLeaderLease(TimePoint now) const {
-  if (!IsReadyLeader()) {
+  if (!IsReadyLeader() || transfer_sent_) {
     return false;
   }
   const Duration lease =
--- a/src/consensus/raft_core_membership.cc
+++ b/src/consensus/raft_core_membership.cc
@@ -68,18 +68,22 @@
   return IsReadyLeader() && log_.configuration_index() <= commit_index_;
 }
 
-Status RaftCore::AddLearner(TimePoint now, const proto::RaftMember& member,
-                            std::uint64_t replaces) {
+Status RaftCore::AdmitMember(TimePoint now, const proto::RaftMember& member,
+                             std::uint64_t replaces) {
   if (role_ != RaftRole::kLeader) {
     return {StatusCode::kNotLeader, "this member does not lead the group"};
   }
-  if (FindMember(configuration(), member.member_id()) != nullptr) {
+  const proto::RaftMember* known = FindMember(configuration(), member.member_id());
+  if (known != nullptr && SameEndpoint(*known, member)) {
     return Status::Ok();
   }
   if (!MayChangeMembership()) {
     Refuse("membership_change_pending");
     return {StatusCode::kUnavailable, "another membership change is under way"};
   }
+  if (known != nullptr) {
+    return MoveMember(now, member);
+  }
   proto::RaftMember learner = member;
   learner.set_learner(true);
   learner.set_replaces(FindMember(configuration(), replaces) != nullptr ? replaces : 0);
@@ -108,6 +112,18 @@
   return Status::Ok();
 }
 
+Status RaftCore::MoveMember(TimePoint now, const proto::RaftMember& member) {
+  // The same disk at another address: who votes does not change, so this is safe at any time.
+  proto::RaftConfiguration next = configuration();
+  for (proto::RaftMember& present : *next.mutable_members()) {
+    if (present.member_id() == member.member_id()) {
+      *present.mutable_endpoint() = member.endpoint();
+    }
+  }
+  ProposeConfiguration(now, next);
+  return Status::Ok();
+}
+
 void RaftCore::ProposeConfiguration(TimePoint now, const proto::RaftConfiguration& configuration) {
   proto::RaftEntry entry;
   entry.set_index(log_.last_index() + 1);
--- a/src/consensus/raft_core_replication.cc
+++ b/src/consensus/raft_core_replication.cc
@@ -29,6 +29,7 @@
   }
   AdvanceMembership(now);
   next_wakeup_ = now + options_.heartbeat_interval;
+  AdvanceTransfer(now);
 }
 
 void RaftCore::SendTo(TimePoint now, RaftPeer& peer, bool heartbeat) {
@@ -232,6 +233,7 @@
     SetCommitIndex(majority_match);
   }
   AdvanceMembership(now);
+  AdvanceTransfer(now);
 }
 
 }  // namespace cloverbank
--- /dev/null
+++ b/src/consensus/raft_core_transfer.cc
@@ -0,0 +1,70 @@
+// Handing leadership over: Ongaro's dissertation, 3.10.
+//
+// The new leader's votes pass over the promises on which this leader's lease rests. So the lease
+// ends for good before the message that allows them is sent, and this leader steps down whatever
+// becomes of it.
+#include "consensus/raft_core.h"
+
+namespace cloverbank {
+
+Status RaftCore::TransferLeadership(TimePoint now) {
+  if (!IsReadyLeader()) {
+    return {StatusCode::kNotLeader, "this member does not lead the group"};
+  }
+  if (transfer_target_ != 0) {
+    return Status::Ok();
+  }
+  std::uint64_t best_match = 0;
+  for (const auto& [id, peer] : peers_) {
+    if (IsVoter(id) && IsActive(now, id) && peer.match_index >= best_match) {
+      best_match = peer.match_index;
+      transfer_target_ = id;
+    }
+  }
+  if (transfer_target_ == 0) {
+    return {StatusCode::kUnavailable, "no other voter is heard"};
+  }
+  transfer_deadline_ = now + options_.maximum_election_timeout;
+  AdvanceTransfer(now);
+  return Status::Ok();
+}
+
+void RaftCore::AdvanceTransfer(TimePoint now) {
+  if (role_ != RaftRole::kLeader || transfer_target_ == 0) {
+    return;
+  }
+  const auto target = peers_.find(transfer_target_);
+  if (now >= transfer_deadline_ || target == peers_.end()) {
+    Refuse("transfer_failed");
+    transfer_target_ = 0;
+    if (transfer_sent_) {
+      BecomeFollower(now, term(), 0);
+    }
+    return;  // If nothing has been sent, this leader goes on.
+  }
+  if (transfer_sent_ || target->second.match_index < log_.last_index()) {
+    return;
+  }
+  transfer_sent_ = true;
+  proto::TimeoutNowRequest request;
+  request.set_term(term());
+  request.set_leader_id(member_id());
+  request.set_cluster_id(cluster_id());
+  request.set_recipient_id(transfer_target_);
+  const proto::Endpoint& endpoint = target->second.member.endpoint();
+  const auto port = static_cast<std::uint16_t>(endpoint.port());
+  effects_.messages.push_back(
+      {transfer_target_, Endpoint{endpoint.host(), port}, std::move(request)});
+}
+
+void RaftCore::HandleTimeoutNow(TimePoint now, const proto::TimeoutNowRequest& request) {
+  const bool from_leader = request.term() == term() && request.leader_id() == leader_id_;
+  if (role_ == RaftRole::kFollower && from_leader && IsVoter(member_id())) {
+    leader_id_ = 0;
+    StartElection(now, true);
+  } else {
+    Refuse("transfer_stale");
+  }
+}
+
+}  // namespace cloverbank
--- a/src/consensus/raft_formation.cc
+++ b/src/consensus/raft_formation.cc
@@ -5,10 +5,11 @@
 namespace cloverbank {
 namespace {
 
-bool Contains(const proto::RaftConfiguration& configuration, std::uint64_t member_id) {
+/// Whether the group reaches this member where it is.
+bool Contains(const proto::RaftConfiguration& configuration, const FormationRound& round) {
   const auto& members = configuration.members();
-  return std::any_of(members.begin(), members.end(), [member_id](const proto::RaftMember& member) {
-    return member.member_id() == member_id;
+  return std::any_of(members.begin(), members.end(), [&round](const proto::RaftMember& member) {
+    return member.member_id() == round.member_id && ToEndpoint(member.endpoint()) == round.endpoint;
   });
 }
 
@@ -20,7 +21,7 @@
     if (answer.empty() || other_cluster || !leader.valid() || leader == round.endpoint) {
       continue;
     }
-    if (!Contains(answer.configuration(), round.member_id)) {
+    if (!Contains(answer.configuration(), round)) {
       return JoinGroup{leader};
     }
   }
--- a/src/consensus/raft_node.cc
+++ b/src/consensus/raft_node.cc
@@ -86,6 +86,15 @@
   Drain();
 }
 
+Status RaftNode::TransferLeadership() {
+  if (!IsReadyLeader()) {
+    return {StatusCode::kNotLeader, "this member does not lead the group"};
+  }
+  Status status = core_->TransferLeadership(environment_.Now());
+  Drain();
+  return status;
+}
+
 bool RaftNode::HasLeaderLease() const {
   return IsReadyLeader() && core_->HasLeaderLease(environment_.Now());
 }
--- a/src/consensus/raft_node.h
+++ b/src/consensus/raft_node.h
@@ -3,9 +3,9 @@
 /// `ReplicatedLog` over `RaftCore`: ties the core to time, peers and the disk, applies what is
 /// committed to the state machine, and finds, founds or joins the group.
 ///
-/// Peers call "raft.RequestVote", "raft.AppendEntries", "raft.InstallSnapshot", "raft.Discover" and
-/// "raft.Join". Threads: the environment's event loop only. The node must live as long as its
-/// environment's handlers.
+/// Peers call "raft.RequestVote", "raft.AppendEntries", "raft.InstallSnapshot", "raft.TimeoutNow",
+/// "raft.Discover" and "raft.Join". Threads: the environment's event loop only. The node must live
+/// as long as its environment's handlers.
 
 #include <cstdint>
 #include <functional>
@@ -71,6 +71,10 @@
   void OnLeadershipChange(std::function<void(bool leads)> observer) override;
   void OnApplied(std::function<void(std::uint64_t index)> observer) override;
 
+  /// Hands leadership to another member, e.g. before the process ends; over when the observers hear
+  /// that this member leads no more. kNotLeader, or kUnavailable when no other voter is heard.
+  Status TransferLeadership();
+
   /// For status pages and tests. Requires a successful `Load`.
   const RaftCore& core() const { return *core_; }
   std::uint64_t applied_index() const { return applied_index_; }
@@ -105,6 +109,7 @@
   void SendRequest(const RaftMessage& message, const proto::RequestVoteRequest& request);
   void SendRequest(const RaftMessage& message, const proto::AppendEntriesRequest& request);
   void SendRequest(const RaftMessage& message, const proto::InstallSnapshotRequest& request);
+  void SendRequest(const RaftMessage& message, const proto::TimeoutNowRequest& request);
   void OnCallFailed(std::uint64_t member_id, std::uint64_t sequence);
 
   // raft_node_formation.cc
@@ -112,6 +117,8 @@
   Result<proto::DiscoverResponse> Describe(const proto::DiscoverRequest& request);
   void HandleJoin(const proto::JoinRequest& request,
                   const std::function<void(Result<proto::JoinResponse>)>& reply);
+  std::uint64_t MemberOutsideSeeds(const Endpoint& joining) const;
+  void CorrectOwnEndpoint();
   Result<proto::JoinResponse> TakeIn(const proto::RaftMember& member, std::uint64_t replaces);
   proto::DiscoverRequest OwnIdentity() const;
   bool NeedsGroup() const;
--- a/src/consensus/raft_node_formation.cc
+++ b/src/consensus/raft_node_formation.cc
@@ -81,19 +81,47 @@
   if (stopped_) {
     return Status(StatusCode::kNotLeader, "this member has stopped");
   }
-  Status status = core_->AddLearner(environment_.Now(), member, replaces);
+  const Endpoint endpoint = ToEndpoint(member.endpoint());
+  Status status = core_->AdmitMember(environment_.Now(), member,
+                                     replaces != 0 ? replaces : MemberOutsideSeeds(endpoint));
   Drain();
   if (!status.ok()) {
     return status;
   }
   Log(LogLevel::kInfo, "raft_member_joins",
-      {{"member_id", member.member_id()}, {"host", member.endpoint().host()}});
+      {{"member_id", member.member_id()}, {"endpoint", endpoint.ToString()}});
   proto::JoinResponse response;
   response.set_cluster_id(core_->cluster_id());
   *response.mutable_configuration() = core_->configuration();
   return response;
 }
 
+std::uint64_t RaftNode::MemberOutsideSeeds(const Endpoint& joining) const {
+  const std::set<Endpoint> seeds(options_.seeds.begin(), options_.seeds.end());
+  if (!seeds.contains(joining)) {
+    return 0;
+  }
+  for (const LogMember& member : members()) {
+    if (!seeds.contains(member.endpoint) && member.member_id != core_->member_id()) {
+      return member.member_id;
+    }
+  }
+  return 0;
+}
+
+void RaftNode::CorrectOwnEndpoint() {
+  // A leader that came back at another address is not reached by anyone who asks for the leader.
+  if (IsReadyLeader() && leader_endpoint() != environment_.peer_endpoint()) {
+    proto::RaftMember self;
+    self.set_member_id(core_->member_id());
+    *self.mutable_endpoint() = ToProto(environment_.peer_endpoint());
+    if (Status status = core_->AdmitMember(environment_.Now(), self, 0); !status.ok()) {
+      Log(LogLevel::kInfo, "raft_endpoint_waits", {{"reason", status.ToString()}});
+    }
+    Drain();
+  }
+}
+
 proto::DiscoverRequest RaftNode::OwnIdentity() const {
   proto::DiscoverRequest request;
   request.set_member_id(core_->member_id());
@@ -115,6 +143,7 @@
                          environment_.Random() % static_cast<std::uint64_t>(interval.count())));
   formation_timer_ = environment_.ScheduleAfter(delay, [this] {
     formation_timer_ = 0;
+    CorrectOwnEndpoint();
     if (identity_durable_ && NeedsGroup()) {
       StartFormationRound();
     }
--- a/src/consensus/raft_node_peers.cc
+++ b/src/consensus/raft_node_peers.cc
@@ -10,6 +10,7 @@
 constexpr std::string_view kRequestVote = "raft.RequestVote";
 constexpr std::string_view kAppendEntries = "raft.AppendEntries";
 constexpr std::string_view kInstallSnapshot = "raft.InstallSnapshot";
+constexpr std::string_view kTimeoutNow = "raft.TimeoutNow";
 
 /// Deadline of messages with data, in election timeouts: the receiver syncs before it answers.
 constexpr int kDataDeadlineElectionTimeouts = 4;
@@ -63,6 +64,18 @@
   ServeRaftMethod<proto::InstallSnapshotRequest, proto::InstallSnapshotResponse>(
       kInstallSnapshot, &proto::InstallSnapshotRequest::leader_id,
       &RaftCore::HandleInstallSnapshot);
+  ServePeer<proto::TimeoutNowRequest, proto::TimeoutNowResponse>(
+      environment_, kTimeoutNow,
+      [this](const proto::TimeoutNowRequest& request, const std::string&,
+             const std::function<void(Result<proto::TimeoutNowResponse>)>& reply) {
+        Status status = Admit(request.leader_id(), request.cluster_id(), request.recipient_id());
+        if (status.ok()) {
+          core_->HandleTimeoutNow(environment_.Now(), request);
+        }
+        Drain();
+        reply(status.ok() ? Result<proto::TimeoutNowResponse>(proto::TimeoutNowResponse())
+                          : Result<proto::TimeoutNowResponse>(std::move(status)));
+      });
 }
 
 void RaftNode::SendReply(const RaftReply& reply) {
@@ -132,6 +145,13 @@
       });
 }
 
+void RaftNode::SendRequest(const RaftMessage& message, const proto::TimeoutNowRequest& request) {
+  // Nothing rests on the answer: the leader waits for the new term, and not for ever.
+  CallPeer<proto::TimeoutNowResponse>(environment_, message.endpoint, kTimeoutNow, request,
+                                      options_.election_timeout,
+                                      [](const Result<proto::TimeoutNowResponse>&) {});
+}
+
 void RaftNode::OnCallFailed(std::uint64_t member_id, std::uint64_t sequence) {
   environment_.metrics().Increment("raft_failed_calls_total");
   core_->HandleCallFailed(member_id, sequence);
--- a/src/consensus/raft_types.h
+++ b/src/consensus/raft_types.h
@@ -75,7 +75,7 @@
   std::uint64_t member_id = 0;
   Endpoint endpoint;
   std::variant<proto::RequestVoteRequest, proto::AppendEntriesRequest,
-               proto::InstallSnapshotRequest>
+               proto::InstallSnapshotRequest, proto::TimeoutNowRequest>
       request;
 };
 
--- a/tests/consensus/raft_cluster.cc
+++ b/tests/consensus/raft_cluster.cc
@@ -60,6 +60,10 @@
   node.Start();
   environment.RegisterPeerMethod(
       "test.Propose", [this, &record](const PeerRequest& request, PeerReplyCallback reply) {
+        if (request.body.starts_with("handover")) {
+          reply({node.TransferLeadership(), {}});
+          return;
+        }
         node.Propose(request.body, [&record, command = request.body,
                                     reply = std::move(reply)](const Result<std::string>& result) {
           if (result.ok()) {
@@ -82,15 +86,26 @@
     options_.node.seeds.push_back(machine.endpoint());
   }
   for (std::size_t member = 0; member < options.size; ++member) {
-    machine(member).SetProgram([this, member](Environment& environment, DataFolder& folder) {
-      const int rate = options_.clock_rates[member % options_.clock_rates.size()];
-      auto life = std::make_shared<MemberLife>(environment, folder, rate, record_, options_.node);
-      lives_[member] = life;
-      return life;
-    });
+    SetProgram(member);
   }
 }
 
+void RaftCluster::SetProgram(std::size_t member) {
+  machine(member).SetProgram([this, member](Environment& environment, DataFolder& folder) {
+    const int rate = options_.clock_rates[member % options_.clock_rates.size()];
+    auto life = std::make_shared<MemberLife>(environment, folder, rate, record_, options_.node);
+    lives_[member] = life;
+    return life;
+  });
+}
+
+void RaftCluster::ReplaceMachine(std::size_t member, const std::string& host) {
+  machine(member).Kill();
+  names_[member] += "x";
+  options_.node.seeds[member] = world_.AddMachine(names_[member], host).endpoint();
+  SetProgram(member);
+}
+
 MemberLife* RaftCluster::life(std::size_t member) {
   if (!machine(member).running()) {
     return nullptr;
--- a/tests/consensus/raft_cluster.h
+++ b/tests/consensus/raft_cluster.h
@@ -72,7 +72,7 @@
   int rate_;
 };
 
-/// One life of one member. "test.Propose" proposes the body.
+/// One life of one member. "test.Propose" proposes the body; "handover..." hands leadership over.
 struct MemberLife {
   MemberLife(Environment& real, DataFolder& folder, int clock_rate, RunRecord& record,
              RaftNodeOptions options);
@@ -102,6 +102,9 @@
   /// @return null while the member does not run.
   MemberLife* life(std::size_t member);
   void StartAll();
+  /// Puts a new machine with an empty disk and address in the place of `member`, in the seeds too;
+  /// members take up the changed seeds when they start next.
+  void ReplaceMachine(std::size_t member, const std::string& host);
   /// Lets time pass and checks the invariants after each event.
   void RunFor(Duration time);
   bool RunUntil(const std::function<bool()>& condition, Duration limit);
@@ -118,6 +121,7 @@
 
  private:
   void CheckInvariants();
+  void SetProgram(std::size_t member);
 
   RunRecord record_;
   ClusterOptions options_;
--- a/tests/consensus/raft_core_test.cc
+++ b/tests/consensus/raft_core_test.cc
@@ -376,19 +376,19 @@
 
 TEST_F(RaftCoreTest, MembershipWaitsForAnEntryOfTheTerm) {
   Elect();
-  EXPECT_EQ(core_->AddLearner(now_, Member(13), 0).code(), StatusCode::kUnavailable);
+  EXPECT_EQ(core_->AdmitMember(now_, Member(13), 0).code(), StatusCode::kUnavailable);
 }
 
 TEST_F(RaftCoreTest, CompleteGroupTakesNobodyInUnlessItReplacesSomeone) {
   Lead();
-  EXPECT_EQ(core_->AddLearner(now_, Member(14), 0).code(), StatusCode::kConflict);
-  EXPECT_EQ(core_->AddLearner(now_, Member(11), 0).code(), StatusCode::kConflict);
-  EXPECT_TRUE(core_->AddLearner(now_, Member(13), 0).ok());
+  EXPECT_EQ(core_->AdmitMember(now_, Member(14), 0).code(), StatusCode::kConflict);
+  EXPECT_EQ(core_->AdmitMember(now_, Member(11), 0).code(), StatusCode::kConflict);
+  EXPECT_TRUE(core_->AdmitMember(now_, Member(13), 0).ok());
 }
 
 TEST_F(RaftCoreTest, EmptiedMemberTakesItsOldPlaceInTwoSteps) {
   Lead();
-  ASSERT_TRUE(core_->AddLearner(now_, Member(13), 0).ok());  // The endpoint of member 3.
+  ASSERT_TRUE(core_->AdmitMember(now_, Member(13), 0).ok());  // The endpoint of member 3.
   Exchange(Take(), {2, 13});
   Exchange(Heartbeat(), {2, 13});
   std::vector<std::string> steps;
@@ -407,7 +407,7 @@
 TEST_F(RaftCoreTest, LivingMemberIsReplacedOnlyAfterItsSuccessorCounts) {
   Lead();
   Exchange(Heartbeat(), {2, 3});
-  ASSERT_TRUE(core_->AddLearner(now_, Member(14), 3).ok());
+  ASSERT_TRUE(core_->AdmitMember(now_, Member(14), 3).ok());
   Exchange(Take(), {2, 3, 14});
   Exchange(Heartbeat(), {2, 3, 14});
   EXPECT_EQ(core_->log().ConfigurationAt(3).members_size(), 4);
@@ -418,7 +418,7 @@
 
 TEST_F(RaftCoreTest, LearnerDoesNotCount) {
   Lead();
-  ASSERT_TRUE(core_->AddLearner(now_, Member(13), 0).ok());
+  ASSERT_TRUE(core_->AdmitMember(now_, Member(13), 0).ok());
   const std::uint64_t before = core_->commit_index();
   Exchange(Take(), {13});
   EXPECT_EQ(core_->commit_index(), before);
--- a/tests/consensus/raft_node_test.cc
+++ b/tests/consensus/raft_node_test.cc
@@ -89,6 +89,58 @@
   EXPECT_TRUE(record().failures.empty());
 }
 
+TEST_F(RaftNodeTest, MachineAtANewSeedAddressTakesThePlaceOfTheOneThatIsNoSeedAnyMore) {
+  Form();
+  ProposeAndWait(5);
+  cluster.ReplaceMachine(2, "10.0.0.9");
+  cluster.machine(2).Start();
+  for (const std::size_t member : {0, 1}) {
+    cluster.machine(member).Kill();
+    cluster.machine(member).Start();
+  }
+  ASSERT_TRUE(cluster.RunUntil([this] { return cluster.IsWhole(); }, seconds(8)));
+  ProposeAndWait(1);
+  EXPECT_TRUE(record().failures.empty());
+}
+
+TEST_F(RaftNodeTest, DiskAtANewAddressKeepsItsMember) {
+  Form();
+  ProposeAndWait(5);
+  const std::uint64_t id = Id(2);
+  SimulatedMachine& old_machine = cluster.machine(2);
+  cluster.ReplaceMachine(2, "10.0.0.9");
+  for (const char* file : {"consensus/metadata", kLogFile}) {
+    cluster.machine(2).disk().Replace(file, *old_machine.disk().Read(file), [](const Status&) {});
+  }
+  cluster.RunFor(milliseconds(1));
+  cluster.machine(2).Start();
+  const auto reached = [&] {
+    const std::size_t leader = cluster.Leader();
+    return leader != cluster.size() &&
+           cluster.life(leader)->node.members().at(2).endpoint == cluster.machine(2).endpoint();
+  };
+  ASSERT_TRUE(cluster.RunUntil(reached, seconds(8)));
+  EXPECT_EQ(Id(2), id);
+  ProposeAndWait(1);
+  EXPECT_TRUE(record().failures.empty());
+}
+
+TEST_F(RaftNodeTest, LeaderHandsOverWithoutAGapInWhichTwoLead) {
+  Form();
+  ProposeAndWait(5);
+  for (int round = 0; round < 20; ++round) {
+    const std::size_t old_leader = cluster.Leader();
+    const TimePoint start = cluster.world().Now();
+    ASSERT_TRUE(cluster.life(old_leader)->node.TransferLeadership().ok());
+    ASSERT_TRUE(cluster.RunUntil(
+        [&] { return cluster.Leader() != old_leader && cluster.Leader() != cluster.size(); },
+        seconds(2)));
+    EXPECT_LT(cluster.world().Now() - start, milliseconds(200)) << "no election timeout passes";
+    cluster.RunFor(milliseconds(300));
+  }
+  EXPECT_TRUE(record().failures.empty());
+}
+
 TEST_F(RaftNodeTest, AcknowledgedCommandsOutlastPowerLossOfAll) {
   Form();
   ProposeAndWait(30);
--- a/tests/consensus/raft_simulation_test.cc
+++ b/tests/consensus/raft_simulation_test.cc
@@ -77,6 +77,9 @@
   /// Bursts with pauses: while all logs are the same length, anybody can be elected.
   void ProposeForEver() {
     cluster_.Propose(AnyMember());
+    if (const std::size_t leader = cluster_.Leader(); leader != cluster_.size() && Below(60) == 0) {
+      cluster_.Propose(leader, "handover");
+    }
     const std::uint64_t pause = Below(20) == 0 ? 1500 : 30;
     world_.ScheduleAfter(milliseconds(5 + Below(pause)), [this] { ProposeForEver(); });
   }
