Cut the power at any moment of a row of writes

The disk must load as the state of one of the writes not confirmed yet, or of the last confirmed one (300 moments). The core's fixture moves to a header of its own, membership tests to a file of their own.

--- /dev/null
+++ b/tests/consensus/raft_core_fixture.h
@@ -0,0 +1,174 @@
+#pragma once
+/// @file
+/// One `RaftCore` of a group of three, without a driver.
+
+#include <gtest/gtest.h>
+
+#include "consensus/raft_core.h"
+
+namespace cloverbank {
+
+inline constexpr std::uint64_t kCluster = 77;
+
+inline proto::RaftMember Member(std::uint64_t id, bool learner = false) {
+  proto::RaftMember member;
+  member.set_member_id(id);
+  member.mutable_endpoint()->set_host("10.0.0." + std::to_string(id % 10));
+  member.mutable_endpoint()->set_port(1);
+  member.set_learner(learner);
+  return member;
+}
+
+inline proto::RaftEntry Command(std::uint64_t index, std::uint64_t term) {
+  proto::RaftEntry entry;
+  entry.set_index(index);
+  entry.set_term(term);
+  entry.set_command("c");
+  return entry;
+}
+
+/// Member 1 of the group {1, 2, 3}, whose log starts with the configuration. Inputs carry the
+/// answers that members 2 and 3 would give.
+class RaftCoreTest : public testing::Test {
+ protected:
+  RaftCoreTest() {
+    proto::RaftEntry configuration;
+    configuration.set_index(1);
+    configuration.set_term(1);
+    for (const std::uint64_t id : {1, 2, 3}) {
+      *configuration.mutable_configuration()->add_members() = Member(id);
+    }
+    state_.metadata.set_member_id(1);
+    state_.metadata.set_cluster_id(kCluster);
+    state_.metadata.set_current_term(1);
+    state_.entries.push_back(configuration);
+    options_.trailing_entries = 0;
+    options_.snapshot_chunk_bytes = 4;
+    Restart();
+  }
+
+  void Restart() { core_.emplace(options_, state_, now_); }
+  RaftEffects Take() { return core_->TakeEffects(); }
+  /// Confirms all writes asked for. @return the effects of that.
+  RaftEffects Sync() {
+    RaftEffects before = Take();
+    if (!before.writes.empty()) {
+      core_->HandlePersisted(now_, before.writes.back().id);
+    }
+    return Take();
+  }
+  void PassPromise() { now_ += options_.minimum_election_timeout; }
+
+  static proto::RequestVoteRequest Vote(std::uint64_t candidate, std::uint64_t term,
+                                        std::uint64_t last_index = 1, std::uint64_t last_term = 1) {
+    proto::RequestVoteRequest request;
+    request.set_term(term);
+    request.set_candidate_id(candidate);
+    request.set_last_log_index(last_index);
+    request.set_last_log_term(last_term);
+    return request;
+  }
+  static proto::AppendEntriesRequest Append(std::uint64_t term, std::uint64_t previous_index,
+                                            std::uint64_t previous_term,
+                                            const std::vector<proto::RaftEntry>& entries = {},
+                                            std::uint64_t commit = 0) {
+    proto::AppendEntriesRequest request;
+    request.set_term(term);
+    request.set_leader_id(2);
+    request.set_previous_log_index(previous_index);
+    request.set_previous_log_term(previous_term);
+    request.set_leader_commit(commit);
+    *request.mutable_entries() = {entries.begin(), entries.end()};
+    return request;
+  }
+  /// Hands in a vote request; @return the answer, which must come at once after a sync.
+  proto::RequestVoteResponse VoteAnswer(const proto::RequestVoteRequest& request) {
+    core_->HandleRequestVote(now_, request, 1);
+    RaftEffects effects = Take();
+    if (effects.replies.empty()) {
+      core_->HandlePersisted(now_, effects.writes.back().id);
+      effects = Take();
+    }
+    return std::get<proto::RequestVoteResponse>(effects.replies.at(0).response);
+  }
+  proto::AppendEntriesResponse AppendAnswer(const proto::AppendEntriesRequest& request) {
+    core_->HandleAppendEntries(now_, request, 1);
+    RaftEffects effects = Take();
+    if (effects.replies.empty()) {
+      core_->HandlePersisted(now_, effects.writes.back().id);
+      effects = Take();
+    }
+    return std::get<proto::AppendEntriesResponse>(effects.replies.at(0).response);
+  }
+  /// The last message of one kind to `member`.
+  template <typename Request>
+  static Request Find(const RaftEffects& effects, std::uint64_t member) {
+    Request found;
+    for (const RaftMessage& message : effects.messages) {
+      if (message.member_id == member && std::holds_alternative<Request>(message.request)) {
+        found = std::get<Request>(message.request);
+      }
+    }
+    return found;
+  }
+  RaftEffects Grant(const RaftEffects& asked, std::uint64_t voter) {
+    const auto request = Find<proto::RequestVoteRequest>(asked, voter);
+    proto::RequestVoteResponse response;
+    response.set_term(core_->term());
+    response.set_granted(true);
+    response.set_voter_id(voter);
+    core_->HandleRequestVoteResponse(now_, request, response);
+    return Take();
+  }
+  /// Elects member 1 with the votes of 2, its no-op unsynced. @return the effects of that moment.
+  RaftEffects Elect() {
+    now_ = core_->NextWakeup();
+    core_->Tick(now_);
+    RaftEffects effects = Grant(Take(), 2);
+    core_->HandlePersisted(now_, effects.writes.back().id);
+    return Grant(Take(), 2);
+  }
+  void Acknowledge(std::uint64_t member, const proto::AppendEntriesRequest& request) {
+    proto::AppendEntriesResponse response;
+    response.set_term(core_->term());
+    response.set_success(true);
+    response.set_follower_id(member);
+    response.set_sequence(request.sequence());
+    response.set_match_index(request.previous_log_index() +
+                             static_cast<std::uint64_t>(request.entries_size()));
+    core_->HandleAppendEntriesResponse(now_, response);
+  }
+  /// Syncs all writes and lets `answering` members take all entries sent; calls to others fail.
+  void Exchange(RaftEffects effects, const std::set<std::uint64_t>& answering) {
+    for (; !effects.empty(); effects = Take()) {
+      if (!effects.writes.empty()) {
+        core_->HandlePersisted(now_, effects.writes.back().id);
+      }
+      for (const RaftMessage& message : effects.messages) {
+        const auto* append = std::get_if<proto::AppendEntriesRequest>(&message.request);
+        if (append != nullptr && answering.contains(message.member_id)) {
+          Acknowledge(message.member_id, *append);
+        } else if (append != nullptr) {
+          core_->HandleCallFailed(message.member_id, append->sequence());
+        }
+      }
+    }
+  }
+  /// Elects member 1 and commits its no-op (index 2) with member 2.
+  void Lead() {
+    Exchange(Elect(), {2});
+    ASSERT_TRUE(core_->IsReadyLeader());
+  }
+  RaftEffects Heartbeat() {
+    now_ = core_->NextWakeup();
+    core_->Tick(now_);
+    return Take();
+  }
+
+  RaftCoreOptions options_;
+  RaftDurableState state_;
+  TimePoint now_ = TimePoint(seconds(100));
+  std::optional<RaftCore> core_;
+};
+
+}  // namespace cloverbank
--- /dev/null
+++ b/tests/consensus/raft_core_membership_test.cc
@@ -0,0 +1,72 @@
+#include "consensus/raft_core_fixture.h"
+
+namespace cloverbank {
+namespace {
+
+TEST_F(RaftCoreTest, MembershipWaitsForAnEntryOfTheTerm) {
+  Elect();
+  EXPECT_EQ(core_->AdmitMember(now_, Member(13), 0).code(), StatusCode::kUnavailable);
+}
+
+TEST_F(RaftCoreTest, CompleteGroupTakesNobodyInUnlessItReplacesSomeone) {
+  Lead();
+  EXPECT_EQ(core_->AdmitMember(now_, Member(14), 0).code(), StatusCode::kConflict);
+  EXPECT_EQ(core_->AdmitMember(now_, Member(11), 0).code(), StatusCode::kConflict);
+  EXPECT_TRUE(core_->AdmitMember(now_, Member(13), 0).ok());
+}
+
+TEST_F(RaftCoreTest, EmptiedMemberTakesItsOldPlaceInTwoSteps) {
+  Lead();
+  ASSERT_TRUE(core_->AdmitMember(now_, Member(13), 0).ok());  // The endpoint of member 3.
+  Exchange(Take(), {2, 13});
+  Exchange(Heartbeat(), {2, 13});
+  std::vector<std::string> steps;
+  for (std::uint64_t index = 2; index <= core_->log().last_index(); ++index) {
+    std::string step;
+    for (const proto::RaftMember& member : core_->log().At(index).configuration().members()) {
+      step += std::to_string(member.member_id()) + (member.learner() ? "l " : " ");
+    }
+    if (!step.empty()) {
+      steps.push_back(step);
+    }
+  }
+  EXPECT_EQ(steps, (std::vector<std::string>{"1 2 3 13l ", "1 2 13l ", "1 2 13 "}));
+}
+
+TEST_F(RaftCoreTest, LivingMemberIsReplacedOnlyAfterItsSuccessorCounts) {
+  Lead();
+  Exchange(Heartbeat(), {2, 3});
+  ASSERT_TRUE(core_->AdmitMember(now_, Member(14), 3).ok());
+  Exchange(Take(), {2, 3, 14});
+  Exchange(Heartbeat(), {2, 3, 14});
+  EXPECT_EQ(core_->log().ConfigurationAt(3).members_size(), 4);
+  EXPECT_EQ(core_->log().ConfigurationAt(4).members_size(), 4);
+  EXPECT_FALSE(core_->log().ConfigurationAt(4).members(3).learner());
+  EXPECT_EQ(core_->configuration().members_size(), 3);
+}
+
+TEST_F(RaftCoreTest, LearnerThatIsBehindIsNotPromoted) {
+  Lead();
+  ASSERT_TRUE(core_->AdmitMember(now_, Member(13), 0).ok());
+  Exchange(Take(), {2});
+  const RaftEffects sent = Heartbeat();
+  proto::AppendEntriesResponse behind;
+  behind.set_term(core_->term());
+  behind.set_follower_id(13);
+  behind.set_sequence(Find<proto::AppendEntriesRequest>(sent, 13).sequence());
+  core_->HandleAppendEntriesResponse(now_, behind);
+  EXPECT_EQ(core_->configuration().members_size(), 4);
+}
+
+TEST_F(RaftCoreTest, LearnerDoesNotCount) {
+  Lead();
+  ASSERT_TRUE(core_->AdmitMember(now_, Member(13), 0).ok());
+  const std::uint64_t before = core_->commit_index();
+  Exchange(Take(), {13});
+  EXPECT_EQ(core_->commit_index(), before);
+  Exchange(Heartbeat(), {2});
+  EXPECT_GT(core_->commit_index(), before);
+}
+
+}  // namespace
+}  // namespace cloverbank
--- a/tests/consensus/raft_simulation_test.cc
+++ b/tests/consensus/raft_simulation_test.cc
@@ -9,7 +9,7 @@
 namespace cloverbank {
 namespace {
 
-constexpr std::uint64_t kDefaultSchedules = 100;
+constexpr std::uint64_t kDefaultSchedules = 150;
 constexpr int kFaultsInSchedule = 16;
 
 std::uint64_t NumberFromEnvironment(const char* name, std::uint64_t otherwise) {
--- /dev/null
+++ b/tests/consensus/raft_storage_test.cc
@@ -0,0 +1,121 @@
+#include "consensus/raft_storage.h"
+
+#include <gtest/gtest.h>
+
+#include "simulation/simulated_world.h"
+
+namespace cloverbank {
+namespace {
+
+proto::RaftEntry Entry(std::uint64_t index, std::uint64_t term) {
+  proto::RaftEntry entry;
+  entry.set_index(index);
+  entry.set_term(term);
+  entry.set_command("command");
+  return entry;
+}
+
+std::shared_ptr<const proto::RaftSnapshot> Snapshot(std::uint64_t index, std::uint64_t term) {
+  auto snapshot = std::make_shared<proto::RaftSnapshot>();
+  snapshot->set_last_included_index(index);
+  snapshot->set_last_included_term(term);
+  return snapshot;
+}
+
+RaftWrite Metadata(std::uint64_t term) {
+  RaftWrite write;
+  write.metadata.emplace().set_current_term(term);
+  write.metadata->set_cluster_id(7);
+  write.metadata->set_member_id(1);
+  return write;
+}
+
+/// A life of a follower: entries, a conflict, a received snapshot that contradicts the log, an own
+/// one.
+std::vector<RaftWrite> Script() {
+  std::vector<RaftWrite> script(9);
+  script[0] = Metadata(1);
+  script[1].entries = {Entry(1, 1), Entry(2, 1), Entry(3, 1), Entry(4, 1), Entry(5, 1)};
+  script[2] = Metadata(2);
+  script[2].entries = {Entry(3, 2)};
+  script[3] = Metadata(4);
+  script[3].entries = {Entry(4, 2), Entry(5, 2), Entry(6, 2), Entry(7, 2)};
+  script[4].snapshot = Snapshot(6, 4);
+  script[5].replaces_log = true;
+  script[5].base_index = 6;
+  script[5].base_term = 4;
+  script[6].entries = {Entry(7, 4), Entry(8, 4)};
+  script[7].snapshot = Snapshot(8, 4);
+  script[8].replaces_log = true;
+  script[8].base_index = 7;
+  script[8].base_term = 4;
+  script[8].entries = {Entry(8, 4)};
+  for (std::size_t index = 0; index < script.size(); ++index) {
+    script[index].id = index + 1;
+  }
+  return script;
+}
+
+/// "snapshot base:term,term,..." after each write. A received snapshot counts before the log is
+/// emptied.
+const std::vector<std::string> kLogs = {
+    "0 0:", "0 0:", "0 0:1,1,1,1,1,", "0 0:1,1,2,", "0 0:1,1,2,2,2,2,2,",
+    "6 6:", "6 6:", "6 6:4,4,",       "8 6:4,4,",   "8 7:4,"};
+/// The term on the disk after each write at the least: metadata goes ahead of the log.
+const std::vector<std::uint64_t> kTerms = {0, 1, 1, 2, 4, 4, 4, 4, 4, 4};
+
+std::string Describe(const RaftDurableState& state) {
+  const std::uint64_t snapshot = state.snapshot ? state.snapshot->last_included_index() : 0;
+  std::string text = std::to_string(snapshot) + " " + std::to_string(state.base_index) + ":";
+  for (const proto::RaftEntry& entry : state.entries) {
+    text += std::to_string(entry.term()) + ",";
+  }
+  return text;
+}
+
+/// The program of one life.
+struct StorageLife {
+  StorageLife(DataFolder& folder, RaftWriteId& persisted)
+      : storage(
+            folder, [&persisted](RaftWriteId write) { persisted = std::max(persisted, write); },
+            [](const Status& status) { ADD_FAILURE() << status.ToString(); }) {
+    const Result<RaftDurableState> state = storage.Load();
+    log = state.ok() ? Describe(*state) : state.status().ToString();
+    term = state.ok() ? state->metadata.current_term() : 0;
+  }
+  RaftStorage storage;
+  std::string log;
+  std::uint64_t term = 0;
+};
+
+TEST(RaftStorageTest, PowerLossAtAnyMomentLeavesTheStateOfOneOfTheWrites) {
+  for (std::uint64_t moment = 0; moment < 300; ++moment) {
+    SimulatedWorld world(moment + 1);
+    SimulatedMachine& machine = world.AddMachine("m", "10.0.0.1");
+    RaftWriteId persisted = 0;
+    std::shared_ptr<StorageLife> life;
+    machine.SetProgram([&](Environment&, DataFolder& folder) {
+      life = std::make_shared<StorageLife>(folder, persisted);
+      return life;
+    });
+    machine.Start();
+    life->storage.Start();
+    for (const RaftWrite& write : Script()) {
+      life->storage.Write(write);
+      world.RunFor(milliseconds(moment % 3 == 0 ? 0 : world.RandomBelow(12)));
+      if (world.RandomBelow(8) == 0) {
+        break;
+      }
+    }
+    world.RunFor(milliseconds(world.RandomBelow(10)));
+    machine.LosePower();
+    machine.Start();
+    const auto from = static_cast<std::ptrdiff_t>(persisted);
+    const bool known = std::find(kLogs.begin() + from, kLogs.end(), life->log) != kLogs.end();
+    EXPECT_TRUE(known) << moment << ": " << life->log << " after " << persisted;
+    EXPECT_GE(life->term, kTerms[persisted]) << moment;
+  }
+}
+
+}  // namespace
+}  // namespace cloverbank
