--- a/src/gateway/batch_api.cc
+++ b/src/gateway/batch_api.cc
@@ -1,6 +1,5 @@
 #include "gateway/batch_api.h"
 
-#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -87,12 +86,6 @@
   SendError(responder, http_status, error);
 }
 
-const proto::Route& RouteNamed(const proto::RoutingConfiguration& configuration,
-                               const std::string& name) {
-  return *std::find_if(configuration.routes().begin(), configuration.routes().end(),
-                       [&name](const proto::Route& route) { return route.name() == name; });
-}
-
 }  // namespace
 
 BatchApi::BatchApi(Environment& environment, HttpRouter& router, NodeAgent& agent)
@@ -181,7 +174,7 @@
     return;
   }
   submit.set_partition_id(PartitionOfTenant(batch.tenant(), agent_.partition_count()).value());
-  submit.set_idempotent(RouteNamed(agent_.configuration(), batch.route()).idempotent());
+  submit.set_idempotent(FindRouteNamed(agent_.configuration(), batch.route())->idempotent());
   CallOwner<proto::SubmitBatchResponse>(
       "queue.SubmitBatch", submit, kChangeDeadline,
       [responder](const Result<proto::SubmitBatchResponse>& result) {
--- a/src/gateway/batch_validation.cc
+++ b/src/gateway/batch_validation.cc
@@ -34,10 +34,12 @@
   std::size_t more_ = 0;
 };
 
+/// @return the object of that name, or nullptr.
 template <typename List>
 auto FindNamed(const List& list, const std::string& name) {
-  return std::find_if(list.begin(), list.end(),
-                      [&name](const auto& object) { return object.name() == name; });
+  const auto found = std::find_if(list.begin(), list.end(),
+                                  [&name](const auto& object) { return object.name() == name; });
+  return found == list.end() ? nullptr : &*found;
 }
 
 void CheckName(const std::string& place, const std::string& name, ProblemList& problems) {
@@ -55,8 +57,8 @@
     problems.Add("route", "is missing; name a route that accepts batches");
     return;
   }
-  const auto route = FindNamed(configuration.routes(), name);
-  if (route == configuration.routes().end()) {
+  const proto::Route* route = FindRouteNamed(configuration, name);
+  if (route == nullptr) {
     problems.Add("route", "there is no route \"" + name + "\"");
   } else if (!route->accepts_batches()) {
     problems.Add("route", "route \"" + name +
@@ -68,8 +70,8 @@
 void CheckTenant(const std::string& tenant, const proto::RoutingConfiguration& configuration,
                  ProblemList& problems) {
   CheckName("tenant", tenant, problems);
-  const bool known = configuration.tenants().empty() ||
-                     FindNamed(configuration.tenants(), tenant) != configuration.tenants().end();
+  const bool known =
+      configuration.tenants().empty() || FindNamed(configuration.tenants(), tenant) != nullptr;
   if (!known) {
     problems.Add("tenant", "there is no tenant \"" + tenant + "\"");
   }
@@ -99,6 +101,11 @@
 
 }  // namespace
 
+const proto::Route* FindRouteNamed(const proto::RoutingConfiguration& configuration,
+                                   const std::string& name) {
+  return FindNamed(configuration.routes(), name);
+}
+
 std::vector<std::string> FindBatchProblems(const proto::SubmitBatch& batch,
                                            const proto::RoutingConfiguration& configuration) {
   ProblemList problems;
--- a/src/gateway/batch_validation.h
+++ b/src/gateway/batch_validation.h
@@ -16,6 +16,10 @@
 inline constexpr int kLargestBatchItems = 100'000;
 inline constexpr std::size_t kLongestName = 256;  ///< Bytes of a custom id, tenant or key.
 
+/// @return the route of that name, or nullptr.
+const proto::Route* FindRouteNamed(const proto::RoutingConfiguration& configuration,
+                                   const std::string& name);
+
 /// @return every mistake, each naming its place ("items[3].custom_id: ..."); empty if there is
 /// none. A long list ends with how many more there are.
 std::vector<std::string> FindBatchProblems(const proto::SubmitBatch& batch,
--- a/src/gateway/batch_work_ledger.cc
+++ b/src/gateway/batch_work_ledger.cc
@@ -4,19 +4,11 @@
 #include <set>
 #include <utility>
 
+#include "gateway/batch_validation.h"
+
 namespace cloverbank {
 namespace {
 
-const proto::Route* FindNamedRoute(const proto::RoutingConfiguration& configuration,
-                                   const std::string& name) {
-  for (const proto::Route& route : configuration.routes()) {
-    if (route.name() == name) {
-      return &route;
-    }
-  }
-  return nullptr;
-}
-
 /// Refusals that no other gateway and no later time can lift.
 bool IsFinal(StartRefusal refusal) {
   return refusal == StartRefusal::kNoRoute || refusal == StartRefusal::kMustNotRepeat;
@@ -86,7 +78,7 @@
   if (conditions.configuration->batch().paused()) {
     return StartRefusal::kPaused;
   }
-  const proto::Route* route = FindNamedRoute(*conditions.configuration, item->grant.route());
+  const proto::Route* route = FindRouteNamed(*conditions.configuration, item->grant.route());
   if (route == nullptr) {
     return StartRefusal::kNoRoute;
   }
--- a/src/gateway/batch_worker.cc
+++ b/src/gateway/batch_worker.cc
@@ -5,6 +5,7 @@
 #include <string>
 #include <utility>
 
+#include "gateway/batch_validation.h"
 #include "runtime/typed_peer.h"
 
 namespace cloverbank {
@@ -18,15 +19,6 @@
   return static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(duration).count());
 }
 
-const proto::Route* FindNamedRoute(const proto::RoutingConfiguration& configuration,
-                                   const std::string& name) {
-  const auto& routes = configuration.routes();
-  const auto found = std::find_if(routes.begin(), routes.end(), [&name](const proto::Route& route) {
-    return route.name() == name;
-  });
-  return found == routes.end() ? nullptr : &*found;
-}
-
 proto::CallRequest MakeCallRequest(const proto::WorkGrant& grant) {
   proto::CallRequest request;
   request.set_prompt(grant.item().prompt());
@@ -104,7 +96,7 @@
     const StartConditions conditions = Conditions();
     StartRefusal refusal = ledger_.MayStart(lease, conditions);
     const proto::Route* route =
-        FindNamedRoute(agent_.configuration(), ledger_.FindGrant(lease)->route());
+        FindRouteNamed(agent_.configuration(), ledger_.FindGrant(lease)->route());
     if (refusal == StartRefusal::kNone && free[route->backend()] == 0) {
       if (conditions.now - ledger_.ArrivedAt(lease) < options_.grant_patience) {
         continue;
@@ -166,7 +158,7 @@
 BatchRoom BatchWorker::FreeRoom() const {
   std::map<std::string, std::uint32_t> not_left;
   for (const auto& [route_name, count] : ledger_.NotYetLeftByRoute()) {
-    const proto::Route* route = FindNamedRoute(agent_.configuration(), route_name);
+    const proto::Route* route = FindRouteNamed(agent_.configuration(), route_name);
     if (route != nullptr) {
       not_left[route->backend()] += count;
     }
@@ -210,7 +202,7 @@
   BatchRoom free = FreeRoom();
   for (const WorkLeaseId lease : ledger_.Waiting()) {
     const proto::Route* route =
-        FindNamedRoute(agent_.configuration(), ledger_.FindGrant(lease)->route());
+        FindRouteNamed(agent_.configuration(), ledger_.FindGrant(lease)->route());
     if (route != nullptr && free[route->backend()] > 0) {
       --free[route->backend()];
     }
