Test the grant window apart from the node lease, and two more promises

Dropping the window check, counting it from the answer, forgetting an earlier owner's silence or pacing a confirmation now each fails a test.

--- a/tests/gateway/batch_api_test.cc
+++ b/tests/gateway/batch_api_test.cc
@@ -237,6 +237,16 @@
   EXPECT_EQ(read->Error().executed(), proto::EXECUTED_NO);
 }
 
+TEST_F(BatchApiTest, SilenceOfAnEarlierOwnerStaysUnknownWhenTheNewOneCanNotBeReached) {
+  q1.silent = true;
+  q2.refusal = Status(StatusCode::kUnavailable, "too few copies");
+  const auto answer = Submit();
+  world.RunFor(seconds(1));
+  SetOwner(102);
+  EXPECT_EQ(Finish(answer)->response.status, 504);
+  EXPECT_EQ(answer->Error().executed(), proto::EXECUTED_UNKNOWN);
+}
+
 TEST_F(BatchApiTest, NodeThatIsNotTheOwnerIsNotBelieved) {
   q1.refusal = Status(StatusCode::kConflict, "not mine", std::string(kNotOwnerDetail));
   const auto answer = gateway->http.Send("GET", "/v1/batches/3-1f");
--- a/tests/gateway/batch_worker_test.cc
+++ b/tests/gateway/batch_worker_test.cc
@@ -78,6 +78,7 @@
   std::deque<proto::WorkGrant> work;
   std::vector<std::uint64_t> ended;
   StatusCode report_code = StatusCode::kOk;
+  Duration answer_delay{};  ///< Of grants, after they were taken from `work`.
   int questions = 0;
   std::map<std::uint64_t, proto::WorkReport> reports;  ///< Answered ones, by lease.
   int report_calls = 0;
@@ -115,7 +116,7 @@
       *response.add_grants() = queue_.work.front();
       queue_.work.pop_front();
     }
-    reply(response);
+    environment_.ScheduleAfter(queue_.answer_delay, [reply, response] { reply(response); });
   }
 
   Result<proto::ReportWorkResponse> TakeReport(const proto::ReportWorkRequest& request) {
@@ -299,6 +300,26 @@
   EXPECT_EQ(Disposition(q1, 1), proto::WORK_DISPOSITION_NOT_RUN);
 }
 
+TEST_F(BatchWorkerTest, SlowConnectionDoesNotOutlastTheWindow) {
+  Start();
+  gateway->backend.connect = milliseconds(2100);
+  AddWork(1, "unlock");
+  world.RunFor(seconds(4));
+  EXPECT_TRUE(gateway->agent.LeaseValid()) << "only the grant's window is over";
+  EXPECT_EQ(gateway->backend.SentCount(), 0U);
+  EXPECT_EQ(Disposition(q1, 1), proto::WORK_DISPOSITION_NOT_RUN);
+}
+
+TEST_F(BatchWorkerTest, WindowCountsFromWhenTheQuestionWasSent) {
+  q1.answer_delay = milliseconds(1900);
+  Start();
+  gateway->backend.connect = milliseconds(200);  // Over at 2.1 s, 0.2 s after the grant came.
+  AddWork(1, "unlock");
+  world.RunFor(seconds(6));
+  EXPECT_EQ(gateway->backend.SentCount(), 0U);
+  EXPECT_EQ(Disposition(q1, 1), proto::WORK_DISPOSITION_NOT_RUN);
+}
+
 TEST_F(BatchWorkerTest, ResultSurvivesAChangeOfOwner) {
   Start();
   AddWork(1, "unlock");
--- a/tests/node/node_agent_test.cc
+++ b/tests/node/node_agent_test.cc
@@ -123,8 +123,11 @@
   world.RunFor(milliseconds(200));
   control.AddRoute("narrate");
   const auto confirmed = [this] { return control.heartbeats.back().configuration_version() == 1; };
-  EXPECT_TRUE(world.RunUntil(confirmed, milliseconds(40)));
+  ASSERT_TRUE(world.RunUntil(confirmed, milliseconds(40)));
   EXPECT_EQ(agent->configuration().routes(0).name(), "narrate");
+  control.AddRoute("describe");  // The pace of heartbeats does not hold a confirmation back.
+  const auto again = [this] { return control.heartbeats.back().configuration_version() == 2; };
+  EXPECT_TRUE(world.RunUntil(again, milliseconds(21)));
 }
 
 TEST_F(NodeAgentTest, AsksForTheWholeAfterAGap) {
