Tell rot of an open replica from a torn tail

An open replica damaged below bytes it had acknowledged was cut there and offered shorter, like a torn tail. Each header write now records the length held, and a replica with fewer whole bytes than that is corrupt.

--- a/src/backup/replica_reader.cc
+++ b/src/backup/replica_reader.cc
@@ -23,8 +23,8 @@
     bytes.resize(replica.length);
   }
   const std::size_t valid = ScanSegment(segment, bytes).valid_length;
-  if (!replica.open() && valid < replica.length) {
-    return Status(StatusCode::kCorrupt, "replica of " + std::to_string(replica.length) +
+  if (valid < replica.header.length) {
+    return Status(StatusCode::kCorrupt, "replica of " + std::to_string(replica.header.length) +
                                             " bytes is whole up to byte " + std::to_string(valid));
   }
   bytes.resize(valid);
--- a/src/backup/segment_dump.cc
+++ b/src/backup/segment_dump.cc
@@ -55,15 +55,11 @@
   return SegmentData(file).substr(0, header.capacity);
 }
 
-bool HasRecordedLength(const ReplicaHeader& header) {
-  return header.state == ReplicaState::kClosed || header.state == ReplicaState::kSealed;
-}
-
 Status Verdict(const SegmentFileCheck& check) {
   if (check.header->state == ReplicaState::kReplacing) {
     return {StatusCode::kConflict, "replacement copy is not complete"};
   }
-  if (HasRecordedLength(*check.header) && check.valid_length < check.header->length) {
+  if (check.valid_length < check.header->length) {
     return {StatusCode::kCorrupt, "whole up to byte " + std::to_string(check.valid_length) +
                                       " of " + std::to_string(check.header->length)};
   }
--- a/src/backup/segment_file.h
+++ b/src/backup/segment_file.h
@@ -48,8 +48,9 @@
   ReplicaKey key;
   HeadEpoch epoch;
   ReplicaState state = ReplicaState::kOpen;
-  std::uint64_t capacity = 0;    ///< Bytes reserved for the segment.
-  std::uint64_t length = 0;      ///< Bytes held, recorded once closed or sealed; 0 before.
+  std::uint64_t capacity = 0;  ///< Bytes reserved for the segment.
+  /// Bytes held when the header was written; final once closed or sealed, 0 while replacing.
+  std::uint64_t length = 0;
   std::uint64_t generation = 0;  ///< Counts header writes; the highest valid slot counts.
   bool operator==(const ReplicaHeader&) const = default;
 };
--- a/src/backup/segment_loader.cc
+++ b/src/backup/segment_loader.cc
@@ -29,13 +29,13 @@
   Replica replica;
   replica.header = header;
   const SegmentScan scan = ScanSegment(header.key.segment, data.substr(0, header.capacity));
+  replica.corrupt = scan.valid_length < header.length;
   if (!replica.open()) {
     replica.length = header.length;
-    replica.corrupt = scan.valid_length < header.length;
     return replica;
   }
   replica.length = scan.valid_length;
-  if (keep_staging) {
+  if (keep_staging && !replica.corrupt) {
     replica.staging = data.substr(0, scan.valid_length);
   }
   return replica;
@@ -74,7 +74,7 @@
     }
     Replica replica = ReplicaOf(*header, SegmentData(*file), !store.IsFenced(key->node));
     if (replica.corrupt) {
-      ReportCorrupt(environment, name, "closed replica is not whole");
+      ReportCorrupt(environment, name, "shorter than its recorded length");
     }
     store.Restore(std::move(replica));
   }
--- a/src/backup/segment_store.cc
+++ b/src/backup/segment_store.cc
@@ -28,7 +28,10 @@
   return {StatusCode::kConflict, std::move(message), std::to_string(length)};
 }
 
-ReplicaHeader NextHeader(ReplicaHeader header, ReplicaState state, HeadEpoch epoch) {
+/// @param length synced bytes, all of them whole entries unless a replacement is under way.
+ReplicaHeader NextHeader(ReplicaHeader header, ReplicaState state, HeadEpoch epoch,
+                         std::uint64_t length) {
+  header.length = state == ReplicaState::kReplacing ? 0 : length;
   header.state = state;
   header.epoch = epoch;
   ++header.generation;
@@ -49,7 +52,7 @@
   const bool raised = epoch > replica.current_epoch();
   const bool hidden = replica.header.state == ReplicaState::kReplacing || replica.length == 0;
   if (hidden && (raised || replica.header.state == ReplicaState::kOpen)) {
-    change->header_before = NextHeader(replica.header, ReplicaState::kReplacing, epoch);
+    change->header_before = NextHeader(replica.header, ReplicaState::kReplacing, epoch, 0);
   }
   const bool over_older = !hidden && (raised || replica.replacement_epoch.valid());
   if (over_older && raised) {
@@ -60,7 +63,8 @@
   }
   if (hidden || over_older) {
     const ReplicaHeader& last = change->header_before ? *change->header_before : replica.header;
-    change->header = NextHeader(last, ReplicaState::kOpen, epoch);
+    change->header =
+        NextHeader(last, ReplicaState::kOpen, epoch, replica.length + change->data.size());
     change->replacement_epoch = HeadEpoch();
   }
   return false;
@@ -144,7 +148,7 @@
     return change;
   }
   if (replica.length == 0 || replica.header.state == ReplicaState::kReplacing) {
-    change.header = NextHeader(replica.header, replica.header.state, epoch);
+    change.header = NextHeader(replica.header, replica.header.state, epoch, replica.length);
   } else {
     change.replacement_epoch = epoch;
   }
@@ -215,8 +219,8 @@
   if (request.atomic_replace() || request.replace_complete()) {
     partial = DecideReplacement(replica, request, &change);
   } else if (HeadEpoch(request.epoch()) > replica.header.epoch) {
-    change.header_before =
-        NextHeader(replica.header, replica.header.state, HeadEpoch(request.epoch()));
+    change.header_before = NextHeader(replica.header, replica.header.state,
+                                      HeadEpoch(request.epoch()), replica.length);
   }
   const bool completes = request.replace_complete() && change.header.has_value();
   const bool whole = completes ? WholeEntries(key.segment, replica.staging + change.data)
@@ -247,7 +251,7 @@
   if (replica.replacement_epoch.valid()) {
     change.replacement_epoch = epoch;
   } else {
-    change.header = NextHeader(replica.header, replica.header.state, epoch);
+    change.header = NextHeader(replica.header, replica.header.state, epoch, replica.length);
   }
   return change;
 }
@@ -268,8 +272,8 @@
   if (replica.header.state == ReplicaState::kReplacing || replica.replacement_epoch.valid()) {
     return Status(StatusCode::kConflict, "replacement copy is not complete");
   }
-  change.header = NextHeader(replica.header, ReplicaState::kClosed, replica.header.epoch);
-  change.header->length = replica.length;
+  change.header =
+      NextHeader(replica.header, ReplicaState::kClosed, replica.header.epoch, replica.length);
   change.truncate = true;
   return change;
 }
@@ -287,8 +291,7 @@
   const auto found = replicas_.find(key);
   if (found != replicas_.end() && found->second.header.state == ReplicaState::kOpen) {
     const ReplicaHeader& header = found->second.header;
-    change.header = NextHeader(header, ReplicaState::kSealed, header.epoch);
-    change.header->length = length;
+    change.header = NextHeader(header, ReplicaState::kSealed, header.epoch, length);
   }
   return change;
 }
--- a/tests/backup/backup_service_test.cc
+++ b/tests/backup/backup_service_test.cc
@@ -147,6 +147,23 @@
   EXPECT_EQ(backup.RecoveryData(kSegment, {0}).status().code(), StatusCode::kNotFound);
 }
 
+TEST(BackupServiceTest, DamageBelowTheLengthOfTheLastHeaderIsNoTornTail) {
+  HeldSegment backup;
+  ASSERT_EQ(backup.SetEpoch(kSegment, 2), StatusCode::kOk);
+  ASSERT_TRUE(backup.machine.FlipBit(kFile, kDataOffset + backup.content.size() - 1).ok());
+  backup.Restart();
+  EXPECT_EQ(backup.Write(kSegment, 0, backup.content, 2), StatusCode::kCorrupt);
+  EXPECT_TRUE(backup.Offers().empty());
+}
+
+TEST(BackupServiceTest, RecoveryDataNeedsStartReadingData) {
+  HeldSegment backup;
+  EXPECT_EQ(backup.RecoveryData(kSegment, {0}).status().code(), StatusCode::kConflict);
+  ASSERT_EQ(backup.Offers().size(), 1U);
+  backup.RestartAfterPowerLoss();
+  EXPECT_EQ(backup.RecoveryData(kSegment, {0, 1})->entries_size(), 2);
+}
+
 TEST(BackupServiceTest, DamageAfterTheOfferIsFoundWhenRead) {
   HeldSegment backup;
   ASSERT_EQ(backup.Offers().size(), 1U);
