--- a/src/backup/segment_file.h
+++ b/src/backup/segment_file.h
@@ -28,8 +28,7 @@
 struct ReplicaKey {
   NodeId node;
   SegmentId segment;
-  // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 takes the 0 that `a < b` expands to for
-  // it.
+  // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads the 0 in a defaulted <=>.
   auto operator<=>(const ReplicaKey&) const = default;
 };
 
--- a/tests/backup/backup_model_test.cc
+++ b/tests/backup/backup_model_test.cc
@@ -7,7 +7,6 @@
 #include <string>
 
 #include "backup/backup_world.h"
-#include "backup/segment_content.h"
 
 namespace cloverbank {
 namespace {
@@ -77,107 +76,85 @@
       return;
     }
     if (segment.acknowledged_epoch == 0) {
-      SendOpen(id, segment);
-      return;
+      return SendOpen(id, segment);
     }
     switch (backup_.world.RandomBelow(12)) {
       case 0:
-        SendEpoch(id, segment);
-        break;
+        return SendEpoch(id, segment);
       case 1:
-        SendClose(id, segment);
-        break;
+        return SendClose(id, segment);
       case 2:
-        SendFree(id, segment);
-        break;
+        return SendFree(id, segment);
       default:
-        SendWrite(id, segment);
-        break;
+        return SendWrite(id, segment);
     }
   }
 
-  template <typename Response, typename Request>
-  void Send(std::uint64_t id, std::string_view method, const Request& request,
-            std::function<void()> on_ok) {
+  template <typename Request>
+  void Send(std::string_view method, const Request& request, std::function<void()> on_ok) {
+    const std::uint64_t id = request.segment_id();
     busy_[id] = true;
     backup_.world.CallPeer(backup_.machine.endpoint(), method, request.SerializeAsString(),
                            seconds(1),
                            [this, id, on_ok = std::move(on_ok)](const PeerReply& reply) {
                              busy_[id] = false;
+                             EXPECT_NE(reply.status.code(), StatusCode::kCorrupt);
                              if (reply.status.ok()) {
                                ++acknowledged_calls_;
                                on_ok();
                              }
-                             EXPECT_NE(reply.status.code(), StatusCode::kCorrupt);
                            });
   }
 
   void SendOpen(std::uint64_t id, ModelSegment& segment) {
-    auto request = backup_.About<proto::OpenSegmentRequest>(id);
-    request.set_epoch(segment.epoch);
-    request.set_capacity(kCapacity);
-    Send<proto::OpenSegmentResponse>(
-        id, "backup.OpenSegment", request,
-        [&segment, epoch = segment.epoch] { segment.acknowledged_epoch = epoch; });
+    Send("backup.OpenSegment", OpenRequest(backup_.node, id, segment.epoch, kCapacity),
+         [&segment, epoch = segment.epoch] { segment.acknowledged_epoch = epoch; });
   }
   void SendEpoch(std::uint64_t id, ModelSegment& segment) {
-    auto request = backup_.About<proto::SetSegmentEpochRequest>(id);
-    request.set_epoch(++segment.epoch);
-    Send<proto::SetSegmentEpochResponse>(
-        id, "backup.SetSegmentEpoch", request,
-        [&segment, epoch = segment.epoch] { segment.acknowledged_epoch = epoch; });
+    Send("backup.SetSegmentEpoch", EpochRequest(backup_.node, id, ++segment.epoch),
+         [&segment, epoch = segment.epoch] { segment.acknowledged_epoch = epoch; });
   }
   void SendWrite(std::uint64_t id, ModelSegment& segment) {
-    if (!segment.close_sent) {
-      const std::uint64_t more = backup_.world.RandomBelow(4);
-      for (std::uint64_t i = 0; i < more; ++i) {
-        ++segment.entry_count;
-        segment.content +=
-            Framed(id, NumberedEntry(segment.entry_count % kPartitions, segment.entry_count));
-      }
+    const std::uint64_t more = segment.close_sent ? 0 : backup_.world.RandomBelow(4);
+    for (std::uint64_t i = 0; i < more; ++i) {
+      ++segment.entry_count;
+      segment.content +=
+          Framed(id, NumberedEntry(segment.entry_count % kPartitions, segment.entry_count));
     }
     const std::uint64_t end = segment.content.size();
     const std::uint64_t offset = backup_.world.RandomBelow(2) == 0 ? 0 : segment.acknowledged;
-    Send<proto::WriteSegmentResponse>(
-        id, "backup.WriteSegment",
-        backup_.WriteRequest(id, offset, segment.content.substr(offset), segment.epoch),
-        [&segment, end, epoch = segment.epoch] {
-          segment.acknowledged = std::max(segment.acknowledged, end);
-          segment.acknowledged_epoch = epoch;
-        });
+    Send("backup.WriteSegment",
+         WriteRequest(backup_.node, id, offset, segment.content.substr(offset), segment.epoch),
+         [&segment, end, epoch = segment.epoch] {
+           segment.acknowledged = std::max(segment.acknowledged, end);
+           segment.acknowledged_epoch = epoch;
+         });
   }
   void SendClose(std::uint64_t id, ModelSegment& segment) {
-    if (segment.acknowledged != segment.content.size()) {
-      return;
+    if (segment.acknowledged == segment.content.size()) {
+      segment.close_sent = true;
+      Send("backup.CloseSegment", CloseRequest(backup_.node, id, segment.acknowledged),
+           [&segment] { segment.closed_acknowledged = true; });
     }
-    segment.close_sent = true;
-    auto request = backup_.About<proto::CloseSegmentRequest>(id);
-    request.set_length(segment.acknowledged);
-    Send<proto::CloseSegmentResponse>(id, "backup.CloseSegment", request,
-                                      [&segment] { segment.closed_acknowledged = true; });
   }
   void SendFree(std::uint64_t id, ModelSegment& segment) {
     segment.free_sent = true;
-    Send<proto::FreeSegmentResponse>(id, "backup.FreeSegment",
-                                     backup_.About<proto::FreeSegmentRequest>(id),
-                                     [&segment] { segment.free_acknowledged = true; });
+    Send("backup.FreeSegment", About<proto::FreeSegmentRequest>(backup_.node, id),
+         [&segment] { segment.free_acknowledged = true; });
   }
 
   void Fault() {
     switch (backup_.world.RandomBelow(10)) {
       case 0:
-        backup_.RestartAfterPowerLoss();
-        break;
+        return backup_.RestartAfterPowerLoss();
       case 1:
-        backup_.Restart();
-        break;
+        return backup_.Restart();
       case 2:
         backup_.machine.Freeze();
         backup_.world.RunFor(milliseconds(backup_.world.RandomBelow(300)));
-        backup_.machine.Wake();
-        break;
+        return backup_.machine.Wake();
       default:
-        break;
+        return;
     }
   }
 
--- a/tests/backup/backup_service_test.cc
+++ b/tests/backup/backup_service_test.cc
@@ -3,7 +3,6 @@
 #include <gtest/gtest.h>
 
 #include "backup/backup_world.h"
-#include "backup/segment_content.h"
 
 namespace cloverbank {
 namespace {
@@ -64,19 +63,28 @@
   EXPECT_NE(backup.service.lock()->disk_id(), disk_id);
 }
 
-TEST(BackupServiceTest, FenceOutlastsRestartsAndCoversUnheardNodes) {
+TEST(BackupServiceTest, FenceRefusesAFrozenOwnersLateCallsForGood) {
   HeldSegment backup;
-  ASSERT_EQ(backup.Offers().size(), 1U);
-  backup.node = 77;
+  const auto offers = backup.Offers();
+  const std::string late = Framed(kSegment, NumberedEntry(0, 3));
+  for (const bool after_restart : {false, true}) {
+    if (after_restart) {
+      backup.RestartAfterPowerLoss();
+    }
+    EXPECT_EQ(backup.Write(kSegment, backup.content.size(), late), StatusCode::kFenced);
+    EXPECT_EQ(backup.SetEpoch(kSegment, 2), StatusCode::kFenced);
+    EXPECT_EQ(backup.Close(kSegment, backup.content.size()), StatusCode::kFenced);
+    EXPECT_EQ(backup.Free(kSegment), StatusCode::kFenced);
+    EXPECT_EQ(backup.Open(kSegment + 1), StatusCode::kFenced);
+    EXPECT_EQ(backup.Offers().at(kSegment).length(), offers.at(kSegment).length());
+  }
+}
+
+TEST(BackupServiceTest, FenceCoversNodesNeverHeardOf) {
+  BackupWorld backup;
   ASSERT_TRUE(backup.Offers().empty());
   backup.RestartAfterPowerLoss();
-  EXPECT_EQ(backup.Open(1), StatusCode::kFenced);
-  backup.node = 9;
-  EXPECT_EQ(backup.Open(8), StatusCode::kFenced);
-  EXPECT_EQ(backup.Write(kSegment, backup.content.size(), Framed(kSegment, NumberedEntry(0, 3))),
-            StatusCode::kFenced);
-  EXPECT_EQ(backup.Free(kSegment), StatusCode::kFenced);
-  EXPECT_EQ(backup.Offers().at(kSegment).length(), backup.content.size());
+  EXPECT_EQ(backup.Open(kSegment), StatusCode::kFenced);
 }
 
 TEST(BackupServiceTest, ReleaseRemovesTheSegmentsAndKeepsTheFence) {
@@ -90,17 +98,6 @@
   EXPECT_EQ(backup.Open(kSegment), StatusCode::kFenced);
 }
 
-TEST(BackupServiceTest, LateWritesOfAFrozenOwnerAreRefused) {
-  HeldSegment backup;
-  const auto offers = backup.Offers();
-  // The owner wakes and sends what it had ready.
-  const std::string late = Framed(kSegment, NumberedEntry(0, 3));
-  EXPECT_EQ(backup.Write(kSegment, backup.content.size(), late), StatusCode::kFenced);
-  EXPECT_EQ(backup.SetEpoch(kSegment, 2), StatusCode::kFenced);
-  EXPECT_EQ(backup.Close(kSegment, backup.content.size()), StatusCode::kFenced);
-  EXPECT_EQ(backup.Offers().at(kSegment).length(), offers.at(kSegment).length());
-}
-
 TEST(BackupServiceTest, WriteUnderWayAtTheFenceIsIncludedOrRefused) {
   int included = 0;
   int refused = 0;
@@ -111,7 +108,7 @@
     ASSERT_EQ(backup.Write(kSegment, 0, content), StatusCode::kOk);
     const std::string late = Framed(kSegment, NumberedEntry(0, 1));
     const auto write = backup.Send<proto::WriteSegmentResponse>(
-        "backup.WriteSegment", backup.WriteRequest(kSegment, content.size(), late));
+        "backup.WriteSegment", WriteRequest(backup.node, kSegment, content.size(), late, 1));
     const std::uint64_t length = backup.Offers().at(kSegment).length();
     ASSERT_TRUE(backup.world.RunUntil([&] { return write->has_value(); }, seconds(10)));
     const bool held = (*write)->ok();
@@ -182,9 +179,7 @@
             std::string::npos);
   // The owner copies it anew.
   EXPECT_EQ(backup.Open(kSegment), StatusCode::kOk);
-  proto::WriteSegmentRequest copy = backup.WriteRequest(kSegment, 0, backup.content);
-  copy.set_replace_complete(true);
-  EXPECT_TRUE(backup.Write(copy).ok());
+  EXPECT_EQ(backup.Write(kSegment, 0, backup.content, 1, Copy::kLast), StatusCode::kOk);
   EXPECT_EQ(backup.Offers().at(kSegment).length(), backup.content.size());
 }
 
@@ -219,13 +214,10 @@
     BackupWorld backup;
     const std::string content = SegmentStart(backup.node, kSegment, {kSegment});
     ASSERT_EQ(backup.Open(kSegment, 2), StatusCode::kOk);
-    proto::WriteSegmentRequest first = backup.WriteRequest(kSegment, 0, content.substr(0, 10), 2);
-    first.set_atomic_replace(true);
-    ASSERT_TRUE(backup.Write(first).ok());
-    proto::WriteSegmentRequest second = backup.WriteRequest(kSegment, 10, content.substr(10), 2);
-    second.set_atomic_replace(true);
-    second.set_replace_complete(complete);
-    ASSERT_TRUE(backup.Write(second).ok());
+    ASSERT_EQ(backup.Write(kSegment, 0, content.substr(0, 10), 2, Copy::kPart), StatusCode::kOk);
+    ASSERT_EQ(
+        backup.Write(kSegment, 10, content.substr(10), 2, complete ? Copy::kLast : Copy::kPart),
+        StatusCode::kOk);
     backup.RestartAfterPowerLoss();
     EXPECT_EQ(backup.Offers().contains(kSegment), complete);
   }
--- a/tests/backup/backup_world.h
+++ b/tests/backup/backup_world.h
@@ -11,11 +11,14 @@
 #include <vector>
 
 #include "backup/backup_service.h"
+#include "backup/segment_messages.h"
 #include "simulation/simulated_world.h"
 
 namespace cloverbank {
 
 struct BackupWorld {
+  static constexpr std::uint64_t kCapacity = 65536;
+
   explicit BackupWorld(std::uint64_t seed = 1, const BackupOptions& backup_options = {})
       : options(backup_options), world(seed), machine(world.AddMachine("backup", "127.0.0.1")) {
     machine.SetProgram([this](Environment& environment, DataFolder& folder) {
@@ -60,53 +63,32 @@
     return answer->value_or(Status(StatusCode::kInternal, "call was never answered"));
   }
 
-  /// @return a request about `segment` of `node`.
-  template <typename Request>
-  Request About(std::uint64_t segment) const {
-    Request request;
-    request.set_node_id(node);
-    request.set_segment_id(segment);
-    return request;
-  }
-
-  StatusCode Open(std::uint64_t segment, std::uint64_t epoch = 1, std::uint64_t capacity = 65536) {
-    auto request = About<proto::OpenSegmentRequest>(segment);
-    request.set_epoch(epoch);
-    request.set_capacity(capacity);
-    return Call<proto::OpenSegmentResponse>("backup.OpenSegment", request).status().code();
-  }
-  proto::WriteSegmentRequest WriteRequest(std::uint64_t segment, std::uint64_t offset,
-                                          const std::string& data, std::uint64_t epoch = 1) const {
-    auto request = About<proto::WriteSegmentRequest>(segment);
-    request.set_epoch(epoch);
-    request.set_offset(offset);
-    request.set_data(data);
-    return request;
-  }
-  Status Write(const proto::WriteSegmentRequest& request) {
-    return Call<proto::WriteSegmentResponse>("backup.WriteSegment", request).status();
+  StatusCode Open(std::uint64_t segment, std::uint64_t epoch = 1) {
+    return Call<proto::OpenSegmentResponse>("backup.OpenSegment",
+                                            OpenRequest(node, segment, epoch, kCapacity))
+        .status()
+        .code();
   }
   StatusCode Write(std::uint64_t segment, std::uint64_t offset, const std::string& data,
-                   std::uint64_t epoch = 1) {
-    return Write(WriteRequest(segment, offset, data, epoch)).code();
+                   std::uint64_t epoch = 1, Copy copy = Copy::kNo) {
+    const auto request = WriteRequest(node, segment, offset, data, epoch, copy);
+    return Call<proto::WriteSegmentResponse>("backup.WriteSegment", request).status().code();
   }
   StatusCode SetEpoch(std::uint64_t segment, std::uint64_t epoch) {
-    auto request = About<proto::SetSegmentEpochRequest>(segment);
-    request.set_epoch(epoch);
+    const auto request = EpochRequest(node, segment, epoch);
     return Call<proto::SetSegmentEpochResponse>("backup.SetSegmentEpoch", request).status().code();
   }
   StatusCode Close(std::uint64_t segment, std::uint64_t length) {
-    auto request = About<proto::CloseSegmentRequest>(segment);
-    request.set_length(length);
+    const auto request = CloseRequest(node, segment, length);
     return Call<proto::CloseSegmentResponse>("backup.CloseSegment", request).status().code();
   }
   StatusCode Free(std::uint64_t segment) {
-    const auto request = About<proto::FreeSegmentRequest>(segment);
+    const auto request = About<proto::FreeSegmentRequest>(node, segment);
     return Call<proto::FreeSegmentResponse>("backup.FreeSegment", request).status().code();
   }
   Result<proto::ReadSegmentResponse> Read(std::uint64_t segment) {
     return Call<proto::ReadSegmentResponse>("backup.ReadSegment",
-                                            About<proto::ReadSegmentRequest>(segment));
+                                            About<proto::ReadSegmentRequest>(node, segment));
   }
   Result<proto::ListSegmentsResponse> List() {
     return Call<proto::ListSegmentsResponse>("backup.ListSegments", proto::ListSegmentsRequest());
--- a/tests/backup/segment_file_test.cc
+++ b/tests/backup/segment_file_test.cc
@@ -2,8 +2,8 @@
 
 #include <gtest/gtest.h>
 
-#include "backup/segment_content.h"
 #include "backup/segment_dump.h"
+#include "backup/segment_messages.h"
 
 namespace cloverbank {
 namespace {
--- /dev/null
+++ b/tests/backup/segment_messages.h
@@ -0,0 +1,81 @@
+#pragma once
+/// @file
+/// Segment contents and calls for tests.
+
+#include <string>
+#include <vector>
+
+#include "log/segment_format.h"
+
+namespace cloverbank {
+
+inline proto::LogEntry NumberedEntry(std::uint64_t partition, std::uint64_t sequence) {
+  proto::LogEntry entry;
+  entry.set_partition_tag(partition + 1);
+  entry.set_sequence(sequence);
+  entry.mutable_batch_cancelled()->set_batch_id("batch-" + std::to_string(sequence));
+  return entry;
+}
+
+/// @return one framed entry.
+inline std::string Framed(std::uint64_t segment, const proto::LogEntry& entry) {
+  std::string bytes;
+  AppendEntry(&bytes, SegmentId(segment), entry);
+  return bytes;
+}
+
+/// @return the framed header and digest that begin a segment.
+inline std::string SegmentStart(std::uint64_t node, std::uint64_t segment,
+                                const std::vector<std::uint64_t>& digest) {
+  proto::LogEntry header;
+  header.mutable_segment_header()->set_node_id(node);
+  header.mutable_segment_header()->set_segment_id(segment);
+  proto::LogEntry digest_entry;
+  for (const std::uint64_t id : digest) {
+    digest_entry.mutable_log_digest()->add_segment_ids(id);
+  }
+  return Framed(segment, header) + Framed(segment, digest_entry);
+}
+
+/// @return a request about one segment.
+template <typename Request>
+Request About(std::uint64_t node, std::uint64_t segment) {
+  Request request;
+  request.set_node_id(node);
+  request.set_segment_id(segment);
+  return request;
+}
+inline proto::OpenSegmentRequest OpenRequest(std::uint64_t node, std::uint64_t segment,
+                                             std::uint64_t epoch, std::uint64_t capacity) {
+  auto request = About<proto::OpenSegmentRequest>(node, segment);
+  request.set_epoch(epoch);
+  request.set_capacity(capacity);
+  return request;
+}
+/// Whether a write is part of a replacement copy.
+enum class Copy : std::uint8_t { kNo, kPart, kLast };
+inline proto::WriteSegmentRequest WriteRequest(std::uint64_t node, std::uint64_t segment,
+                                               std::uint64_t offset, const std::string& data,
+                                               std::uint64_t epoch, Copy copy = Copy::kNo) {
+  auto request = About<proto::WriteSegmentRequest>(node, segment);
+  request.set_epoch(epoch);
+  request.set_offset(offset);
+  request.set_data(data);
+  request.set_atomic_replace(copy != Copy::kNo);
+  request.set_replace_complete(copy == Copy::kLast);
+  return request;
+}
+inline proto::SetSegmentEpochRequest EpochRequest(std::uint64_t node, std::uint64_t segment,
+                                                  std::uint64_t epoch) {
+  auto request = About<proto::SetSegmentEpochRequest>(node, segment);
+  request.set_epoch(epoch);
+  return request;
+}
+inline proto::CloseSegmentRequest CloseRequest(std::uint64_t node, std::uint64_t segment,
+                                               std::uint64_t length) {
+  auto request = About<proto::CloseSegmentRequest>(node, segment);
+  request.set_length(length);
+  return request;
+}
+
+}  // namespace cloverbank
--- a/tests/backup/segment_store_test.cc
+++ b/tests/backup/segment_store_test.cc
@@ -2,7 +2,7 @@
 
 #include <gtest/gtest.h>
 
-#include "backup/segment_content.h"
+#include "backup/segment_messages.h"
 
 namespace cloverbank {
 namespace {
@@ -23,46 +23,19 @@
     return Status::Ok();
   }
   Status Open(std::uint64_t epoch, std::uint64_t capacity = 4096) {
-    proto::OpenSegmentRequest request;
-    request.set_node_id(kNode);
-    request.set_segment_id(kSegment);
-    request.set_epoch(epoch);
-    request.set_capacity(capacity);
-    return Do(store.Open(request, free_bytes, now));
+    return Do(store.Open(OpenRequest(kNode, kSegment, epoch, capacity), free_bytes, now));
   }
-  enum class Copy : std::uint8_t { kNo, kPart, kLast };
   Status Write(std::uint64_t offset, const std::string& data, std::uint64_t epoch = 1,
                Copy copy = Copy::kNo) {
-    proto::WriteSegmentRequest request;
-    request.set_node_id(kNode);
-    request.set_segment_id(kSegment);
-    request.set_epoch(epoch);
-    request.set_offset(offset);
-    request.set_data(data);
-    request.set_atomic_replace(copy != Copy::kNo);
-    request.set_replace_complete(copy == Copy::kLast);
-    return Do(store.Write(request));
+    return Do(store.Write(WriteRequest(kNode, kSegment, offset, data, epoch, copy)));
   }
   Status SetEpoch(std::uint64_t epoch) {
-    proto::SetSegmentEpochRequest request;
-    request.set_node_id(kNode);
-    request.set_segment_id(kSegment);
-    request.set_epoch(epoch);
-    return Do(store.SetEpoch(request));
+    return Do(store.SetEpoch(EpochRequest(kNode, kSegment, epoch)));
   }
   Status Close(std::uint64_t length) {
-    proto::CloseSegmentRequest request;
-    request.set_node_id(kNode);
-    request.set_segment_id(kSegment);
-    request.set_length(length);
-    return Do(store.Close(request));
-  }
-  Status Free() {
-    proto::FreeSegmentRequest request;
-    request.set_node_id(kNode);
-    request.set_segment_id(kSegment);
-    return Do(store.Free(request));
+    return Do(store.Close(CloseRequest(kNode, kSegment, length)));
   }
+  Status Free() { return Do(store.Free(About<proto::FreeSegmentRequest>(kNode, kSegment))); }
   const Replica& replica() const { return *store.Find(kKey); }
 
   SegmentStoreOptions options;
@@ -147,14 +120,13 @@
   Core core;
   ASSERT_TRUE(core.Open(2).ok());
   EXPECT_FALSE(core.replica().offered());
-  ASSERT_TRUE(core.Write(0, core.one.substr(0, 7), 2, Core::Copy::kPart).ok());
+  ASSERT_TRUE(core.Write(0, core.one.substr(0, 7), 2, Copy::kPart).ok());
   EXPECT_EQ(core.last.header_before->state, ReplicaState::kReplacing);
   EXPECT_FALSE(core.replica().offered());
   EXPECT_EQ(core.Write(7, core.one.substr(7), 2).code(), StatusCode::kConflict);
   EXPECT_EQ(core.Close(7).code(), StatusCode::kConflict);
-  EXPECT_EQ(core.Write(7, core.one.substr(7, 5), 2, Core::Copy::kLast).code(),
-            StatusCode::kCorrupt);
-  ASSERT_TRUE(core.Write(7, core.one.substr(7), 3, Core::Copy::kLast).ok());
+  EXPECT_EQ(core.Write(7, core.one.substr(7, 5), 2, Copy::kLast).code(), StatusCode::kCorrupt);
+  ASSERT_TRUE(core.Write(7, core.one.substr(7), 3, Copy::kLast).ok());
   EXPECT_TRUE(core.replica().offered());
   EXPECT_EQ(core.replica().header.epoch, HeadEpoch(3));
   EXPECT_TRUE(core.Write(core.one.size(), core.two, 3).ok());
@@ -167,10 +139,10 @@
   ASSERT_TRUE(core.Open(2).ok());
   EXPECT_EQ(core.Write(core.one.size(), core.two, 1).code(), StatusCode::kStaleEpoch);
   EXPECT_EQ(core.Write(core.one.size(), core.two, 2).code(), StatusCode::kConflict);
-  ASSERT_TRUE(core.Write(0, core.one + core.two.substr(0, 5), 2, Core::Copy::kPart).ok());
+  ASSERT_TRUE(core.Write(0, core.one + core.two.substr(0, 5), 2, Copy::kPart).ok());
   EXPECT_TRUE(core.replica().offered());
   EXPECT_EQ(core.replica().header.epoch, HeadEpoch(1));
-  ASSERT_TRUE(core.Write(core.one.size() + 5, core.two.substr(5), 2, Core::Copy::kLast).ok());
+  ASSERT_TRUE(core.Write(core.one.size() + 5, core.two.substr(5), 2, Copy::kLast).ok());
   EXPECT_EQ(core.replica().header.epoch, HeadEpoch(2));
   EXPECT_EQ(core.replica().staging, core.one + core.two);
 }
@@ -209,13 +181,9 @@
   core.free_bytes = kFreeBytes;
   EXPECT_EQ(core.Open(1, core.options.maximum_segment_bytes + 1).code(),
             StatusCode::kInvalidArgument);
-  std::uint64_t opened = 0;
-  proto::OpenSegmentRequest request;
-  request.set_node_id(kNode);
-  request.set_epoch(1);
-  request.set_capacity(core.options.maximum_segment_bytes);
   Status status;
-  for (request.set_segment_id(1); status.ok(); request.set_segment_id(++opened + 1)) {
+  for (std::uint64_t segment = 1; status.ok(); ++segment) {
+    const auto request = OpenRequest(kNode, segment, 1, core.options.maximum_segment_bytes);
     status = core.store.Open(request, kFreeBytes, core.now).status();  // Still under way.
   }
   EXPECT_EQ(status.code(), StatusCode::kResourceExhausted);
@@ -242,7 +210,7 @@
   ASSERT_TRUE(core.Open(1).ok());
   EXPECT_TRUE(core.last.remove && core.last.create);
   EXPECT_EQ(core.replica().length, 0U);
-  EXPECT_TRUE(core.Write(0, core.one, 1, Core::Copy::kLast).ok());
+  EXPECT_TRUE(core.Write(0, core.one, 1, Copy::kLast).ok());
   EXPECT_TRUE(core.replica().offered());
 }
 
