--- a/src/backup/segment_dump.cc
+++ b/src/backup/segment_dump.cc
@@ -29,10 +29,10 @@
          std::to_string(header.length) + ", generation " + std::to_string(header.generation) + "\n";
 }
 
-std::string_view EntryKind(const proto::LogEntry& entry) {
+std::string EntryKind(const proto::LogEntry& entry) {
   const google::protobuf::FieldDescriptor* field =
       proto::LogEntry::descriptor()->FindFieldByNumber(entry.payload_case());
-  return field == nullptr ? std::string_view("empty") : std::string_view(field->name());
+  return field == nullptr ? "empty" : field->name();
 }
 
 std::string EntryLine(const proto::LogEntry& entry, std::size_t offset, std::size_t bytes) {
@@ -41,7 +41,7 @@
     line += " partition " + std::to_string(entry.partition_tag() - 1) + " sequence " +
             std::to_string(entry.sequence());
   }
-  line += " " + std::string(EntryKind(entry)) + " ";
+  line += " " + EntryKind(entry) + " ";
   std::string content = entry.ShortDebugString();
   if (content.size() > kShownContentBytes) {
     content.resize(kShownContentBytes);
@@ -55,15 +55,11 @@
   return SegmentData(file).substr(0, header.capacity);
 }
 
-bool HasRecordedLength(const ReplicaHeader& header) {
-  return header.state == ReplicaState::kClosed || header.state == ReplicaState::kSealed;
-}
-
 Status Verdict(const SegmentFileCheck& check) {
   if (check.header->state == ReplicaState::kReplacing) {
     return {StatusCode::kConflict, "replacement copy is not complete"};
   }
-  if (HasRecordedLength(*check.header) && check.valid_length < check.header->length) {
+  if (check.valid_length < check.header->length) {
     return {StatusCode::kCorrupt, "whole up to byte " + std::to_string(check.valid_length) +
                                       " of " + std::to_string(check.header->length)};
   }
