--- a/src/queue/head_segment.cc
+++ b/src/queue/head_segment.cc
@@ -124,6 +124,9 @@
     }
     // Backups refuse to open again under the epoch that was freed.
     open_epoch_ = std::max(open_epoch_, replica.epoch.Next());
+    if (context_.directory.Current(replica.holder) == nullptr) {
+      return true;  // Another disk may be at its endpoint by now.
+    }
     context_.client.FreeSegment(context_.directory.EndpointOf(replica.holder), id_,
                                 [](const Status&) {});
     return true;
@@ -168,7 +171,10 @@
     replica.member = true;
   }
   Log(LogLevel::kInfo, "segment_backups_changed",
-      {{"segment", id_.value()}, {"epoch", epoch_.value()}, {"copies", replicas_.size()}});
+      {{"node", context_.node.value()},
+       {"segment", id_.value()},
+       {"epoch", epoch_.value()},
+       {"copies", replicas_.size()}});
   context_.environment.metrics().Increment("queue_segment_epochs_total");
 }
 
@@ -213,7 +219,10 @@
   }
   if (!status.ok()) {
     Log(LogLevel::kWarning, "commit_head_failed",
-        {{"segment", id_.value()}, {"epoch", epoch.value()}, {"status", status.ToString()}});
+        {{"node", context_.node.value()},
+         {"segment", id_.value()},
+         {"epoch", epoch.value()},
+         {"status", status.ToString()}});
     PumpLater();
     return;
   }
--- a/src/queue/head_segment_calls.cc
+++ b/src/queue/head_segment_calls.cc
@@ -132,7 +132,8 @@
     return;
   }
   Log(LogLevel::kWarning, "backup_call_failed",
-      {{"segment", id_.value()},
+      {{"node", context_.node.value()},
+       {"segment", id_.value()},
        {"backup", replica->holder.node.value()},
        {"status", status.ToString()}});
   context_.environment.metrics().Increment("queue_backup_failures_total",
--- a/src/queue/segment_log.cc
+++ b/src/queue/segment_log.cc
@@ -273,7 +273,9 @@
   early_roll_ = false;
   rolled_at_ = context_.environment.Now();
   Log(LogLevel::kInfo, "segment_opened",
-      {{"segment", head_->id().value()}, {"live_segments", live_segments()}});
+      {{"node", context_.node.value()},
+       {"segment", head_->id().value()},
+       {"live_segments", live_segments()}});
   repairer_->Pump();
   pump_again_ = true;
 }
@@ -306,6 +308,9 @@
     }
     RefuseOverdue();
     OnFleet();
+    if (!context_.stopped && head_ != nullptr) {
+      repairer_->Audit(head_->id());
+    }
     if (!context_.stopped) {
       Tick();
     }
--- a/src/queue/segment_repairer.cc
+++ b/src/queue/segment_repairer.cc
@@ -32,6 +32,9 @@
 }
 
 void SegmentRepairer::FreeAt(const SegmentHolder& holder, SegmentId segment) {
+  if (context_.directory.Current(holder) == nullptr) {
+    return;
+  }
   context_.bulk_client.FreeSegment(context_.directory.EndpointOf(holder), segment,
                                    [](const Status&) {});
 }
@@ -187,7 +190,9 @@
     segment->second.holders.push_back(repair->target);
     context_.environment.metrics().Increment("queue_segment_repairs_total");
     Log(LogLevel::kInfo, "segment_repaired",
-        {{"segment", repair->segment.value()}, {"backup", repair->target.node.value()}});
+        {{"node", context_.node.value()},
+         {"segment", repair->segment.value()},
+         {"backup", repair->target.node.value()}});
   }
   Pump();
 }
@@ -198,7 +203,8 @@
   context_.environment.metrics().Increment("queue_segment_repair_failures_total",
                                            {{"reason", StatusCodeName(status.code())}});
   Log(LogLevel::kWarning, "segment_repair_failed",
-      {{"segment", repair->segment.value()},
+      {{"node", context_.node.value()},
+       {"segment", repair->segment.value()},
        {"backup", culprit.node.value()},
        {"status", status.ToString()}});
   context_.directory.NoteFailure(culprit.node);
--- a/src/queue/segment_repairer.h
+++ b/src/queue/segment_repairer.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -37,6 +38,8 @@
   void Free(SegmentId segment);
   /// Starts repairs that are due: call it on fleet changes and on a timer.
   void Pump();
+  /// Asks backups that are due what they hold. @param head the segment from which on they are open.
+  void Audit(SegmentId head);
 
   const std::map<SegmentId, ClosedSegment>& segments() const { return segments_; }
   /// Whether any segment has fewer live copies than wanted.
@@ -69,11 +72,19 @@
   void Fail(const RepairPtr& repair, const SegmentHolder& culprit, const Status& status);
   /// @return a callback that goes on with `next`, or ends the repair.
   BackupClient::Done Then(const RepairPtr& repair, Step next);
+  /// Frees the replica if the holder's disk is live; never what another disk holds at its endpoint.
   void FreeAt(const SegmentHolder& holder, SegmentId segment);
 
+  // segment_audit.cc
+  std::set<SegmentId> HeldBy(NodeId backup) const;
+  bool IsAt(const SegmentHolder& holder, NodeId backup) const;
+  void TakeAudit(NodeId backup, SegmentId head, const std::set<SegmentId>& expected,
+                 const proto::ListSegmentsResponse& listed);
+
   LogContext& context_;
   std::map<SegmentId, ClosedSegment> segments_;
   std::size_t repairs_under_way_ = 0;
+  std::map<NodeId, TimePoint> next_audit_;  ///< By backup.
 };
 
 }  // namespace cloverbank
--- a/tests/queue/durability_simulation_test.cc
+++ b/tests/queue/durability_simulation_test.cc
@@ -33,6 +33,22 @@
     return milliseconds(fleet.world.RandomBelow(limit_ms));
   }
 
+  /// @return what the coordinators say is wrong.
+  std::string FleetProblems() {
+    std::string problems;
+    for (const std::string& front : fleet.fronts) {
+      fleet.world.CallPeer(Machine(front).endpoint(), "coordinator.GetFleetStatus", "", seconds(2),
+                           [&](const PeerReply& reply) {
+                             proto::GetFleetStatusResponse response;
+                             if (reply.status.ok() && response.ParseFromString(reply.body)) {
+                               problems = response.DebugString();
+                             }
+                           });
+    }
+    fleet.world.RunFor(seconds(3));
+    return problems;
+  }
+
   /// Ends the faults, lets everything finish and checks what must hold.
   void Conclude(std::size_t least_accepted) {
     fleet.world.HealAll();
@@ -40,7 +56,7 @@
     fleet.StartAll();
     workload.StopSubmitting();
     const bool done = fleet.world.RunUntil([this] { return workload.Done(); }, seconds(120));
-    EXPECT_TRUE(done) << workload.Unfinished();
+    EXPECT_TRUE(done) << workload.Unfinished() << FleetProblems();
     fleet.world.RunFor(seconds(2));
     for (std::size_t i = 0; i < workload.violations().size() && i < 10; ++i) {
       ADD_FAILURE() << workload.violations()[i];
