--- a/src/gateway/call_attempt.cc
+++ b/src/gateway/call_attempt.cc
@@ -2,8 +2,8 @@
 
 #include <algorithm>
 
-#include "gateway/backend_json.h"
 #include "gateway/http_json.h"
+#include "json/json.h"
 
 namespace cloverbank {
 namespace {
@@ -24,7 +24,7 @@
 
 FailureReading ReadRefusal(int status, const std::string& body) {
   proto::ErrorBody parsed;
-  const bool readable = FromBackendJson(body, &parsed).ok() && parsed.has_error();
+  const bool readable = FromJson(body, &parsed, UnknownFields::kIgnore).ok() && parsed.has_error();
   const proto::Executed told = parsed.error().executed();
   const std::string words = readable ? ": " + parsed.error().message() : "";
   const std::string message = "the replica answered " + std::to_string(status) + words;
--- a/src/gateway/replica_list_poller.cc
+++ b/src/gateway/replica_list_poller.cc
@@ -3,7 +3,7 @@
 #include <utility>
 
 #include "base/logging.h"
-#include "gateway/backend_json.h"
+#include "json/json.h"
 
 namespace cloverbank {
 namespace {
@@ -71,7 +71,7 @@
     return "refused";
   }
   proto::ReplicaList list;
-  Status status = FromBackendJson(outcome.response.body, &list);
+  Status status = FromJson(outcome.response.body, &list, UnknownFields::kIgnore);
   if (status.ok()) {
     status = on_list_(list);
   }
--- a/src/gateway/service_attempt.cc
+++ b/src/gateway/service_attempt.cc
@@ -1,8 +1,8 @@
 #include <utility>
 
 #include "base/logging.h"
-#include "gateway/backend_json.h"
 #include "gateway/call_attempt.h"
+#include "json/json.h"
 
 namespace cloverbank {
 namespace {
@@ -75,7 +75,7 @@
   /// A whole answer counts only if it is this call's.
   FailureReading ReadAnswer(const std::string& body) const {
     FailureReading reading;
-    const bool readable = FromBackendJson(body, &reading.result.answer).ok();
+    const bool readable = FromJson(body, &reading.result.answer, UnknownFields::kIgnore).ok();
     if (readable && reading.result.answer.call_id() == request_.body.call_id()) {
       reading.result.end = AttemptEnd::kWhole;
       reading.health = CallEnd::kSuccess;
--- a/src/gateway/stream_attempt.cc
+++ b/src/gateway/stream_attempt.cc
@@ -2,10 +2,10 @@
 #include <utility>
 
 #include "base/logging.h"
-#include "gateway/backend_json.h"
 #include "gateway/call_attempt.h"
 #include "gateway/line_reader.h"
 #include "gateway/stream_check.h"
+#include "json/json.h"
 
 namespace cloverbank {
 namespace {
@@ -154,7 +154,7 @@
 
   void TakeLine(const std::string& line) {
     proto::StreamPiece piece;
-    if (!FromBackendJson(line, &piece).ok()) {
+    if (!FromJson(line, &piece, UnknownFields::kIgnore).ok()) {
       check_.Malformed();
       BreakOff();
       return;
--- a/tests/gateway/gateway_harness.h
+++ b/tests/gateway/gateway_harness.h
@@ -9,12 +9,12 @@
 #include <vector>
 
 #include "fake_http.h"
-#include "gateway/backend_json.h"
 #include "gateway/call_queue.h"
 #include "gateway/http_json.h"
 #include "gateway/live_call_handler.h"
 #include "gateway/replica_backend_caller.h"
 #include "gateway/replica_pool.h"
+#include "json/json.h"
 #include "simulation/simulated_world.h"
 
 namespace cloverbank {
@@ -182,7 +182,7 @@
   }
   static proto::CallError ErrorIn(const FakeResponder& responder) {
     proto::ErrorBody body;
-    EXPECT_TRUE(FromBackendJson(responder.body, &body).ok()) << responder.body;
+    EXPECT_TRUE(FromJson(responder.body, &body, UnknownFields::kIgnore).ok()) << responder.body;
     return body.error();
   }
 
@@ -232,7 +232,7 @@
     replica.probes += probe ? 1 : 0;
     if (!probe) {
       proto::CallRequest request;
-      EXPECT_TRUE(FromBackendJson(exchange->request.body, &request).ok());
+      EXPECT_TRUE(FromJson(exchange->request.body, &request, UnknownFields::kIgnore).ok());
       replica.received.push_back(request.call_id());
       replica.running_then.push_back(replica.running);
       replica.exchanges.push_back(exchange);
--- a/tests/gateway/live_call_test.cc
+++ b/tests/gateway/live_call_test.cc
@@ -35,13 +35,13 @@
   const auto served = h.Call("unlock");
   h.world.RunFor(seconds(1));
   proto::CallAnswer answer;
-  ASSERT_TRUE(FromBackendJson(whole->body, &answer).ok());
+  ASSERT_TRUE(FromJson(whole->body, &answer, UnknownFields::kIgnore).ok());
   EXPECT_EQ(answer.text(), "hello world");
   EXPECT_EQ(answer.tokens(), 2U);
   EXPECT_EQ(stream->status, 200);
   EXPECT_EQ(stream->pieces, 2);
   EXPECT_TRUE(stream->complete);
-  ASSERT_TRUE(FromBackendJson(served->body, &answer).ok());
+  ASSERT_TRUE(FromJson(served->body, &answer, UnknownFields::kIgnore).ok());
   EXPECT_EQ(answer.text(), "served");
   EXPECT_EQ(h.live->calls_under_way(), 0U);
 }
