--- /dev/null
+++ b/apps/bench/hollow_nodes.cc
@@ -0,0 +1,78 @@
+#include "bench/hollow_nodes.h"
+
+#include <array>
+#include <string>
+
+namespace cloverbank {
+namespace {
+
+constexpr Duration kCheckInterval = milliseconds(2);
+constexpr std::array<const char*, 5> kZones = {"a", "b", "c", "d", "e"};
+
+HttpClientOptions ClientOptions(std::size_t expected_nodes) {
+  HttpClientOptions options;
+  options.maximum_idle_per_endpoint = expected_nodes * 2;
+  return options;
+}
+
+}  // namespace
+
+HollowNodes::HollowNodes(std::vector<Endpoint> coordinators, std::size_t expected_nodes)
+    : client_(loop_, ClientOptions(expected_nodes), nullptr),
+      counting_(client_),
+      environment_(loop_, counting_, router_, Endpoint{"127.0.0.1", 1}, metrics_),
+      coordinators_(std::move(coordinators)) {}
+
+HollowNodes::~HollowNodes() = default;
+
+void HollowNodes::Grow(std::size_t count) {
+  while (agents_.size() < count) {
+    NodeAgentOptions options;
+    options.role = proto::ROLE_GATEWAY;
+    options.machine = "hollow-" + std::to_string(agents_.size());
+    options.zone = kZones[agents_.size() % kZones.size()];
+    options.client_endpoint = {"127.0.0.1", 1};
+    options.coordinators = coordinators_;
+    agents_.push_back(std::make_unique<NodeAgent>(environment_, std::move(options)));
+    agents_.back()->Start();
+  }
+}
+
+std::size_t HollowNodes::Leased() const {
+  std::size_t leased = 0;
+  for (const auto& agent : agents_) {
+    leased += agent->LeaseValid() ? 1 : 0;
+  }
+  return leased;
+}
+
+std::size_t HollowNodes::Holding(std::uint64_t version) const {
+  std::size_t holding = 0;
+  for (const auto& agent : agents_) {
+    holding += agent->configuration().version() >= version ? 1 : 0;
+  }
+  return holding;
+}
+
+bool HollowNodes::RunUntil(const std::function<bool()>& condition, Duration limit) {
+  const TimePoint give_up = EventLoop::Now() + limit;
+  bool held = false;
+  std::function<void()> check = [&] {
+    held = condition();
+    if (held || EventLoop::Now() >= give_up) {
+      loop_.Stop();
+    } else {
+      loop_.ScheduleAfter(kCheckInterval, check);
+    }
+  };
+  loop_.ScheduleAfter(Duration::zero(), check);
+  loop_.Run();
+  return held;
+}
+
+void HollowNodes::RunFor(Duration time) {
+  loop_.ScheduleAfter(time, [this] { loop_.Stop(); });
+  loop_.Run();
+}
+
+}  // namespace cloverbank
--- a/apps/fleet/demo.cc
+++ b/apps/fleet/demo.cc
@@ -101,6 +101,9 @@
   const TimePoint begin = EventLoop::Now();
   const bool applied = client.Call("POST", "/v1/config/transactions", configuration_json_,
                                    Repeat::kSafe, &result, &error);
+  for (const std::string& problem : error.error.problems()) {
+    Report(false, "first configuration: " + problem);
+  }
   Report(applied, applied ? "first configuration is in force as version " +
                                 std::to_string(result.version()) + " after " +
                                 Milliseconds(EventLoop::Now() - begin)
--- a/apps/fleet/demo_control.cc
+++ b/apps/fleet/demo_control.cc
@@ -163,9 +163,9 @@
   const Duration recovery = EventLoop::Now() - begin;
   Report(back && recovery <= kServiceBackLimit,
          "its partition is served by another queue node after " + Milliseconds(recovery));
-  Report(WaitFinished(batch_id, kBatchLimit, &progress),
-         "the batch finished: " + std::to_string(progress.succeeded()) + " succeeded, " +
-             std::to_string(progress.unknown()) + " unknown");
+  const bool finished = WaitFinished(batch_id, kBatchLimit, &progress);
+  Report(finished, "the batch finished: " + std::to_string(progress.succeeded()) + " succeeded, " +
+                       std::to_string(progress.unknown()) + " unknown");
   CheckResults(batch_id, kFailureBatchItems, before);
   Report(fleet_.Start(owner).ok() && fleet_.WaitReady(kPatience).ok(),
          owner + " is back and ready");
--- a/apps/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -83,15 +83,23 @@
   if (Status status = SaveDeployment(); !status.ok()) {
     return status;
   }
-  Status status = Spawn(std::string(kEmulator), {program_folder_ + "/cloverbank-emulator",
-                                                 "--fleet", folder_.FleetFile().string(),
-                                                 "--witness", folder_.WitnessFile().string()});
+  const Status status =
+      Spawn(std::string(kEmulator),
+            {program_folder_ + "/cloverbank-emulator", "--fleet", folder_.FleetFile().string(),
+             "--witness", folder_.WitnessFile().string()});
+  return status.ok() ? StartMachines() : status;
+}
+
+Status Fleet::StartMachines() {
+  if (Status status = folder_.Create(); !status.ok()) {
+    return status;
+  }
   for (const DeployedMachine& machine : deployment_.machines) {
-    if (status.ok()) {
-      status = Start(machine.name);
+    if (Status status = Start(machine.name); !status.ok()) {
+      return status;
     }
   }
-  return status;
+  return Status::Ok();
 }
 
 Endpoint Fleet::ClientEndpoint(const DeployedMachine& machine) const {
--- a/apps/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -20,6 +20,8 @@
 
   /// Starts the emulator and every machine.
   Status StartAll();
+  /// Starts every machine, without an emulator.
+  Status StartMachines();
   /// Waits until every machine that runs is ready. @return what is not, at the limit.
   Status WaitReady(Duration limit);
   /// Stops everything: SIGTERM, then SIGKILL for what is left after `grace`.
