Drop a backup as holder as soon as it answers that its copy is damaged

A repair that read a damaged copy failed and asked the same backup again until the audit of held segments noticed. The answer itself now ends its being counted. The test also passes before this change, by the audit: it covers the outcome, that a damaged copy is replaced and can carry a recovery alone.

--- a/src/queue/segment_repairer.cc
+++ b/src/queue/segment_repairer.cc
@@ -143,20 +143,28 @@
 
 void SegmentRepairer::TakeRead(const RepairPtr& repair, Result<proto::ReadSegmentResponse> result) {
   const auto segment = segments_.find(repair->segment);
-  if (!result.ok() || segment == segments_.end()) {
+  if (segment == segments_.end()) {
     Fail(repair, repair->source, result.status());
     return;
   }
-  repair->data = std::move(*result->mutable_data());
-  if (repair->data.size() != segment->second.length ||
-      Checksum(repair->data) != segment->second.checksum) {
-    // This replica is not what was written: it no longer counts as a copy.
+  Status status = result.status();
+  if (result.ok()) {
+    repair->data = std::move(*result->mutable_data());
+    const bool as_written = repair->data.size() == segment->second.length &&
+                            Checksum(repair->data) == segment->second.checksum;
+    status = as_written ? Status::Ok()
+                        : Status(StatusCode::kCorrupt, "replica differs from its segment");
+  }
+  if (status.ok()) {
+    Open(repair);
+    return;
+  }
+  if (status.code() == StatusCode::kCorrupt || status.code() == StatusCode::kNotFound) {
+    // This backup does not have what was written: it no longer counts as a holder.
     std::erase_if(segment->second.holders,
                   [&](const SegmentHolder& holder) { return holder.node == repair->source.node; });
-    Fail(repair, repair->source, Status(StatusCode::kCorrupt, "replica differs from its segment"));
-    return;
   }
-  Open(repair);
+  Fail(repair, repair->source, status);
 }
 
 void SegmentRepairer::Open(const RepairPtr& repair) {
--- a/tests/queue/segment_log_test.cc
+++ b/tests/queue/segment_log_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include "backup/segment_file.h"
 #include "queue/log_world.h"
 
 namespace cloverbank {
@@ -266,6 +267,33 @@
   ExpectAcknowledgedRecoverable();
 }
 
+TEST_F(SegmentLogTest, ACopyFoundDamagedIsReplacedAndNoLongerCounts) {
+  StartQueue();
+  for (int i = 0; i < 200; ++i) {
+    Append();
+  }
+  ASSERT_TRUE(WaitFor([this] { return outcomes.size() == 200; }));
+  const auto files = logs.world.machine("b1").disk().List("segments");
+  ASSERT_TRUE(files.ok());
+  ASSERT_GT(files->size(), 2U) << "the first two are closed";
+  constexpr std::uint64_t kDamagedByte = kSegmentDataOffset + 100;
+  for (std::size_t index = 0; index < 2; ++index) {
+    const std::string file = "segments/" + (*files)[index];
+    ASSERT_TRUE(logs.world.machine("b1").FlipBit(file, kDamagedByte).ok());
+  }
+  // Only the damaged copies can be read while b3 is down.
+  logs.coordinator.MarkDead(logs.coordinator.NodeOf("b2", proto::ROLE_BACKUP));
+  logs.world.machine("b2").LoseDisk();
+  logs.world.machine("b3").Kill();
+  logs.AddBackup("b4", "zone-b4");
+  logs.world.RunFor(seconds(5));
+  logs.world.machine("b3").Start();
+  ASSERT_TRUE(WaitFor([this] { return !process->log->degraded(); }));
+  logs.world.machine("b3").LoseDisk();
+  logs.world.machine("b4").LoseDisk();
+  ExpectAcknowledgedRecoverable();
+}
+
 TEST_F(SegmentLogTest, SparesTakeMissingPlacesAndGiveThemBack) {
   logs.AddBackup("spare", "zone-b1", true);
   StartQueue();
