--- a/src/queue/head_segment.cc
+++ b/src/queue/head_segment.cc
@@ -183,24 +183,14 @@
       committed_epoch_ == epoch_) {
     return;
   }
-  proto::CommitHeadRequest request;
-  proto::LogHead& head = *request.mutable_head();
   for (const Replica& replica : replicas_) {
-    if (!replica.member) {
-      continue;
-    }
-    if (replica.epoch != epoch_ || replica.copying) {
+    if (replica.member && (replica.epoch != epoch_ || replica.copying)) {
       return;
     }
-    const proto::Server* server = context_.directory.Current(replica.holder);
-    head.add_backups(server == nullptr ? replica.holder.node.value() : server->node_id());
   }
-  head.set_node_id(context_.node.value());
-  head.set_segment_id(id_.value());
-  head.set_epoch(epoch_.value());
   commit_under_way_ = true;
   context_.agent.CallLeader<proto::CommitHeadResponse>(
-      "coordinator.CommitHead", request, context_.options.commit_deadline,
+      "coordinator.CommitHead", CommitRequest(), context_.options.commit_deadline,
       [weak = weak_from_this(), epoch = epoch_](const Result<proto::CommitHeadResponse>& result) {
         if (const auto self = weak.lock()) {
           self->TakeCommit(epoch, result.status());
@@ -208,6 +198,26 @@
       });
 }
 
+const proto::CommitHeadRequest& HeadSegment::CommitRequest() {
+  proto::LogHead& head = *commit_request_.mutable_head();
+  if (head.epoch() == epoch_.value()) {
+    // An earlier try may have been committed: a backup that has restarted since keeps its old id in
+    // it.
+    return commit_request_;
+  }
+  head.Clear();
+  head.set_node_id(context_.node.value());
+  head.set_segment_id(id_.value());
+  head.set_epoch(epoch_.value());
+  for (const Replica& replica : replicas_) {
+    if (replica.member) {
+      const proto::Server* server = context_.directory.Current(replica.holder);
+      head.add_backups(server == nullptr ? replica.holder.node.value() : server->node_id());
+    }
+  }
+  return commit_request_;
+}
+
 void HeadSegment::TakeCommit(HeadEpoch epoch, const Status& status) {
   commit_under_way_ = false;
   if (context_.stopped) {
--- a/src/queue/head_segment.h
+++ b/src/queue/head_segment.h
@@ -24,6 +24,7 @@
 #include <vector>
 
 #include "base/ids.h"
+#include "proto/coordinator.pb.h"
 #include "queue/log_context.h"
 
 namespace cloverbank {
@@ -93,6 +94,8 @@
   /// Frees the newcomers that are not to be kept.
   void DropNewcomers(const std::function<bool(const Replica&)>& keep);
   void ConsiderCommit();
+  /// @return the commit of the present set; the same one for every try under one epoch.
+  const proto::CommitHeadRequest& CommitRequest();
   void UpdateHeld();
 
   /// Makes the next call that `replica` needs, if any.
@@ -123,6 +126,7 @@
   HeadEpoch epoch_;            ///< Of the present set; 0 before the first.
   HeadEpoch open_epoch_{1};    ///< For newcomers, and of the next set.
   HeadEpoch committed_epoch_;  ///< Last one the coordinators confirmed.
+  proto::CommitHeadRequest commit_request_;
   std::uint64_t held_ = 0;
   bool commit_allowed_ = false;
   bool commit_under_way_ = false;
