Bound the bytes that wait, and count how each call ended

A crowd of 1 MB requests could hold 1 GB in the queue; 64 MB is the bound now. A gateway that was frozen lets calls wait for its new list of replicas instead of refusing them.

--- a/src/gateway/admission_control.cc
+++ b/src/gateway/admission_control.cc
@@ -99,7 +99,7 @@
   if (wait && now + *wait >= bounded.give_up_at) {
     return RefusalNotice{Refusal::kQueueTooSlow, RetryAfter(call.backend)};
   }
-  if (!MakeRoom(queue, rank, displaced)) {
+  if (!MakeRoom(queue, rank, call.bytes, displaced)) {
     return RefusalNotice{Refusal::kQueueFull, RetryAfter(call.backend)};
   }
   if (queue.ranks.empty()) {
@@ -110,13 +110,19 @@
   queue.ranks.insert(rank);
   expiries_.emplace(bounded.give_up_at, bounded.id);
   waiting_.emplace(bounded.id, bounded);
+  waiting_bytes_ += bounded.bytes;
   return std::nullopt;
 }
 
-bool AdmissionControl::MakeRoom(Queue& queue, const Rank& rank, std::vector<WaitId>* displaced) {
-  const bool room =
-      queue.ranks.size() < options_.queue_length && waiting_.size() < options_.total_queue_length;
-  if (room) {
+bool AdmissionControl::HasRoom(const Queue& queue, std::size_t bytes) const {
+  return queue.ranks.size() < options_.queue_length &&
+         waiting_.size() < options_.total_queue_length &&
+         waiting_bytes_ + bytes <= options_.queue_bytes;
+}
+
+bool AdmissionControl::MakeRoom(Queue& queue, const Rank& rank, std::size_t bytes,
+                                std::vector<WaitId>* displaced) {
+  if (HasRoom(queue, bytes)) {
     return true;
   }
   if (queue.ranks.empty()) {
@@ -130,7 +136,7 @@
   const WaitId id = std::get<2>(last);
   Remove(id);
   displaced->push_back(id);
-  return true;
+  return HasRoom(queue, bytes);
 }
 
 std::vector<WaitId> AdmissionControl::FirstWaiting(const std::string& backend,
@@ -157,6 +163,7 @@
   const WaitingCall& call = found->second;
   queues_[call.backend].ranks.erase(RankOf(call));
   expiries_.erase({call.give_up_at, id});
+  waiting_bytes_ -= call.bytes;
   waiting_.erase(found);
   return true;
 }
--- a/src/gateway/admission_control.h
+++ b/src/gateway/admission_control.h
@@ -42,10 +42,11 @@
 };
 
 struct AdmissionOptions {
-  std::size_t queue_length = 256;         ///< Most calls waiting for one back end.
-  std::size_t total_queue_length = 1024;  ///< Most calls waiting at this gateway.
-  Duration longest_wait = seconds(3);     ///< Even if the deadline allows more.
-  Duration burst = seconds(1);            ///< Of a tenant's rate that may come at once.
+  std::size_t queue_length = 256;                    ///< Most calls waiting for one back end.
+  std::size_t queue_bytes = std::size_t{64} << 20U;  ///< Most bytes of requests waiting here.
+  std::size_t total_queue_length = 1024;             ///< Most calls waiting at this gateway.
+  Duration longest_wait = seconds(3);                ///< Even if the deadline allows more.
+  Duration burst = seconds(1);                       ///< Of a tenant's rate that may come at once.
   Duration least_retry_after = milliseconds(200);
   Duration longest_retry_after = seconds(10);
 };
@@ -57,7 +58,8 @@
   WaitId id = 0;
   std::string backend;
   proto::Priority priority = proto::PRIORITY_STANDARD;
-  TimePoint give_up_at;  ///< When it must have left the queue.
+  TimePoint give_up_at;   ///< When it must have left the queue.
+  std::size_t bytes = 0;  ///< Of its request.
 };
 
 /// A tenant's calls per second, as a bucket of tokens.
@@ -101,6 +103,7 @@
 
   std::size_t Waiting(const std::string& backend) const;
   std::size_t waiting() const { return waiting_.size(); }
+  std::size_t waiting_bytes() const { return waiting_bytes_; }
   std::vector<std::string> BackendsWithWaiting() const;
   /// @return when a refused call should come back, from the length and pace of the queue.
   Duration RetryAfter(const std::string& backend) const;
@@ -121,13 +124,15 @@
 
   static Rank RankOf(const WaitingCall& call);
   std::optional<Duration> ExpectedWait(const Queue& queue, const Rank& rank) const;
-  bool MakeRoom(Queue& queue, const Rank& rank, std::vector<WaitId>* displaced);
+  bool HasRoom(const Queue& queue, std::size_t bytes) const;
+  bool MakeRoom(Queue& queue, const Rank& rank, std::size_t bytes, std::vector<WaitId>* displaced);
 
   AdmissionOptions options_;
   std::unordered_map<std::string, std::uint32_t> in_flight_;
   std::unordered_map<std::string, TokenBucket> buckets_;
   std::map<std::string, Queue> queues_;
   std::unordered_map<WaitId, WaitingCall> waiting_;
+  std::size_t waiting_bytes_ = 0;
   std::set<std::pair<TimePoint, WaitId>> expiries_;
 };
 
--- a/src/gateway/call_queue.cc
+++ b/src/gateway/call_queue.cc
@@ -22,13 +22,8 @@
   environment_.CancelTimer(tick_timer_);
 }
 
-CallQueue::Waited CallQueue::Wait(const std::string& backend, proto::Priority priority,
-                                  TimePoint give_up_at, std::weak_ptr<WaitingCallOwner> owner) {
-  WaitingCall call;
+CallQueue::Waited CallQueue::Wait(WaitingCall call, std::weak_ptr<WaitingCallOwner> owner) {
   call.id = next_id_++;
-  call.backend = backend;
-  call.priority = priority;
-  call.give_up_at = give_up_at;
   std::vector<WaitId> displaced;
   std::optional<RefusalNotice> refusal = admission_.Enqueue(call, environment_.Now(), &displaced);
   for (const WaitId id : displaced) {
@@ -37,7 +32,7 @@
   if (refusal) {
     return {0, refusal};
   }
-  waiters_.emplace(call.id, Waiter{std::move(owner), backend});
+  waiters_.emplace(call.id, Waiter{std::move(owner), call.backend});
   Refresh();
   return {call.id, std::nullopt};
 }
--- a/src/gateway/call_queue.h
+++ b/src/gateway/call_queue.h
@@ -41,13 +41,12 @@
 
   AdmissionControl& admission() { return admission_; }
 
-  /// Queues a call. @return its id, or the refusal.
   struct Waited {
     WaitId id = 0;
     std::optional<RefusalNotice> refusal;
   };
-  Waited Wait(const std::string& backend, proto::Priority priority, TimePoint give_up_at,
-              std::weak_ptr<WaitingCallOwner> owner);
+  /// Queues a call, whose `id` is chosen here. @return its id, or the refusal.
+  Waited Wait(WaitingCall call, std::weak_ptr<WaitingCallOwner> owner);
   /// The owner left by itself.
   void Leave(WaitId id);
   std::size_t Waiting(const std::string& backend) const { return admission_.Waiting(backend); }
--- a/src/gateway/call_runner.cc
+++ b/src/gateway/call_runner.cc
@@ -76,6 +76,9 @@
     return Placement::kEnded;
   }
   spec_.backend = route->backend();
+  if (!context_.attempt.pool.list_usable()) {
+    return Placement::kNoRoom;  // The process was frozen: a new list is being asked for.
+  }
   RoutingQuery query;
   query.configuration = &context_.right.configuration();
   query.route = route;
@@ -108,8 +111,8 @@
                kShortRetryAfter);
     return false;
   }
-  if (!context_.attempt.pool.list_usable()) {
-    FinishWith("replica_list_stale", "this gateway has no fresh list of replicas yet",
+  if (!context_.attempt.pool.list_loaded()) {
+    FinishWith("no_replica_list", "this gateway has not read the list of replicas yet",
                kShortRetryAfter);
     return false;
   }
@@ -173,9 +176,12 @@
     return;
   }
   tried_.clear();
-  const TimePoint give_up_at = std::min(spec_.deadline, spec_.wait_until);
-  const CallQueue::Waited waited =
-      context_.queue.Wait(spec_.backend, spec_.priority, give_up_at, weak_from_this());
+  WaitingCall waiting;
+  waiting.backend = spec_.backend;
+  waiting.priority = spec_.priority;
+  waiting.give_up_at = std::min(spec_.deadline, spec_.wait_until);
+  waiting.bytes = spec_.body.ByteSizeLong();
+  const CallQueue::Waited waited = context_.queue.Wait(std::move(waiting), weak_from_this());
   if (waited.refusal) {
     OnGivenUp(*waited.refusal);
     return;
@@ -287,6 +293,8 @@
 
 void CallRunner::FinishWith(const std::string& code, const std::string& message,
                             Duration retry_after) {
+  context_.attempt.environment.metrics().Increment("gateway_calls_given_up_total",
+                                                   {{"reason", code}});
   CallResult result;
   const proto::Executed executed = retry_.executed();
   result.error.set_code(code);
--- a/src/gateway/live_call.cc
+++ b/src/gateway/live_call.cc
@@ -84,6 +84,7 @@
 void LiveCall::Start(CallSpec spec) {
   started_at_ = context_.attempt.environment.Now();
   call_id_ = spec.body.call_id();
+  route_ = spec.route;
   spec.pass_on = options_.stream;
   const std::weak_ptr<LiveCall> weak = weak_from_this();
   CallEvents events;
@@ -143,6 +144,7 @@
 
 void LiveCall::OnDone(const CallResult& result) {
   Remember(result);
+  Count(result);
   if (caller_gone_) {
     Over();
     return;
@@ -157,6 +159,15 @@
   Over();
 }
 
+void LiveCall::Count(const CallResult& result) {
+  const Duration time = context_.attempt.environment.Now() - started_at_;
+  const std::string outcome = result.succeeded ? "succeeded" : result.error.code();
+  Metrics& metrics = context_.attempt.environment.metrics();
+  metrics.Increment("gateway_calls_total", {{"route", route_}, {"outcome", outcome}});
+  metrics.ObserveSeconds("gateway_call_seconds", std::chrono::duration<double>(time).count(),
+                         {{"route", route_}});
+}
+
 void LiveCall::FinishStream(const CallResult& result) {
   if (!stream_started_) {  // A service's whole answer to a caller that asked for a stream.
     SendAsStream(*responder_, result.answer);
--- a/src/gateway/live_call.h
+++ b/src/gateway/live_call.h
@@ -37,6 +37,7 @@
   void OnDone(const CallResult& result);
   void FinishStream(const CallResult& result);
   void OnCallerGone();
+  void Count(const CallResult& result);
   void Remember(const CallResult& result);
   void CollectPiece(const proto::StreamPiece& piece);
   void Over();
@@ -48,6 +49,7 @@
   OverHandler over_;
   std::shared_ptr<CallRunner> runner_;
   std::string call_id_;
+  std::string route_;
   std::string run_id_;
   std::uint64_t next_sequence_ = 0;
   proto::CallAnswer streamed_;  ///< Text that went out, as far as it may be kept.
--- a/src/gateway/live_call_handler.cc
+++ b/src/gateway/live_call_handler.cc
@@ -89,6 +89,12 @@
            "X-Deadline-Ms must be a whole number of milliseconds above 0", Duration::zero());
     return;
   }
+  if (FindHeader(request.headers, "Idempotency-Key").size() > kLargestKey) {
+    Refuse(*responder, kHttpBadRequest, "invalid_idempotency_key",
+           "Idempotency-Key must be at most " + std::to_string(kLargestKey) + " bytes",
+           Duration::zero());
+    return;
+  }
   proto::CallRequest body;
   const Status parsed = FromJson(request.body, &body);
   if (!parsed.ok()) {
@@ -125,7 +131,7 @@
   const std::string_view tenant_name = FindHeader(request.headers, "X-Tenant");
   const std::string_view caller_key = FindHeader(request.headers, "Idempotency-Key");
   std::string key;
-  if (!caller_key.empty() && caller_key.size() <= kLargestKey) {
+  if (!caller_key.empty()) {
     key = CacheKey(tenant_name, route.name(), caller_key);
     if (!TakeKey(key, Checksum(request.body), body.stream(), responder)) {
       return;
--- a/src/gateway/replica_pool.h
+++ b/src/gateway/replica_pool.h
@@ -56,6 +56,7 @@
 
   /// Runs when a replica may have got room that it had not before.
   void OnRoom(std::function<void()> observer) { on_room_ = std::move(observer); }
+  bool list_loaded() const { return poller_.loaded(); }
   /// Whether a list was read and is not stale.
   bool list_usable() const { return poller_.loaded() && poller_.Fresh(); }
   const ReplicaDirectory& directory() const { return directory_; }
--- a/tests/gateway/admission_test.cc
+++ b/tests/gateway/admission_test.cc
@@ -14,7 +14,7 @@
 const TimePoint start_time = TimePoint(seconds(1000));
 
 WaitingCall Waiting(WaitId id, proto::Priority priority, Duration wait) {
-  return {id, "model", priority, start_time + wait};
+  return {id, "model", priority, start_time + wait, 1000};
 }
 
 TEST(TokenBucketTest, NeverGivesMoreThanRateAndBurst) {
@@ -88,6 +88,7 @@
   AdmissionOptions options;
   options.queue_length = 20;
   options.total_queue_length = 30;
+  options.queue_bytes = 25'000;
   AdmissionControl admission(options);
   std::mt19937_64 random(7);
   std::map<WaitId, TimePoint> inside;
@@ -118,6 +119,8 @@
     ASSERT_LE(admission.Waiting("model"), options.queue_length);
     ASSERT_LE(admission.waiting(), options.total_queue_length);
     ASSERT_EQ(admission.waiting(), inside.size());
+    ASSERT_LE(admission.waiting_bytes(), options.queue_bytes);
+    ASSERT_EQ(admission.waiting_bytes(), 1000 * inside.size());
   }
 }
 
--- a/tests/gateway/live_call_test.cc
+++ b/tests/gateway/live_call_test.cc
@@ -52,6 +52,7 @@
   EXPECT_EQ(h.Call("nowhere")->status, 404);
   EXPECT_EQ(h.Call("ask", "{nonsense")->status, 400);
   EXPECT_EQ(h.Call("ask", "{}", {{"X-Deadline-Ms", "soon"}})->status, 400);
+  EXPECT_EQ(h.Call("ask", "{}", {{"Idempotency-Key", std::string(257, 'k')}})->status, 400);
   EXPECT_EQ(h.Call("ask", std::string(h.options.calls.largest_request + 1, ' '))->status, 413);
   const auto no_backend = h.Call("unlock");
   h.world.RunFor(seconds(5));
