--- a/tests/consensus/raft_core_membership_test.cc
+++ b/tests/consensus/raft_core_membership_test.cc
@@ -55,6 +55,8 @@
   behind.set_follower_id(13);
   behind.set_sequence(Find<proto::AppendEntriesRequest>(sent, 13).sequence());
   core_->HandleAppendEntriesResponse(now_, behind);
+  Exchange(Take(), {2});
+  Exchange(Heartbeat(), {2});
   EXPECT_EQ(core_->configuration().members_size(), 4);
 }
 
--- a/tests/consensus/raft_node_test.cc
+++ b/tests/consensus/raft_node_test.cc
@@ -219,6 +219,16 @@
   EXPECT_TRUE(record().failures.empty());
 }
 
+TEST(RaftFoundingTest, SingleSeedLeadsItself) {
+  RaftCluster cluster({.size = 1, .seed = 1});
+  cluster.StartAll();
+  ASSERT_TRUE(cluster.RunUntil([&] { return cluster.IsWhole(); }, seconds(3)));
+  cluster.Propose(0);
+  cluster.RunFor(seconds(1));
+  EXPECT_EQ(cluster.record().acknowledged.size(), 1U);
+  EXPECT_TRUE(cluster.life(0)->node.HasLeaderLease());
+}
+
 /// A seed is struck at every moment of the founding.
 TEST(RaftFoundingTest, SurvivesTheLossOfOneSeedAtAnyMoment) {
   for (int moment = 0; moment < 120; ++moment) {
--- a/tests/consensus/raft_storage_test.cc
+++ b/tests/consensus/raft_storage_test.cc
@@ -81,13 +81,30 @@
             [](const Status& status) { ADD_FAILURE() << status.ToString(); }) {
     const Result<RaftDurableState> state = storage.Load();
     log = state.ok() ? Describe(*state) : state.status().ToString();
+    last_index = state.ok() ? state->base_index + state->entries.size() : 0;
     term = state.ok() ? state->metadata.current_term() : 0;
   }
   RaftStorage storage;
   std::string log;
   std::uint64_t term = 0;
+  std::uint64_t last_index = 0;
 };
 
+/// What is written after a torn tail must not be hidden behind it.
+void CheckThatTheNextWriteLasts(SimulatedWorld& world, SimulatedMachine& machine,
+                                const std::shared_ptr<StorageLife>& life) {
+  RaftWrite write = Metadata(9);
+  write.id = 10;
+  write.entries = {Entry(life->last_index + 1, 9)};
+  const std::string expected = life->log + "9,";
+  life->storage.Start();
+  life->storage.Write(write);
+  world.RunFor(seconds(1));
+  machine.LosePower();
+  machine.Start();
+  EXPECT_EQ(life->log, expected);
+}
+
 TEST(RaftStorageTest, PowerLossAtAnyMomentLeavesTheStateOfOneOfTheWrites) {
   for (std::uint64_t moment = 0; moment < 300; ++moment) {
     SimulatedWorld world(moment + 1);
@@ -114,6 +131,7 @@
     const bool known = std::find(kLogs.begin() + from, kLogs.end(), life->log) != kLogs.end();
     EXPECT_TRUE(known) << moment << ": " << life->log << " after " << persisted;
     EXPECT_GE(life->term, kTerms[persisted]) << moment;
+    CheckThatTheNextWriteLasts(world, machine, life);
   }
 }
 
