--- a/tests/consensus/raft_storage_test.cc
+++ b/tests/consensus/raft_storage_test.cc
@@ -2,6 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <array>
+#include <string_view>
+
 #include "simulation/simulated_world.h"
 
 namespace cloverbank {
@@ -58,11 +61,11 @@
 
 /// "snapshot base:term,term,..." after each write. A received snapshot counts before the log is
 /// emptied.
-const std::vector<std::string> kLogs = {
+constexpr std::array<std::string_view, 10> kLogs = {
     "0 0:", "0 0:", "0 0:1,1,1,1,1,", "0 0:1,1,2,", "0 0:1,1,2,2,2,2,2,",
     "6 6:", "6 6:", "6 6:4,4,",       "8 6:4,4,",   "8 7:4,"};
 /// The term on the disk after each write at the least: metadata goes ahead of the log.
-const std::vector<std::uint64_t> kTerms = {0, 1, 1, 2, 4, 4, 4, 4, 4, 4};
+constexpr std::array<std::uint64_t, 10> kTerms = {0, 1, 1, 2, 4, 4, 4, 4, 4, 4};
 
 std::string Describe(const RaftDurableState& state) {
   const std::uint64_t snapshot = state.snapshot ? state.snapshot->last_included_index() : 0;
