Cancel what is under way when the gateway ends

Open attempts kept each other alive and would have told a pool that was gone. Runners cancel in their destructor, batch items belong to the caller. 92 tests pass, also under both sanitizers.

--- a/src/gateway/call_runner.cc
+++ b/src/gateway/call_runner.cc
@@ -38,6 +38,8 @@
       events_(std::move(events)),
       retry_(context.retry_options, context.retry_budget) {}
 
+CallRunner::~CallRunner() { (void)Cancel(); }
+
 void CallRunner::Start() {
   timer_ = context_.attempt.environment.ScheduleAfter(Duration::zero(), [weak = weak_from_this()] {
     if (const auto self = weak.lock()) {
--- a/src/gateway/call_runner.h
+++ b/src/gateway/call_runner.h
@@ -59,6 +59,10 @@
 class CallRunner final : public WaitingCallOwner, public std::enable_shared_from_this<CallRunner> {
  public:
   CallRunner(const CallContext& context, CallSpec spec, CallEvents events);
+  /// Cancels a call that has not ended.
+  ~CallRunner() override;
+  CallRunner(const CallRunner&) = delete;
+  CallRunner& operator=(const CallRunner&) = delete;
 
   /// Begins; never runs an event from within.
   void Start();
--- a/src/gateway/replica_backend_caller.cc
+++ b/src/gateway/replica_backend_caller.cc
@@ -5,37 +5,27 @@
 namespace cloverbank {
 namespace {
 
-/// Keeps the runner of one item alive until it ended or was cancelled.
-class BatchCall final : public BackendCall, public std::enable_shared_from_this<BatchCall> {
- public:
-  void Start(const CallContext& context, CallSpec spec, std::function<void(BackendOutcome)> done) {
-    CallEvents events;
-    // The item runs to its end also if the one who started it keeps nothing of it.
-    events.on_done = [self = shared_from_this(), done = std::move(done)](CallResult result) {
-      self->runner_ = nullptr;
-      done(ToOutcome(std::move(result)));
-    };
-    runner_ = std::make_shared<CallRunner>(context, std::move(spec), std::move(events));
-    runner_->Start();
-  }
+BackendOutcome ToOutcome(CallResult result) {
+  BackendOutcome outcome;
+  outcome.succeeded = result.succeeded;
+  outcome.executed = result.succeeded ? proto::EXECUTED_YES : result.error.executed();
+  outcome.answer = std::move(result.answer);
+  outcome.error = std::move(result.error);
+  return outcome;
+}
 
+/// What the batch worker holds of an item. The item goes on if it lets go of this.
+class BatchCall final : public BackendCall {
+ public:
+  explicit BatchCall(std::function<void()> cancel) : cancel_(std::move(cancel)) {}
   void Cancel() override {
-    if (const std::shared_ptr<CallRunner> runner = std::exchange(runner_, nullptr)) {
-      (void)runner->Cancel();
+    if (const auto cancel = std::exchange(cancel_, nullptr)) {
+      cancel();
     }
   }
 
  private:
-  static BackendOutcome ToOutcome(CallResult result) {
-    BackendOutcome outcome;
-    outcome.succeeded = result.succeeded;
-    outcome.executed = result.succeeded ? proto::EXECUTED_YES : result.error.executed();
-    outcome.answer = std::move(result.answer);
-    outcome.error = std::move(result.error);
-    return outcome;
-  }
-
-  std::shared_ptr<CallRunner> runner_;
+  std::function<void()> cancel_;
 };
 
 }  // namespace
@@ -59,9 +49,21 @@
   spec.may_start = [this, backend = route.backend(), may_start = std::move(may_start)] {
     return MayStartBatches(backend) && may_start();
   };
-  auto call = std::make_shared<BatchCall>();
-  call->Start(context_, std::move(spec), std::move(done));
-  return call;
+  const std::uint64_t id = next_item_++;
+  CallEvents events;
+  events.on_done = [this, id, done = std::move(done)](CallResult result) {
+    const auto finish = done;  // The next line may destroy this function.
+    running_.erase(id);
+    finish(ToOutcome(std::move(result)));
+  };
+  const auto runner = std::make_shared<CallRunner>(context_, std::move(spec), std::move(events));
+  running_.emplace(id, runner);
+  runner->Start();
+  return std::make_shared<BatchCall>([this, id, alive = std::weak_ptr<bool>(alive_)] {
+    if (!alive.expired()) {
+      running_.erase(id);  // Which cancels it.
+    }
+  });
 }
 
 bool ReplicaBackendCaller::MayStartBatches(const std::string& backend) const {
--- a/src/gateway/replica_backend_caller.h
+++ b/src/gateway/replica_backend_caller.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <unordered_map>
 
 #include "gateway/backend_caller.h"
 #include "gateway/call_runner.h"
@@ -27,6 +28,9 @@
   bool MayStartBatches(const std::string& backend) const;
 
   CallContext context_;
+  std::uint64_t next_item_ = 1;
+  std::unordered_map<std::uint64_t, std::shared_ptr<CallRunner>> running_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 }  // namespace cloverbank
--- a/src/gateway/replica_pool.h
+++ b/src/gateway/replica_pool.h
@@ -56,6 +56,8 @@
 
   /// Runs when a replica may have got room that it had not before.
   void OnRoom(std::function<void()> observer) { on_room_ = std::move(observer); }
+  /// Expires with the pool, for calls whose connection outlives it.
+  std::weak_ptr<const void> lifetime() const { return lifetime_; }
   bool list_loaded() const { return poller_.loaded(); }
   /// Whether a list was read and is not stale.
   bool list_usable() const { return poller_.loaded() && poller_.Fresh(); }
@@ -97,6 +99,7 @@
   bool activated_ = false;             ///< Whether a list and a configuration were there together.
   std::function<void()> on_room_;
   TimerId evaluation_timer_ = 0;
+  std::shared_ptr<const void> lifetime_ = std::make_shared<int>(0);
 };
 
 }  // namespace cloverbank
--- a/src/gateway/stream_attempt.cc
+++ b/src/gateway/stream_attempt.cc
@@ -22,6 +22,7 @@
       : context_(context),
         request_(std::move(request)),
         callbacks_(std::move(callbacks)),
+        pool_lifetime_(context.pool.lifetime()),
         check_(request_.body.call_id()),
         lines_(context.options.largest_piece) {}
 
@@ -272,7 +273,7 @@
 
   /// Tells the pool, once, that the replica is free of this call.
   void Release(CallEnd health) {
-    if (!released_) {
+    if (!released_ && !pool_lifetime_.expired()) {
       released_ = true;
       context_.pool.OnCallEnded(request_.use, health);
     }
@@ -281,6 +282,7 @@
   AttemptContext context_;
   AttemptRequest request_;
   AttemptCallbacks callbacks_;
+  std::weak_ptr<const void> pool_lifetime_;
   StreamCheck check_;
   LineReader lines_;
   std::shared_ptr<HttpCall> call_;
--- a/tests/gateway/live_call_test.cc
+++ b/tests/gateway/live_call_test.cc
@@ -267,6 +267,10 @@
   h.world.RunFor(milliseconds(100));
   EXPECT_EQ(slow->pieces, 2);
   EXPECT_TRUE(slow->complete);
+  EXPECT_EQ(h.pool->loads().at("m1").own(), 1U);  // Until the body has ended.
+  model.exchanges[0]->End(HttpOutcomeKind::kAnswered);
+  h.world.RunFor(milliseconds(100));
+  EXPECT_EQ(h.pool->loads().at("m1").own(), 0U);
 }
 
 TEST_F(LiveCallTest, ACallerThatLeavesCancelsWhereverItsCallIs) {
