--- a/tests/gateway/batch_call_test.cc
+++ b/tests/gateway/batch_call_test.cc
@@ -93,20 +93,23 @@
 }
 
 TEST_F(BatchCallTest, GivesWayToWaitingLiveCalls) {
-  FakeReplica& replica = h.AddReplica("m1", "a", 2);
-  replica.mode = Mode::kScripted;
-  h.AddReplica("m2", "a", 8).mode = Mode::kScripted;
+  h.AddReplica("m1", "a", 2).mode = Mode::kScripted;
+  h.AddReplica("m2", "b", 8);
   h.StartWarm();
-  for (int call = 0; call < 11; ++call) {
+  ASSERT_GE(h.batch->FreeBatchSlots("model"), 1U);
+  h.right.held.mutable_routes(0)->add_zones("a");
+  for (int call = 0; call < 3; ++call) {
     h.Call("audit");
   }
   h.world.RunFor(milliseconds(100));
   ASSERT_EQ(h.queue->Waiting("model"), 1U);
   EXPECT_EQ(h.batch->FreeBatchSlots("model"), 0U);
-  Run();
-  h.world.RunFor(milliseconds(100));
+  h.right.held.mutable_routes(0)->clear_zones();
+  Run();  // In the same turn, before the waiting call is offered the room.
+  h.world.RunFor(seconds(1));
   ASSERT_EQ(outcomes_.size(), 1U);
-  EXPECT_EQ(outcomes_[0].error.code(), "no_room");
+  EXPECT_EQ(outcomes_[0].executed, proto::EXECUTED_NO);
+  EXPECT_EQ(h.queue->Waiting("model"), 0U);
 }
 
 /// Twelve gateways with endless batch work and none knowing the others: the headroom stays free on
--- a/tests/gateway/gateway_harness.h
+++ b/tests/gateway/gateway_harness.h
@@ -194,7 +194,7 @@
   std::map<std::string, FakeReplica> replicas;
   std::uint64_t list_version = 0;
   bool list_readable = true;
-  std::uint32_t list_polls = 0;
+  Duration list_delay{};  ///< How long the platform takes to answer.
   std::vector<std::unique_ptr<GatewayPlane>> planes;
   GatewayPlane* first = nullptr;
   ReplicaPool* pool = nullptr;  ///< Of the first plane, as the next three.
@@ -204,7 +204,10 @@
 
  private:
   void ServeList(const ExchangePtr& exchange) {
-    ++list_polls;
+    environment->ScheduleAfter(list_delay, [this, exchange] { AnswerList(exchange); });
+  }
+
+  void AnswerList(const ExchangePtr& exchange) {
     const std::string etag = "\"" + std::to_string(list_version) + "\"";
     if (!list_readable) {
       exchange->Answer({500, {}, "broken"});
--- a/tests/gateway/live_call_test.cc
+++ b/tests/gateway/live_call_test.cc
@@ -62,15 +62,22 @@
 }
 
 TEST_F(LiveCallTest, NonRepeatableCallIsNeverSentTwiceAfterSilence) {
-  h.AddReplica("m1", "a", 4).mode = Mode::kScripted;
+  FakeReplica& first = h.AddReplica("m1", "a", 4);
+  first.mode = Mode::kScripted;
   h.AddReplica("m2", "b", 4).mode = Mode::kScripted;
   h.StartWarm();
-  const auto caller = h.Call("once", "{}", {{"X-Deadline-Ms", "2000"}});
+  const auto silent = h.Call("once", "{}", {{"X-Deadline-Ms", "2000"}});
+  const auto reset = h.Call("once");
+  h.world.RunFor(milliseconds(100));
+  ASSERT_EQ(first.exchanges.size(), 2U);
+  first.exchanges[1]->End(HttpOutcomeKind::kUnknown, "reset");
   h.world.RunFor(seconds(20));
-  EXPECT_EQ(Received(), 1U);
-  EXPECT_EQ(caller->answers, 1);
-  EXPECT_EQ(caller->status, 504);
-  EXPECT_EQ(h.ErrorIn(*caller).executed(), proto::EXECUTED_UNKNOWN);
+  EXPECT_EQ(Received(), 2U);
+  for (const auto& caller : {silent, reset}) {
+    EXPECT_EQ(caller->answers, 1);
+    EXPECT_EQ(caller->status, 504);
+    EXPECT_EQ(h.ErrorIn(*caller).executed(), proto::EXECUTED_UNKNOWN);
+  }
 }
 
 TEST_F(LiveCallTest, RepeatableCallGoesElsewhereAfterAReset) {
@@ -294,6 +301,7 @@
 TEST_F(LiveCallTest, FrozenProcessSendsNothingBeforeItReadTheListAnew) {
   FakeReplica& replica = h.AddReplica("m1", "a", 4);
   h.StartWarm();
+  h.list_delay = milliseconds(100);
   h.world.machine("gateway").Freeze();
   h.world.ScheduleAfter(seconds(20), [&] {
     h.SetState(replica, proto::REPLICA_STATE_DRAINING);
