Count batches logged anew after a discarding mark as live; empty retiring backups

SegmentUsage took the entries of a second replay into the same log for dead, because the first one's were; their segments could have been freed. Copies on retiring backups no longer count, so that spares take them when no other store is left. The simulation now also cancels, removes finished batches, retires a store and checks that service is back within 12 s of the machines.

--- a/src/queue/partition_recovery.cc
+++ b/src/queue/partition_recovery.cc
@@ -21,7 +21,7 @@
 
 PartitionRecovery::PartitionRecovery(Environment& environment, NodeAgent& agent, SegmentLog& log,
                                      proto::RecoverPartitionsRequest request,
-                                     std::vector<PartitionId> partitions,
+                                     const std::vector<PartitionId>& partitions,
                                      std::function<void(const std::string&)> fenced)
     : environment_(environment),
       agent_(agent),
@@ -144,7 +144,8 @@
   std::map<std::uint64_t, PartitionReplay> replays;
   for (Source& source : sources_) {
     for (proto::LogEntry& entry : source.entries) {
-      replays[entry.partition_tag()].Add(std::move(entry));
+      PartitionReplay& replay = replays[entry.partition_tag()];
+      replay.Add(std::move(entry));
     }
     source.entries.clear();
   }
@@ -203,7 +204,7 @@
 }
 
 void PartitionRecovery::TakeLogged(PartitionId partition,
-                                   std::shared_ptr<std::vector<proto::LogEntry>> chunk,
+                                   const std::shared_ptr<std::vector<proto::LogEntry>>& chunk,
                                    const Status& status) {
   if (status.code() == StatusCode::kUnknownOutcome) {
     return;  // This life is over.
--- a/src/queue/partition_recovery.h
+++ b/src/queue/partition_recovery.h
@@ -24,7 +24,8 @@
  public:
   /// @param partitions of `request` that this recovery takes on.
   PartitionRecovery(Environment& environment, NodeAgent& agent, SegmentLog& log,
-                    proto::RecoverPartitionsRequest request, std::vector<PartitionId> partitions,
+                    proto::RecoverPartitionsRequest request,
+                    const std::vector<PartitionId>& partitions,
                     std::function<void(const std::string&)> fenced);
 
   void Start();
@@ -64,7 +65,7 @@
   void Sort();
   void LogMore();
   std::vector<proto::LogEntry> NextChunk(PartitionId partition, Part& part) const;
-  void TakeLogged(PartitionId partition, std::shared_ptr<std::vector<proto::LogEntry>> chunk,
+  void TakeLogged(PartitionId partition, const std::shared_ptr<std::vector<proto::LogEntry>>& chunk,
                   const Status& status);
   void Report();
   void TakeReport(const Status& status);
--- a/src/queue/queue_life.cc
+++ b/src/queue/queue_life.cc
@@ -132,16 +132,17 @@
 }
 
 void QueueLife::Submit(const proto::SubmitBatchRequest& request,
-                       Reply<proto::SubmitBatchResponse> reply) {
+                       const Reply<proto::SubmitBatchResponse>& reply) {
   auto partition = Answerable(request.partition_id());
   if (!partition.ok()) {
     reply(partition.status());
     return;
   }
-  intake_->Submit(*partition, request, std::move(reply));
+  intake_->Submit(*partition, request, reply);
 }
 
-void QueueLife::Get(const proto::GetBatchRequest& request, Reply<proto::GetBatchResponse> reply) {
+void QueueLife::Get(const proto::GetBatchRequest& request,
+                    const Reply<proto::GetBatchResponse>& reply) {
   const auto partition = Answerable(request.partition_id());
   if (!partition.ok()) {
     reply(partition.status());
@@ -158,7 +159,7 @@
 }
 
 void QueueLife::ListBatches(const proto::ListBatchesRequest& request,
-                            Reply<proto::ListBatchesResponse> reply) {
+                            const Reply<proto::ListBatchesResponse>& reply) {
   const auto partition = Answerable(request.partition_id());
   if (!partition.ok()) {
     reply(partition.status());
@@ -176,7 +177,7 @@
 }
 
 void QueueLife::ListResults(const proto::ListResultsRequest& request,
-                            Reply<proto::ListResultsResponse> reply) {
+                            const Reply<proto::ListResultsResponse>& reply) {
   const auto partition = Answerable(request.partition_id());
   if (!partition.ok()) {
     reply(partition.status());
@@ -194,35 +195,35 @@
 }
 
 void QueueLife::Cancel(const proto::CancelBatchRequest& request,
-                       Reply<proto::CancelBatchResponse> reply) {
+                       const Reply<proto::CancelBatchResponse>& reply) {
   const auto partition = Answerable(request.partition_id());
   if (!partition.ok()) {
     reply(partition.status());
     return;
   }
-  dispatcher_->Cancel(*partition, request.batch_id(), std::move(reply));
+  dispatcher_->Cancel(*partition, request.batch_id(), reply);
 }
 
 void QueueLife::Acquire(const proto::AcquireWorkRequest& request,
-                        Reply<proto::AcquireWorkResponse> reply) {
+                        const Reply<proto::AcquireWorkResponse>& reply) {
   if (!agent_.LeaseValid()) {
     reply(Status(StatusCode::kUnavailable, "this queue node has lost its lease"));
     return;
   }
-  dispatcher_->Acquire(request, std::move(reply));
+  dispatcher_->Acquire(request, reply);
 }
 
 void QueueLife::Report(const proto::ReportWorkRequest& request,
-                       Reply<proto::ReportWorkResponse> reply) {
+                       const Reply<proto::ReportWorkResponse>& reply) {
   if (!agent_.LeaseValid()) {
     reply(Status(StatusCode::kUnavailable, "this queue node has lost its lease"));
     return;
   }
-  dispatcher_->Report(request, std::move(reply));
+  dispatcher_->Report(request, reply);
 }
 
 void QueueLife::Recover(const proto::RecoverPartitionsRequest& request,
-                        Reply<proto::RecoverPartitionsResponse> reply) {
+                        const Reply<proto::RecoverPartitionsResponse>& reply) {
   if (NodeId(request.queue_node_id()) != agent_.node_id()) {
     reply(Status(StatusCode::kConflict, "this node has another id now"));
     return;
--- a/src/queue/queue_life.h
+++ b/src/queue/queue_life.h
@@ -48,17 +48,21 @@
   /// Whether some of the log has fewer copies than wanted.
   bool degraded() const { return log_.degraded(); }
 
-  void Submit(const proto::SubmitBatchRequest& request, Reply<proto::SubmitBatchResponse> reply);
-  void Get(const proto::GetBatchRequest& request, Reply<proto::GetBatchResponse> reply);
+  void Submit(const proto::SubmitBatchRequest& request,
+              const Reply<proto::SubmitBatchResponse>& reply);
+  void Get(const proto::GetBatchRequest& request, const Reply<proto::GetBatchResponse>& reply);
   void ListBatches(const proto::ListBatchesRequest& request,
-                   Reply<proto::ListBatchesResponse> reply);
+                   const Reply<proto::ListBatchesResponse>& reply);
   void ListResults(const proto::ListResultsRequest& request,
-                   Reply<proto::ListResultsResponse> reply);
-  void Cancel(const proto::CancelBatchRequest& request, Reply<proto::CancelBatchResponse> reply);
-  void Acquire(const proto::AcquireWorkRequest& request, Reply<proto::AcquireWorkResponse> reply);
-  void Report(const proto::ReportWorkRequest& request, Reply<proto::ReportWorkResponse> reply);
+                   const Reply<proto::ListResultsResponse>& reply);
+  void Cancel(const proto::CancelBatchRequest& request,
+              const Reply<proto::CancelBatchResponse>& reply);
+  void Acquire(const proto::AcquireWorkRequest& request,
+               const Reply<proto::AcquireWorkResponse>& reply);
+  void Report(const proto::ReportWorkRequest& request,
+              const Reply<proto::ReportWorkResponse>& reply);
   void Recover(const proto::RecoverPartitionsRequest& request,
-               Reply<proto::RecoverPartitionsResponse> reply);
+               const Reply<proto::RecoverPartitionsResponse>& reply);
 
  private:
   /// @return the partition if this node may answer for it now: kUnavailable without the lease,
--- a/src/queue/queue_service.cc
+++ b/src/queue/queue_service.cc
@@ -59,7 +59,8 @@
 
 template <typename Request, typename Response>
 void QueueService::Serve(std::string_view method,
-                         void (QueueLife::*handler)(const Request&, QueueLife::Reply<Response>)) {
+                         void (QueueLife::*handler)(const Request&,
+                                                    const QueueLife::Reply<Response>&)) {
   ServePeer<Request, Response>(
       environment_, method,
       [this, handler, alive = std::weak_ptr<bool>(alive_), name = std::string(method)](
--- a/src/queue/queue_service.h
+++ b/src/queue/queue_service.h
@@ -37,7 +37,7 @@
   void ServeWork();
   template <typename Request, typename Response>
   void Serve(std::string_view method,
-             void (QueueLife::*handler)(const Request&, QueueLife::Reply<Response>));
+             void (QueueLife::*handler)(const Request&, const QueueLife::Reply<Response>&));
 
   Environment& environment_;
   NodeAgent& agent_;
--- a/src/queue/segment_log.cc
+++ b/src/queue/segment_log.cc
@@ -1,6 +1,6 @@
 #include "queue/segment_log.h"
 
-#include <algorithm>
+#include <set>
 
 #include "base/checksum.h"
 #include "base/logging.h"
@@ -195,21 +195,26 @@
   if (context_.environment.Now() - rolled_at_ < kEarlyRollInterval) {
     return false;
   }
-  const auto holders = head_->holders();
-  std::size_t wanted = 0;
-  for (const SegmentHolder& holder : holders) {
+  std::set<NodeId> members;
+  std::size_t spares = 0;
+  std::size_t retiring = 0;
+  for (const SegmentHolder& holder : head_->holders()) {
     const proto::Server* server = context_.directory.Current(holder);
-    wanted += server != nullptr && TakesNewSegments(*server) && !server->spare() ? 1 : 0;
-  }
-  if (wanted == holders.size()) {
-    return false;
+    if (server != nullptr) {
+      members.insert(NodeId(server->node_id()));
+      retiring += TakesNewSegments(*server) ? 0 : 1;
+      spares += server->spare() ? 1 : 0;
+    }
   }
-  // Held by a spare or retiring backup: worth moving if there is a better one.
-  std::size_t better = 0;
+  std::size_t other_regular = 0;
+  std::size_t others = 0;
   for (const auto& [id, server] : context_.agent.fleet().servers) {
-    better += TakesNewSegments(server) && !server.spare() ? 1 : 0;
+    if (TakesNewSegments(server) && !members.contains(id)) {
+      ++others;
+      other_regular += server.spare() ? 0 : 1;
+    }
   }
-  return better > wanted;
+  return (spares > 0 && other_regular > 0) || (retiring > 0 && others > 0);
 }
 
 void SegmentLog::Roll() {
--- a/src/queue/segment_repairer.cc
+++ b/src/queue/segment_repairer.cc
@@ -39,11 +39,6 @@
                                    [](const Status&) {});
 }
 
-bool SegmentRepairer::IsWanted(const SegmentHolder& holder) const {
-  const proto::Server* server = context_.directory.Current(holder);
-  return server != nullptr && !server->spare() && TakesNewSegments(*server);
-}
-
 std::vector<SegmentHolder> SegmentRepairer::LiveHolders(const ClosedSegment& segment) const {
   std::vector<SegmentHolder> live;
   for (const SegmentHolder& holder : segment.holders) {
@@ -71,22 +66,35 @@
   }
 }
 
-bool SegmentRepairer::Consider(ClosedSegment& segment) {
+SegmentRepairer::CopyCount SegmentRepairer::Count(const std::vector<SegmentHolder>& live) const {
+  CopyCount count;
+  for (const SegmentHolder& holder : live) {
+    const proto::Server* server = context_.directory.Current(holder);
+    if (!TakesNewSegments(*server)) {
+      ++count.retiring;
+    } else if (server->spare()) {
+      ++count.spare;
+    } else {
+      ++count.regular;
+    }
+  }
+  return count;
+}
+
+void SegmentRepairer::Consider(ClosedSegment& segment) {
   const std::vector<SegmentHolder> live = LiveHolders(segment);
-  const auto wanted = static_cast<std::size_t>(std::count_if(
-      live.begin(), live.end(), [this](const SegmentHolder& holder) { return IsWanted(holder); }));
+  const CopyCount count = Count(live);
   const std::size_t copies = context_.options.copies;
-  if (wanted >= copies) {
-    DropUnwanted(segment);
-    return false;
+  if (count.regular + count.spare >= copies) {
+    DropUnneeded(segment, count.regular >= copies);
   }
-  if (live.empty()) {
-    return false;
+  if (count.regular >= copies || live.empty()) {
+    return;
   }
-  // Spares are chosen only while live copies, those on spares included, are too few.
-  const auto chosen = context_.directory.Select(1, copies, live, {});
+  // Copies on retiring backups do not count, so that others, spares included, take their place.
+  const auto chosen = context_.directory.Select(1, copies + count.retiring, live, {});
   if (chosen.empty()) {
-    return false;
+    return;
   }
   auto repair = std::make_shared<Repair>();
   repair->segment = segment.id;
@@ -97,16 +105,17 @@
   repair->epoch = segment.epoch;
   ++repairs_under_way_;
   Read(repair);
-  return true;
 }
 
-void SegmentRepairer::DropUnwanted(ClosedSegment& segment) {
+void SegmentRepairer::DropUnneeded(ClosedSegment& segment, bool spares_too) {
   std::erase_if(segment.holders, [&](const SegmentHolder& holder) {
-    if (IsWanted(holder)) {
-      return false;
+    const proto::Server* server = context_.directory.Current(holder);
+    const bool needed =
+        server != nullptr && TakesNewSegments(*server) && !(server->spare() && spares_too);
+    if (!needed) {
+      FreeAt(holder, segment.id);
     }
-    FreeAt(holder, segment.id);
-    return true;
+    return !needed;
   });
 }
 
--- a/src/queue/segment_repairer.h
+++ b/src/queue/segment_repairer.h
@@ -57,11 +57,19 @@
   using RepairPtr = std::shared_ptr<Repair>;
   using Step = void (SegmentRepairer::*)(const RepairPtr&);
 
-  bool IsWanted(const SegmentHolder& holder) const;
+  /// Live copies of a segment by the kind of backup.
+  struct CopyCount {
+    std::size_t regular = 0;
+    std::size_t spare = 0;
+    std::size_t retiring = 0;
+  };
+
   std::vector<SegmentHolder> LiveHolders(const ClosedSegment& segment) const;
-  /// @return whether a repair was started.
-  bool Consider(ClosedSegment& segment);
-  void DropUnwanted(ClosedSegment& segment);
+  CopyCount Count(const std::vector<SegmentHolder>& live) const;
+  /// Starts a repair of the segment if it needs one and a backup can take it.
+  void Consider(ClosedSegment& segment);
+  /// Frees copies on retiring backups and forgets lost ones; also those on spares if asked.
+  void DropUnneeded(ClosedSegment& segment, bool spares_too);
 
   void Read(const RepairPtr& repair);
   void TakeRead(const RepairPtr& repair, Result<proto::ReadSegmentResponse> result);
--- a/src/queue/segment_usage.cc
+++ b/src/queue/segment_usage.cc
@@ -5,7 +5,7 @@
 namespace cloverbank {
 
 const std::string& BatchIdOf(const proto::LogEntry& entry) {
-  static const std::string kNone;
+  static const std::string none;
   switch (entry.payload_case()) {
     case proto::LogEntry::kBatchAccepted:
       return entry.batch_accepted().batch_id();
@@ -22,15 +22,16 @@
     case proto::LogEntry::kBatchRemoved:
       return entry.batch_removed().batch_id();
     default:
-      return kNone;
+      return none;
   }
 }
 
 void SegmentUsage::AddEntry(SegmentId segment, const proto::LogEntry& entry) {
   const std::uint64_t partition = entry.partition_tag();
   if (entry.has_partition_mark() && entry.partition_mark().discard_earlier()) {
-    auto batch = batches_.lower_bound({partition, ""});
-    while (batch != batches_.end() && batch->first.first == partition) {
+    ++generations_[partition];
+    auto batch = batches_.lower_bound({partition, 0, ""});
+    while (batch != batches_.end() && batch->first.partition_tag == partition) {
       const auto next = std::next(batch);
       Kill(batch->first, batch->second, segment);
       batch = next;
@@ -41,7 +42,7 @@
   if (batch_id.empty()) {
     return;
   }
-  const BatchKey key(partition, batch_id);
+  const BatchKey key{partition, generations_[partition], batch_id};
   BatchUse& use = batches_[key];
   if (entry.has_batch_removed()) {
     Kill(key, use, segment);
--- a/src/queue/segment_usage.h
+++ b/src/queue/segment_usage.h
@@ -11,7 +11,6 @@
 #include <map>
 #include <set>
 #include <string>
-#include <utility>
 
 #include "base/ids.h"
 #include "proto/log.pb.h"
@@ -28,8 +27,14 @@
   void Forget(SegmentId segment);
 
  private:
-  /// Partition tag and batch id.
-  using BatchKey = std::pair<std::uint64_t, std::string>;
+  /// A batch as logged by one replay or owner of its partition: after a mark that voids what is
+  /// before it, the same batch may be logged anew and then is another one here.
+  struct BatchKey {
+    std::uint64_t partition_tag = 0;
+    std::uint64_t generation = 0;
+    std::string batch_id;
+    auto operator<=>(const BatchKey&) const = default;
+  };
   struct BatchUse {
     std::map<SegmentId, std::uint64_t> entries;  ///< Entries by segment.
     SegmentId tombstone;                         ///< Invalid while the batch lives.
@@ -40,6 +45,7 @@
   bool Settle(BatchUse& use);
 
   std::map<BatchKey, BatchUse> batches_;
+  std::map<std::uint64_t, std::uint64_t> generations_;  ///< Marks seen, by partition tag.
   std::map<SegmentId, std::set<BatchKey>> batches_in_;
   std::map<SegmentId, std::uint64_t> live_;
 };
--- a/src/queue/work_dispatcher.cc
+++ b/src/queue/work_dispatcher.cc
@@ -88,7 +88,7 @@
 void WorkDispatcher::Enqueue(OwnedPartition& partition, const StoredBatch& batch) {
   auto items = GroupByPrefix(
       static_cast<std::uint32_t>(batch.items.size()),
-      [&](std::uint32_t index) { return std::string_view(batch.items[index].prefix_key()); },
+      [&](std::uint32_t index) { return std::string_view{batch.items[index].prefix_key()}; },
       [&](std::uint32_t index) { return batch.phases[index] == ItemPhase::kWaiting; });
   const BatchKey key(partition.id(), batch.accepted.batch_id());
   const QueuedBatchId queued =
@@ -128,7 +128,7 @@
 }
 
 void WorkDispatcher::Cancel(const std::shared_ptr<OwnedPartition>& partition,
-                            const std::string& batch_id, CancelReply reply) {
+                            const std::string& batch_id, const CancelReply& reply) {
   const StoredBatch* batch = partition->store().Find(batch_id);
   if (batch == nullptr) {
     reply(Status(StatusCode::kNotFound, "no batch " + batch_id));
--- a/src/queue/work_dispatcher.h
+++ b/src/queue/work_dispatcher.h
@@ -50,7 +50,7 @@
   void Report(const proto::ReportWorkRequest& request, ReportReply reply);
   /// Answers when the cancel is held: from then on nothing of the batch is granted.
   void Cancel(const std::shared_ptr<OwnedPartition>& partition, const std::string& batch_id,
-              CancelReply reply);
+              const CancelReply& reply);
 
   void OnConfiguration();
   /// This life is over: gateways that wait for work are told so.
@@ -106,7 +106,7 @@
                                      StartEntries* starts);
   bool LeaseItem(const WorkItemKey& item, const proto::AcquireWorkRequest& request,
                  StartEntries* starts);
-  void LogStarts(const PendingGrantsPtr& grants, StartEntries starts);
+  void LogStarts(const PendingGrantsPtr& grants, StartEntries* starts);
   void TakeStarted(const PendingGrantsPtr& grants, PartitionId partition, const Status& status);
   void SendGrants(const PendingGrantsPtr& grants);
   bool MayGrant(const WorkItemKey& item) const;
--- a/src/queue/work_grants.cc
+++ b/src/queue/work_grants.cc
@@ -52,7 +52,7 @@
       grants->held = std::move(*held);
       grants->items = std::move(items);
       held_.erase(held);
-      LogStarts(grants, std::move(starts));
+      LogStarts(grants, &starts);
     }
     held = next;
   }
@@ -104,13 +104,13 @@
   return true;
 }
 
-void WorkDispatcher::LogStarts(const PendingGrantsPtr& grants, StartEntries starts) {
-  if (starts.empty()) {
+void WorkDispatcher::LogStarts(const PendingGrantsPtr& grants, StartEntries* starts) {
+  if (starts->empty()) {
     SendGrants(grants);
     return;
   }
-  grants->logs_under_way = starts.size();
-  for (auto& [id, entries] : starts) {
+  grants->logs_under_way = starts->size();
+  for (auto& [id, entries] : *starts) {
     FindPartition(id)->Log(
         std::move(entries), [weak = weak_from_this(), grants, id = id](const Status& status) {
           if (const auto self = weak.lock()) {
--- a/src/queue/work_leases.h
+++ b/src/queue/work_leases.h
@@ -31,6 +31,7 @@
   PartitionId partition;
   std::string batch_id;
   std::uint32_t index = 0;
+  // NOLINTNEXTLINE(modernize-use-nullptr): the check misreads the defaulted comparison.
   auto operator<=>(const WorkItemKey&) const = default;
 };
 
--- a/src/queue/work_results.cc
+++ b/src/queue/work_results.cc
@@ -116,6 +116,7 @@
 void WorkDispatcher::LogResults(const PendingReportPtr& pending, PartitionId partition,
                                 std::vector<proto::LogEntry> entries) {
   std::vector<WorkItemKey> items;
+  items.reserve(entries.size());
   for (const proto::LogEntry& entry : entries) {
     items.push_back({partition, entry.item_finished().batch_id(),
                      static_cast<std::uint32_t>(entry.item_finished().item_index())});
--- a/tests/queue/batch_workload.h
+++ b/tests/queue/batch_workload.h
@@ -2,10 +2,12 @@
 /// @file
 /// Clients and a gateway's worker over a `FleetWorld`, and the promises they check all the time: an
 /// accepted batch stays listed at its place, results never move, an item that must not repeat is
-/// started once, and in the end every item of every accepted batch has exactly one result.
+/// started once, nothing of a cancelled batch starts 3 s after the acknowledgement, and in the end
+/// every item of every accepted batch has exactly one result.
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -19,7 +21,9 @@
 
 class BatchWorkload {
  public:
-  explicit BatchWorkload(FleetWorld& fleet) : fleet_(fleet), world_(fleet.world) {}
+  /// @param retention_s after which finished batches are removed; 0 keeps them.
+  explicit BatchWorkload(FleetWorld& fleet, std::uint64_t retention_s = 0)
+      : fleet_(fleet), world_(fleet.world), retention_s_(retention_s) {}
 
   /// Begins to submit, list and work, for as long as the world runs.
   void Start() {
@@ -37,7 +41,7 @@
   /// Whether every accepted batch was seen finished and nothing is under way.
   bool Done() const {
     for (const auto& [id, batch] : accepted_) {
-      if (batch.results.size() != static_cast<std::size_t>(batch.items)) {
+      if (!batch.finished()) {
         return false;
       }
     }
@@ -54,6 +58,16 @@
     }
     return count;
   }
+  /// Whether every partition's list was answered since `time`.
+  bool ServedSince(TimePoint time) const {
+    for (std::uint64_t partition = 0; partition < FleetWorld::kPartitions; ++partition) {
+      const auto answered = answered_.find(partition);
+      if (answered == answered_.end() || answered->second < time) {
+        return false;
+      }
+    }
+    return true;
+  }
   const std::vector<std::string>& violations() const { return violations_; }
   /// For messages when a run does not end.
   std::string Unfinished() const;
@@ -65,6 +79,9 @@
     std::uint64_t partition = 0;
     std::string tenant;
     std::vector<proto::ItemResult> results;
+    std::optional<TimePoint> cancelled_at;  ///< When the cancel was acknowledged.
+    bool removed = false;                   ///< No longer listed; must not come back.
+    bool finished() const { return removed || results.size() == static_cast<std::size_t>(items); }
   };
   struct Run {
     proto::WorkGrant grant;
@@ -96,28 +113,34 @@
 
   void Configure();
   void SubmitLoop();
-  void Submit(std::shared_ptr<proto::SubmitBatchRequest> request);
+  void Submit(const std::shared_ptr<proto::SubmitBatchRequest>& request);
   void TakeAccepted(const proto::SubmitBatchRequest& request, const proto::BatchStatus& status);
+  void Cancel(const std::string& batch_id);
   void ListLoop();
+  void CheckList(const std::string& tenant, const proto::BatchList& list,
+                 const std::vector<std::string>& expected);
   void ListTenant(const std::string& tenant);
-  void ListResults(const std::string& batch_id);
+  void ListResults(const std::string& store, const std::string& batch_id);
   void AcquireLoop(const std::string& store);
   void TakeGrant(const proto::WorkGrant& grant, TimePoint sent);
   void ReportLoop();
   void Report(const std::string& store);
 
   static constexpr std::uint64_t kGateway = 1'000'000;
+  static constexpr std::uint64_t kTenants = 12;  ///< Enough to use every partition.
   FleetWorld& fleet_;
   SimulatedWorld& world_;
   bool configured_ = false;
   bool submitting_ = true;
+  std::uint64_t retention_s_;
   int submitted_ = 0;
   int pending_submissions_ = 0;
   std::size_t runs_ = 0;
   std::map<std::string, AcceptedBatch> accepted_;
-  std::map<std::string, std::vector<std::string>> listed_;  ///< Batch ids by tenant.
-  std::map<std::uint64_t, Run> running_;                    ///< By lease.
-  std::map<ItemKey, std::vector<std::string>> starts_;      ///< Outputs of every run of an item.
+  std::map<std::string, std::map<std::uint64_t, std::string>> listed_;  ///< Position to batch.
+  std::map<std::uint64_t, Run> running_;                                ///< By lease.
+  std::map<ItemKey, std::vector<std::string>> starts_;  ///< Outputs of every run of an item.
+  std::map<std::uint64_t, TimePoint> answered_;         ///< Last list, by partition.
   std::vector<std::string> violations_;
 };
 
@@ -136,6 +159,7 @@
     route.set_deadline_ms(10'000);
     route.set_accepts_batches(true);
   }
+  transaction.add_changes()->mutable_set_batch()->set_retention_s(retention_s_);
   const std::string front = fleet_.fronts[world_.RandomBelow(fleet_.fronts.size())];
   Call<proto::SubmitTransactionResponse>(
       front, "coordinator.SubmitTransaction", request, seconds(3),
@@ -155,7 +179,7 @@
   if (submitting_) {
     auto request = std::make_shared<proto::SubmitBatchRequest>();
     proto::SubmitBatch& batch = *request->mutable_batch();
-    batch.set_tenant("tenant" + std::to_string(world_.RandomBelow(4)));
+    batch.set_tenant("tenant" + std::to_string(world_.RandomBelow(kTenants)));
     batch.set_idempotency_key("key" + std::to_string(++submitted_));
     batch.set_route(world_.RandomBelow(2) == 0 ? "describe" : "unlock");
     request->set_idempotent(batch.route() == "describe");
@@ -167,12 +191,12 @@
       item->set_prompt(std::string(world_.RandomBelow(500), 'p'));
     }
     ++pending_submissions_;
-    Submit(std::move(request));
+    Submit(request);
   }
   world_.ScheduleAfter(milliseconds(50 + world_.RandomBelow(400)), [this] { SubmitLoop(); });
 }
 
-inline void BatchWorkload::Submit(std::shared_ptr<proto::SubmitBatchRequest> request) {
+inline void BatchWorkload::Submit(const std::shared_ptr<proto::SubmitBatchRequest>& request) {
   Call<proto::SubmitBatchResponse>(
       AnyStore(), "queue.SubmitBatch", *request, seconds(3),
       [this, request](const Result<proto::SubmitBatchResponse>& result) {
@@ -198,15 +222,34 @@
   if (status.total() != static_cast<std::uint64_t>(batch.items)) {
     Violation("batch " + status.batch_id() + " has another number of items");
   }
+  if (world_.RandomBelow(8) == 0) {
+    world_.ScheduleAfter(milliseconds(world_.RandomBelow(2000)),
+                         [this, id = status.batch_id()] { Cancel(id); });
+  }
+}
+
+inline void BatchWorkload::Cancel(const std::string& batch_id) {
+  proto::CancelBatchRequest request;
+  request.set_partition_id(accepted_[batch_id].partition);
+  request.set_batch_id(batch_id);
+  Call<proto::CancelBatchResponse>(
+      AnyStore(), "queue.CancelBatch", request, seconds(3),
+      [this, batch_id](const Result<proto::CancelBatchResponse>& result) {
+        if (result.ok()) {
+          accepted_[batch_id].cancelled_at = world_.Now();
+        } else if (result.status().code() != StatusCode::kNotFound) {
+          world_.ScheduleAfter(milliseconds(100), [this, batch_id] { Cancel(batch_id); });
+        }
+      });
 }
 
 inline void BatchWorkload::ListLoop() {
-  for (int i = 0; i < 4; ++i) {
+  for (std::uint64_t i = 0; i < kTenants; ++i) {
     ListTenant("tenant" + std::to_string(i));
   }
   for (const auto& [id, batch] : accepted_) {
-    if (batch.results.size() != static_cast<std::size_t>(batch.items)) {
-      ListResults(id);
+    for (std::size_t i = 0; i < fleet_.stores.size() && !batch.finished(); ++i) {
+      ListResults(fleet_.stores[i], id);
     }
   }
   world_.ScheduleAfter(milliseconds(500), [this] { ListLoop(); });
@@ -217,47 +260,56 @@
   request.set_tenant(tenant);
   request.set_partition_id(PartitionOf(tenant));
   request.set_limit(1000);
-  std::set<std::string> expected;
+  std::vector<std::string> expected;
   for (const auto& [id, batch] : accepted_) {
-    if (batch.tenant == tenant) {
-      expected.insert(id);
+    if (batch.tenant == tenant && !batch.removed) {
+      expected.push_back(id);
     }
   }
-  const std::size_t known = listed_[tenant].size();
   Call<proto::ListBatchesResponse>(
       AnyStore(), "queue.ListBatches", request, seconds(2),
-      [this, tenant, expected, known](const Result<proto::ListBatchesResponse>& result) {
-        if (!result.ok()) {
-          return;
-        }
-        std::vector<std::string> ids;
-        for (const proto::BatchStatus& status : result->list().batches()) {
-          ids.push_back(status.batch_id());
-        }
-        for (const std::string& id : expected) {
-          if (std::find(ids.begin(), ids.end(), id) == ids.end()) {
-            Violation("accepted batch " + id + " is not listed");
-          }
-        }
-        std::vector<std::string>& before = listed_[tenant];
-        const std::size_t shared = std::min(before.size(), ids.size());
-        if (ids.size() < known || !std::equal(ids.begin(), ids.begin() + shared, before.begin())) {
-          Violation("the list of " + tenant + " changed where it had been read");
-        }
-        if (ids.size() > before.size()) {
-          before = ids;
+      [this, tenant, expected](const Result<proto::ListBatchesResponse>& result) {
+        if (result.ok()) {
+          answered_[PartitionOf(tenant)] = world_.Now();
+          CheckList(tenant, result->list(), expected);
         }
       });
 }
 
-inline void BatchWorkload::ListResults(const std::string& batch_id) {
+inline void BatchWorkload::CheckList(const std::string& tenant, const proto::BatchList& list,
+                                     const std::vector<std::string>& expected) {
+  std::map<std::uint64_t, std::string>& known = listed_[tenant];
+  std::set<std::string> ids;
+  for (const proto::BatchStatus& status : list.batches()) {
+    ids.insert(status.batch_id());
+    const auto [place, is_new] = known.emplace(status.position(), status.batch_id());
+    if (place->second != status.batch_id() || (is_new && std::next(place) != known.end())) {
+      Violation("the list of " + tenant + " changed where it had been read");
+    }
+    const auto batch = accepted_.find(status.batch_id());
+    if (batch != accepted_.end() && batch->second.removed) {
+      Violation("removed batch " + status.batch_id() + " came back");
+    }
+  }
+  for (const std::string& id : expected) {
+    if (ids.contains(id)) {
+      continue;
+    }
+    if (retention_s_ == 0 || !accepted_[id].finished()) {
+      Violation("accepted batch " + id + " is not listed");
+    }
+    accepted_[id].removed = true;
+  }
+}
+
+inline void BatchWorkload::ListResults(const std::string& store, const std::string& batch_id) {
   proto::ListResultsRequest request;
   request.set_partition_id(accepted_[batch_id].partition);
   request.set_batch_id(batch_id);
   request.set_limit(1000);
   const std::size_t known = accepted_[batch_id].results.size();
   Call<proto::ListResultsResponse>(
-      AnyStore(), "queue.ListResults", request, seconds(2),
+      store, "queue.ListResults", request, seconds(2),
       [this, batch_id, known](const Result<proto::ListResultsResponse>& result) {
         if (!result.ok()) {
           return;
@@ -322,6 +374,11 @@
       Violation("item " + std::to_string(grant.item_index()) + " of " + grant.batch_id() +
                 " was started twice");
     }
+    const auto batch = accepted_.find(grant.batch_id());
+    if (batch != accepted_.end() && batch->second.cancelled_at.has_value() &&
+        world_.Now() > *batch->second.cancelled_at + seconds(3)) {
+      Violation("cancelled batch " + grant.batch_id() + " started new work");
+    }
     run.output = "run" + std::to_string(++runs_);
     outputs.push_back(run.output);
     run.ends = world_.Now() + milliseconds(5 + world_.RandomBelow(1500));
@@ -383,7 +440,7 @@
   std::string text = "pending submissions " + std::to_string(pending_submissions_) + ", running " +
                      std::to_string(running_.size());
   for (const auto& [id, batch] : accepted_) {
-    if (batch.results.size() != static_cast<std::size_t>(batch.items)) {
+    if (!batch.finished()) {
       text += "; " + id + (batch.idempotent ? " (repeatable) " : " ") +
               std::to_string(batch.results.size()) + "/" + std::to_string(batch.items);
     }
--- a/tests/queue/durability_simulation_test.cc
+++ b/tests/queue/durability_simulation_test.cc
@@ -12,7 +12,9 @@
 
 class DurabilityTest : public testing::TestWithParam<int> {
  protected:
-  DurabilityTest() : fleet(static_cast<std::uint64_t>(GetParam())), workload(fleet) {
+  explicit DurabilityTest(std::uint64_t retention_s = 0)
+      : fleet(static_cast<std::uint64_t>(GetParam())), workload(fleet, retention_s) {
+    fleet.queue_options.retention_sweep = seconds(1);
     fleet.StartAll();
     workload.Start();
     fleet.world.RunFor(seconds(6));
@@ -111,11 +113,49 @@
       Machine(store).LosePower();
       StartLater(store, RandomTime(3000));
     }
-    fleet.world.RunFor(seconds(12));
+    fleet.world.RunFor(seconds(3));
+    const TimePoint back = fleet.world.Now();
+    EXPECT_TRUE(fleet.world.RunUntil([&] { return workload.ServedSince(back); }, seconds(12)))
+        << FleetProblems();
   }
   Conclude(10);
 }
 
+TEST_P(DurabilityTest, RetiredStoreIsEmptiedAndThenLost) {
+  ASSERT_TRUE(fleet.world.RunUntil([this] { return fleet.Whole(); }, seconds(20)));
+  const std::string retired = RandomOf(fleet.stores);
+  proto::RetireServerRequest request;
+  request.set_machine(retired);
+  const auto ask = [&] {
+    for (const std::string& front : fleet.fronts) {
+      fleet.world.CallPeer(Machine(front).endpoint(), "coordinator.RetireServer",
+                           request.SerializeAsString(), seconds(2), [](const PeerReply&) {});
+    }
+  };
+  ask();
+  const auto emptied = [&] {
+    bool empty = false;
+    fleet.world.CallPeer(Machine(retired).endpoint(), "backup.ListSegments", "", seconds(1),
+                         [&](const PeerReply& reply) {
+                           proto::ListSegmentsResponse held;
+                           empty = reply.status.ok() && held.ParseFromString(reply.body) &&
+                                   held.replicas().empty();
+                         });
+    fleet.world.RunFor(seconds(1));
+    return empty;
+  };
+  int seconds_left = 60;
+  while (!emptied() && --seconds_left > 0) {
+  }
+  EXPECT_GT(seconds_left, 0) << FleetProblems();
+  Machine(retired).LoseDisk();
+  const std::string second = RandomOf(fleet.stores);
+  Machine(second).LoseDisk();
+  StartLater(second, seconds(2));
+  fleet.world.RunFor(seconds(8));
+  Conclude(10);
+}
+
 TEST_P(DurabilityTest, RandomKillsFreezesAndCuts) {
   fleet.world.network().request_loss = 0.003;
   fleet.world.network().reply_loss = 0.003;
@@ -149,6 +189,24 @@
   Conclude(10);
 }
 
+/// Finished batches are removed and the log is cleaned, over recoveries.
+class CleaningTest : public DurabilityTest {
+ protected:
+  CleaningTest() : DurabilityTest(20) {}
+};
+
+TEST_P(CleaningTest, RemovedBatchesNeverComeBack) {
+  for (int round = 0; round < 8; ++round) {
+    fleet.world.RunFor(seconds(10));
+    const std::string store = RandomOf(fleet.stores);
+    if (Machine(store).running()) {
+      Machine(store).LosePower();
+      StartLater(store, RandomTime(5000));
+    }
+  }
+  Conclude(20);
+}
+
 /// More seeds for longer trials: CLOVERBANK_SEEDS=200 test_queue --gtest_filter=...
 int SeedCount() {
   constexpr int kDefaultSeeds = 6;
@@ -157,6 +215,7 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(Seeds, DurabilityTest, testing::Range(1, SeedCount() + 1));
+INSTANTIATE_TEST_SUITE_P(Seeds, CleaningTest, testing::Range(1, SeedCount() + 1));
 
 }  // namespace
 }  // namespace cloverbank
--- a/tests/queue/fake_coordinator.h
+++ b/tests/queue/fake_coordinator.h
@@ -66,15 +66,15 @@
         "coordinator.FinishAssignment", [this](const auto& request) { return Finish(request); });
     ServePeer<proto::CommitHeadRequest, proto::CommitHeadResponse>(
         environment_, "coordinator.CommitHead",
-        [this](const auto& request, const std::string&, auto reply) {
+        [this](const auto& request, const std::string&, const auto& reply) {
           if (state_.answers_commits) {
             reply(Commit(request.head()));
           }
         });
     ServePeer<proto::HeartbeatRequest, proto::HeartbeatResponse>(
         environment_, "coordinator.Heartbeat",
-        [this](const auto& request, const std::string&, HeartbeatReply reply) {
-          Wait(request, environment_.Now() + milliseconds(request.hold_ms()), std::move(reply));
+        [this](const auto& request, const std::string&, const HeartbeatReply& reply) {
+          Wait(request, environment_.Now() + milliseconds(request.hold_ms()), reply);
         });
   }
 
@@ -84,9 +84,8 @@
   template <typename Request, typename Response, typename Handler>
   void Serve(std::string_view method, Handler handler) {
     ServePeer<Request, Response>(environment_, method,
-                                 [handler](const Request& request, const std::string&, auto reply) {
-                                   reply(handler(request));
-                                 });
+                                 [handler](const Request& request, const std::string&,
+                                           const auto& reply) { reply(handler(request)); });
   }
 
   Result<proto::RegisterServerResponse> Register(const proto::RegisterServerRequest& request) {
@@ -140,7 +139,7 @@
     return proto::CommitHeadResponse();
   }
 
-  void Wait(const proto::HeartbeatRequest& request, TimePoint until, HeartbeatReply reply) {
+  void Wait(const proto::HeartbeatRequest& request, TimePoint until, const HeartbeatReply& reply) {
     if (state_.IsDead(request.node_id())) {
       reply(Status(StatusCode::kFenced, "declared dead"));
       return;
--- a/tests/queue/queue_service_test.cc
+++ b/tests/queue/queue_service_test.cc
@@ -221,13 +221,17 @@
     world.AddQueue("q2");
     world.AddQueue("q3");
   }
+  std::vector<std::string> AcceptMany(int count, int items) {
+    std::vector<std::string> ids(static_cast<std::size_t>(count));
+    for (int i = 0; i < count; ++i) {
+      ids[static_cast<std::size_t>(i)] = world.Accept("q1", "key" + std::to_string(i), items);
+    }
+    return ids;
+  }
 };
 
 TEST_F(QueueRecoveryTest, ListsAndResultsGoOnAtTheNextOwner) {
-  std::vector<std::string> ids;
-  for (int i = 0; i < 5; ++i) {
-    ids.push_back(world.Accept("q1", "key" + std::to_string(i), 10));
-  }
+  const std::vector<std::string> ids = AcceptMany(5, 10);
   for (const auto& grant : world.Acquire("q1", 12)) {
     EXPECT_TRUE(world.Finish("q1", grant, "before").ok());
   }
@@ -263,10 +267,7 @@
 }
 
 TEST_F(QueueRecoveryTest, AReplayThatIsGivenUpLeavesNothing) {
-  std::vector<std::string> ids;
-  for (int i = 0; i < 4; ++i) {
-    ids.push_back(world.Accept("q1", "key" + std::to_string(i), 5));
-  }
+  std::vector<std::string> ids = AcceptMany(4, 5);
   const std::uint64_t first = world.QueueId("q1");
   world.world.machine("q1").Kill();
   world.coordinator.MarkDead(first);
--- a/tests/queue/work_leases_test.cc
+++ b/tests/queue/work_leases_test.cc
@@ -5,9 +5,9 @@
 namespace cloverbank {
 namespace {
 
-const WorkItemKey kItem = {PartitionId(2), "b1", 4};
+const WorkItemKey item = {PartitionId(2), "b1", 4};
 constexpr std::uint64_t kGateway = 9;
-const Incarnation kIncarnation(77);
+const Incarnation incarnation(77);
 
 proto::WorkReport Report(WorkLeaseId lease, proto::WorkDisposition disposition) {
   proto::WorkReport report;
@@ -19,10 +19,10 @@
 class WorkLeasesTest : public testing::Test {
  protected:
   WorkLeaseId Grant(bool idempotent) {
-    return leases_.Grant(kItem, kGateway, kIncarnation, idempotent, now_).id;
+    return leases_.Grant(item, kGateway, incarnation, idempotent, now_).id;
   }
   ReportAction Decide(WorkLeaseId lease, proto::WorkDisposition disposition) {
-    return leases_.Decide(Report(lease, disposition), kItem, false);
+    return leases_.Decide(Report(lease, disposition), item, false);
   }
 
   WorkLeases leases_{WorkLeaseId(100)};
@@ -31,17 +31,17 @@
 
 TEST_F(WorkLeasesTest, SilenceEndsALeaseAndRenewalKeepsIt) {
   const WorkLeaseId id = Grant(true);
-  EXPECT_NE(leases_.Renew(id, kGateway, kIncarnation, now_ + seconds(4)), nullptr);
+  EXPECT_NE(leases_.Renew(id, kGateway, incarnation, now_ + seconds(4)), nullptr);
   EXPECT_TRUE(leases_.EndSilent(now_ + seconds(8)).empty());
   const auto ended = leases_.EndSilent(now_ + seconds(9));
   ASSERT_EQ(ended.size(), 1U);
-  EXPECT_EQ(ended[0].item, kItem);
-  EXPECT_EQ(leases_.Renew(id, kGateway, kIncarnation, now_ + seconds(9)), nullptr);
+  EXPECT_EQ(ended[0].item, item);
+  EXPECT_EQ(leases_.Renew(id, kGateway, incarnation, now_ + seconds(9)), nullptr);
 }
 
 TEST_F(WorkLeasesTest, OnlyItsHolderRenews) {
   const WorkLeaseId id = Grant(true);
-  EXPECT_EQ(leases_.Renew(id, kGateway + 1, kIncarnation, now_), nullptr);
+  EXPECT_EQ(leases_.Renew(id, kGateway + 1, incarnation, now_), nullptr);
   EXPECT_EQ(leases_.Renew(id, kGateway, Incarnation(78), now_), nullptr);
 }
 
@@ -50,35 +50,35 @@
   EXPECT_EQ(Decide(id, proto::WORK_DISPOSITION_FINISHED), ReportAction::kLogResult);
   EXPECT_EQ(Decide(id, proto::WORK_DISPOSITION_NOT_RUN), ReportAction::kReturnItem);
   EXPECT_EQ(Decide(id, proto::WORK_DISPOSITION_UNKNOWN), ReportAction::kLogUnknown);
-  leases_.End(kItem);
+  leases_.End(item);
   const WorkLeaseId again = Grant(true);
   EXPECT_EQ(Decide(again, proto::WORK_DISPOSITION_UNKNOWN), ReportAction::kReturnItem);
 }
 
 TEST_F(WorkLeasesTest, LateReportsCountOnlyWhenTheyBringTheResult) {
   const WorkLeaseId old = Grant(true);
-  leases_.End(kItem);
+  leases_.End(item);
   Grant(true);
   EXPECT_EQ(Decide(old, proto::WORK_DISPOSITION_NOT_RUN), ReportAction::kDrop);
   EXPECT_EQ(Decide(old, proto::WORK_DISPOSITION_UNKNOWN), ReportAction::kDrop);
   EXPECT_EQ(Decide(old, proto::WORK_DISPOSITION_FINISHED), ReportAction::kLogResult);
-  EXPECT_EQ(leases_.Decide(Report(old, proto::WORK_DISPOSITION_FINISHED), kItem, true),
+  EXPECT_EQ(leases_.Decide(Report(old, proto::WORK_DISPOSITION_FINISHED), item, true),
             ReportAction::kDrop);
 }
 
 TEST_F(WorkLeasesTest, SilenceDoesNotEndALeaseWhoseResultIsBeingLogged) {
   const WorkLeaseId id = Grant(true);
-  leases_.SetReporting(kItem, true, now_);
+  leases_.SetReporting(item, true, now_);
   EXPECT_TRUE(leases_.EndSilent(now_ + seconds(60)).empty());
   EXPECT_EQ(Decide(id, proto::WORK_DISPOSITION_FINISHED), ReportAction::kWait);
-  leases_.SetReporting(kItem, false, now_ + seconds(60));
+  leases_.SetReporting(item, false, now_ + seconds(60));
   EXPECT_TRUE(leases_.EndSilent(now_ + seconds(64)).empty());
   EXPECT_EQ(leases_.EndSilent(now_ + seconds(65)).size(), 1U);
 }
 
 TEST_F(WorkLeasesTest, EndsAPartitionsLeasesOnly) {
   Grant(true);
-  leases_.Grant({PartitionId(3), "b2", 0}, kGateway, kIncarnation, true, now_);
+  leases_.Grant({PartitionId(3), "b2", 0}, kGateway, incarnation, true, now_);
   EXPECT_EQ(leases_.CountOf(PartitionId(2), "b1"), 1U);
   leases_.EndPartition(PartitionId(2));
   EXPECT_EQ(leases_.CountOf(PartitionId(2), "b1"), 0U);
--- a/tests/scheduler/fair_queue_test.cc
+++ b/tests/scheduler/fair_queue_test.cc
@@ -16,7 +16,7 @@
 TEST(GroupByPrefixTest, PutsItemsOfOnePrefixTogetherInOrderOfFirstItem) {
   const std::vector<std::string> keys = {"a", "b", "a", "c", "b", "a"};
   const auto items = GroupByPrefix(
-      6, [&](std::uint32_t index) { return std::string_view(keys[index]); },
+      6, [&](std::uint32_t index) { return std::string_view{keys[index]}; },
       [](std::uint32_t index) { return index != 2; });
   std::vector<std::uint32_t> order;
   std::vector<std::uint32_t> starts;
