Take a repeated head for the same when a backup restarted since

A queue node whose answer was lost repeats the commit of its head; if one of the backups had restarted meanwhile, the list named its new node id, the repeat was refused as stale, and the log could not go on.

--- a/src/coordinator/control_state.cc
+++ b/src/coordinator/control_state.cc
@@ -117,7 +117,7 @@
   if (servers_.FindLive(node, proto::ROLE_QUEUE) == nullptr) {
     return Fenced(node);
   }
-  return partitions_.CommitHead(head);
+  return partitions_.CommitHead(head, servers_);
 }
 
 Status ControlState::Assign(const proto::AssignPartitionsCommand& command) {
--- a/src/coordinator/partition_table.cc
+++ b/src/coordinator/partition_table.cc
@@ -17,9 +17,13 @@
   return {head.segment_id(), head.epoch()};
 }
 
-bool SameBackups(const proto::LogHead& left, const proto::LogHead& right) {
+bool SameBackups(const proto::LogHead& left, const proto::LogHead& right,
+                 const ServerRegistry& servers) {
   return std::is_permutation(left.backups().begin(), left.backups().end(), right.backups().begin(),
-                             right.backups().end());
+                             right.backups().end(),
+                             [&servers](std::uint64_t one, std::uint64_t other) {
+                               return servers.SameDisk(NodeId(one), NodeId(other));
+                             });
 }
 
 Status Conflict(std::string message) { return {StatusCode::kConflict, std::move(message)}; }
@@ -66,7 +70,7 @@
   }
 }
 
-Status PartitionTable::CommitHead(const proto::LogHead& head) {
+Status PartitionTable::CommitHead(const proto::LogHead& head, const ServerRegistry& servers) {
   if (head.segment_id() == 0 || head.backups().empty()) {
     return {StatusCode::kInvalidArgument, "a head needs a segment id and backups"};
   }
@@ -76,7 +80,7 @@
     return Status::Ok();
   }
   LogHeads& heads = entry->second;
-  if (PlaceOf(head) == PlaceOf(heads.current) && SameBackups(head, heads.current)) {
+  if (PlaceOf(head) == PlaceOf(heads.current) && SameBackups(head, heads.current, servers)) {
     return Status::Ok();
   }
   if (PlaceOf(head) <= PlaceOf(heads.current)) {
--- a/src/coordinator/partition_table.h
+++ b/src/coordinator/partition_table.h
@@ -19,6 +19,7 @@
 
 #include "base/ids.h"
 #include "base/status.h"
+#include "coordinator/server_registry.h"
 #include "proto/coordinator.pb.h"
 
 namespace cloverbank {
@@ -39,9 +40,10 @@
   /// it had acknowledged nothing), and replays given to it are taken back.
   void OnQueueNodeDead(NodeId node);
 
-  /// Accepts a head newer than the committed one (by segment, then epoch) or a repeat of it.
+  /// Accepts a head newer than the committed one (by segment, then epoch) or a repeat of it, in
+  /// which a backup that restarted since may have its new node id.
   /// @return kStaleEpoch for any other.
-  Status CommitHead(const proto::LogHead& head);
+  Status CommitHead(const proto::LogHead& head, const ServerRegistry& servers);
 
   /// Gives partitions without owner and without log to be recovered to `node`.
   /// @return kConflict, and nothing is changed, if any of them is not free.
--- a/tests/coordinator/control_state_test.cc
+++ b/tests/coordinator/control_state_test.cc
@@ -61,6 +61,8 @@
   EXPECT_EQ(control.CommitHead(node, 1, 1, {backup}), StatusCode::kOk);
   EXPECT_EQ(control.CommitHead(node, 1, 1, {backup, node}), StatusCode::kStaleEpoch);
   EXPECT_EQ(control.CommitHead(node, 1, 3, {backup}), StatusCode::kOk);
+  const NodeId restarted = control.Register(proto::ROLE_BACKUP, "store-1", 13);
+  EXPECT_EQ(control.CommitHead(node, 1, 3, {restarted}), StatusCode::kOk) << "the same disk";
   EXPECT_EQ(control.CommitHead(node, 1, 2, {backup}), StatusCode::kStaleEpoch);
   EXPECT_EQ(control.CommitHead(node, 2, 1, {backup}), StatusCode::kOk);
   EXPECT_EQ(control.CommitHead(node, 1, 4, {backup}), StatusCode::kStaleEpoch);
