--- a/src/coordinator/control_state.cc
+++ b/src/coordinator/control_state.cc
@@ -45,49 +45,43 @@
 
 proto::ControlCommandResult ControlState::ApplyCommand(const proto::ControlCommand& command) {
   proto::ControlCommandResult result;
+  if (command.has_register_server()) {
+    ApplyRegister(command.register_server(), &result);
+  } else if (command.has_apply_transaction()) {
+    *result.mutable_transaction() = configuration_.Apply(command.apply_transaction().transaction(),
+                                                         command.apply_transaction().wall_ms());
+  } else {
+    SetStatus(ApplyPlain(command), &result);
+  }
+  return result;
+}
+
+Status ControlState::ApplyPlain(const proto::ControlCommand& command) {
   switch (command.command_case()) {
-    case proto::ControlCommand::kRegisterServer:
-      ApplyRegister(command.register_server(), &result);
-      break;
     case proto::ControlCommand::kMarkServerDead:
-      SetStatus(MarkDead(NodeId(command.mark_server_dead().node_id())), &result);
-      break;
+      return MarkDead(NodeId(command.mark_server_dead().node_id()));
     case proto::ControlCommand::kRetireMachine:
       servers_.RetireMachine(command.retire_machine().machine(), command.retire_machine().cancel());
-      break;
-    case proto::ControlCommand::kApplyTransaction:
-      *result.mutable_transaction() = configuration_.Apply(
-          command.apply_transaction().transaction(), command.apply_transaction().wall_ms());
-      break;
+      return Status::Ok();
     case proto::ControlCommand::kMarkInForce:
-      SetStatus(configuration_.MarkInForce(ConfigurationVersion(command.mark_in_force().version()),
-                                           command.mark_in_force().wall_ms()),
-                &result);
-      break;
+      return configuration_.MarkInForce(ConfigurationVersion(command.mark_in_force().version()),
+                                        command.mark_in_force().wall_ms());
     case proto::ControlCommand::kCommitHead:
-      SetStatus(CommitHead(command.commit_head().head()), &result);
-      break;
+      return CommitHead(command.commit_head().head());
     case proto::ControlCommand::kAssignPartitions:
-      SetStatus(Assign(command.assign_partitions()), &result);
-      break;
+      return Assign(command.assign_partitions());
     case proto::ControlCommand::kStartReplay:
-      SetStatus(StartReplay(command.start_replay()), &result);
-      break;
+      return StartReplay(command.start_replay());
     case proto::ControlCommand::kFinishAssignment:
-      SetStatus(FinishAssignment(command.finish_assignment()), &result);
-      break;
+      return FinishAssignment(command.finish_assignment());
     case proto::ControlCommand::kFinishRecovery:
-      SetStatus(partitions_.FinishRecovery(NodeId(command.finish_recovery().dead_node_id())),
-                &result);
-      break;
+      return partitions_.FinishRecovery(NodeId(command.finish_recovery().dead_node_id()));
     case proto::ControlCommand::kInitialize:
       partitions_.Initialize(command.initialize().partition_count());
-      break;
-    case proto::ControlCommand::COMMAND_NOT_SET:
-      SetStatus({StatusCode::kInvalidArgument, "empty control command"}, &result);
-      break;
+      return Status::Ok();
+    default:
+      return {StatusCode::kInvalidArgument, "empty control command"};
   }
-  return result;
 }
 
 void ControlState::ApplyRegister(const proto::RegisterServerCommand& command,
--- a/src/coordinator/control_state.h
+++ b/src/coordinator/control_state.h
@@ -42,6 +42,8 @@
 
  private:
   proto::ControlCommandResult ApplyCommand(const proto::ControlCommand& command);
+  /// Applies a command whose result is only whether it was taken.
+  Status ApplyPlain(const proto::ControlCommand& command);
   void ApplyRegister(const proto::RegisterServerCommand& command,
                      proto::ControlCommandResult* result);
   Status MarkDead(NodeId node);
@@ -49,7 +51,6 @@
   Status Assign(const proto::AssignPartitionsCommand& command);
   Status StartReplay(const proto::StartReplayCommand& command);
   Status FinishAssignment(const proto::FinishAssignmentCommand& command);
-  Status FinishRecovery(const proto::FinishRecoveryCommand& command);
   /// Raises the fleet version if the command changed what nodes see, and stamps what changed.
   void NoteFleetChanges();
   void DropPrunedServers();
--- a/src/coordinator/heartbeat_handler.cc
+++ b/src/coordinator/heartbeat_handler.cc
@@ -18,6 +18,8 @@
 
 void HeartbeatHandler::Handle(const proto::HeartbeatRequest& request, Reply reply) {
   if (!context_.MayAnswer()) {
+    context_.environment.metrics().Increment("coordinator_heartbeat_refused_total",
+                                             {{"reason", "not_leader"}});
     reply(context_.NotLeader());
     return;
   }
--- a/src/coordinator/transaction_handler.cc
+++ b/src/coordinator/transaction_handler.cc
@@ -66,7 +66,7 @@
     reply(Respond(result));
     return;
   }
-  waiting_.push_back({result, reply});
+  waiting_.push_back({result, context_.environment.Now(), reply});
   AnswerInForce();
 }
 
@@ -109,6 +109,9 @@
     entry = next;
   }
   for (const Waiting& waiting : answered) {
+    const std::chrono::duration<double> waited = context_.environment.Now() - waiting.since;
+    context_.environment.metrics().ObserveSeconds("coordinator_in_force_wait_seconds",
+                                                  waited.count());
     const proto::OperationRecord* record =
         configuration.FindOperation(waiting.result.operation_id());
     waiting.reply(Respond(record == nullptr ? waiting.result : record->result()));
--- a/src/coordinator/transaction_handler.h
+++ b/src/coordinator/transaction_handler.h
@@ -41,6 +41,7 @@
  private:
   struct Waiting {
     proto::TransactionResult result;
+    TimePoint since;
     Reply<proto::SubmitTransactionResponse> reply;
   };
 
