Call a retired backup empty only once nobody can still choose it

The list of a backup taken just after the order could be empty while a queue node that had not heard of the order opened a segment there. It counts a node lease after the order. A backup that has not reported its free disk yet is no longer called full.

--- a/src/coordinator/backup_sweeper.cc
+++ b/src/coordinator/backup_sweeper.cc
@@ -30,6 +30,13 @@
       continue;
     }
     const bool retiring = backup->state() == proto::SERVER_STATE_RETIRING;
+    if (retiring) {
+      look.retiring_since = look.retiring_since.value_or(now);
+      look.counts = now - *look.retiring_since >= settle_;
+    } else {
+      look.retiring_since.reset();
+      look.counts = true;
+    }
     look.in_flight = true;
     look.next = now + (retiring ? retiring_interval_ : interval_);
     due.push_back(id);
@@ -41,7 +48,10 @@
   const auto look = looks_.find(backup);
   if (look != looks_.end()) {
     look->second.in_flight = false;
-    look->second.replicas = replicas.replicas_size();
+    look->second.replicas.reset();
+    if (look->second.counts) {
+      look->second.replicas = static_cast<std::size_t>(replicas.replicas_size());
+    }
   }
 }
 
@@ -52,9 +62,9 @@
   }
 }
 
-std::int64_t BackupSweeper::ReplicasOn(NodeId backup) const {
+std::optional<std::size_t> BackupSweeper::ReplicasOn(NodeId backup) const {
   const auto look = looks_.find(backup);
-  return look == looks_.end() ? -1 : look->second.replicas;
+  return look == looks_.end() ? std::nullopt : look->second.replicas;
 }
 
 }  // namespace cloverbank
--- a/src/coordinator/backup_sweeper.h
+++ b/src/coordinator/backup_sweeper.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -23,26 +24,32 @@
 
 class BackupSweeper {
  public:
-  BackupSweeper(Duration interval, Duration retiring_interval)
-      : interval_(interval), retiring_interval_(retiring_interval) {}
+  /// @param settle how long after the order to retire a backup its list says that it stays empty:
+  /// a node lease, since by then no queue node that may act can still choose it.
+  BackupSweeper(Duration interval, Duration retiring_interval, Duration settle)
+      : interval_(interval), retiring_interval_(retiring_interval), settle_(settle) {}
 
   void Reset() { looks_.clear(); }
   /// @return backups whose list is to be fetched now; report each with `OnListed` or `OnFailed`.
   std::vector<NodeId> Due(const ControlState& state, TimePoint now);
   void OnListed(NodeId backup, const proto::ListSegmentsResponse& replicas);
   void OnFailed(NodeId backup);
-  /// @return replicas on the backup when last looked at; -1 if not known yet.
-  std::int64_t ReplicasOn(NodeId backup) const;
+  /// @return replicas on the backup when last looked at; nothing if that is not known yet, or does
+  /// not count yet because the backup has only just been retired.
+  std::optional<std::size_t> ReplicasOn(NodeId backup) const;
 
  private:
   struct Look {
     bool in_flight = false;
     TimePoint next;
-    std::int64_t replicas = -1;
+    std::optional<TimePoint> retiring_since;  ///< As far as this leader saw it.
+    bool counts = true;                       ///< Whether the look under way began late enough.
+    std::optional<std::size_t> replicas;
   };
 
   Duration interval_;
   Duration retiring_interval_;
+  Duration settle_;
   std::map<NodeId, Look> looks_;
 };
 
--- a/src/coordinator/fleet_problems.cc
+++ b/src/coordinator/fleet_problems.cc
@@ -93,7 +93,8 @@
     const bool counts = !backup->spare() && backup->state() == proto::SERVER_STATE_UP;
     stores += counts ? 1 : 0;
     const NodeLoad* load = LoadOf(*backup);
-    if (load != nullptr && load->free_bytes < kNearlyFullBytes) {
+    // 0 is what a backup reports that has not looked yet.
+    if (load != nullptr && load->free_bytes != 0 && load->free_bytes < kNearlyFullBytes) {
       Add("the backup on " + Name(*backup) + " has only " +
           std::to_string(load->free_bytes >> 20U) + " MiB of disk left; free or add disk");
     }
@@ -148,7 +149,7 @@
 
 void Description::DescribeRetirement(const std::string& machine) {
   std::size_t partitions = 0;
-  std::int64_t replicas = 0;
+  std::size_t replicas = 0;
   bool unknown = false;
   bool live = false;
   for (const auto& [id, server] : facts_.state.servers().servers()) {
@@ -163,9 +164,9 @@
     live = true;
     partitions += facts_.state.partitions().LoadOf(id);
     if (server.role() == proto::ROLE_BACKUP) {
-      const std::int64_t found = facts_.sweeper.ReplicasOn(id);
-      unknown = unknown || found < 0;
-      replicas += std::max<std::int64_t>(found, 0);
+      const std::optional<std::size_t> found = facts_.sweeper.ReplicasOn(id);
+      unknown = unknown || !found.has_value();
+      replicas += found.value_or(0);
     }
   }
   if (partitions > 0 || replicas > 0 || unknown) {
--- a/src/coordinator/leader_duties.cc
+++ b/src/coordinator/leader_duties.cc
@@ -19,7 +19,8 @@
     : context_(context),
       proposer_(proposer),
       recoveries_(context.options.recovery),
-      sweeper_(context.options.sweep_interval, context.options.retiring_sweep_interval),
+      sweeper_(context.options.sweep_interval, context.options.retiring_sweep_interval,
+               context.options.node_lease),
       arrivals_(context.options.arrival_quiet, context.options.arrival_longest) {}
 
 void LeaderDuties::Begin() {
--- a/tests/coordinator/recovery_test.cc
+++ b/tests/coordinator/recovery_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include "control_commands.h"
+#include "coordinator/backup_sweeper.h"
 #include "coordinator/log_assembly.h"
 #include "coordinator/partition_assigner.h"
 #include "coordinator/recovery_manager.h"
@@ -276,6 +277,32 @@
   EXPECT_TRUE(gate.IsOpen(control.state, {}, true, now + seconds(2)));
 }
 
+TEST_F(RecoveryTest, LeftoversAreThoseOfTheDeadThatNobodyNeeds) {
+  const NodeId over = control.Register(proto::ROLE_QUEUE, "over", 1);
+  control.MarkDead(over);
+  control.MarkDead(dead);  // Its recovery needs them.
+  proto::ListSegmentsResponse replicas;
+  for (const NodeId owner : {over, dead, first, NodeId(9999)}) {
+    replicas.add_replicas()->set_node_id(owner.value());
+  }
+  EXPECT_THAT(FindLeftovers(replicas, control.state), ElementsAre(over));
+}
+
+TEST_F(RecoveryTest, BackupCountsAsEmptiedOnlyALeaseAfterTheOrder) {
+  BackupSweeper sweeper(seconds(5), seconds(1), seconds(3));
+  proto::ControlCommand retire;
+  retire.mutable_retire_machine()->set_machine("s1");
+  control.Apply(retire);
+  for (int elapsed = 0; elapsed <= 3; ++elapsed) {
+    EXPECT_EQ(sweeper.ReplicasOn(backup), std::nullopt) << elapsed;
+    EXPECT_THAT(sweeper.Due(control.state, TimePoint(seconds(100 + elapsed))),
+                testing::Contains(backup));
+    sweeper.OnListed(backup, proto::ListSegmentsResponse());
+    sweeper.OnFailed(spare);
+  }
+  EXPECT_EQ(sweeper.ReplicasOn(backup), 0U);
+}
+
 TEST_F(RecoveryTest, DoubtfulAndRetiringNodesGetPartitionsOnlyIfThereIsNoOther) {
   const std::vector<PartitionId> two{PartitionId(0), PartitionId(1)};
   const NodeId silent = dead;
