--- a/src/gateway/batch_work_ledger.cc
+++ b/src/gateway/batch_work_ledger.cc
@@ -113,7 +113,8 @@
   }
 }
 
-void BatchWorkLedger::Finish(WorkLeaseId lease, const BackendOutcome& outcome) {
+void BatchWorkLedger::Finish(WorkLeaseId lease, const BackendOutcome& outcome,
+                             bool keep_if_not_run) {
   Item* item = Find(lease);
   if (item == nullptr || IsDone(*item)) {
     return;
@@ -133,6 +134,10 @@
       Complete(*item, proto::WORK_DISPOSITION_FINISHED, proto::ITEM_OUTCOME_FAILED, "", message);
       return;
     case proto::EXECUTED_NO:
+      if (keep_if_not_run && !item->ended) {
+        item->phase = Phase::kWaiting;
+        return;
+      }
       Complete(*item, proto::WORK_DISPOSITION_NOT_RUN, proto::ITEM_OUTCOME_UNSPECIFIED, "",
                message);
       return;
--- a/src/gateway/batch_work_ledger.h
+++ b/src/gateway/batch_work_ledger.h
@@ -93,7 +93,9 @@
   /// Ends an item that was not started. Final refusals become failed results, others give it back.
   void Refuse(WorkLeaseId lease, StartRefusal refusal);
   /// Takes the outcome of its call.
-  void Finish(WorkLeaseId lease, const BackendOutcome& outcome);
+  /// @param keep_if_not_run whether an item that certainly did not run waits here for another try,
+  /// instead of being given back.
+  void Finish(WorkLeaseId lease, const BackendOutcome& outcome, bool keep_if_not_run);
   /// The queue node ended the lease.
   EndedAction End(WorkLeaseId lease);
   /// The call of an ended lease was cancelled: whether it ran is known only if it never left.
--- a/src/gateway/batch_worker.cc
+++ b/src/gateway/batch_worker.cc
@@ -149,7 +149,8 @@
   if (outcome.executed == proto::EXECUTED_NO && !WasRejected(outcome)) {
     paused_backends_[backend] = environment_.Now() + options_.retry_delay;
   }
-  ledger_.Finish(lease, outcome);
+  const Duration held_for = environment_.Now() - ledger_.ArrivedAt(lease);
+  ledger_.Finish(lease, outcome, held_for < options_.grant_patience);
   environment_.metrics().Increment("batch_items_finished_total",
                                    {{"executed", proto::Executed_Name(outcome.executed)}});
   RequestRun();
--- a/src/gateway/batch_worker.h
+++ b/src/gateway/batch_worker.h
@@ -30,8 +30,9 @@
   /// back, one that is never read leaves an item that must not repeat unknown.
   Duration acquire_grace = seconds(6);
   Duration report_deadline = milliseconds(1500);
-  Duration retry_delay = milliseconds(200);      ///< After a call that failed.
-  Duration grant_patience = milliseconds(300);   ///< For room, before a grant is given back.
+  Duration retry_delay = milliseconds(200);  ///< After a call that failed.
+  /// For room, before a grant is given back: that costs its queue node a write and another grant.
+  Duration grant_patience = milliseconds(300);
   Duration default_item_deadline = seconds(60);  ///< For routes that set none.
 };
 
--- a/tests/gateway/batch_worker_test.cc
+++ b/tests/gateway/batch_worker_test.cc
@@ -351,7 +351,10 @@
   gateway->backend.outcome = {};
   gateway->backend.outcome.executed = proto::EXECUTED_NO;
   AddWork(1, "unlock");
-  world.RunFor(seconds(1));
+  world.RunFor(milliseconds(250));
+  EXPECT_EQ(Disposition(q1, 1), proto::WORK_DISPOSITION_UNSPECIFIED) << "tried again here first";
+  world.RunFor(milliseconds(600));
+  EXPECT_EQ(gateway->backend.runs.size(), 2U);
   gateway->backend.outcome.error.set_code(std::string(kReplicaRejectedCode));
   AddWork(2, "unlock");
   world.RunFor(seconds(1));
