Take streamed answers of stated length

With no body limit set, Beast 1.74 refuses every answer that has a Content-Length, so a replica's plain refusal of a streamed call ended as unknown. The limit of streamed answers is now the largest number instead.

--- a/src/net/client_call.cc
+++ b/src/net/client_call.cc
@@ -7,6 +7,7 @@
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
+#include <limits>
 #include <utility>
 
 #include "net/beast_message.h"
@@ -22,6 +23,7 @@
 
 constexpr unsigned kHttp11 = 11;
 constexpr int kFirstFinalStatus = 200;
+constexpr std::uint64_t kUnbounded = std::numeric_limits<std::uint64_t>::max();
 constexpr std::size_t kChunkBytes = 16U << 10U;
 
 http::request<http::string_body> ToBeast(const Endpoint& to, HttpRequest request) {
@@ -187,11 +189,8 @@
 void ClientCall::ReadHead() {
   parser_.emplace();
   parser_->header_limit(shared_->options.maximum_header_bytes);
-  if (limits_.maximum_body > 0) {
-    parser_->body_limit(limits_.maximum_body);
-  } else {
-    parser_->body_limit(boost::none);
-  }
+  // Not boost::none: this version of Beast takes any stated length to be above it.
+  parser_->body_limit(limits_.maximum_body > 0 ? limits_.maximum_body : kUnbounded);
   parser_->skip(request_.method() == http::verb::head);
   ArmStepTimer(limits_.idle_limit, [this] { FailAfterSending("no answer within the idle limit"); });
   http::async_read_header(
--- a/tests/net/http_stream_test.cc
+++ b/tests/net/http_stream_test.cc
@@ -61,6 +61,17 @@
   EXPECT_EQ(client_->idle_connections(), 1U);
 }
 
+TEST_F(HttpStreamTest, TakesAnAnswerOfStatedLength) {
+  server_->Handle("GET", "/", [](const HttpRequest&, const ResponderPointer& responder) {
+    responder->Send({503, {{"X-Kind", "refusal"}}, std::string(100'000, 'r')});
+  });
+  StreamAndWait();
+  EXPECT_EQ(outcome_.kind, HttpOutcomeKind::kAnswered) << outcome_.reason;
+  EXPECT_EQ(status_, 503);
+  EXPECT_EQ(kind_header_, "refusal");
+  EXPECT_EQ(body_.size(), 100'000U);
+}
+
 TEST_F(HttpStreamTest, AReaderThatStopsHoldsTheWriterBack) {
   constexpr std::size_t kPieceBytes = 1U << 20U;
   constexpr int kPieces = 64;
