Answer requests that cross the beginning of a drain

Idle connections now stay for 300 ms; what comes on them is answered and told to close. The stop also names what it waited for in vain.

--- a/apps/cloverbankd/daemon.cc
+++ b/apps/cloverbankd/daemon.cc
@@ -133,19 +133,27 @@
 }
 
 void Daemon::StopWhenDrained() {
-  const bool drained =
-      server_idle_ &&
-      std::all_of(roles_.begin(), roles_.end(), [](const auto& role) { return role->Drained(); });
+  const std::string undrained = UndrainedParts();
   const bool out_of_time = EventLoop::Now() >= stop_deadline_;
-  if (drained || out_of_time) {
-    if (!drained) {
-      Log(LogLevel::kWarning, "stop_grace_over",
-          {{"calls_in_progress", client_server_->calls_in_progress()}});
-    }
-    loop_.Stop();
+  if (!undrained.empty() && !out_of_time) {
+    loop_.ScheduleAfter(kDrainPollInterval, [this] { StopWhenDrained(); });
     return;
   }
-  loop_.ScheduleAfter(kDrainPollInterval, [this] { StopWhenDrained(); });
+  if (!undrained.empty()) {
+    Log(LogLevel::kWarning, "stop_grace_over",
+        {{"undrained", undrained}, {"calls_in_progress", client_server_->calls_in_progress()}});
+  }
+  loop_.Stop();
+}
+
+std::string Daemon::UndrainedParts() const {
+  std::string parts = server_idle_ ? "" : "client_server";
+  for (const auto& role : roles_) {
+    if (!role->Drained()) {
+      parts += (parts.empty() ? "" : ",") + std::string(role->name());
+    }
+  }
+  return parts;
 }
 
 proto::ReadinessReport Daemon::Readiness() const {
--- a/apps/cloverbankd/daemon.h
+++ b/apps/cloverbankd/daemon.h
@@ -4,7 +4,7 @@
 /// the roles that the settings name.
 
 #include <memory>
-#include <optional>
+#include <string>
 #include <vector>
 
 #include "base/metrics.h"
@@ -46,6 +46,8 @@
   Status StartRoles();
   void Fail(const Status& status);
   void StopWhenDrained();
+  /// @return what a clean stop still waits for; empty when nothing is left.
+  std::string UndrainedParts() const;
   proto::ReadinessReport Readiness() const;
 
   // In order of dependence: what comes later is destroyed earlier.
--- a/src/net/beast_http_server.cc
+++ b/src/net/beast_http_server.cc
@@ -24,6 +24,11 @@
   return {StatusCode::kIoError, what + " " + endpoint.ToString() + ": " + error.message()};
 }
 
+/// @return a copy, since closing a connection takes it out of the set.
+std::vector<ServerConnection*> OpenConnections(const HttpServerShared& shared) {
+  return {shared.connections.begin(), shared.connections.end()};
+}
+
 }  // namespace
 
 struct BeastHttpServer::Listener : std::enable_shared_from_this<BeastHttpServer::Listener> {
@@ -115,9 +120,8 @@
 
 BeastHttpServer::~BeastHttpServer() {
   listener_->Close();
-  const std::vector<ServerConnection*> open(shared_->connections.begin(),
-                                            shared_->connections.end());
-  for (ServerConnection* connection : open) {
+  shared_->loop.CancelTimer(shared_->drain_timer);
+  for (ServerConnection* connection : OpenConnections(*shared_)) {
     connection->Close();
   }
 }
@@ -141,12 +145,14 @@
   listener_->Close();
   shared_->draining = true;
   shared_->on_idle = std::move(idle);
-  const std::vector<ServerConnection*> open(shared_->connections.begin(),
-                                            shared_->connections.end());
-  for (ServerConnection* connection : open) {
-    connection->Drain();
-  }
-  shared_->NotifyIfIdle();
+  shared_->drain_timer =
+      shared_->loop.ScheduleAfter(shared_->options.drain_linger, [shared = shared_] {
+        shared->drain_timer = 0;
+        for (ServerConnection* connection : OpenConnections(*shared)) {
+          connection->CloseIfIdle();
+        }
+        shared->NotifyIfIdle();
+      });
 }
 
 std::size_t BeastHttpServer::calls_in_progress() const { return shared_->calls_in_progress; }
--- a/src/net/beast_http_server.h
+++ b/src/net/beast_http_server.h
@@ -27,6 +27,9 @@
       seconds(10);                       ///< From a request's first byte to the end of its headers.
   Duration body_timeout = seconds(30);   ///< For the rest of a request.
   Duration write_timeout = seconds(30);  ///< For the caller to take what was written.
+  /// For a caller with an idle connection to send a request that crosses the beginning of a drain:
+  /// it is answered and told to close, instead of finding its connection gone.
+  Duration drain_linger = milliseconds(300);
 };
 
 struct HttpServerShared;
@@ -48,8 +51,8 @@
   /// @return where it listens, with the real port.
   const Endpoint& endpoint() const;
 
-  /// Stops accepting, closes idle connections and lets answers under way come to their end;
-  /// `idle` runs once there are none.
+  /// Stops accepting, lets answers under way come to their end and closes idle connections after
+  /// `drain_linger`; `idle` runs once there are no answers under way after it.
   void Drain(std::function<void()> idle);
   /// @return requests whose answers are not complete.
   std::size_t calls_in_progress() const;
--- a/src/net/server_connection.cc
+++ b/src/net/server_connection.cc
@@ -26,7 +26,7 @@
 }  // namespace
 
 void HttpServerShared::NotifyIfIdle() {
-  if (draining && calls_in_progress == 0 && on_idle) {
+  if (draining && drain_timer == 0 && calls_in_progress == 0 && on_idle) {
     loop.Post(std::exchange(on_idle, nullptr));
   }
 }
@@ -48,8 +48,7 @@
   RefuseAndClose(503, "too_many_connections", "the server is at its limit of connections");
 }
 
-void ServerConnection::Drain() {
-  keep_alive_ = false;
+void ServerConnection::CloseIfIdle() {
   if (state_ == State::kIdle) {
     Close();
   }
--- a/src/net/server_connection.h
+++ b/src/net/server_connection.h
@@ -43,7 +43,8 @@
   RouteTable routes;
   std::unordered_set<ServerConnection*> connections;
   std::size_t calls_in_progress = 0;
-  bool draining = false;
+  bool draining = false;  ///< Every answer now ends its connection.
+  TimerId drain_timer = 0;
   std::function<void()> on_idle;
 };
 
@@ -57,8 +58,8 @@
   void RefuseAsOverloaded();
   /// Closes now. Callbacks of a pending answer run later on the loop.
   void Close();
-  /// Closes if no answer is under way; otherwise after it.
-  void Drain();
+  /// Closes if it waits for a request.
+  void CloseIfIdle();
 
   // Of the responder. `call` numbers the request; calls for any but the current one are ignored.
   void Send(std::uint64_t call, HttpResponse response);
--- a/tests/net/http_limits_test.cc
+++ b/tests/net/http_limits_test.cc
@@ -112,5 +112,24 @@
   EXPECT_EQ(CallAndWait(server_->endpoint(), Get("/")).kind, HttpOutcomeKind::kNotSent);
 }
 
+TEST_F(HttpLimitsTest, DrainAnswersARequestThatCrossesItAndEndsTheConnection) {
+  Restart({.drain_linger = milliseconds(200)});
+  server_->Handle("GET", "/", [](const HttpRequest&, const ResponderPointer& responder) {
+    responder->Send({200, {}, "ok"});
+  });
+  CallAndWait(server_->endpoint(), Get("/"));
+  ASSERT_EQ(client_->idle_connections(), 1U);
+  bool idle = false;
+  server_->Drain([&] {
+    idle = true;
+    loop_.Stop();
+  });
+  EXPECT_EQ(CallAndWait(server_->endpoint(), Get("/")).response.body, "ok");
+  EXPECT_EQ(client_->idle_connections(), 0U);
+  EXPECT_FALSE(idle);
+  RunUntilStopped();
+  EXPECT_TRUE(idle);
+}
+
 }  // namespace
 }  // namespace cloverbank
