--- a/src/gateway/gateway_options.h
+++ b/src/gateway/gateway_options.h
@@ -28,7 +28,7 @@
 struct ProbeOptions {
   std::string path = "/health";
   Duration interval = seconds(1);               ///< Of one replica, while few are known.
-  Duration eager_interval = milliseconds(300);  ///< Of one that is in slow start.
+  Duration eager_interval = milliseconds(150);  ///< Of one that is in slow start.
   Duration deadline = milliseconds(700);
   Duration least_gap =
       milliseconds(20);  ///< Between two probes of this gateway, whatever their number.
@@ -39,7 +39,9 @@
   /// A gateway begins with a cold replica at a random time up to this after its first good probe.
   Duration longest_start_delay = seconds(1);
   double first_cold_share = 0.1;    ///< Of a cold replica's room, taken at each of its reports.
+  double cold_share_growth = 0.02;  ///< With each report that shows no collision.
   double first_batch_share = 0.25;  ///< Of the room for batch work, taken likewise.
+  double batch_share_growth = 0.003;
 };
 
 /// Bounds of one call.
--- a/src/gateway/replica_pool.cc
+++ b/src/gateway/replica_pool.cc
@@ -31,8 +31,8 @@
       prober_(environment, client, options.probe,
               [this](const std::string& id, const std::string& instance_id, bool answered,
                      const HttpHeaders& headers) { OnProbe(id, instance_id, answered, headers); }),
-      cold_pacer_(options.sharing.first_cold_share),
-      batch_pacer_(options.sharing.first_batch_share) {}
+      cold_pacer_(options.sharing.first_cold_share, options.sharing.cold_share_growth),
+      batch_pacer_(options.sharing.first_batch_share, options.sharing.batch_share_growth) {}
 
 ReplicaPool::~ReplicaPool() { environment_.CancelTimer(evaluation_timer_); }
 
--- a/src/gateway/share_pacer.cc
+++ b/src/gateway/share_pacer.cc
@@ -6,7 +6,6 @@
 namespace {
 
 constexpr double kLeastShare = 1.0 / 256;
-constexpr double kStep = 0.003;
 constexpr Duration kCollisionPause = milliseconds(500);  // Collisions closer together are one.
 constexpr double kRandomRange = 18446744073709551616.0;  // 2^64.
 
@@ -20,7 +19,7 @@
   share_ = std::max(kLeastShare, share_ / 2);
 }
 
-void SharePacer::OnSmoothReport() { share_ = std::min(1.0, share_ + kStep); }
+void SharePacer::OnSmoothReport() { share_ = std::min(1.0, share_ + growth_); }
 
 std::uint32_t SharePacer::Allowance(std::uint32_t free, std::uint64_t random) const {
   const double wanted = share_ * free;
--- a/src/gateway/share_pacer.h
+++ b/src/gateway/share_pacer.h
@@ -13,7 +13,8 @@
 
 class SharePacer {
  public:
-  explicit SharePacer(double share) : share_(share) {}
+  /// @param share to begin with. @param growth of it with each smooth report.
+  SharePacer(double share, double growth) : share_(share), growth_(growth) {}
 
   /// Own calls were at a replica that was fuller than it should have become.
   void OnCollision(TimePoint now);
@@ -27,6 +28,7 @@
 
  private:
   double share_;
+  double growth_;
   TimePoint last_collision_{};
 };
 
--- a/tests/gateway/gateway_harness.h
+++ b/tests/gateway/gateway_harness.h
@@ -26,6 +26,7 @@
   std::uint32_t most_running = 0;
   std::uint32_t report_running = 0;         ///< Calls of others that it reports.
   std::vector<std::string> received;        ///< Call ids whose request arrived, in order.
+  std::vector<proto::CallRequest> ran;      ///< Requests that it may have carried out.
   std::vector<std::uint32_t> running_then;  ///< How many ran when each arrived.
   std::uint32_t probes = 0;
   Duration work_time = milliseconds(50);
@@ -194,7 +195,8 @@
   std::map<std::string, FakeReplica> replicas;
   std::uint64_t list_version = 0;
   bool list_readable = true;
-  Duration list_delay{};  ///< How long the platform takes to answer.
+  Duration list_delay{};                               ///< How long the platform takes to answer.
+  std::function<void(const FakeReplica&)> on_arrival;  ///< A call has reached a replica.
   std::vector<std::unique_ptr<GatewayPlane>> planes;
   GatewayPlane* first = nullptr;
   ReplicaPool* pool = nullptr;  ///< Of the first plane, as the next three.
@@ -233,12 +235,19 @@
   void Serve(FakeReplica& replica, const ExchangePtr& exchange) {
     const bool probe = exchange->request.path == "/health";
     replica.probes += probe ? 1 : 0;
+    proto::CallRequest request;
     if (!probe) {
-      proto::CallRequest request;
       EXPECT_TRUE(FromJson(exchange->request.body, &request, UnknownFields::kIgnore).ok());
       replica.received.push_back(request.call_id());
       replica.running_then.push_back(replica.running);
       replica.exchanges.push_back(exchange);
+      const bool full = replica.running >= replica.entry.capacity();
+      if (replica.mode != FakeReplica::Mode::kRefuse && !full) {
+        replica.ran.push_back(request);
+      }
+      if (on_arrival) {
+        on_arrival(replica);
+      }
     }
     switch (replica.mode) {
       case FakeReplica::Mode::kSilent:
