--- a/src/coordinator/configuration_objects.cc
+++ b/src/coordinator/configuration_objects.cc
@@ -40,25 +40,52 @@
   return {};
 }
 
+namespace {
+
+/// Tag and length of an object inside the whole; a longer length only makes the whole longer.
+constexpr std::size_t kFramingBytes = 2;
+
+template <typename Map>
+std::size_t Remove(const std::string& name, Map* objects) {
+  const auto found = objects->find(name);
+  if (found == objects->end()) {
+    return 0;
+  }
+  const std::size_t bytes = found->second.ByteSizeLong() + kFramingBytes;
+  objects->erase(found);
+  return bytes;
+}
+
+template <typename Named, typename Map>
+std::size_t Insert(const Named& object, Map* objects) {
+  objects->emplace(object.name(), object);
+  return object.ByteSizeLong() + kFramingBytes;
+}
+
+}  // namespace
+
 void ConfigurationObjects::Apply(const proto::ConfigurationChange& change) {
   switch (change.change_case()) {
     case proto::ConfigurationChange::kSetRoute:
-      routes[change.set_route().name()] = change.set_route();
+      bytes -= Remove(change.set_route().name(), &routes);
+      bytes += Insert(change.set_route(), &routes);
       return;
     case proto::ConfigurationChange::kRemoveRoute:
-      routes.erase(change.remove_route());
+      bytes -= Remove(change.remove_route(), &routes);
       return;
     case proto::ConfigurationChange::kSetZone:
-      zones[change.set_zone().name()] = change.set_zone();
+      bytes -= Remove(change.set_zone().name(), &zones);
+      bytes += Insert(change.set_zone(), &zones);
       return;
     case proto::ConfigurationChange::kRemoveZone:
-      zones.erase(change.remove_zone());
+      bytes -= Remove(change.remove_zone(), &zones);
       return;
     case proto::ConfigurationChange::kSetTenant:
-      tenants[change.set_tenant().name()] = change.set_tenant();
+      bytes -= Remove(change.set_tenant().name(), &tenants);
+      bytes += Insert(change.set_tenant(), &tenants);
       return;
     case proto::ConfigurationChange::kRemoveTenant:
-      tenants.erase(change.remove_tenant());
+      bytes -= Remove(change.remove_tenant(), &tenants);
       return;
     case proto::ConfigurationChange::kSetBatch:
       batch = change.set_batch();
@@ -86,13 +113,13 @@
 void ConfigurationObjects::Load(const proto::RoutingConfiguration& configuration) {
   *this = ConfigurationObjects();
   for (const proto::Route& route : configuration.routes()) {
-    routes[route.name()] = route;
+    bytes += Insert(route, &routes);
   }
   for (const proto::Zone& zone : configuration.zones()) {
-    zones[zone.name()] = zone;
+    bytes += Insert(zone, &zones);
   }
   for (const proto::Tenant& tenant : configuration.tenants()) {
-    tenants[tenant.name()] = tenant;
+    bytes += Insert(tenant, &tenants);
   }
   batch = configuration.batch();
 }
--- a/src/coordinator/configuration_objects.h
+++ b/src/coordinator/configuration_objects.h
@@ -31,14 +31,14 @@
   std::map<std::string, proto::Zone> zones;
   std::map<std::string, proto::Tenant> tenants;
   proto::BatchSettings batch;
+  /// Serialized size of the routes, zones and tenants; kept by `Apply` and `Load`.
+  std::size_t bytes = 0;
 
   /// Sets or removes one object. The change must have been validated.
   void Apply(const proto::ConfigurationChange& change);
   /// @return the whole configuration, sorted by name, without a version.
   proto::RoutingConfiguration ToProto() const;
   void Load(const proto::RoutingConfiguration& configuration);
-  /// @return how many routes, zones and tenants there are.
-  std::size_t Count() const { return routes.size() + zones.size() + tenants.size(); }
 };
 
 }  // namespace cloverbank
--- a/src/coordinator/configuration_store.cc
+++ b/src/coordinator/configuration_store.cc
@@ -10,6 +10,7 @@
 namespace cloverbank {
 namespace {
 
+constexpr std::size_t kChangeFramingBytes = 4;
 /// Tag and length of a change within an update, at most.
 
 std::uint64_t ChecksumOf(const proto::ConfigurationTransaction& transaction) {
@@ -174,9 +175,10 @@
   proto::ConfigurationUpdate update;
   update.set_from_version(held.value());
   update.set_to_version(version_.value());
-  // More changes than objects are no shorter than the whole. Counted instead of measured, since
-  // printing the whole at every version costs as much as there are tenants.
-  const std::size_t limit = objects_.Count();
+  // The size is kept up to date object by object: printing the whole at every version would cost as
+  // much as there are tenants.
+  const std::size_t limit = objects_.bytes;
+  std::size_t bytes = 0;
   std::set<ConfigurationObjectKey> seen;  // Only the last change of each object counts.
   for (auto record = history_.rbegin(); record != history_.rend(); ++record) {
     if (ConfigurationVersion(record->version()) <= held) {
@@ -186,7 +188,8 @@
       if (!seen.insert(KeyOf(change)).second) {
         continue;
       }
-      if (seen.size() > limit) {
+      bytes += change.ByteSizeLong() + kChangeFramingBytes;
+      if (bytes >= limit) {
         return std::nullopt;
       }
       *update.add_changes() = change;
