Insert configuration objects by moving pointers

Loading 22,000 tenants into a node moved every later tenant by single swaps at each insertion; the capacity run with 500 nodes in one process spent most of its time there.

--- a/src/node/configuration_watch.cc
+++ b/src/node/configuration_watch.cc
@@ -19,11 +19,10 @@
     *place = object;
     return;
   }
-  const auto index = static_cast<int>(place - list->begin());
+  const auto index = place - list->begin();
   *list->Add() = object;
-  for (int at = list->size() - 1; at > index; --at) {
-    list->SwapElements(at, at - 1);
-  }
+  // Moves the elements' pointers at once: tenants come by the thousand.
+  std::rotate(list->pointer_begin() + index, list->pointer_end() - 1, list->pointer_end());
 }
 
 template <typename List>
