--- a/tests/cloverbankd/daemon_process.h
+++ b/tests/cloverbankd/daemon_process.h
@@ -48,6 +48,7 @@
     std::vector<std::string> arguments = {CLOVERBANKD_PROGRAM, "--config", SettingsFile()};
     arguments.insert(arguments.end(), flags.begin(), flags.end());
     std::vector<char*> raw;
+    raw.reserve(arguments.size() + 1);
     for (std::string& argument : arguments) {
       raw.push_back(argument.data());
     }
