Read large bodies in large pieces

Beast reads no more at once than its buffer has room for, and a fresh one has room for 512 bytes. Both ends now make room by the stated length and give it back between calls.

--- a/src/net/client_call.cc
+++ b/src/net/client_call.cc
@@ -3,6 +3,7 @@
 #include <netinet/in.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <boost/asio/ip/address.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/read.hpp>
@@ -24,7 +25,8 @@
 constexpr unsigned kHttp11 = 11;
 constexpr int kFirstFinalStatus = 200;
 constexpr std::uint64_t kUnbounded = std::numeric_limits<std::uint64_t>::max();
-constexpr std::size_t kChunkBytes = 16U << 10U;
+constexpr std::size_t kChunkBytes = 16U << 10U;  ///< One read of a body of unknown length.
+constexpr std::size_t kMaximumChunkBytes = 256U << 10U;
 
 http::request<http::string_body> ToBeast(const Endpoint& to, HttpRequest request) {
   http::request<http::string_body> message;
@@ -231,7 +233,11 @@
 }
 
 void ClientCall::ReadBody() {
-  chunk_.resize(kChunkBytes);
+  if (chunk_.empty()) {
+    const auto length = parser_->content_length();
+    chunk_.resize(length ? std::min<std::uint64_t>(*length, kMaximumChunkBytes) : kChunkBytes);
+    connection_->buffer.reserve(chunk_.size());  // Beast reads no more at once than fits in it.
+  }
   auto& body = parser_->get().body();
   body.data = chunk_.data();
   body.size = chunk_.size();
@@ -302,6 +308,7 @@
     outcome.response.headers = ToHttpHeaders(parser_->get());
   }
   if (reusable) {
+    connection_->buffer.shrink_to_fit();
     shared_->Recycle(to_, std::move(connection_));
   } else {
     CloseConnection();
--- a/src/net/server_connection.cc
+++ b/src/net/server_connection.cc
@@ -1,5 +1,6 @@
 #include "net/server_connection.h"
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
 #include <boost/asio/write.hpp>
@@ -20,7 +21,9 @@
 using boost::system::error_code;
 
 constexpr std::size_t kWatchBytes = 4096;
-constexpr std::size_t kBufferSlackBytes = 64U << 10U;
+constexpr std::size_t kMaximumReadBytes = 64U << 10U;
+/// A larger buffer is given back between requests.
+constexpr std::size_t kKeptBufferBytes = 16U << 10U;
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
 }  // namespace
@@ -36,7 +39,7 @@
     : shared_(std::move(shared)),
       socket_(std::move(socket)),
       peer_address_(std::move(peer_address)),
-      buffer_(shared_->options.maximum_header_bytes + kBufferSlackBytes) {}
+      buffer_(shared_->options.maximum_header_bytes + kMaximumReadBytes) {}
 
 void ServerConnection::Start() {
   shared_->connections.insert(this);
@@ -58,6 +61,9 @@
 
 void ServerConnection::WatchForBytes() {
   watching_ = true;
+  if (buffer_.capacity() > kKeptBufferBytes) {
+    buffer_.shrink_to_fit();
+  }
   socket_.async_read_some(buffer_.prepare(kWatchBytes),
                           [self = shared_from_this()](const error_code& error, std::size_t size) {
                             self->OnWatched(error, size);
@@ -118,6 +124,9 @@
 }
 
 void ServerConnection::ReadBody() {
+  // Beast reads no more at once than fits in the buffer.
+  const std::uint64_t remaining = parser_->content_length_remaining().value_or(0);
+  buffer_.reserve(buffer_.size() + std::min<std::uint64_t>(remaining, kMaximumReadBytes));
   http::async_read(socket_, buffer_, *parser_,
                    [self = shared_from_this()](const error_code& error, std::size_t) {
                      self->OnRequest(error);
