--- a/src/queue/batch_intake.cc
+++ b/src/queue/batch_intake.cc
@@ -12,6 +12,8 @@
 
 /// Items are logged in entries of about this many bytes.
 constexpr std::size_t kItemsEntryBytes = 128U << 10U;
+/// Entries of a large batch that are logged together, so that other entries come between.
+constexpr std::size_t kEntriesTogether = 8;
 
 Status Invalid(const std::string& message) { return {StatusCode::kInvalidArgument, message}; }
 
@@ -168,8 +170,11 @@
 
 void BatchIntake::LogNext(const SubmissionPtr& submission) {
   std::vector<proto::LogEntry> entries;
-  entries.push_back(NextItems(*submission));
-  const bool last = submission->next_item == submission->batch.items_size();
+  const int item_count = submission->batch.items_size();
+  while (submission->next_item < item_count && entries.size() < kEntriesTogether) {
+    entries.push_back(NextItems(*submission));
+  }
+  const bool last = submission->next_item == item_count;
   if (last) {
     submission->accepted.set_accepted_at_ms(environment_.WallMilliseconds());
     *entries.emplace_back().mutable_batch_accepted() = submission->accepted;
--- a/src/queue/partition_recovery.cc
+++ b/src/queue/partition_recovery.cc
@@ -15,7 +15,7 @@
 constexpr Duration kReportDeadline = seconds(2);
 constexpr Duration kRetryDelay = milliseconds(100);
 /// Entries are logged in pieces of about this many bytes.
-constexpr std::size_t kChunkBytes = 512U << 10U;
+constexpr std::size_t kChunkBytes = 2U << 20U;
 
 }  // namespace
 
