Keep a replayed partition until another owner is named

A refused report of a finished replay dropped the store at once; if the refusal was stale, the partition would then have been activated as one never used.

--- a/src/queue/partition_recovery.cc
+++ b/src/queue/partition_recovery.cc
@@ -44,6 +44,12 @@
       }
     }
   }
+  const bool held =
+      std::all_of(parts_.begin(), parts_.end(), [](const auto& part) { return part.second.held; });
+  if (held && sorted_) {
+    reported_ = false;
+    Report();
+  }
 }
 
 void PartitionRecovery::Drop(PartitionId partition) { parts_.erase(partition); }
@@ -266,8 +272,11 @@
     case StatusCode::kConflict:
     case StatusCode::kNotFound:
     case StatusCode::kInvalidArgument:
-      Log(LogLevel::kWarning, "recovery_given_up", {{"status", status.ToString()}});
-      parts_.clear();
+      // Given to another node, as it seems. What is held here is dropped only when the fleet view
+      // names that owner: a store thrown away too early would make a recovered partition look
+      // unused.
+      reported_ = true;
+      Log(LogLevel::kWarning, "recovery_report_refused", {{"status", status.ToString()}});
       return;
     default:
       Later(&PartitionRecovery::Report);
--- a/src/queue/queue_life.cc
+++ b/src/queue/queue_life.cc
@@ -73,6 +73,9 @@
   for (const auto& [id, partition] : agent_.fleet().partitions) {
     if (NodeId(partition.owner()) == agent_.node_id() && agent_.node_id().valid()) {
       owned.insert(id);
+    } else if (partition.owner() != 0) {
+      // A view from before the death still names the dead owner.
+      DropRecoveries(id, NodeId(partition.owner()));
     }
   }
   std::vector<PartitionId> lost;
@@ -91,6 +94,15 @@
   }
 }
 
+void QueueLife::DropRecoveries(PartitionId id, NodeId except) {
+  for (const auto& recovery : recoveries_) {
+    if (recovery->dead_node() != except) {
+      recovery->Drop(id);
+    }
+  }
+  std::erase_if(recoveries_, [](const auto& recovery) { return recovery->Over(); });
+}
+
 void QueueLife::Activate(PartitionId id) {
   // Without a recovery it is a partition that was never used: nothing was logged of it anywhere.
   std::unique_ptr<BatchStore> store;
@@ -236,20 +248,18 @@
       continue;
     }
     done = false;
-    bool covered = false;
-    for (const auto& recovery : recoveries_) {
-      if (recovery->dead_node() == NodeId(request.dead_node_id())) {
-        recovery->UpdateSources(request);
-        covered = covered || recovery->Covers(id);
-      } else {
-        recovery->Drop(id);  // From an earlier owner's log, and never committed.
-      }
-    }
+    DropRecoveries(id, NodeId(request.dead_node_id()));
+    const bool covered = std::any_of(recoveries_.begin(), recoveries_.end(),
+                                     [&](const auto& recovery) { return recovery->Covers(id); });
     if (!covered) {
       fresh.push_back(id);
     }
   }
-  std::erase_if(recoveries_, [](const auto& recovery) { return recovery->Over(); });
+  for (const auto& recovery : recoveries_) {
+    if (recovery->dead_node() == NodeId(request.dead_node_id())) {
+      recovery->UpdateSources(request);
+    }
+  }
   if (!fresh.empty()) {
     recoveries_.push_back(
         std::make_shared<PartitionRecovery>(environment_, agent_, log_, request, fresh, fenced_));
--- a/src/queue/queue_life.h
+++ b/src/queue/queue_life.h
@@ -69,6 +69,9 @@
   /// kConflict (detail `kNotOwnerDetail`) for one it does not own.
   Result<std::shared_ptr<OwnedPartition>> Answerable(std::uint64_t partition_id) const;
   void SyncOwnership();
+  /// Gives up replays of the partition from any log but that of `except`: it has another owner, or
+  /// is recovered from another log now.
+  void DropRecoveries(PartitionId partition, NodeId except);
   void Activate(PartitionId partition);
   void Deactivate(PartitionId partition);
   std::vector<proto::LogEntry> Marks() const;
