--- a/tests/queue/durability_simulation_test.cc
+++ b/tests/queue/durability_simulation_test.cc
@@ -106,13 +106,32 @@
   Conclude(20);
 }
 
-TEST_P(DurabilityTest, AllStoresLosePowerTogether) {
+TEST_P(DurabilityTest, AnIsolatedStoreAndThenBothOthersLost) {
+  ASSERT_TRUE(fleet.world.RunUntil([this] { return fleet.Whole(); }, seconds(20)));
+  const std::string isolated = RandomOf(fleet.stores);
+  fleet.world.Isolate(isolated);
+  fleet.world.RunFor(seconds(8));
+  ASSERT_TRUE(fleet.world.RunUntil([&] { return fleet.Whole(isolated); }, seconds(30)));
+  for (const std::string& store : fleet.stores) {
+    if (store != isolated) {
+      Machine(store).LoseDisk();
+      StartLater(store, seconds(1) + RandomTime(8000));
+    }
+  }
+  fleet.world.Heal(isolated);
+  fleet.world.RunFor(seconds(15));
+  Conclude(10);
+}
+
+TEST_P(DurabilityTest, EverythingLosesPowerTogether) {
+  std::vector<std::string> machines = fleet.stores;
   for (int round = 0; round < 2; ++round) {
     fleet.world.RunFor(RandomTime(3000));
-    for (const std::string& store : fleet.stores) {
-      Machine(store).LosePower();
-      StartLater(store, RandomTime(3000));
+    for (const std::string& machine : machines) {
+      Machine(machine).LosePower();
+      StartLater(machine, RandomTime(3000));
     }
+    machines.insert(machines.end(), fleet.fronts.begin(), fleet.fronts.end());
     fleet.world.RunFor(seconds(3));
     const TimePoint back = fleet.world.Now();
     EXPECT_TRUE(fleet.world.RunUntil([&] { return workload.ServedSince(back); }, seconds(12)))
--- a/tests/queue/fleet_world.h
+++ b/tests/queue/fleet_world.h
@@ -49,9 +49,12 @@
     }
   }
 
-  /// Whether every store machine runs and has all copies wanted of its log.
-  bool Whole() {
+  /// Whether every store machine but `except` runs and has all copies wanted of its log.
+  bool Whole(const std::string& except = "") {
     for (const std::string& name : stores) {
+      if (name == except) {
+        continue;
+      }
       if (!world.machine(name).running() || queues_[name].expired() ||
           queues_[name].lock()->degraded()) {
         return false;
