Give the round of probes every other turn

Probes of replicas in slow start repeat every 150 ms and were always taken first. Three services that nobody called kept them coming faster than the ordinary round's pace, so a model replica whose first probe came while it loaded was never probed again: no model call was served on such a gateway. The demo sends a refused stream again as the answer says.

--- a/apps/fleet/demo.cc
+++ b/apps/fleet/demo.cc
@@ -113,7 +113,7 @@
   return applied;
 }
 
-bool Demo::StreamedCallIsWhole(const std::string& prompt, std::uint32_t tokens, std::string* text) {
+std::string Demo::StreamBody(const std::string& prompt, std::uint32_t tokens) {
   proto::CallRequest call;
   call.set_prompt(prompt);
   call.set_prefix_key("demo");
@@ -121,14 +121,28 @@
   call.set_stream(true);
   HttpRequest request = MakeRequest("POST", "/v1/call/" + routes_.streamed, ToJson(call));
   request.headers.emplace_back("x-tenant", routes_.tenant);
-  std::string body;
-  const HttpOutcome outcome =
-      fleet_.http().Stream(fleet_.Gateways().front(), request, kPatience,
-                           [&](const std::string& bytes) { body += bytes; });
+  const TimePoint give_up = EventLoop::Now() + kPatience;
+  while (true) {
+    std::string body;
+    const HttpOutcome outcome =
+        fleet_.http().Stream(fleet_.Gateways().front(), request, kPatience,
+                             [&](const std::string& bytes) { body += bytes; });
+    proto::ErrorBody refusal;
+    const bool not_run = FromJson(body, &refusal, UnknownFields::kIgnore).ok() &&
+                         refusal.error().executed() == proto::EXECUTED_NO;
+    if (!not_run || EventLoop::Now() >= give_up) {
+      return body.empty() ? outcome.reason : body;
+    }
+    // Certainly not run, so it may be sent again when the gateway says.
+    std::this_thread::sleep_for(milliseconds(refusal.error().retry_after_ms()));
+  }
+}
+
+bool Demo::StreamedCallIsWhole(const std::string& prompt, std::uint32_t tokens, std::string* text) {
+  const std::string body = StreamBody(prompt, tokens);
   bool ended = false;
   std::uint64_t next = 0;
-  std::size_t begin = 0;
-  while (begin < body.size()) {
+  for (std::size_t begin = 0; begin < body.size();) {
     const std::size_t end = std::min(body.find('\n', begin), body.size());
     proto::StreamPiece piece;
     const bool read = FromJson(body.substr(begin, end - begin), &piece).ok();
@@ -141,9 +155,6 @@
     ended = ended || piece.end();
     begin = end + 1;
   }
-  if (body.empty()) {
-    *text = outcome.reason;
-  }
   return ended && *text == ExpectedAnswer(prompt, tokens);
 }
 
--- a/apps/fleet/demo.h
+++ b/apps/fleet/demo.h
@@ -49,6 +49,8 @@
   /// Prints one line and remembers a failure.
   void Report(bool held, const std::string& what);
   ApiClient MakeClient(Duration patience) const;
+  /// @return all lines of a streamed call, sent again while it is refused as not run.
+  std::string StreamBody(const std::string& prompt, std::uint32_t tokens);
   bool StreamedCallIsWhole(const std::string& prompt, std::uint32_t tokens, std::string* text);
   bool ServiceCallWorks(const std::string& prompt, Duration patience);
   proto::TransactionResult ChangeDeadline(const std::string& operation_id, std::uint64_t version,
--- a/src/gateway/replica_prober.cc
+++ b/src/gateway/replica_prober.cc
@@ -62,11 +62,17 @@
 }
 
 void ReplicaProber::Tick() {
-  if (!urgent_.empty()) {
+  // Urgent probes repeat themselves while replicas start, so they must not take every turn: a round
+  // that is due gets every other one.
+  const bool round_due = !order_.empty() && environment_.Now() >= next_in_round_;
+  const bool urgent_turn = !urgent_.empty() && !(round_due && last_was_urgent_);
+  last_was_urgent_ = urgent_turn;
+  if (urgent_turn) {
     const std::string id = std::move(urgent_.front());
     urgent_.pop_front();
     Probe(targets_.at(id));
-  } else if (!order_.empty()) {
+  } else if (round_due) {
+    next_in_round_ = environment_.Now() + RoundGap();
     const std::string id = order_.front();
     order_.pop_front();
     order_.push_back(id);
@@ -77,6 +83,11 @@
   timer_ = environment_.ScheduleAfter(Gap(), [this] { Tick(); });
 }
 
+Duration ReplicaProber::RoundGap() const {
+  const Duration even = options_.interval / static_cast<std::int64_t>(order_.size());
+  return std::max(options_.least_gap, std::min(even, kIdleGap * 10));
+}
+
 Duration ReplicaProber::Gap() const {
   if (!urgent_.empty()) {
     return options_.least_gap;
@@ -84,8 +95,7 @@
   if (order_.empty()) {
     return kIdleGap;
   }
-  const Duration even = options_.interval / static_cast<std::int64_t>(order_.size());
-  return std::max(options_.least_gap, std::min(even, kIdleGap * 10));
+  return std::max(options_.least_gap, next_in_round_ - environment_.Now());
 }
 
 void ReplicaProber::Probe(const Target& target) {
--- a/src/gateway/replica_prober.h
+++ b/src/gateway/replica_prober.h
@@ -45,6 +45,8 @@
   void AddUrgent(const std::string& id);
   void Probe(const Target& target);
   Duration Gap() const;
+  /// @return the time between two probes of the ordinary round over all targets.
+  Duration RoundGap() const;
 
   Environment& environment_;
   HttpClient& client_;
@@ -54,6 +56,8 @@
   std::deque<std::string> order_;   ///< Whom to probe next; each target once.
   std::deque<std::string> urgent_;  ///< New ones, probed before.
   std::map<std::string, std::shared_ptr<HttpCall>> running_;
+  TimePoint next_in_round_{};
+  bool last_was_urgent_ = false;
   TimerId timer_ = 0;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
