--- a/src/net/client_call.cc
+++ b/src/net/client_call.cc
@@ -151,7 +151,8 @@
 }
 
 void ClientCall::Write() {
-  const bool may_send = !may_send_ || may_send_();
+  const auto ask = may_send_;  // Kept for the question: `Cancel` within it drops the member.
+  const bool may_send = !ask || ask();
   if (!callbacks_) {
     return;  // Cancelled from within the question.
   }
@@ -160,6 +161,9 @@
     return;
   }
   may_have_sent_ = true;
+  if (shared_->Blocked(to_)) {
+    return;  // Cut off since `Begin`.
+  }
   http::async_write(connection_->socket, request_,
                     [self = shared_from_this()](const error_code& error, std::size_t size) {
                       self->OnWritten(error, size);
--- a/tests/net/http_call_test.cc
+++ b/tests/net/http_call_test.cc
@@ -95,6 +95,22 @@
   EXPECT_EQ(held_, nullptr);
 }
 
+TEST_F(HttpCallTest, CancelFromWithinTheQuestionForTheRightSendsNothing) {
+  HoldCalls();
+  std::shared_ptr<HttpCall> call;
+  HttpRequest request = Get("/");
+  request.may_send = [this, &call, keep = std::make_shared<int>(0)] {
+    call->Cancel();
+    loop_.ScheduleAfter(milliseconds(20), [this] { loop_.Stop(); });
+    return *keep == 0;
+  };
+  call = client_->Call(server_->endpoint(), request, seconds(20),
+                       [](const HttpOutcome&) { ADD_FAILURE() << "a cancelled call ended"; });
+  request.may_send = nullptr;
+  RunUntilStopped();
+  EXPECT_EQ(held_, nullptr);
+}
+
 TEST_F(HttpCallTest, DeadlineEndsAsUnknownAndClosesTheConnection) {
   HoldCalls();
   HttpOutcome outcome;
--- a/tests/net/peer_test.cc
+++ b/tests/net/peer_test.cc
@@ -121,6 +121,21 @@
   }
 }
 
+TEST_F(PeerTest, ACutBetweenConnectingAndSendingSwallowsTheRequest) {
+  bool served = false;
+  server_->Handle("GET", "/", [&](const HttpRequest&, const std::shared_ptr<HttpResponder>&) {
+    served = true;
+  });
+  HttpRequest request = Get("/");
+  request.may_send = [this] {
+    faults_.SetBlocked({kServerHost});
+    return true;
+  };
+  EXPECT_EQ(CallAndWait(server_->endpoint(), request, milliseconds(50)).kind,
+            HttpOutcomeKind::kUnknown);
+  EXPECT_FALSE(served);
+}
+
 TEST_F(PeerTest, FaultsAreSetOverTheAdminInterface) {
   faults_.ServeAdmin(*server_);
   const HttpOutcome set =
