Give each run of the daemon test its own addresses

Two runs at a time on one machine took each other's ports: 'Address already in use' failed one of them. Addresses now follow from the test's process id; two runs side by side passed three times.

--- a/tests/cloverbankd/daemon_process.h
+++ b/tests/cloverbankd/daemon_process.h
@@ -7,6 +7,7 @@
 #include <signal.h>
 #include <spawn.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
 #include <filesystem>
 #include <fstream>
@@ -20,17 +21,32 @@
 namespace cloverbank {
 
 inline constexpr std::uint16_t kClientPort = 7400;
-inline constexpr const char* kSeeds =
-    R"(["127.30.9.1:7401", "127.30.9.2:7401", "127.30.9.3:7401"])";
+
+/// @return the address of a machine. Different test processes at a time get different ones.
+inline std::string MachineAddress(int number) {
+  constexpr int kFirstNetwork = 32;
+  constexpr int kNetworks = 64;
+  constexpr int kHosts = 250;
+  const int process = getpid();
+  return "127." + std::to_string(kFirstNetwork + process / kHosts % kNetworks) + "." +
+         std::to_string(1 + process % kHosts) + "." + std::to_string(number);
+}
+
+/// @return the seeds of every machine, as a TOML list.
+inline std::string SeedList() {
+  std::string list;
+  for (int number = 1; number <= 3; ++number) {
+    list += (list.empty() ? "\"" : ", \"") + MachineAddress(number) + ":7401\"";
+  }
+  return "[" + list + "]";
+}
 
 /// One machine with the roles coordinator, queue and backup. Killed when it goes out of scope.
 class DaemonProcess {
  public:
   /// @param number from 1; also the last part of the machine's address.
   DaemonProcess(std::filesystem::path folder, int number)
-      : folder_(std::move(folder)),
-        number_(number),
-        address_("127.30.9." + std::to_string(number)) {
+      : folder_(std::move(folder)), number_(number), address_(MachineAddress(number)) {
     WriteSettings();
   }
   ~DaemonProcess() {
@@ -106,7 +122,7 @@
          << "roles = [\"coordinator\", \"queue\", \"backup\"]\n"
          << "data_folder = \"" << (folder_ / ("data" + std::to_string(number_))).string() << "\"\n"
          << "[listen]\naddress = \"" << address_ << "\"\nclient_port = " << kClientPort
-         << "\npeer_port = 7401\n[seeds]\naddresses = " << kSeeds << "\n";
+         << "\npeer_port = 7401\n[seeds]\naddresses = " << SeedList() << "\n";
   }
 
   std::filesystem::path folder_;
