Keep the clang-tidy exception for StrongId on one line

A wrapped NOLINTNEXTLINE covers only its own second line, so every file that includes ids.h was red. clang-tidy of src/queue and src/scheduler: no finding.

--- a/src/base/ids.h
+++ b/src/base/ids.h
@@ -19,8 +19,7 @@
   /// Zero is never assigned and means "none".
   constexpr bool valid() const { return value_ != 0; }
   constexpr StrongId Next() const { return StrongId(value_ + 1); }
-  // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 takes the 0 that `a < b` expands to for
-  // it.
+  // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads the 0 that `a < b` becomes.
   constexpr auto operator<=>(const StrongId&) const = default;
   std::string ToString() const { return std::to_string(value_); }
 
