--- a/src/queue/head_segment.cc
+++ b/src/queue/head_segment.cc
@@ -133,6 +133,17 @@
   });
 }
 
+HeadSegment::NextSet HeadSegment::ProposeSet() const {
+  NextSet next;
+  for (const Replica& replica : replicas_) {
+    const bool joins = !replica.member && IsReady(replica);
+    const bool leaves = replica.member && IsLost(replica);
+    next.size += joins || (replica.member && !leaves) ? 1 : 0;
+    next.differs = next.differs || joins || leaves;
+  }
+  return next;
+}
+
 void HeadSegment::ConsiderChange() {
   if (closing_) {
     return;  // The content is final: newcomers simply become further closed copies.
@@ -141,20 +152,13 @@
     DropNewcomers([](const Replica&) { return false; });
     return;
   }
-  std::size_t usable = 0;
-  bool differs = false;
-  for (const Replica& replica : replicas_) {
-    const bool joins = !replica.member && IsReady(replica);
-    const bool leaves = replica.member && IsLost(replica);
-    usable += joins || (replica.member && !leaves) ? 1 : 0;
-    differs |= joins || leaves;
-  }
-  const bool enough = usable >= context_.options.copies ||
-                      (usable >= context_.options.minimum_copies && !NewcomersUnderWay());
-  if (!differs || !enough) {
+  const NextSet next = ProposeSet();
+  const bool enough = next.size >= context_.options.copies ||
+                      (next.size >= context_.options.minimum_copies && !NewcomersUnderWay());
+  if (!next.differs || !enough) {
     return;
   }
-  if (usable < context_.options.copies) {
+  if (next.size < context_.options.copies) {
     // Look once more for a backup that can still be asked before going on with fewer.
     const std::size_t before = replicas_.size();
     AddNewcomers();
--- a/src/queue/head_segment.h
+++ b/src/queue/head_segment.h
@@ -86,7 +86,14 @@
     TimePoint retry_at;
   };
 
+  /// The set of backups that could be had now.
+  struct NextSet {
+    std::size_t size = 0;
+    bool differs = false;  ///< From the present one.
+  };
+
   void AddNewcomers();
+  NextSet ProposeSet() const;
   bool NewcomersUnderWay() const;
   /// Moves to a new set and epoch when one is ready that is better than the present one.
   void ConsiderChange();
