--- a/src/base/ids.h
+++ b/src/base/ids.h
@@ -51,6 +51,7 @@
 struct Endpoint {
   std::string host;
   std::uint16_t port = 0;
+  // NOLINTNEXTLINE(modernize-use-nullptr): as above.
   auto operator<=>(const Endpoint&) const = default;
   bool valid() const { return !host.empty() && port != 0; }
   std::string ToString() const { return host + ":" + std::to_string(port); }
--- a/src/fleet/run_folder.cc
+++ b/src/fleet/run_folder.cc
@@ -56,7 +56,7 @@
 
 }  // namespace
 
-RunFolder::RunFolder(std::filesystem::path root) : root_(std::filesystem::absolute(root)) {}
+RunFolder::RunFolder(const std::filesystem::path& root) : root_(std::filesystem::absolute(root)) {}
 
 Status RunFolder::Create() {
   std::error_code error;
--- a/src/fleet/run_folder.h
+++ b/src/fleet/run_folder.h
@@ -15,7 +15,7 @@
 
 class RunFolder {
  public:
-  explicit RunFolder(std::filesystem::path root);
+  explicit RunFolder(const std::filesystem::path& root);
 
   Status Create();
   std::filesystem::path SettingsFile(const std::string& machine) const;
--- a/src/json/json.cc
+++ b/src/json/json.cc
@@ -39,9 +39,10 @@
   if (status.ok()) {
     return Status::Ok();
   }
+  const auto reason = status.message();
   return {StatusCode::kInvalidArgument, "the body is not a valid " +
                                             message->GetDescriptor()->name() + ": " +
-                                            std::string(status.message())};
+                                            std::string{reason.data(), reason.size()}};
 }
 
 }  // namespace cloverbank
