Let the server hand on raw requests and the client send them as they are

Cause: requests that are passed on unchanged need the target and the Host exactly as they came, answers that end with their connection, and answers that come before the whole request is written. Change: HandleOther, raw targets, accept_unframed, bounds that change at run time, ends of connections without a drain, SIGHUP.

--- a/src/net/beast_http_server.cc
+++ b/src/net/beast_http_server.cc
@@ -131,6 +131,20 @@
   shared_->routes.Add(method, pattern, std::move(handler));
 }
 
+void BeastHttpServer::HandleOther(HttpHandler handler) {
+  shared_->other = std::move(handler);
+}
+
+void BeastHttpServer::SetBounds(const CallerBounds& bounds) {
+  const auto replace = [](auto bound, auto* option) {
+    *option = bound > decltype(bound){} ? bound : *option;
+  };
+  replace(bounds.maximum_header_bytes, &shared_->options.maximum_header_bytes);
+  replace(bounds.maximum_body_bytes, &shared_->options.maximum_body_bytes);
+  replace(bounds.header_timeout, &shared_->options.header_timeout);
+  replace(bounds.idle_timeout, &shared_->options.idle_timeout);
+}
+
 Status BeastHttpServer::Listen() {
   Status opened = listener_->Open();
   if (opened.ok()) {
@@ -141,6 +155,8 @@
 
 const Endpoint& BeastHttpServer::endpoint() const { return shared_->options.listen; }
 
+void BeastHttpServer::EndConnections() { shared_->ending_connections = true; }
+
 void BeastHttpServer::Drain(std::function<void()> idle) {
   listener_->Close();
   shared_->draining = true;
--- a/src/net/beast_http_server.h
+++ b/src/net/beast_http_server.h
@@ -32,6 +32,14 @@
   Duration drain_linger = milliseconds(300);
 };
 
+/// What one caller may send, and how long it may take; zero leaves a bound as it is.
+struct CallerBounds {
+  std::uint32_t maximum_header_bytes = 0;
+  std::uint64_t maximum_body_bytes = 0;
+  Duration header_timeout{};
+  Duration idle_timeout{};
+};
+
 struct HttpServerShared;
 
 class BeastHttpServer : public HttpRouter {
@@ -46,11 +54,19 @@
 
   void Handle(std::string_view method, std::string_view pattern, HttpHandler handler) override;
 
+  /// Serves every request that no pattern matches, or whose target is not a well-formed path. Only
+  /// the raw target of such a request is certain to be set.
+  void HandleOther(HttpHandler handler);
+  /// Replaces what bounds one caller, for requests that begin from now on.
+  void SetBounds(const CallerBounds& bounds);
+
   /// Begins to accept. @return kIoError if the address can not be listened on.
   Status Listen();
   /// @return where it listens, with the real port.
   const Endpoint& endpoint() const;
 
+  /// Ends each connection with the answer under way, or its next one; goes on accepting.
+  void EndConnections();
   /// Stops accepting, lets answers under way come to their end and closes idle connections after
   /// `drain_linger`; `idle` runs once there are no answers under way after it.
   void Drain(std::function<void()> idle);
@@ -63,4 +79,11 @@
   std::shared_ptr<Listener> listener_;
 };
 
+/// The servers of a gateway's front interfaces, apart from its own; each may be nullptr.
+struct FrontServers {
+  BeastHttpServer* calls = nullptr;    ///< Callers.
+  BeastHttpServer* ready = nullptr;    ///< Whether new callers shall come.
+  BeastHttpServer* control = nullptr;  ///< Operators.
+};
+
 }  // namespace cloverbank
--- a/src/net/client_call.cc
+++ b/src/net/client_call.cc
@@ -32,8 +32,17 @@
   http::request<http::string_body> message;
   message.version(kHttp11);
   message.method_string(request.method);
-  message.target(FormatRequestTarget(request.path, request.query));
-  message.set(http::field::host, to.ToString());
+  if (request.target.empty()) {
+    message.target(FormatRequestTarget(request.path, request.query));
+    message.set(http::field::host, to.ToString());
+  } else {
+    message.target(request.target);
+    const std::string_view host = FindHeader(request.headers, "Host");
+    message.set(http::field::host, host.empty() ? to.ToString() : std::string(host));
+    std::erase_if(request.headers, [](const auto& header) {
+      return boost::beast::iequals(header.first, "Host");
+    });
+  }
   AddHeaders(request.headers, &message);
   message.keep_alive(true);
   message.body() = std::move(request.body);
@@ -72,6 +81,7 @@
       to_(std::move(to)),
       limits_(limits),
       may_send_(std::move(request.may_send)),
+      accept_unframed_(request.accept_unframed),
       callbacks_(std::make_shared<HttpStreamCallbacks>(std::move(callbacks))) {
   request_ = ToBeast(to_, std::move(request));
 }
@@ -179,7 +189,7 @@
     return;
   }
   if (size > 0) {
-    FailAfterSending("write failed: " + error.message());
+    ReadHead();  // The peer may have answered before it had the whole request.
     return;
   }
   may_have_sent_ = false;
@@ -214,7 +224,8 @@
     return;
   }
   status_ = static_cast<int>(parser_->get().result_int());
-  if (status_ < kFirstFinalStatus || (parser_->need_eof() && !parser_->is_done())) {
+  const bool unframed = parser_->need_eof() && !parser_->is_done();
+  if (status_ < kFirstFinalStatus || (unframed && !accept_unframed_)) {
     FailAfterSending("the answer has neither length nor chunks");
     return;
   }
--- a/src/net/event_loop.cc
+++ b/src/net/event_loop.cc
@@ -77,10 +77,21 @@
         return;
       }
       AwaitSignal();
-      on_stop_signal(signal);
+      if (signal == SIGHUP) {
+        on_reload_signal();
+      } else {
+        on_stop_signal(signal);
+      }
     });
   }
 
+  void AwaitSignalOnce() {
+    if (!awaiting_signals) {
+      awaiting_signals = true;
+      AwaitSignal();
+    }
+  }
+
   // Declared before the context: handlers destroyed with it may still cancel timers.
   std::map<std::pair<TimePoint, TimerId>, std::function<void()>> timers;
   std::unordered_map<TimerId, TimePoint> due_times;
@@ -92,6 +103,8 @@
   boost::asio::posix::stream_descriptor timer_descriptor;
   boost::asio::signal_set signals;
   std::function<void(int)> on_stop_signal;
+  std::function<void()> on_reload_signal;
+  bool awaiting_signals = false;
 };
 
 EventLoop::EventLoop() : state_(std::make_unique<State>()) { state_->AwaitTimers(); }
@@ -152,7 +165,13 @@
   state_->on_stop_signal = std::move(action);
   state_->signals.add(SIGTERM);
   state_->signals.add(SIGINT);
-  state_->AwaitSignal();
+  state_->AwaitSignalOnce();
+}
+
+void EventLoop::OnReloadSignal(std::function<void()> action) {
+  state_->on_reload_signal = std::move(action);
+  state_->signals.add(SIGHUP);
+  state_->AwaitSignalOnce();
 }
 
 boost::asio::io_context& EventLoop::io_context() { return state_->context; }
--- a/src/net/event_loop.h
+++ b/src/net/event_loop.h
@@ -40,6 +40,9 @@
   /// Runs `action(signal)` at each SIGTERM and SIGINT, instead of their default effect.
   void OnStopSignal(std::function<void(int signal)> action);
 
+  /// Runs `action` at each SIGHUP, instead of its default effect.
+  void OnReloadSignal(std::function<void()> action);
+
   /// For the other adapters in net/ only.
   boost::asio::io_context& io_context();
 
--- a/src/net/http_types.h
+++ b/src/net/http_types.h
@@ -26,6 +26,9 @@
   std::string method;  ///< "GET", "POST", ...
   std::string path;    ///< Without the query, decoded.
   HttpHeaders query;   ///< Decoded query parameters, in order.
+  /// The request target exactly as it came, or is to be sent. Outgoing calls: empty builds it from
+  /// `path` and `query`. A "Host" among the headers of a call with a target is sent as it is.
+  std::string target = {};
   HttpHeaders headers;
   std::string body;
   std::string peer_address;  ///< IP number of the caller.
@@ -33,6 +36,9 @@
   /// then). False ends the call as kNotSent. Empty means always. It lets a right that ran out while
   /// the connection was being made, or while the process was frozen, stop the call.
   std::function<bool()> may_send;
+  /// Outgoing calls: whether an answer may be ended by its connection (neither length nor chunks).
+  /// A connection that is reset still makes it kUnknown.
+  bool accept_unframed = false;
 };
 
 struct HttpResponse {
--- a/src/net/server_connection.cc
+++ b/src/net/server_connection.cc
@@ -184,20 +184,25 @@
 
 void ServerConnection::Dispatch() {
   const http::request<http::string_body>& message = parser_->get();
-  auto target = ParseRequestTarget({message.target().data(), message.target().size()});
-  if (!target) {
+  const std::string_view raw_target(message.target().data(), message.target().size());
+  auto target = ParseRequestTarget(raw_target);
+  if (!target && !shared_->other) {
     RefuseAndClose(400, "malformed_request", "the request target is not a well-formed path");
     return;
   }
   const std::string_view method(message.method_string().data(), message.method_string().size());
-  const auto match = shared_->routes.Find(method, target->path);
+  RouteTable::Match match;
   HttpRequest request;
   request.method = method;
-  request.path = std::move(target->path);
-  request.query = std::move(target->query);
+  request.target = raw_target;
+  if (target) {
+    match = shared_->routes.Find(method, target->path);
+    request.path = std::move(target->path);
+    request.query = std::move(target->query);
+  }
   request.headers = ToHttpHeaders(message);
   request.peer_address = peer_address_;
-  keep_alive_ = message.keep_alive() && !shared_->draining;
+  keep_alive_ = message.keep_alive() && !shared_->draining && !shared_->ending_connections;
   head_request_ = message.method() == http::verb::head;
   request.body = std::move(parser_->get().body());
 
@@ -213,6 +218,10 @@
     (*match.handler)(std::move(request), MakeServerResponder(shared_from_this(), call_));
     return;
   }
+  if (shared_->other) {
+    shared_->other(std::move(request), MakeServerResponder(shared_from_this(), call_));
+    return;
+  }
   shared_->metrics.Increment("http_server_refusals_total", {{"reason", "no_route"}});
   Send(call_,
        match.path_known
--- a/src/net/server_connection.h
+++ b/src/net/server_connection.h
@@ -41,9 +41,11 @@
   Metrics& metrics;
   const FaultInjector* faults;
   RouteTable routes;
+  HttpHandler other;  ///< For requests that no route matches; may be empty.
   std::unordered_set<ServerConnection*> connections;
   std::size_t calls_in_progress = 0;
-  bool draining = false;  ///< Every answer now ends its connection.
+  bool draining = false;            ///< Every answer now ends its connection; none are accepted.
+  bool ending_connections = false;  ///< Every answer now ends its connection.
   TimerId drain_timer = 0;
   std::function<void()> on_idle;
 };
