Take configurations that operators number themselves

Cause: the platform's operator chooses version numbers that rise unevenly, sends whole documents, and reads them back as sent; an empty disk may found a group only at the first start. Change: labels beside the dense version, documents kept as they came, back ends and HTTP routes with their validation, retirement read back, the count of gateways in heartbeats, may_found.

--- a/src/consensus/raft_formation.cc
+++ b/src/consensus/raft_formation.cc
@@ -60,7 +60,10 @@
   const bool group_exists =
       !round.empty || std::any_of(round.answers.begin(), round.answers.end(),
                                   [](const auto& answer) { return !answer.second.empty(); });
-  return group_exists ? DecideJoin(round) : DecideFounding(round);
+  if (group_exists) {
+    return DecideJoin(round);
+  }
+  return round.may_found ? DecideFounding(round) : KeepWaiting{};
 }
 
 void MemberDirectory::Note(const Endpoint& endpoint, std::uint64_t member_id) {
--- a/src/consensus/raft_formation.h
+++ b/src/consensus/raft_formation.h
@@ -47,6 +47,7 @@
   bool empty = true;             ///< Holds no configuration.
   std::uint64_t cluster_id = 0;  ///< Meaningful when not empty.
   std::vector<Endpoint> seeds;
+  bool may_found = true;  ///< Whether this may be the first start of the whole system.
   /// Answers of others, by the endpoint asked.
   std::map<Endpoint, proto::DiscoverResponse> answers;
 };
--- a/src/consensus/raft_node.h
+++ b/src/consensus/raft_node.h
@@ -27,6 +27,9 @@
 struct RaftNodeOptions {
   /// Peer endpoints of the first members, the same list at each.
   std::vector<Endpoint> seeds;
+  /// Whether seeds that are all empty may found a new group. False on every start but the first of
+  /// the whole system: an empty disk then only ever joins.
+  bool may_found = true;
   /// Shortest silence of the leader after which another is elected; the longest is twice that.
   Duration election_timeout = milliseconds(400);
   Duration heartbeat_interval = milliseconds(100);
--- a/src/consensus/raft_node_formation.cc
+++ b/src/consensus/raft_node_formation.cc
@@ -189,6 +189,7 @@
   round.empty = core_->IsEmpty();
   round.cluster_id = core_->cluster_id();
   round.seeds = options_.seeds;
+  round.may_found = options_.may_found;
   const FormationDecision decision = DecideFormation(round);
   if (const auto* founding = std::get_if<FoundGroup>(&decision)) {
     Log(LogLevel::kInfo, "raft_founds_group", {{"member_id", core_->member_id()}});
--- a/src/coordinator/configuration_objects.cc
+++ b/src/coordinator/configuration_objects.cc
@@ -12,6 +12,10 @@
       return "tenant \"" + name + "\"";
     case ConfigurationObjectKind::kBatch:
       return "batch settings";
+    case ConfigurationObjectKind::kBackend:
+      return "backend \"" + name + "\"";
+    case ConfigurationObjectKind::kDocument:
+      return "document";
     case ConfigurationObjectKind::kNone:
       break;
   }
@@ -34,6 +38,14 @@
       return {ConfigurationObjectKind::kTenant, change.remove_tenant()};
     case proto::ConfigurationChange::kSetBatch:
       return {ConfigurationObjectKind::kBatch, ""};
+    case proto::ConfigurationChange::kSetBackend:
+      return {ConfigurationObjectKind::kBackend, change.set_backend().name()};
+    case proto::ConfigurationChange::kRemoveBackend:
+      return {ConfigurationObjectKind::kBackend, change.remove_backend()};
+    case proto::ConfigurationChange::kSetDocument:
+      return {ConfigurationObjectKind::kDocument, ""};
+    case proto::ConfigurationChange::kEnsureZone:
+      return {ConfigurationObjectKind::kZone, change.ensure_zone().name()};
     case proto::ConfigurationChange::CHANGE_NOT_SET:
       break;
   }
@@ -90,6 +102,23 @@
     case proto::ConfigurationChange::kSetBatch:
       batch = change.set_batch();
       return;
+    case proto::ConfigurationChange::kSetBackend:
+      bytes -= Remove(change.set_backend().name(), &backends);
+      bytes += Insert(change.set_backend(), &backends);
+      return;
+    case proto::ConfigurationChange::kRemoveBackend:
+      bytes -= Remove(change.remove_backend(), &backends);
+      return;
+    case proto::ConfigurationChange::kSetDocument:
+      bytes -= document.ByteSizeLong();
+      document = change.set_document();
+      bytes += document.ByteSizeLong();
+      return;
+    case proto::ConfigurationChange::kEnsureZone:
+      if (!zones.contains(change.ensure_zone().name())) {
+        bytes += Insert(change.ensure_zone(), &zones);
+      }
+      return;
     case proto::ConfigurationChange::CHANGE_NOT_SET:
       return;
   }
@@ -106,7 +135,13 @@
   for (const auto& [name, tenant] : tenants) {
     *configuration.add_tenants() = tenant;
   }
+  for (const auto& [name, backend] : backends) {
+    *configuration.add_backends() = backend;
+  }
   *configuration.mutable_batch() = batch;
+  if (document.ByteSizeLong() > 0) {
+    *configuration.mutable_document() = document;
+  }
   return configuration;
 }
 
@@ -121,7 +156,12 @@
   for (const proto::Tenant& tenant : configuration.tenants()) {
     bytes += Insert(tenant, &tenants);
   }
+  for (const proto::Backend& backend : configuration.backends()) {
+    bytes += Insert(backend, &backends);
+  }
   batch = configuration.batch();
+  document = configuration.document();
+  bytes += document.ByteSizeLong();
 }
 
 }  // namespace cloverbank
--- a/src/coordinator/configuration_objects.h
+++ b/src/coordinator/configuration_objects.h
@@ -12,7 +12,15 @@
 
 namespace cloverbank {
 
-enum class ConfigurationObjectKind : std::uint8_t { kNone, kRoute, kZone, kTenant, kBatch };
+enum class ConfigurationObjectKind : std::uint8_t {
+  kNone,
+  kRoute,
+  kZone,
+  kTenant,
+  kBatch,
+  kBackend,
+  kDocument,
+};
 
 /// Which object a change is about: two changes of the same key replace one another.
 struct ConfigurationObjectKey {
@@ -30,8 +38,10 @@
   std::map<std::string, proto::Route> routes;
   std::map<std::string, proto::Zone> zones;
   std::map<std::string, proto::Tenant> tenants;
+  std::map<std::string, proto::Backend> backends;
   proto::BatchSettings batch;
-  /// Serialized size of the routes, zones and tenants; kept by `Apply` and `Load`.
+  proto::Document document;
+  /// Serialized size of everything but the batch settings; kept by `Apply` and `Load`.
   std::size_t bytes = 0;
 
   /// Sets or removes one object. The change must have been validated.
--- a/src/coordinator/configuration_store.cc
+++ b/src/coordinator/configuration_store.cc
@@ -14,9 +14,30 @@
 /// Tag and length of a change within an update, at most.
 
 std::uint64_t ChecksumOf(const proto::ConfigurationTransaction& transaction) {
+  if (transaction.label() != 0) {
+    // Its id is drawn from the bytes of the operator's order: what a gateway made of them may differ
+    // with the configuration that it held.
+    return transaction.label();
+  }
   return Checksum(transaction.SerializeAsString());
 }
 
+template <typename Map, typename Object>
+bool Holds(const Map& objects, const Object& object) {
+  const auto found = objects.find(object.name());
+  return found != objects.end() &&
+         found->second.SerializeAsString() == object.SerializeAsString();
+}
+
+/// History tells what was changed, not how the document read.
+void DropDocument(proto::ConfigurationTransaction* transaction) {
+  for (proto::ConfigurationChange& change : *transaction->mutable_changes()) {
+    if (change.has_set_document()) {
+      change.mutable_set_document()->clear_source();
+    }
+  }
+}
+
 }  // namespace
 
 ConfigurationStore::ConfigurationStore() = default;
@@ -57,9 +78,13 @@
 
 proto::TransactionResult ConfigurationStore::Judge(
     const proto::ConfigurationTransaction& transaction) const {
+  if (auto refused = JudgeLabels(transaction)) {
+    return *refused;
+  }
   std::vector<std::string> problems = CheckEnvelope(transaction);
   const ConfigurationVersion expected(transaction.expected_version());
-  if (problems.empty() && expected != version_) {
+  const bool versioned = transaction.label() == 0 && !transaction.any_version();
+  if (versioned && problems.empty() && expected != version_) {
     return Refusal(transaction, proto::TRANSACTION_OUTCOME_VERSION_CONFLICT,
                    {"expected_version is " + expected.ToString() + ", the current version is " +
                     version_.ToString() +
@@ -92,11 +117,72 @@
   return result;
 }
 
-void ConfigurationStore::Commit(const proto::ConfigurationTransaction& transaction,
+std::optional<proto::TransactionResult> ConfigurationStore::JudgeLabels(
+    const proto::ConfigurationTransaction& transaction) const {
+  if (transaction.label() == 0) {
+    return std::nullopt;
+  }
+  if (transaction.expected_label() != label_) {
+    return Refusal(transaction, proto::TRANSACTION_OUTCOME_VERSION_CONFLICT,
+                   {"expected_label is " + std::to_string(transaction.expected_label()) +
+                    ", the current one is " + std::to_string(label_) +
+                    "; read the configuration and redo the changes on it"});
+  }
+  if (transaction.label() <= label_) {
+    return Refusal(transaction, proto::TRANSACTION_OUTCOME_INVALID,
+                   {"label " + std::to_string(transaction.label()) +
+                    " is not above the current one, " + std::to_string(label_)});
+  }
+  return std::nullopt;
+}
+
+bool ConfigurationStore::ChangesNothing(const proto::ConfigurationChange& change) const {
+  switch (change.change_case()) {
+    case proto::ConfigurationChange::kSetRoute:
+      return Holds(objects_.routes, change.set_route());
+    case proto::ConfigurationChange::kSetBackend:
+      return Holds(objects_.backends, change.set_backend());
+    case proto::ConfigurationChange::kEnsureZone:
+      return objects_.zones.contains(change.ensure_zone().name());
+    default:
+      return false;
+  }
+}
+
+proto::ConfigurationTransaction ConfigurationStore::Normalize(
+    const proto::ConfigurationTransaction& transaction) const {
+  if (!transaction.replaces_traffic()) {
+    return transaction;
+  }
+  proto::ConfigurationTransaction normal = transaction;
+  normal.clear_changes();
+  std::set<ConfigurationObjectKey> named;
+  for (const proto::ConfigurationChange& change : transaction.changes()) {
+    named.insert(KeyOf(change));
+    if (!ChangesNothing(change)) {
+      *normal.add_changes() = change;
+    }
+  }
+  for (const auto& [name, route] : objects_.routes) {
+    if (!named.contains({ConfigurationObjectKind::kRoute, name})) {
+      normal.add_changes()->set_remove_route(name);
+    }
+  }
+  for (const auto& [name, backend] : objects_.backends) {
+    if (!named.contains({ConfigurationObjectKind::kBackend, name})) {
+      normal.add_changes()->set_remove_backend(name);
+    }
+  }
+  return normal;
+}
+
+void ConfigurationStore::Commit(const proto::ConfigurationTransaction& given,
                                 std::int64_t wall_ms) {
+  const proto::ConfigurationTransaction transaction = Normalize(given);
   for (const proto::ConfigurationChange& change : transaction.changes()) {
     objects_.Apply(change);
   }
+  label_ = transaction.label() != 0 ? transaction.label() : label_;
   version_ = version_.Next();
   whole_.reset();
   whole_update_.reset();
@@ -104,6 +190,7 @@
   proto::HistoryRecord record;
   record.set_version(version_.value());
   *record.mutable_transaction() = transaction;
+  DropDocument(record.mutable_transaction());
   record.set_applied_at_ms(wall_ms);
   AddHistory(std::move(record));
 }
@@ -141,6 +228,7 @@
   if (!whole_.has_value()) {
     whole_ = objects_.ToProto();
     whole_->set_version(version_.value());
+    whole_->set_label(label_);
   }
   return *whole_;
 }
@@ -175,6 +263,7 @@
   proto::ConfigurationUpdate update;
   update.set_from_version(held.value());
   update.set_to_version(version_.value());
+  update.set_label(label_);
   // The size is kept up to date object by object: printing the whole at every version would cost as
   // much as there are tenants.
   const std::size_t limit = objects_.bytes;
@@ -188,11 +277,15 @@
       if (!seen.insert(KeyOf(change)).second) {
         continue;
       }
-      bytes += change.ByteSizeLong() + kChangeFramingBytes;
+      proto::ConfigurationChange* added = update.add_changes();
+      *added = change;
+      if (change.has_set_document()) {
+        *added->mutable_set_document() = objects_.document;
+      }
+      bytes += added->ByteSizeLong() + kChangeFramingBytes;
       if (bytes >= limit) {
         return std::nullopt;
       }
-      *update.add_changes() = change;
     }
   }
   return update;
@@ -216,6 +309,7 @@
   *this = ConfigurationStore();
   version_ = ConfigurationVersion(snapshot.configuration().version());
   in_force_ = ConfigurationVersion(snapshot.in_force_version());
+  label_ = snapshot.configuration().label();
   objects_.Load(snapshot.configuration());
   operations_.Load(snapshot);
   for (const proto::HistoryRecord& record : snapshot.history()) {
--- a/src/coordinator/configuration_store.h
+++ b/src/coordinator/configuration_store.h
@@ -44,6 +44,8 @@
 
   ConfigurationVersion version() const { return version_; }
   ConfigurationVersion in_force_version() const { return in_force_; }
+  /// The operator's own number of the current configuration; 0 if it has none.
+  std::uint64_t label() const { return label_; }
   const proto::OperationRecord* FindOperation(const std::string& operation_id) const {
     return operations_.Find(operation_id);
   }
@@ -65,7 +67,14 @@
   proto::TransactionResult Refusal(const proto::ConfigurationTransaction& transaction,
                                    proto::TransactionOutcome outcome,
                                    std::vector<std::string> problems) const;
+  /// @return what is wrong with the operator's own numbers, if anything.
+  std::optional<proto::TransactionResult> JudgeLabels(
+      const proto::ConfigurationTransaction& transaction) const;
   void Commit(const proto::ConfigurationTransaction& transaction, std::int64_t wall_ms);
+  /// @return the transaction with just the changes that make a difference.
+  proto::ConfigurationTransaction Normalize(
+      const proto::ConfigurationTransaction& transaction) const;
+  bool ChangesNothing(const proto::ConfigurationChange& change) const;
   void AddHistory(proto::HistoryRecord record);
   /// @return nothing if the history does not reach back or the whole is no larger.
   std::optional<proto::ConfigurationUpdate> MakeDelta(ConfigurationVersion held) const;
@@ -73,6 +82,7 @@
 
   ConfigurationVersion version_{1};
   ConfigurationVersion in_force_{1};
+  std::uint64_t label_ = 0;
   ConfigurationObjects objects_;
   OperationRecords operations_;
   std::deque<proto::HistoryRecord> history_;  // Oldest first, versions without gaps.
--- a/src/coordinator/coordinator_service.cc
+++ b/src/coordinator/coordinator_service.cc
@@ -146,6 +146,7 @@
 
 void CoordinatorService::State::ServeOperators() {
   Serve("coordinator.RetireServer", operator_requests, &OperatorRequests::RetireServer);
+  Serve("coordinator.GetRetirement", operator_requests, &OperatorRequests::GetRetirement);
   Serve("coordinator.GetConfiguration", operator_requests, &OperatorRequests::GetConfiguration);
   Serve("coordinator.GetFleetStatus", operator_requests, &OperatorRequests::GetFleetStatus);
   Serve("coordinator.SubmitTransaction", transactions, &TransactionHandler::Submit);
--- a/src/coordinator/fleet_problems.cc
+++ b/src/coordinator/fleet_problems.cc
@@ -17,6 +17,36 @@
   return role == proto::ROLE_QUEUE ? "queue node" : "backup";
 }
 
+/// What is left on a machine that is being emptied.
+struct RetirementRest {
+  std::size_t partitions = 0;
+  std::size_t replicas = 0;
+  bool unknown = false;  ///< Something is not known yet, so it can not be called empty.
+  bool live = false;
+  bool Nothing() const { return partitions == 0 && replicas == 0 && !unknown; }
+};
+
+RetirementRest RestOn(const FleetFacts& facts, const std::string& machine) {
+  RetirementRest rest;
+  for (const auto& [id, server] : facts.state.servers().servers()) {
+    if (server.machine() != machine) {
+      continue;
+    }
+    rest.unknown = rest.unknown || facts.state.partitions().recoveries().contains(id);
+    if (!IsLive(server)) {
+      continue;
+    }
+    rest.live = true;
+    rest.partitions += facts.state.partitions().LoadOf(id);
+    if (server.role() == proto::ROLE_BACKUP) {
+      const std::optional<std::size_t> found = facts.sweeper.ReplicasOn(id);
+      rest.unknown = rest.unknown || !found.has_value();
+      rest.replicas += found.value_or(0);
+    }
+  }
+  return rest;
+}
+
 class Description {
  public:
   explicit Description(const FleetFacts& facts) : facts_(facts) {}
@@ -148,32 +178,12 @@
 }
 
 void Description::DescribeRetirement(const std::string& machine) {
-  std::size_t partitions = 0;
-  std::size_t replicas = 0;
-  bool unknown = false;
-  bool live = false;
-  for (const auto& [id, server] : facts_.state.servers().servers()) {
-    if (server.machine() != machine) {
-      continue;
-    }
-    const bool recovering = facts_.state.partitions().recoveries().contains(id);
-    unknown = unknown || recovering;
-    if (!IsLive(server)) {
-      continue;
-    }
-    live = true;
-    partitions += facts_.state.partitions().LoadOf(id);
-    if (server.role() == proto::ROLE_BACKUP) {
-      const std::optional<std::size_t> found = facts_.sweeper.ReplicasOn(id);
-      unknown = unknown || !found.has_value();
-      replicas += found.value_or(0);
-    }
-  }
-  if (partitions > 0 || replicas > 0 || unknown) {
-    Add("machine " + machine + " is being emptied: " + std::to_string(partitions) +
-        " partitions and " + std::to_string(replicas) +
+  const RetirementRest rest = RestOn(facts_, machine);
+  if (!rest.Nothing()) {
+    Add("machine " + machine + " is being emptied: " + std::to_string(rest.partitions) +
+        " partitions and " + std::to_string(rest.replicas) +
         " segment replicas are left; do not stop it yet");
-  } else if (live) {
+  } else if (rest.live) {
     Add("machine " + machine + " is empty; stop it");
   }
 }
@@ -201,6 +211,10 @@
 
 }  // namespace
 
+bool HoldsNothing(const FleetFacts& facts, const std::string& machine) {
+  return RestOn(facts, machine).Nothing();
+}
+
 std::vector<std::string> DescribeProblems(const FleetFacts& facts) {
   return Description(facts).Run();
 }
--- a/src/coordinator/heartbeat_handler.cc
+++ b/src/coordinator/heartbeat_handler.cc
@@ -111,6 +111,8 @@
   for (const LogMember& member : context_.log.members()) {
     *response.add_coordinators() = ToProto(member.endpoint);
   }
+  response.set_gateway_count(
+      static_cast<std::uint32_t>(context_.state.servers().Live(proto::ROLE_GATEWAY).size()));
   context_.leases.Grant(NodeId(held.request.node_id()), configuration.version(), held.arrival);
   return response;
 }
--- a/src/coordinator/operator_requests.cc
+++ b/src/coordinator/operator_requests.cc
@@ -1,5 +1,6 @@
 #include "coordinator/operator_requests.h"
 
+#include <set>
 #include <utility>
 
 #include "coordinator/fleet_problems.h"
@@ -7,6 +8,23 @@
 #include "coordinator/transaction_handler.h"
 
 namespace cloverbank {
+namespace {
+
+/// Store machines that must remain when one is emptied: below, no batch could be accepted.
+constexpr std::size_t kFewestStores = 2;
+
+}  // namespace
+
+bool OperatorRequests::EnoughWithout(const std::string& machine) const {
+  std::set<std::string> remaining;
+  for (const proto::Server* backup : context_.state.servers().Live(proto::ROLE_BACKUP)) {
+    const bool counts = !backup->spare() && backup->state() == proto::SERVER_STATE_UP;
+    if (counts && backup->machine() != machine) {
+      remaining.insert(backup->machine());
+    }
+  }
+  return remaining.size() >= kFewestStores;
+}
 
 std::vector<NodeId> OperatorRequests::StoreNodesOf(const std::string& machine) const {
   std::vector<NodeId> nodes;
@@ -25,6 +43,11 @@
                                             "\"; see the fleet status for the names"));
     return;
   }
+  if (!request.cancel() && !EnoughWithout(request.machine())) {
+    reply(Status(StatusCode::kConflict,
+                 "too few store machines would be left; add one before this one is emptied"));
+    return;
+  }
   proto::ControlCommand command;
   command.mutable_retire_machine()->set_machine(request.machine());
   command.mutable_retire_machine()->set_cancel(request.cancel());
@@ -39,6 +62,20 @@
       });
 }
 
+void OperatorRequests::GetRetirement(const proto::GetRetirementRequest& request,
+                                     const Reply<proto::GetRetirementResponse>& reply) {
+  if (!context_.state.servers().KnowsStoreMachine(request.machine())) {
+    reply(Status(StatusCode::kNotFound,
+                 "there is no store machine called \"" + request.machine() + "\""));
+    return;
+  }
+  const std::vector<LogMember> members = context_.log.members();
+  proto::GetRetirementResponse response;
+  response.set_ordered(context_.state.servers().retired_machines().contains(request.machine()));
+  response.set_empty(response.ordered() && HoldsNothing(Facts(members), request.machine()));
+  reply(std::move(response));
+}
+
 void OperatorRequests::GetConfiguration(const proto::GetConfigurationRequest& request,
                                         const Reply<proto::GetConfigurationResponse>& reply) {
   const ConfigurationStore& configuration = context_.state.configuration();
@@ -63,20 +100,22 @@
     entry->set_learner(member.learner);
     entry->set_leader(member.endpoint == context_.log.leader_endpoint());
   }
-  const FleetFacts facts{
-      context_.state,
-      context_.options,
-      duties_.recoveries(),
-      duties_.sweeper(),
-      context_.loads,
-      members,
-      GatewaysBehind(context_.state, context_.leases, context_.environment.Now())};
-  for (std::string& problem : DescribeProblems(facts)) {
+  for (std::string& problem : DescribeProblems(Facts(members))) {
     response.add_problems(std::move(problem));
   }
   reply(std::move(response));
 }
 
+FleetFacts OperatorRequests::Facts(const std::vector<LogMember>& members) const {
+  return {context_.state,
+          context_.options,
+          duties_.recoveries(),
+          duties_.sweeper(),
+          context_.loads,
+          members,
+          GatewaysBehind(context_.state, context_.leases, context_.environment.Now())};
+}
+
 void OperatorRequests::FillFleet(proto::GetFleetStatusResponse* response) const {
   for (const auto& [id, server] : context_.state.servers().servers()) {
     *response->add_servers() = server;
--- a/src/coordinator/operator_requests.h
+++ b/src/coordinator/operator_requests.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "coordinator/fleet_problems.h"
 #include "coordinator/command_proposer.h"
 #include "coordinator/leader_context.h"
 #include "coordinator/leader_duties.h"
@@ -21,6 +22,8 @@
   /// kNotFound: no store machine of that name was ever seen.
   void RetireServer(const proto::RetireServerRequest& request,
                     const Reply<proto::RetireServerResponse>& reply);
+  void GetRetirement(const proto::GetRetirementRequest& request,
+                     const Reply<proto::GetRetirementResponse>& reply);
   void GetConfiguration(const proto::GetConfigurationRequest& request,
                         const Reply<proto::GetConfigurationResponse>& reply);
   void GetFleetStatus(const proto::GetFleetStatusRequest& request,
@@ -29,6 +32,9 @@
  private:
   void FillFleet(proto::GetFleetStatusResponse* response) const;
   /// @return node ids of the machine's live store roles.
+  FleetFacts Facts(const std::vector<LogMember>& members) const;
+  /// Whether enough store machines that are not being emptied would be left without `machine`.
+  bool EnoughWithout(const std::string& machine) const;
   std::vector<NodeId> StoreNodesOf(const std::string& machine) const;
 
   LeaderContext& context_;
--- a/src/coordinator/transaction_validator.cc
+++ b/src/coordinator/transaction_validator.cc
@@ -46,7 +46,9 @@
   void GatherResult();
   void CheckChange(int index, const proto::ConfigurationChange& change);
   void CheckRoute(const proto::Route& route, const ConfigurationObjectKey& key);
+  void CheckHttpRoute(const proto::Route& route, const ConfigurationObjectKey& key);
   void CheckRouteZones(const proto::Route& route, const ConfigurationObjectKey& key);
+  void CheckPlaces();
   void CheckZone(const proto::Zone& zone, const ConfigurationObjectKey& key);
   void CheckBatch(const proto::BatchSettings& batch, const ConfigurationObjectKey& key);
   void CheckRemovedZones();
@@ -59,6 +61,7 @@
   /// Zones and routes as they would be; tenants need no look at each other.
   std::map<std::string, proto::Zone> zones_;
   std::map<std::string, proto::Route> routes_;
+  std::set<std::string> backends_;
   std::map<ConfigurationObjectKey, int> seen_;
   std::vector<std::string> problems_;
   std::size_t unlisted_ = 0;
@@ -69,6 +72,7 @@
   for (int index = 0; index < transaction_.changes_size(); ++index) {
     CheckChange(index, transaction_.changes(index));
   }
+  CheckPlaces();
   CheckRemovedZones();
   CheckOpenZones();
   if (unlisted_ > 0) {
@@ -87,7 +91,12 @@
 
 void ChangeCheck::GatherResult() {
   zones_ = current_.zones;
-  routes_ = current_.routes;
+  if (!transaction_.replaces_traffic()) {
+    routes_ = current_.routes;
+    for (const auto& [name, backend] : current_.backends) {
+      backends_.insert(name);
+    }
+  }
   for (const proto::ConfigurationChange& change : transaction_.changes()) {
     if (change.has_set_zone()) {
       zones_[change.set_zone().name()] = change.set_zone();
@@ -97,6 +106,12 @@
       routes_[change.set_route().name()] = change.set_route();
     } else if (change.change_case() == proto::ConfigurationChange::kRemoveRoute) {
       routes_.erase(change.remove_route());
+    } else if (change.has_ensure_zone()) {
+      zones_.emplace(change.ensure_zone().name(), change.ensure_zone());
+    } else if (change.has_set_backend()) {
+      backends_.insert(change.set_backend().name());
+    } else if (change.change_case() == proto::ConfigurationChange::kRemoveBackend) {
+      backends_.erase(change.remove_backend());
     }
   }
 }
@@ -112,7 +127,8 @@
     Add(key, "changed twice, by changes " + std::to_string(first->second + 1) + " and " +
                  std::to_string(index + 1) + "; keep one");
   }
-  const bool named = key.kind != ConfigurationObjectKind::kBatch;
+  const bool named = key.kind != ConfigurationObjectKind::kBatch &&
+                     key.kind != ConfigurationObjectKind::kDocument;
   if (const auto problem = NameProblem(key.name); named && problem.has_value()) {
     Add(key, *problem);
   }
@@ -129,7 +145,13 @@
       return CheckRemoval(current_.zones, key);
     case proto::ConfigurationChange::kRemoveTenant:
       return CheckRemoval(current_.tenants, key);
+    case proto::ConfigurationChange::kEnsureZone:
+      return CheckZone(change.ensure_zone(), key);
+    case proto::ConfigurationChange::kRemoveBackend:
+      return CheckRemoval(current_.backends, key);
     case proto::ConfigurationChange::kSetTenant:
+    case proto::ConfigurationChange::kSetBackend:
+    case proto::ConfigurationChange::kSetDocument:
     case proto::ConfigurationChange::CHANGE_NOT_SET:
       return;
   }
@@ -142,12 +164,52 @@
   }
 }
 
+/// Routes that are found by host and path, and whose back ends are configured.
+void ChangeCheck::CheckHttpRoute(const proto::Route& route, const ConfigurationObjectKey& key) {
+  if (route.host().empty() || route.path_prefix().empty()) {
+    Add(key, "host or path_prefix is empty; give both, so that requests find the route");
+  }
+  std::uint64_t weights = 0;
+  for (const proto::WeightedBackend& share : route.split()) {
+    weights += share.weight();
+    if (!backends_.contains(share.backend())) {
+      Add(key, "names the unknown backend \"" + share.backend() + "\"");
+    }
+  }
+  if (route.split_size() > 0 && weights == 0) {
+    Add(key, "the weights of split sum to 0; give at least one back end a share");
+  }
+  if (route.split_size() == 0 && !backends_.contains(route.backend())) {
+    Add(key, "names the unknown backend \"" + route.backend() + "\"");
+  }
+}
+
+void ChangeCheck::CheckPlaces() {
+  std::map<std::pair<std::string, std::string>, std::string> taken;
+  for (const auto& [name, route] : routes_) {
+    if (route.backend_kind() != proto::BACKEND_KIND_HTTP) {
+      continue;
+    }
+    const auto [first, fresh] =
+        taken.emplace(std::pair(route.host(), route.path_prefix()), name);
+    if (!fresh) {
+      Add({ConfigurationObjectKind::kRoute, name},
+          "has the same host and path_prefix as route \"" + first->second + "\"");
+    }
+  }
+}
+
 void ChangeCheck::CheckRoute(const proto::Route& route, const ConfigurationObjectKey& key) {
-  if (route.backend_kind() != proto::BACKEND_KIND_MODEL &&
+  const bool http = route.backend_kind() == proto::BACKEND_KIND_HTTP;
+  if (!http && route.backend_kind() != proto::BACKEND_KIND_MODEL &&
       route.backend_kind() != proto::BACKEND_KIND_SERVICE) {
-    Add(key, "unknown backend_kind; use BACKEND_KIND_MODEL or BACKEND_KIND_SERVICE");
+    Add(key,
+        "unknown backend_kind; use BACKEND_KIND_MODEL, BACKEND_KIND_SERVICE or "
+        "BACKEND_KIND_HTTP");
   }
-  if (route.backend().empty()) {
+  if (http) {
+    CheckHttpRoute(route, key);
+  } else if (route.backend().empty()) {
     Add(key, "backend is empty; name the model or service that serves it");
   } else if (route.backend().size() > kMaximumNameBytes) {
     Add(key, "backend is longer than " + std::to_string(kMaximumNameBytes) + " bytes; shorten it");
@@ -240,7 +302,8 @@
     problems.push_back("author or comment is longer than " + std::to_string(kMaximumCommentBytes) +
                        " bytes; shorten it");
   }
-  if (transaction.expected_version() == 0) {
+  const bool versioned = transaction.label() == 0 && !transaction.any_version();
+  if (versioned && transaction.expected_version() == 0) {
     problems.emplace_back(
         "expected_version is missing; name the configuration version the changes were made "
         "against");
--- a/src/node/configuration_watch.cc
+++ b/src/node/configuration_watch.cc
@@ -25,6 +25,15 @@
   std::rotate(list->pointer_begin() + index, list->pointer_end() - 1, list->pointer_end());
 }
 
+/// Adds `object` unless there is one of its name.
+template <typename List, typename Named>
+void EnsureByName(const Named& object, List* list) {
+  const auto place = std::lower_bound(list->begin(), list->end(), object.name(), NameLess<Named>);
+  if (place == list->end() || place->name() != object.name()) {
+    SetByName(object, list);
+  }
+}
+
 template <typename List>
 void RemoveByName(const std::string& name, List* list) {
   const auto end = std::remove_if(list->begin(), list->end(),
@@ -58,6 +67,18 @@
     case proto::ConfigurationChange::kSetBatch:
       *configuration->mutable_batch() = change.set_batch();
       return true;
+    case proto::ConfigurationChange::kSetBackend:
+      SetByName(change.set_backend(), configuration->mutable_backends());
+      return true;
+    case proto::ConfigurationChange::kRemoveBackend:
+      RemoveByName(change.remove_backend(), configuration->mutable_backends());
+      return true;
+    case proto::ConfigurationChange::kSetDocument:
+      *configuration->mutable_document() = change.set_document();
+      return true;
+    case proto::ConfigurationChange::kEnsureZone:
+      EnsureByName(change.ensure_zone(), configuration->mutable_zones());
+      return true;
     case proto::ConfigurationChange::CHANGE_NOT_SET:
       return false;
   }
@@ -109,6 +130,7 @@
     ApplyChange(change, &configuration_);
   }
   configuration_.set_version(update.to_version());
+  configuration_.set_label(update.label());
   whole_needed_ = false;
   return UpdateOutcome::kTaken;
 }
--- a/src/node/node_agent.cc
+++ b/src/node/node_agent.cc
@@ -281,6 +281,8 @@
 
 std::uint32_t NodeAgent::partition_count() const { return state_->session.partition_count(); }
 
+std::uint32_t NodeAgent::gateway_count() const { return state_->session.gateway_count(); }
+
 bool NodeAgent::LeaseValid() const { return state_->session.LeaseValid(state_->environment.Now()); }
 
 TimePoint NodeAgent::lease_end() const { return state_->session.lease_end(); }
--- a/src/node/node_session.cc
+++ b/src/node/node_session.cc
@@ -66,6 +66,7 @@
   if (response.has_fleet()) {
     effects.fleet = fleet_.Take(response.fleet());
   }
+  gateway_count_ = std::max(1U, response.gateway_count());
   const bool same_life = node_id_.valid() && NodeId(request.node_id()) == node_id_;
   if (same_life && effects.configuration != UpdateOutcome::kGap) {
     const TimePoint end = sent + UsableLease(response.lease_ms());
--- a/src/node/node_session.h
+++ b/src/node/node_session.h
@@ -35,6 +35,8 @@
   NodeId previous_node_id() const { return previous_node_id_; }
   Incarnation incarnation() const { return incarnation_; }
   std::uint32_t partition_count() const { return partition_count_; }
+  /// Live gateways as of the last heartbeat; at least 1.
+  std::uint32_t gateway_count() const { return gateway_count_; }
   TimePoint lease_end() const { return lease_end_; }
   bool LeaseValid(TimePoint now) const { return node_id_.valid() && now < lease_end_; }
   const proto::RoutingConfiguration& configuration() const {
@@ -62,6 +64,7 @@
   NodeId node_id_;
   NodeId previous_node_id_;
   std::uint32_t partition_count_ = 0;
+  std::uint32_t gateway_count_ = 1;
   TimePoint lease_end_{};
   ConfigurationWatch configuration_;
   FleetWatch fleet_;
