Keep batch items that are passed on unchanged, and limit a route's open tokens

Cause: the platform's batches choose their own ids, carry opaque requests and may hold a number of tokens over the whole fleet. Change: client-chosen ids, tokens counted until a result or a cancel, bodies kept until the item has its result.

--- a/src/queue/batch_intake.cc
+++ b/src/queue/batch_intake.cc
@@ -22,6 +22,14 @@
           "idempotency key \"" + key + "\" was used for another batch; choose a new one"};
 }
 
+std::uint64_t TokensOf(const proto::SubmitBatch& batch) {
+  std::uint64_t tokens = 0;
+  for (const proto::BatchItem& item : batch.items()) {
+    tokens += item.tokens();
+  }
+  return tokens;
+}
+
 const proto::Tenant* FindTenant(const proto::RoutingConfiguration& configuration,
                                 const std::string& name) {
   for (const proto::Tenant& tenant : configuration.tenants()) {
@@ -71,6 +79,20 @@
               std::to_string(tenant->max_open_items()) + "; submit again when some are finished"};
 }
 
+Status BatchIntake::CheckTokens(const OwnedPartition& partition, const proto::SubmitBatch& batch) {
+  if (batch.open_token_limit() == 0) {
+    return Status::Ok();
+  }
+  const std::uint64_t open = partition.OpenTokens(batch.tenant(), batch.route());
+  if (open + TokensOf(batch) <= batch.open_token_limit()) {
+    return Status::Ok();
+  }
+  return {StatusCode::kResourceExhausted,
+          "route " + batch.route() + " has " + std::to_string(open) +
+              " tokens waiting and may have " + std::to_string(batch.open_token_limit()) +
+              "; submit again when some are finished"};
+}
+
 bool BatchIntake::MeetEarlier(OwnedPartition& partition, const Key& key, std::uint64_t checksum,
                               Reply& reply) {
   const std::string& idempotency_key = std::get<2>(key);
@@ -111,6 +133,7 @@
   }
   Status status = Check(batch);
   status = status.ok() ? CheckLimit(*partition, batch) : status;
+  status = status.ok() ? CheckTokens(*partition, batch) : status;
   status = status.ok() ? log_.Accepting() : status;
   if (!status.ok()) {
     reply(std::move(status));
@@ -131,14 +154,17 @@
   submission->partition = partition;
   submission->batch = std::move(*request.mutable_batch());
   proto::BatchAccepted& accepted = submission->accepted;
-  accepted.set_batch_id(NewBatchId(*partition));
+  const std::string& chosen = submission->batch.batch_id();
+  accepted.set_batch_id(chosen.empty() ? NewBatchId(*partition) : chosen);
   accepted.set_tenant(submission->batch.tenant());
   accepted.set_idempotency_key(submission->batch.idempotency_key());
   accepted.set_route(submission->batch.route());
   accepted.set_item_count(static_cast<std::uint64_t>(submission->batch.items_size()));
   accepted.set_request_checksum(checksum);
   accepted.set_idempotent(request.idempotent());
+  submission->tokens = TokensOf(submission->batch);
   partition->ReserveItems(accepted.tenant(), accepted.item_count());
+  partition->ReserveTokens(accepted.tenant(), accepted.route(), submission->tokens);
   return submission;
 }
 
@@ -198,6 +224,7 @@
   OwnedPartition& partition = *submission->partition;
   const proto::BatchAccepted& accepted = submission->accepted;
   partition.ReleaseItems(accepted.tenant(), accepted.item_count());
+  partition.ReleaseTokens(accepted.tenant(), accepted.route(), submission->tokens);
   const auto waiting =
       under_way_.find({partition.id(), accepted.tenant(), accepted.idempotency_key()});
   if (waiting != under_way_.end() && waiting->second == submission) {
--- a/src/queue/batch_intake.h
+++ b/src/queue/batch_intake.h
@@ -43,6 +43,7 @@
     std::shared_ptr<OwnedPartition> partition;
     proto::SubmitBatch batch;
     proto::BatchAccepted accepted;
+    std::uint64_t tokens = 0;  ///< Of all its items.
     int next_item = 0;
     std::vector<Reply> replies;
   };
@@ -50,6 +51,7 @@
 
   Status Check(const proto::SubmitBatch& batch) const;
   Status CheckLimit(const OwnedPartition& partition, const proto::SubmitBatch& batch) const;
+  static Status CheckTokens(const OwnedPartition& partition, const proto::SubmitBatch& batch);
   /// @return whether the request met an earlier submission and needs nothing more.
   bool MeetEarlier(OwnedPartition& partition, const Key& key, std::uint64_t checksum, Reply& reply);
   SubmissionPtr Begin(const std::shared_ptr<OwnedPartition>& partition,
--- a/src/queue/batch_store.cc
+++ b/src/queue/batch_store.cc
@@ -90,6 +90,10 @@
     tenant.by_key.emplace(batch->accepted.idempotency_key(), batch.get());
   }
   tenant.open_items += batch->items.size();
+  for (const proto::BatchItem& item : batch->items) {
+    batch->open_tokens += item.tokens();
+  }
+  tenant.open_tokens[batch->accepted.route()] += batch->open_tokens;
   open_items_ += batch->items.size();
   by_id_.emplace(batch->accepted.batch_id(), batch.get());
   batches_.emplace(sequence, std::move(batch));
@@ -140,6 +144,9 @@
     default:
       ++batch.unknown;
   }
+  proto::BatchItem& item = batch.items[result.item_index];
+  ReleaseTokens(batch, item.tokens());
+  item.clear_forwarded();  // Never needed again: large, and there may be very many.
   batch.results.push_back(std::move(result));
   --open_items_;
   --tenants_[batch.accepted.tenant()].open_items;
@@ -148,10 +155,17 @@
   }
 }
 
+void BatchStore::ReleaseTokens(StoredBatch& batch, std::uint64_t tokens) {
+  const std::uint64_t released = std::min(batch.open_tokens, tokens);
+  batch.open_tokens -= released;
+  tenants_[batch.accepted.tenant()].open_tokens[batch.accepted.route()] -= released;
+}
+
 void BatchStore::ApplyCancelled(const proto::BatchCancelled& cancelled) {
   StoredBatch* batch = FindMutable(cancelled.batch_id());
   if (batch != nullptr && !batch->AllFinished()) {
     batch->cancelled = true;
+    ReleaseTokens(*batch, batch->open_tokens);
   }
 }
 
@@ -174,6 +188,7 @@
   }
   const auto found = tenants_.find(batch->accepted.tenant());
   Tenant& tenant = found->second;
+  ReleaseTokens(*batch, batch->open_tokens);
   open_items_ -= batch->open_items();
   tenant.open_items -= batch->open_items();
   tenant.by_key.erase(batch->accepted.idempotency_key());
@@ -244,6 +259,7 @@
   }
   proto::ResultList list;
   list.set_state(batch->state());
+  list.set_total(batch->items.size());
   std::uint64_t position = *after;
   std::size_t bytes = 0;
   for (std::size_t left = PageLimit(limit);
@@ -269,6 +285,27 @@
   return found == tenants_.end() ? 0 : found->second.open_items;
 }
 
+std::uint64_t BatchStore::OpenTokens(const std::string& tenant, const std::string& route) const {
+  const auto found = tenants_.find(tenant);
+  if (found == tenants_.end()) {
+    return 0;
+  }
+  const auto tokens = found->second.open_tokens.find(route);
+  return tokens == found->second.open_tokens.end() ? 0 : tokens->second;
+}
+
+Result<proto::BatchItem> BatchStore::OpenItem(const std::string& batch_id,
+                                              const std::string& custom_id) const {
+  const StoredBatch* batch = Find(batch_id);
+  for (std::size_t index = 0; batch != nullptr && index < batch->items.size(); ++index) {
+    if (batch->items[index].custom_id() == custom_id &&
+        batch->phases[index] != ItemPhase::kFinished) {
+      return batch->items[index];
+    }
+  }
+  return Status(StatusCode::kNotFound, "batch " + batch_id + " has no open item " + custom_id);
+}
+
 std::vector<std::string> BatchStore::FinishedUpTo(std::int64_t wall_ms) const {
   std::vector<std::string> ids;
   for (const auto& [position, batch] : batches_) {
--- a/src/queue/batch_store.h
+++ b/src/queue/batch_store.h
@@ -58,6 +58,12 @@
   /// Items without a result, of one tenant and of all.
   std::uint64_t OpenItems(const std::string& tenant) const;
   std::uint64_t open_items() const { return open_items_; }
+  /// Tokens of items without a result of one tenant's batches on one route, cancelled ones left
+  /// out.
+  std::uint64_t OpenTokens(const std::string& tenant, const std::string& route) const;
+  /// @return an item of a batch that has no result yet; kNotFound for any other.
+  Result<proto::BatchItem> OpenItem(const std::string& batch_id,
+                                    const std::string& custom_id) const;
   /// @return ids of batches that had all results at or before `wall_ms`, in order of acceptance.
   std::vector<std::string> FinishedUpTo(std::int64_t wall_ms) const;
   /// Runs `visit` for every batch, in order of acceptance.
@@ -71,6 +77,7 @@
     std::map<PartitionSequence, StoredBatch*> by_position;
     std::unordered_map<std::string, StoredBatch*> by_key;
     std::uint64_t open_items = 0;
+    std::unordered_map<std::string, std::uint64_t> open_tokens;  ///< By route.
   };
 
   Status ApplyPayload(proto::LogEntry& entry);
@@ -81,6 +88,8 @@
   void ApplyCancelled(const proto::BatchCancelled& cancelled);
   void ApplySettled(const proto::BatchSettled& settled);
   void ApplyRemoved(const std::string& batch_id);
+  /// Takes tokens of a batch off what its tenant has open.
+  void ReleaseTokens(StoredBatch& batch, std::uint64_t tokens);
   void AddResult(StoredBatch& batch, StoredResult result, std::int64_t wall_ms);
   StoredBatch* FindMutable(const std::string& batch_id);
 
--- a/src/queue/owned_partition.cc
+++ b/src/queue/owned_partition.cc
@@ -57,6 +57,27 @@
   return store_->OpenItems(tenant) + (reserved == reserved_items_.end() ? 0 : reserved->second);
 }
 
+void OwnedPartition::ReserveTokens(const std::string& tenant, const std::string& route,
+                                   std::uint64_t count) {
+  reserved_tokens_[{tenant, route}] += count;
+}
+
+void OwnedPartition::ReleaseTokens(const std::string& tenant, const std::string& route,
+                                   std::uint64_t count) {
+  const auto found = reserved_tokens_.find({tenant, route});
+  found->second -= count;
+  if (found->second == 0) {
+    reserved_tokens_.erase(found);
+  }
+}
+
+std::uint64_t OwnedPartition::OpenTokens(const std::string& tenant,
+                                         const std::string& route) const {
+  const auto reserved = reserved_tokens_.find({tenant, route});
+  const std::uint64_t under_way = reserved == reserved_tokens_.end() ? 0 : reserved->second;
+  return store_->OpenTokens(tenant, route) + under_way;
+}
+
 proto::LogEntry OwnedPartition::Mark() const {
   return MakePartitionMark(id_, next_sequence_, false);
 }
--- a/src/queue/owned_partition.h
+++ b/src/queue/owned_partition.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "base/ids.h"
@@ -40,6 +41,10 @@
   void ReserveItems(const std::string& tenant, std::uint64_t count);
   void ReleaseItems(const std::string& tenant, std::uint64_t count);
   std::uint64_t OpenItems(const std::string& tenant) const;
+  /// The same of tokens, which count for the limit of a route.
+  void ReserveTokens(const std::string& tenant, const std::string& route, std::uint64_t count);
+  void ReleaseTokens(const std::string& tenant, const std::string& route, std::uint64_t count);
+  std::uint64_t OpenTokens(const std::string& tenant, const std::string& route) const;
 
   /// The node no longer owns it: nothing is answered from it any more.
   void Deactivate() { active_ = false; }
@@ -54,6 +59,7 @@
   SegmentLog& log_;
   PartitionSequence next_sequence_;  ///< For the next entry; those before may be under way.
   std::map<std::string, std::uint64_t> reserved_items_;
+  std::map<std::pair<std::string, std::string>, std::uint64_t> reserved_tokens_;
   bool active_ = true;
 };
 
--- a/src/queue/queue_life.cc
+++ b/src/queue/queue_life.cc
@@ -206,6 +206,23 @@
   reply(std::move(response));
 }
 
+void QueueLife::GetItem(const proto::GetItemRequest& request,
+                        const Reply<proto::GetItemResponse>& reply) {
+  const auto partition = Answerable(request.partition_id());
+  if (!partition.ok()) {
+    reply(partition.status());
+    return;
+  }
+  auto item = (*partition)->store().OpenItem(request.batch_id(), request.custom_id());
+  if (!item.ok()) {
+    reply(item.status());
+    return;
+  }
+  proto::GetItemResponse response;
+  *response.mutable_item() = std::move(*item);
+  reply(std::move(response));
+}
+
 void QueueLife::Cancel(const proto::CancelBatchRequest& request,
                        const Reply<proto::CancelBatchResponse>& reply) {
   const auto partition = Answerable(request.partition_id());
--- a/src/queue/queue_life.h
+++ b/src/queue/queue_life.h
@@ -55,6 +55,7 @@
                    const Reply<proto::ListBatchesResponse>& reply);
   void ListResults(const proto::ListResultsRequest& request,
                    const Reply<proto::ListResultsResponse>& reply);
+  void GetItem(const proto::GetItemRequest& request, const Reply<proto::GetItemResponse>& reply);
   void Cancel(const proto::CancelBatchRequest& request,
               const Reply<proto::CancelBatchResponse>& reply);
   void Acquire(const proto::AcquireWorkRequest& request,
--- a/src/queue/queue_service.cc
+++ b/src/queue/queue_service.cc
@@ -89,6 +89,7 @@
                                                                &QueueLife::ListBatches);
   Serve<proto::ListResultsRequest, proto::ListResultsResponse>("queue.ListResults",
                                                                &QueueLife::ListResults);
+  Serve<proto::GetItemRequest, proto::GetItemResponse>("queue.GetItem", &QueueLife::GetItem);
   Serve<proto::CancelBatchRequest, proto::CancelBatchResponse>("queue.CancelBatch",
                                                                &QueueLife::Cancel);
 }
--- a/src/queue/stored_batch.h
+++ b/src/queue/stored_batch.h
@@ -37,6 +37,8 @@
   std::uint64_t unknown = 0;
   std::uint64_t cancelled_items = 0;
   bool cancelled = false;
+  /// Tokens of items that have no result; 0 from the moment the batch is cancelled.
+  std::uint64_t open_tokens = 0;
   std::int64_t finished_at_ms = 0;  ///< 0 until every item has its result.
 
   bool AllFinished() const { return results.size() == items.size(); }
