--- /dev/null
+++ b/src/gateway/batch_service.cc
@@ -0,0 +1,163 @@
+#include "gateway/batch_service.h"
+
+#include <utility>
+
+#include "gateway/batch_owner_call.h"
+#include "gateway/batch_validation.h"
+
+namespace cloverbank {
+namespace {
+
+constexpr Duration kReadDeadline = milliseconds(900);
+constexpr Duration kChangeDeadline = milliseconds(2500);
+constexpr std::uint32_t kLargestPage = 1000;
+
+/// Cursor of a list of results; see queue/list_cursor.h.
+std::string CursorAt(std::uint64_t position) { return "p" + std::to_string(position); }
+
+BatchResults ToResults(std::uint64_t position, proto::ResultList list) {
+  BatchResults results;
+  results.total = list.total();
+  for (proto::ItemResult& item : *list.mutable_results()) {
+    BatchResult result;
+    result.item_id = std::move(*item.mutable_custom_id());
+    result.completed = item.outcome() == proto::ITEM_OUTCOME_SUCCEEDED;
+    if (result.completed) {
+      result.text = std::move(*item.mutable_output());
+    }
+    results.results.push_back(std::move(result));
+  }
+  results.next = position + results.results.size();
+  return results;
+}
+
+}  // namespace
+
+BatchService::BatchService(Environment& environment, NodeAgent& agent)
+    : environment_(environment), agent_(agent) {}
+
+Status BatchService::Serving() const {
+  if (agent_.LeaseValid() && agent_.partition_count() > 0) {
+    return Status::Ok();
+  }
+  return {StatusCode::kUnavailable, "this gateway has lost touch with control; try another one"};
+}
+
+std::uint64_t BatchService::PartitionOf(std::string_view host) const {
+  return PartitionOfTenant(std::string(host), agent_.partition_count()).value();
+}
+
+template <typename Response, typename Request>
+void BatchService::CallOwner(std::string_view method, const Request& request, Duration deadline,
+                             Done<Response> done) {
+  OwnerCallOptions options;
+  options.method = std::string(method);
+  options.body = request.SerializeAsString();
+  options.partition = PartitionId(request.partition_id());
+  options.deadline = deadline;
+  BatchOwnerCall::Start(environment_, agent_, alive_, std::move(options),
+                        [done = std::move(done)](PeerReply reply) {
+                          Response response;
+                          if (!reply.status.ok()) {
+                            done(std::move(reply.status));
+                          } else if (!response.ParseFromString(reply.body)) {
+                            done(Status(StatusCode::kUnknownOutcome, "malformed owner's answer"));
+                          } else {
+                            done(std::move(response));
+                          }
+                        });
+}
+
+void BatchService::Submit(const proto::Route& route, BatchSubmission submission,
+                          Done<proto::BatchStatus> done) {
+  if (Status serving = Serving(); !serving.ok()) {
+    done(std::move(serving));
+    return;
+  }
+  proto::SubmitBatchRequest request;
+  request.set_partition_id(PartitionOf(submission.host));
+  request.set_idempotent(true);
+  proto::SubmitBatch& batch = *request.mutable_batch();
+  batch.set_tenant(submission.host);
+  batch.set_route(route.name());
+  batch.set_batch_id(submission.batch_id);
+  batch.set_idempotency_key(submission.batch_id);
+  batch.set_open_token_limit(route.batch_open_tokens());
+  for (proto::BatchItem& item : submission.items) {
+    *batch.add_items() = std::move(item);
+  }
+  CallOwner<proto::SubmitBatchResponse>(
+      "queue.SubmitBatch", request, kChangeDeadline,
+      [done = std::move(done)](Result<proto::SubmitBatchResponse> result) {
+        if (result.ok()) {
+          done(std::move(*result->mutable_status()));
+        } else {
+          done(result.status());
+        }
+      });
+}
+
+void BatchService::Read(const std::string& host, const std::string& batch_id,
+                        std::uint64_t position, Done<BatchResults> done) {
+  if (Status serving = Serving(); !serving.ok()) {
+    done(std::move(serving));
+    return;
+  }
+  proto::ListResultsRequest request;
+  request.set_partition_id(PartitionOf(host));
+  request.set_batch_id(batch_id);
+  request.set_cursor(CursorAt(position));
+  request.set_limit(kLargestPage);
+  CallOwner<proto::ListResultsResponse>(
+      "queue.ListResults", request, kReadDeadline,
+      [position, done = std::move(done)](Result<proto::ListResultsResponse> result) {
+        if (result.ok()) {
+          done(ToResults(position, std::move(*result->mutable_list())));
+        } else {
+          done(result.status());
+        }
+      });
+}
+
+void BatchService::ReadItem(const std::string& host, const std::string& batch_id,
+                            const std::string& item_id, Done<proto::BatchItem> done) {
+  if (Status serving = Serving(); !serving.ok()) {
+    done(std::move(serving));
+    return;
+  }
+  proto::GetItemRequest request;
+  request.set_partition_id(PartitionOf(host));
+  request.set_batch_id(batch_id);
+  request.set_custom_id(item_id);
+  CallOwner<proto::GetItemResponse>(
+      "queue.GetItem", request, kReadDeadline,
+      [done = std::move(done)](Result<proto::GetItemResponse> result) {
+        if (result.ok()) {
+          done(std::move(*result->mutable_item()));
+        } else {
+          done(result.status());
+        }
+      });
+}
+
+void BatchService::End(const std::string& host, const std::string& batch_id,
+                       Done<proto::BatchStatus> done) {
+  if (Status serving = Serving(); !serving.ok()) {
+    done(std::move(serving));
+    return;
+  }
+  proto::CancelBatchRequest request;
+  request.set_partition_id(PartitionOf(host));
+  request.set_batch_id(batch_id);
+  CallOwner<proto::CancelBatchResponse>(
+      "queue.CancelBatch", request, kChangeDeadline,
+      [done = std::move(done)](Result<proto::CancelBatchResponse> result) {
+        if (result.ok()) {
+          done(std::move(*result->mutable_status()));
+        } else {
+          done(result.status());
+        }
+      });
+}
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/gateway/batch_service.h
@@ -0,0 +1,77 @@
+#pragma once
+/// @file
+/// Batches of the HTTP routes, as a front interface hands them in: client-chosen ids, items that
+/// are passed on unchanged, positions from 0. Any gateway answers, by asking the owner of the
+/// partition that the batch's host belongs to: all batches of a host are in one partition, so that
+/// the limit of a route's open tokens has one keeper.
+///
+/// Threads: the owner's event loop only.
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/status.h"
+#include "node/node_agent.h"
+#include "proto/batch.pb.h"
+#include "runtime/environment.h"
+
+namespace cloverbank {
+
+/// A batch that a client hands in.
+struct BatchSubmission {
+  std::string host;
+  std::string batch_id;  ///< Chosen by the client; the same one again is the same batch.
+  std::vector<proto::BatchItem> items;
+};
+
+/// One result at its place.
+struct BatchResult {
+  std::string item_id;
+  bool completed = false;  ///< Whether `text` is the whole output; else it was given up.
+  std::string text;
+};
+
+/// Part of a batch's results, in the order in which they came.
+struct BatchResults {
+  std::uint64_t total = 0;  ///< Items of the batch.
+  std::uint64_t next = 0;   ///< Position after the last one given here.
+  std::vector<BatchResult> results;
+};
+
+class BatchService {
+ public:
+  template <typename Value>
+  using Done = std::function<void(Result<Value>)>;
+
+  BatchService(Environment& environment, NodeAgent& agent);
+
+  /// Takes a batch of `route` whole or refuses it whole. kResourceExhausted: too many tokens wait;
+  /// kUnavailable: not taken; kUnknownOutcome: may be taken; kInvalidArgument, kConflict.
+  void Submit(const proto::Route& route, BatchSubmission submission, Done<proto::BatchStatus> done);
+  /// Results from `position` (from 0) on. kNotFound only if there certainly is no such batch.
+  void Read(const std::string& host, const std::string& batch_id, std::uint64_t position,
+            Done<BatchResults> done);
+  /// An item that has no result yet.
+  void ReadItem(const std::string& host, const std::string& batch_id, const std::string& item_id,
+                Done<proto::BatchItem> done);
+  /// Ends a batch; nothing of it is started from then on.
+  void End(const std::string& host, const std::string& batch_id, Done<proto::BatchStatus> done);
+
+ private:
+  /// Whether this gateway may ask on behalf of clients now.
+  Status Serving() const;
+  std::uint64_t PartitionOf(std::string_view host) const;
+  template <typename Response, typename Request>
+  void CallOwner(std::string_view method, const Request& request, Duration deadline,
+                 Done<Response> done);
+
+  Environment& environment_;
+  NodeAgent& agent_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace cloverbank
--- a/src/gateway/batch_worker.cc
+++ b/src/gateway/batch_worker.cc
@@ -21,6 +21,12 @@
 
 proto::CallRequest MakeCallRequest(const proto::WorkGrant& grant) {
   proto::CallRequest request;
+  if (grant.item().has_forwarded()) {
+    *request.mutable_forwarded() = grant.item().forwarded();
+    request.set_prefix_key(grant.item().prefix_key());
+    request.set_call_id(grant.item().custom_id());
+    return request;
+  }
   request.set_prompt(grant.item().prompt());
   request.set_prefix_key(grant.item().prefix_key());
   request.set_max_tokens(grant.item().max_tokens());
@@ -118,8 +124,10 @@
   const proto::WorkGrant& grant = *ledger_.FindGrant(lease);
   proto::Route granted_route = route;
   granted_route.set_idempotent(grant.idempotent());  // The stricter of the two: see MayStart.
-  const Duration deadline = route.deadline_ms() > 0 ? Duration(milliseconds(route.deadline_ms()))
-                                                    : options_.default_item_deadline;
+  const bool bounded =
+      route.deadline_ms() > 0 && route.backend_kind() != proto::BACKEND_KIND_HTTP;
+  const Duration deadline =
+      bounded ? Duration(milliseconds(route.deadline_ms())) : options_.default_item_deadline;
   ledger_.MarkRunning(lease);
   environment_.metrics().Increment("batch_items_started_total");
   calls_[lease] = caller_.RunBatchItem(
--- a/src/gateway/call_attempt.cc
+++ b/src/gateway/call_attempt.cc
@@ -74,7 +74,7 @@
   return reading;
 }
 
-HttpRequest MakeReplicaRequest(std::string_view path, const AttemptRequest& request,
+HttpRequest MakeReplicaRequest(std::string_view path, const JsonAttemptRequest& request,
                                Duration remaining) {
   const auto milliseconds_left = std::chrono::duration_cast<milliseconds>(remaining).count();
   HttpRequest http;
--- a/src/gateway/call_attempt.h
+++ b/src/gateway/call_attempt.h
@@ -1,8 +1,9 @@
 #pragma once
 /// @file
-/// One exchange of a call with one replica: a streamed generation (stream_attempt.cc) or one
-/// request and one answer (service_attempt.cc). An attempt tells the pool how it went, decides what
-/// may be said of it, and passes only checked pieces on. Threads: the owner's event loop only.
+/// One try of a call at one replica: a generation streamed as JSON lines (stream_attempt.cc), one
+/// JSON request and answer (service_attempt.cc), or a request passed on unchanged
+/// (forward_attempt.h). An attempt tells the pool how it went, decides what may be said of it, and
+/// passes only checked pieces on. Threads: the owner's event loop only.
 
 #include <functional>
 #include <memory>
@@ -20,7 +21,8 @@
 struct AttemptRequest {
   Endpoint endpoint;
   ReplicaUse use;
-  proto::CallRequest body;  ///< With call id and model.
+  std::string backend;  ///< Model or service that was chosen.
+  proto::BackendKind kind = proto::BACKEND_KIND_UNSPECIFIED;
   TimePoint deadline;
   /// Asked immediately before the first byte leaves. False: certainly not run.
   std::function<bool()> may_send;
@@ -28,15 +30,8 @@
 
 struct AttemptResult {
   AttemptEnd end = AttemptEnd::kUnknown;
-  proto::CallAnswer answer;  ///< Of a service, when whole.
-  proto::CallError error;    ///< Code and message, when not whole.
-};
-
-struct AttemptCallbacks {
-  /// A checked piece, the regular last one included. `more` asks for the next one.
-  std::function<void(const proto::StreamPiece& piece, std::function<void()> more)> on_piece;
-  /// Runs exactly once unless the attempt is cancelled.
-  std::function<void(AttemptResult)> on_done;
+  proto::CallError error;  ///< Code and message, when not whole.
+  bool final = false;      ///< Another try could not do better.
 };
 
 /// What attempts need of the gateway.
@@ -61,14 +56,33 @@
   virtual CancelledWhen Cancel() = 0;
 };
 
+// ---- Attempts of the JSON interface ----
+
+struct JsonAttemptRequest : AttemptRequest {
+  proto::CallRequest body;  ///< With call id and model.
+};
+
+struct JsonAttemptResult : AttemptResult {
+  proto::CallAnswer answer;  ///< Of a service, when whole.
+};
+
+struct JsonAttemptCallbacks {
+  /// A checked piece, the regular last one included. `more` asks for the next one.
+  std::function<void(const proto::StreamPiece& piece, std::function<void()> more)> on_piece;
+  /// Runs exactly once unless the attempt is cancelled.
+  std::function<void(JsonAttemptResult)> on_done;
+};
+
 std::shared_ptr<CallAttempt> MakeStreamAttempt(const AttemptContext& context,
-                                               AttemptRequest request, AttemptCallbacks callbacks);
+                                               JsonAttemptRequest request,
+                                               JsonAttemptCallbacks callbacks);
 std::shared_ptr<CallAttempt> MakeServiceAttempt(const AttemptContext& context,
-                                                AttemptRequest request, AttemptCallbacks callbacks);
+                                                JsonAttemptRequest request,
+                                                JsonAttemptCallbacks callbacks);
 
 /// What an answer without success says of the call and of the replica's health.
 struct FailureReading {
-  AttemptResult result;
+  JsonAttemptResult result;
   CallEnd health = CallEnd::kFailed;
 };
 
@@ -86,7 +100,7 @@
 FailureReading ReadSilence(const HttpOutcome& outcome, const SilenceFacts& facts,
                            const CallOptions& options);
 /// @return the request to `path` at a replica.
-HttpRequest MakeReplicaRequest(std::string_view path, const AttemptRequest& request,
+HttpRequest MakeReplicaRequest(std::string_view path, const JsonAttemptRequest& request,
                                Duration remaining);
 
 }  // namespace cloverbank
--- a/src/gateway/call_runner.cc
+++ b/src/gateway/call_runner.cc
@@ -1,8 +1,10 @@
 #include "gateway/call_runner.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "base/logging.h"
+#include "gateway/route_match.h"
 
 namespace cloverbank {
 namespace {
@@ -19,6 +21,14 @@
   return static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(duration).count());
 }
 
+RetryOptions OptionsFor(const CallSpec& spec, RetryOptions options) {
+  if (spec.attempts > 0) {
+    options.maximum_refusals = std::max(options.maximum_attempts, options.maximum_refusals);
+    options.maximum_attempts = spec.attempts;
+  }
+  return options;
+}
+
 }  // namespace
 
 int HttpStatusOf(proto::Executed executed) {
@@ -32,11 +42,13 @@
   }
 }
 
-CallRunner::CallRunner(const CallContext& context, CallSpec spec, CallEvents events)
+CallRunner::CallRunner(const CallContext& context, CallSpec spec, CallDone done)
     : context_(context),
       spec_(std::move(spec)),
-      events_(std::move(events)),
-      retry_(context.retry_options, context.retry_budget) {}
+      events_(std::move(done)),
+      retry_options_(OptionsFor(spec_, context.retry_options)),
+      retry_(retry_options_, context.retry_budget),
+      split_draw_(context.attempt.environment.Random()) {}
 
 CallRunner::~CallRunner() { (void)Cancel(); }
 
@@ -77,14 +89,15 @@
   if (!CheckRights(&route)) {
     return Placement::kEnded;
   }
-  spec_.backend = route->backend();
+  spec_.backend = ChooseBackend(*route, split_draw_);
   if (!context_.attempt.pool.list_usable()) {
     return Placement::kNoRoom;  // The process was frozen: a new list is being asked for.
   }
   RoutingQuery query;
   query.configuration = &context_.right.configuration();
   query.route = route;
-  query.prefix_key = spec_.body.prefix_key();
+  query.backend = spec_.backend;
+  query.prefix_key = spec_.exchange->prefix_key();
   query.excluded = &tried_;
   query.work = spec_.work;
   query.tie_breaker = context_.attempt.environment.Random();
@@ -134,33 +147,30 @@
   AttemptRequest request;
   request.endpoint = replica.endpoint;
   request.use = {replica.id, replica.instance_id, spec_.work};
-  request.body = spec_.body;
-  request.body.set_model(route.backend());
+  request.backend = replica.backend;
+  request.kind = route.backend_kind();
   request.deadline = spec_.deadline;
   const std::weak_ptr<CallRunner> weak = weak_from_this();
   request.may_send = [weak, use = request.use] {
     const auto self = weak.lock();
     return self != nullptr && self->MaySendNow(use);
   };
-  AttemptCallbacks callbacks;
-  callbacks.on_piece = [weak](const proto::StreamPiece& piece, std::function<void()> more) {
+  ExchangeEvents events;
+  events.on_passed_on = [weak] {
     if (const auto self = weak.lock()) {
-      self->OnPiece(piece, std::move(more));
+      self->retry_.OnPassedOn();
     }
   };
-  callbacks.on_done = [weak](AttemptResult result) {
+  events.on_done = [weak](const AttemptResult& result) {
     if (const auto self = weak.lock()) {
-      self->OnAttemptDone(std::move(result));
+      self->OnAttemptDone(result);
     }
   };
   tried_.push_back(replica.id);
   route_idempotent_ = route.idempotent();
-  collected_.Clear();
-  oversized_ = false;
   retry_.OnAttempt();
-  const bool streamed = route.backend_kind() == proto::BACKEND_KIND_MODEL;
-  attempt_ = streamed ? MakeStreamAttempt(context_.attempt, std::move(request), callbacks)
-                      : MakeServiceAttempt(context_.attempt, std::move(request), callbacks);
+  attempt_ =
+      spec_.exchange->NewAttempt(context_.attempt, std::move(request), std::move(events));
   attempt_->Start();
 }
 
@@ -182,7 +192,7 @@
   waiting.backend = spec_.backend;
   waiting.priority = spec_.priority;
   waiting.give_up_at = std::min(spec_.deadline, spec_.wait_until);
-  waiting.bytes = spec_.body.ByteSizeLong();
+  waiting.bytes = spec_.exchange->request_bytes();
   const CallQueue::Waited waited = context_.queue.Wait(std::move(waiting), weak_from_this());
   if (waited.refusal) {
     OnGivenUp(*waited.refusal);
@@ -208,57 +218,30 @@
              "too many calls for the replicas there are; come back later", notice.retry_after);
 }
 
-void CallRunner::OnPiece(const proto::StreamPiece& piece, std::function<void()> more) {
-  if (done_) {
-    return;
-  }
-  if (spec_.pass_on) {
-    retry_.OnPassedOn();
-    events_.on_piece(piece, std::move(more));
-    return;
-  }
-  collected_.set_run_id(piece.run_id());
-  collected_.mutable_text()->append(piece.text());
-  collected_.set_tokens(collected_.tokens() + (piece.text().empty() ? 0 : 1));
-  if (collected_.text().size() > context_.attempt.options.largest_answer) {
-    oversized_ = true;
-    (void)attempt_->Cancel();
-    AttemptResult result;
-    result.end = AttemptEnd::kUnknown;
-    result.error.set_code("answer_too_large");
-    result.error.set_message("the answer is larger than this gateway keeps; ask for a stream");
-    OnAttemptDone(std::move(result));
-    return;
-  }
-  more();
-}
-
 void CallRunner::OnAttemptDone(AttemptResult result) {
   if (done_) {
     return;
   }
   if (result.end == AttemptEnd::kWhole) {
-    FinishWhole(std::move(result));
+    CallResult whole;
+    whole.succeeded = true;
+    Finish(std::move(whole));
     return;
   }
   Environment& environment = context_.attempt.environment;
-  const bool repeatable = Repeatable() && !oversized_;
+  const bool repeatable = Repeatable() && !result.final;
   const RetryDecision decision = retry_.Decide(result.end, repeatable, environment.Random());
   environment.metrics().Increment(
       "gateway_attempt_failures_total",
       {{"reason", result.error.code()},
        {"next", decision.action == RetryAction::kFinish ? "finish" : "retry"}});
+  RetryOrFinish(result, decision);
+}
+
+void CallRunner::RetryOrFinish(const AttemptResult& result, const RetryDecision& decision) {
   switch (decision.action) {
     case RetryAction::kFinish:
-      if (result.end == AttemptEnd::kRejected && retry_.executed() == proto::EXECUTED_NO) {
-        CallResult refused;
-        refused.error = result.error;
-        refused.error.set_executed(proto::EXECUTED_NO);
-        refused.http_status = kHttpBadRequest;
-        Finish(std::move(refused));
-      } else {
-        FinishWith(result.error.code(), result.error.message(), kRetryAfter);
-      }
+      FinishFailed(result);
       return;
     case RetryAction::kSendElsewhere:
       if (TryForward() == Placement::kNoRoom) {
@@ -274,23 +257,27 @@
       if (decision.action == RetryAction::kSendLater) {
         spec_.wait_until = spec_.deadline;  // The wait for room begins anew.
       }
-      timer_ = environment.ScheduleAfter(decision.backoff, [weak = weak_from_this()] {
-        if (const auto self = weak.lock()) {
-          self->timer_ = 0;
-          self->TryNow();
-        }
-      });
+      timer_ = context_.attempt.environment.ScheduleAfter(decision.backoff,
+                                                          [weak = weak_from_this()] {
+                                                            if (const auto self = weak.lock()) {
+                                                              self->timer_ = 0;
+                                                              self->TryNow();
+                                                            }
+                                                          });
       return;
   }
 }
 
-void CallRunner::FinishWhole(AttemptResult result) {
-  CallResult whole;
-  whole.succeeded = true;
-  const bool streamed = result.answer.call_id().empty();
-  whole.answer = streamed ? std::move(collected_) : std::move(result.answer);
-  whole.answer.set_call_id(call_id());
-  Finish(std::move(whole));
+void CallRunner::FinishFailed(const AttemptResult& result) {
+  if (result.end != AttemptEnd::kRejected || retry_.executed() != proto::EXECUTED_NO) {
+    FinishWith(result.error.code(), result.error.message(), kRetryAfter);
+    return;
+  }
+  CallResult refused;
+  refused.error = result.error;
+  refused.error.set_executed(proto::EXECUTED_NO);
+  refused.http_status = kHttpBadRequest;
+  Finish(std::move(refused));
 }
 
 void CallRunner::FinishWith(const std::string& code, const std::string& message,
@@ -322,7 +309,7 @@
   if (!result.succeeded) {
     result.error.set_call_id(call_id());
   }
-  events_.on_done(std::move(result));
+  events_(std::move(result));
 }
 
 bool CallRunner::Repeatable() const {
--- a/src/gateway/call_runner.h
+++ b/src/gateway/call_runner.h
@@ -3,7 +3,7 @@
 /// One call from the moment it was admitted to its one end: chooses a replica, waits for room,
 /// sends, retries where that is allowed, and says truthfully what became of it.
 ///
-/// Invariants: `on_done` runs exactly once unless the call is cancelled; nothing is sent after it;
+/// Invariants: the `CallDone` runs exactly once unless the call is cancelled; nothing is sent after it;
 /// `executed: no` is said only if no attempt may have run.
 /// Threads: the owner's event loop only.
 
@@ -12,7 +12,7 @@
 #include <string>
 #include <vector>
 
-#include "gateway/call_attempt.h"
+#include "gateway/call_exchange.h"
 #include "gateway/call_queue.h"
 #include "gateway/retry_policy.h"
 #include "gateway/serving_right.h"
@@ -24,25 +24,21 @@
   std::string backend;  ///< Of the route when the call came in.
   proto::Priority priority = proto::PRIORITY_STANDARD;
   bool idempotent = false;  ///< Of the route when the call came in.
-  proto::CallRequest body;  ///< With its call id.
+  std::uint32_t attempts = 0;  ///< Most replicas that may run it; 0 is the gateway's default.
+  std::shared_ptr<CallExchange> exchange;
   TimePoint deadline;
   TimePoint wait_until;  ///< Longest wait for room; a call that is not let wait has none.
   WorkKind work = WorkKind::kLive;
-  bool pass_on = false;             ///< Hand on pieces as they come, instead of one whole answer.
   std::function<bool()> may_start;  ///< Batch items: their work lease. Empty means always.
 };
 
 struct CallResult {
   bool succeeded = false;
-  proto::CallAnswer answer;  ///< Whole answer, unless pieces were passed on.
-  proto::CallError error;    ///< When not succeeded.
+  proto::CallError error;  ///< When not succeeded.
   int http_status = 200;
 };
 
-struct CallEvents {
-  std::function<void(const proto::StreamPiece& piece, std::function<void()> more)> on_piece;
-  std::function<void(CallResult)> on_done;
-};
+using CallDone = std::function<void(CallResult)>;
 
 /// @return the HTTP status of a call that failed, by what its caller may assume.
 int HttpStatusOf(proto::Executed executed);
@@ -58,7 +54,7 @@
 
 class CallRunner final : public WaitingCallOwner, public std::enable_shared_from_this<CallRunner> {
  public:
-  CallRunner(const CallContext& context, CallSpec spec, CallEvents events);
+  CallRunner(const CallContext& context, CallSpec spec, CallDone done);
   /// Cancels a call that has not ended.
   ~CallRunner() override;
   CallRunner(const CallRunner&) = delete;
@@ -74,7 +70,7 @@
   ServeResult ServeFromQueue() override;
   void OnGivenUp(const RefusalNotice& notice) override;
 
-  const std::string& call_id() const { return spec_.body.call_id(); }
+  const std::string& call_id() const { return spec_.exchange->call_id(); }
 
  private:
   enum class Placement : std::uint8_t { kSent, kNoRoom, kEnded };
@@ -86,24 +82,24 @@
   void Send(const ReplicaRecord& replica, const proto::Route& route);
   bool MaySendNow(const ReplicaUse& use) const;
   void Wait();
-  void OnPiece(const proto::StreamPiece& piece, std::function<void()> more);
   void OnAttemptDone(AttemptResult result);
-  void FinishWhole(AttemptResult result);
+  void RetryOrFinish(const AttemptResult& result, const RetryDecision& decision);
+  void FinishFailed(const AttemptResult& result);
   void FinishWith(const std::string& code, const std::string& message, Duration retry_after);
   void Finish(CallResult result);
   bool Repeatable() const;
 
   CallContext context_;
   CallSpec spec_;
-  CallEvents events_;
+  CallDone events_;
+  const RetryOptions retry_options_;  ///< With the attempts that the call may have.
   RetryState retry_;
+  const std::uint64_t split_draw_;  ///< Which share of a split route it belongs to.
   std::vector<std::string> tried_;  ///< Replicas tried since the last wait.
   std::shared_ptr<CallAttempt> attempt_;
-  proto::CallAnswer collected_;
   WaitId wait_id_ = 0;
   TimerId timer_ = 0;
   bool route_idempotent_ = false;  ///< Of the attempt under way.
-  bool oversized_ = false;
   bool done_ = false;
 };
 
--- /dev/null
+++ b/src/gateway/cold_pacing.cc
@@ -0,0 +1,42 @@
+#include "gateway/cold_pacing.h"
+
+#include <algorithm>
+
+namespace cloverbank {
+
+void ColdPacing::SetCold(const std::string& id, double calls_per_second, TimePoint until,
+                         TimePoint now) {
+  Window& window = windows_[id];
+  window.calls_per_second = calls_per_second;
+  window.until = until;
+  std::erase_if(windows_, [now](const auto& entry) { return entry.second.until <= now; });
+}
+
+void ColdPacing::Remove(const std::string& id) { windows_.erase(id); }
+
+bool ColdPacing::IsCold(std::string_view id, TimePoint now) const {
+  const auto found = windows_.find(id);
+  return found != windows_.end() && now < found->second.until;
+}
+
+bool ColdPacing::MayStart(std::string_view id, TimePoint now) const {
+  return !IsCold(id, now) || now >= windows_.find(id)->second.next_start;
+}
+
+void ColdPacing::OnStart(const std::string& id, TimePoint now) {
+  const auto found = windows_.find(id);
+  if (found == windows_.end() || found->second.calls_per_second <= 0) {
+    return;
+  }
+  Window& window = found->second;
+  const std::chrono::duration<double> gap(1.0 / window.calls_per_second);
+  window.next_start =
+      std::max(now, window.next_start) + std::chrono::duration_cast<Duration>(gap);
+}
+
+bool ColdPacing::AnyCold(TimePoint now) const {
+  return std::any_of(windows_.begin(), windows_.end(),
+                     [now](const auto& entry) { return now < entry.second.until; });
+}
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/gateway/cold_pacing.h
@@ -0,0 +1,40 @@
+#pragma once
+/// @file
+/// Holds back what goes to cold replicas. A cold replica bears a number of calls a second from the
+/// whole fleet; each gateway takes an equal share of it, so the sum is safe whichever gateways die
+/// or join, as long as the count of gateways is not below the truth. Pure.
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "base/time.h"
+
+namespace cloverbank {
+
+class ColdPacing {
+ public:
+  /// The replica bears `calls_per_second` of this gateway's until `until`.
+  void SetCold(const std::string& id, double calls_per_second, TimePoint until, TimePoint now);
+  void Remove(const std::string& id);
+
+  /// Whether a call may start at the replica now.
+  bool MayStart(std::string_view id, TimePoint now) const;
+  /// A call starts: takes its part of the rate.
+  void OnStart(const std::string& id, TimePoint now);
+  /// Whether any replica is cold now.
+  bool AnyCold(TimePoint now) const;
+  bool IsCold(std::string_view id, TimePoint now) const;
+
+ private:
+  struct Window {
+    double calls_per_second = 0;
+    TimePoint until{};
+    TimePoint next_start{};  ///< Calls are spaced evenly: none before.
+  };
+
+  std::map<std::string, Window, std::less<>> windows_;
+};
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/gateway/event_stream.cc
@@ -0,0 +1,82 @@
+#include "gateway/event_stream.h"
+
+#include <charconv>
+
+namespace cloverbank {
+namespace {
+
+constexpr std::string_view kIdField = "id";
+constexpr std::string_view kDataField = "data";
+
+std::optional<std::uint64_t> ParseNumber(std::string_view text) {
+  std::uint64_t number = 0;
+  const char* end = text.data() + text.size();
+  const auto [stop, error] = std::from_chars(text.data(), end, number);
+  const bool whole = error == std::errc() && stop == end && !text.empty();
+  return whole ? std::optional(number) : std::nullopt;
+}
+
+/// @return one past the empty line that ends the first event from `from` on, or npos.
+std::size_t FindEnd(std::string_view bytes, std::size_t from) {
+  for (std::size_t feed = bytes.find('\n', from); feed != std::string_view::npos;
+       feed = bytes.find('\n', feed + 1)) {
+    std::size_t next = feed + 1;
+    if (next < bytes.size() && bytes[next] == '\r') {
+      ++next;
+    }
+    if (next < bytes.size() && bytes[next] == '\n') {
+      return next + 1;
+    }
+  }
+  return std::string_view::npos;
+}
+
+void TakeLine(std::string_view line, bool* has_data, StreamEvent* event) {
+  const std::size_t colon = line.find(':');
+  const std::string_view field = line.substr(0, colon);
+  std::string_view value = colon == std::string_view::npos ? "" : line.substr(colon + 1);
+  if (!value.empty() && value.front() == ' ') {
+    value.remove_prefix(1);
+  }
+  if (field == kIdField) {
+    event->id = ParseNumber(value);
+  } else if (field == kDataField) {
+    event->data += *has_data ? "\n" : "";
+    event->data += value;
+    *has_data = true;
+  }
+}
+
+StreamEvent ParseEvent(std::string bytes) {
+  StreamEvent event;
+  event.bytes = std::move(bytes);
+  std::string_view rest = event.bytes;
+  bool has_data = false;
+  while (!rest.empty()) {
+    std::string_view line = rest.substr(0, rest.find('\n'));
+    rest.remove_prefix(std::min(rest.size(), line.size() + 1));
+    if (!line.empty() && line.back() == '\r') {
+      line.remove_suffix(1);
+    }
+    TakeLine(line, &has_data, &event);
+  }
+  return event;
+}
+
+}  // namespace
+
+std::optional<StreamEvent> EventSplitter::Next() {
+  const std::size_t end = FindEnd(buffer_, searched_);
+  if (end == std::string::npos) {
+    // The end may straddle what comes next: "\n" or "\n\r" at the very end.
+    constexpr std::size_t kLongestPartialEnd = 2;
+    searched_ = buffer_.size() - std::min(buffer_.size(), kLongestPartialEnd);
+    return std::nullopt;
+  }
+  StreamEvent event = ParseEvent(buffer_.substr(0, end));
+  buffer_.erase(0, end);
+  searched_ = 0;
+  return event;
+}
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/gateway/forward_attempt.cc
@@ -0,0 +1,338 @@
+#include "gateway/forward_attempt.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/logging.h"
+#include "gateway/backend_caller.h"
+#include "gateway/http_headers.h"
+
+namespace cloverbank {
+namespace {
+
+constexpr int kHttpMisdirected = 421;
+constexpr int kHttpTooManyRequests = 429;
+constexpr int kHttpServiceUnavailable = 503;
+constexpr int kFirstClientError = 400;
+constexpr int kFirstServerError = 500;
+
+bool IsSuccess(int status) { return status < kFirstClientError; }
+
+/// Statuses by which a replica turns a request away; only its own mark makes them a promise.
+bool TurnsAway(int status) {
+  return status == kHttpMisdirected || status == kHttpTooManyRequests ||
+         status == kHttpServiceUnavailable;
+}
+
+std::int64_t ToMilliseconds(Duration duration) {
+  return std::chrono::duration_cast<milliseconds>(duration).count();
+}
+
+}  // namespace
+
+std::shared_ptr<CallAttempt> ForwardExchange::NewAttempt(const AttemptContext& context,
+                                                         AttemptRequest request,
+                                                         ExchangeEvents events) {
+  ForgetFailure();
+  return std::make_shared<ForwardAttempt>(context, std::move(request), shared_from_this(),
+                                          std::move(events));
+}
+
+ForwardAttempt::ForwardAttempt(const AttemptContext& context, AttemptRequest request,
+                               std::shared_ptr<ForwardExchange> exchange, ExchangeEvents events)
+    : context_(context),
+      request_(std::move(request)),
+      exchange_(std::move(exchange)),
+      events_(std::move(events)),
+      pool_lifetime_(context.pool.lifetime()),
+      splitter_(context.options.largest_piece) {}
+
+HttpRequest ForwardAttempt::MakeRequest(Duration remaining) const {
+  const proto::ForwardedRequest& forwarded = exchange_->call().request;
+  const ReplicaHeaderNames& names = exchange_->names();
+  HttpRequest http;
+  http.method = forwarded.method();
+  http.target = forwarded.target();
+  const bool resumed = exchange_->started() && exchange_->last_event().has_value();
+  for (const proto::HttpField& field : forwarded.headers()) {
+    if (!resumed || !EqualIgnoringCase(field.name(), names.resume_after)) {
+      http.headers.emplace_back(field.name(), field.value());
+    }
+  }
+  http.headers.emplace_back(names.deadline_ms,
+                            std::to_string(std::max<std::int64_t>(1, ToMilliseconds(remaining))));
+  http.headers.emplace_back(names.expected_instance, request_.use.instance_id);
+  if (resumed) {
+    http.headers.emplace_back(names.resume_after, std::to_string(*exchange_->last_event()));
+  }
+  http.body = forwarded.body();
+  http.accept_unframed = true;
+  return http;
+}
+
+void ForwardAttempt::Start() {
+  sent_at_ = context_.environment.Now();
+  const Duration remaining = request_.deadline - sent_at_;
+  HttpRequest http = MakeRequest(remaining);
+  const std::weak_ptr<ForwardAttempt> weak = weak_from_this();
+  http.may_send = [weak] {
+    const auto self = weak.lock();
+    return self != nullptr && self->MaySend();
+  };
+  HttpStreamCallbacks callbacks;
+  callbacks.on_head = [weak](int status, const HttpHeaders& headers) {
+    if (const auto self = weak.lock()) {
+      self->OnHead(status, headers);
+    }
+  };
+  callbacks.on_bytes = [weak](const std::string& bytes, std::function<void()> more) {
+    if (const auto self = weak.lock()) {
+      self->OnBytes(bytes, std::move(more));
+    }
+  };
+  // The end holds the attempt alive until it comes.
+  callbacks.on_end = [self = shared_from_this()](HttpOutcome outcome) {
+    self->OnEnd(std::move(outcome));
+  };
+  context_.pool.OnCallStarted(request_.use);
+  // To a caller that waits, silence is no reason to end an answer before its deadline.
+  const Duration idle_limit =
+      exchange_->call().judge_failures ? context_.options.batch_idle_limit : Duration::zero();
+  call_ = context_.client.Stream(request_.endpoint, std::move(http), remaining, idle_limit,
+                                 std::move(callbacks));
+}
+
+CancelledWhen ForwardAttempt::Cancel() {
+  if (done_) {
+    return CancelledWhen::kNotUnderWay;
+  }
+  done_ = true;
+  if (call_ != nullptr) {
+    call_->Cancel();
+  }
+  Release(CallEnd::kWithdrawn);
+  return asked_ && !withheld_ ? CancelledWhen::kMaybeSent : CancelledWhen::kNotUnderWay;
+}
+
+bool ForwardAttempt::MaySend() {
+  asked_ = true;
+  withheld_ = done_ || !request_.may_send();
+  return !withheld_;
+}
+
+void ForwardAttempt::OnHead(int status, const HttpHeaders& headers) {
+  if (done_) {
+    return;
+  }
+  status_ = status;
+  headers_ = headers;
+  const ReplicaHeaderNames& names = exchange_->names();
+  not_run_ = status == kHttpMisdirected ||
+             (TurnsAway(status) && !FindHeader(headers, names.not_run).empty());
+  const std::string_view echoed = FindHeader(headers, names.call_id);
+  foreign_ = !not_run_ && echoed != exchange_->call_id();
+  if (foreign_) {
+    BreakOff("other_call");
+    return;
+  }
+  context_.pool.OnAnswerHead(request_.use, headers, context_.environment.Now() - sent_at_);
+  if (!not_run_) {
+    const bool events = exchange_->call().streamed && IsSuccess(status);
+    reading_ = events ? Reading::kEvents : Reading::kWhole;
+  }
+}
+
+void ForwardAttempt::OnBytes(const std::string& bytes, std::function<void()> more) {
+  if (done_) {
+    return;
+  }
+  if (reading_ == Reading::kEvents) {
+    splitter_.Append(bytes);
+    read_on_ = std::move(more);
+    Advance();
+    return;
+  }
+  if (reading_ == Reading::kWhole) {
+    body_ += bytes;
+  }
+  if (body_.size() > context_.options.largest_answer) {
+    BreakOff("too_large");
+    return;
+  }
+  more();
+}
+
+void ForwardAttempt::OnEnd(HttpOutcome outcome) {
+  outcome_ = std::move(outcome);
+  if (done_) {
+    Release(CallEnd::kSuccess);
+    return;
+  }
+  if (reading_ == Reading::kEvents) {
+    Advance();
+    return;
+  }
+  Conclude();
+}
+
+void ForwardAttempt::Advance() {
+  if (advancing_) {
+    return;
+  }
+  advancing_ = true;
+  while (Step()) {
+  }
+  advancing_ = false;
+}
+
+bool ForwardAttempt::Step() {
+  if (done_ || event_under_way_) {
+    return false;
+  }
+  if (std::optional<StreamEvent> event = splitter_.Next()) {
+    HandOn(std::move(*event));
+    return true;
+  }
+  if (splitter_.TooLarge()) {
+    BreakOff("event_too_large");
+    return false;
+  }
+  if (outcome_) {
+    Conclude();
+    return false;
+  }
+  if (!read_on_) {
+    return false;
+  }
+  std::exchange(read_on_, nullptr)();
+  return read_on_ != nullptr || outcome_.has_value();
+}
+
+bool ForwardAttempt::Follows(const StreamEvent& event) const {
+  const std::optional<std::uint64_t> last = exchange_->last_event();
+  return !exchange_->started() || !last || (event.id && *event.id == *last + 1);
+}
+
+void ForwardAttempt::HandOn(StreamEvent event) {
+  if (!Follows(event)) {
+    BreakOff("gap");
+    return;
+  }
+  if (!exchange_->started()) {
+    exchange_->NoteStarted();
+    exchange_->sink().OnStreamHead(status_, EndToEndHeaders(headers_, {}));
+  }
+  exchange_->NoteEvent(event);
+  if (!exchange_->MayResume()) {
+    events_.on_passed_on();
+  }
+  event_under_way_ = true;
+  exchange_->sink().OnEvent(std::move(event), [weak = weak_from_this()] {
+    const auto self = weak.lock();
+    if (self != nullptr && self->event_under_way_) {
+      self->event_under_way_ = false;
+      self->Advance();
+    }
+  });
+}
+
+void ForwardAttempt::Conclude() {
+  if (outcome_->kind != HttpOutcomeKind::kAnswered) {
+    ConcludeSilent();
+    return;
+  }
+  if (not_run_) {
+    FinishWith(AttemptEnd::kNotRun, "replica_refused",
+               "the replica answered " + std::to_string(status_) + " and did not run the request",
+               CallEnd::kRefused);
+    return;
+  }
+  if (reading_ == Reading::kWhole) {
+    ConcludeWhole();
+    return;
+  }
+  if (splitter_.Partial() || !exchange_->started()) {
+    BreakOff("cut_event");
+    return;
+  }
+  AttemptResult whole;
+  whole.end = AttemptEnd::kWhole;
+  Finish(std::move(whole), CallEnd::kSuccess);
+}
+
+void ForwardAttempt::ConcludeWhole() {
+  HttpResponse response;
+  response.status = status_;
+  response.headers = EndToEndHeaders(headers_, {});
+  response.body = std::move(body_);
+  const bool failed = status_ >= kFirstServerError || status_ == kHttpTooManyRequests;
+  const std::string message = "the replica answered " + std::to_string(status_);
+  if (failed) {
+    exchange_->CountFailure();
+    exchange_->NoteFailure(std::move(response));
+    FinishWith(AttemptEnd::kFailed, "replica_failed", message, CallEnd::kFailed);
+    return;
+  }
+  if (!IsSuccess(status_) && exchange_->call().judge_failures) {
+    FinishWith(AttemptEnd::kRejected, std::string(kReplicaRejectedCode), message,
+               CallEnd::kSuccess);
+    return;
+  }
+  if (exchange_->started()) {
+    BreakOff("not_resumed");  // An error where the stream should have gone on.
+    return;
+  }
+  exchange_->sink().OnWhole(std::move(response));
+  AttemptResult whole;
+  whole.end = AttemptEnd::kWhole;
+  Finish(std::move(whole), CallEnd::kSuccess);
+}
+
+void ForwardAttempt::ConcludeSilent() {
+  SilenceFacts facts;
+  facts.withheld = withheld_;
+  facts.head_came = status_ != 0;
+  facts.deadline_reached = context_.environment.Now() >= request_.deadline;
+  facts.patience = request_.deadline - sent_at_;
+  FailureReading reading = ReadSilence(*outcome_, facts, context_.options);
+  if (not_run_) {
+    reading.result.end = AttemptEnd::kNotRun;  // Its head said so, whatever became of the rest.
+  }
+  Finish(std::move(reading.result), reading.health);
+}
+
+void ForwardAttempt::BreakOff(const std::string& fault) {
+  context_.environment.metrics().Increment("gateway_stream_faults_total", {{"fault", fault}});
+  Log(LogLevel::kInfo, "answer_broken",
+      {{"call_id", exchange_->call_id()}, {"replica", request_.use.id}, {"fault", fault}});
+  FinishWith(AttemptEnd::kUnknown, "answer_broken",
+             "the replica's answer was not one whole answer to this call: " + fault,
+             CallEnd::kFailed);
+}
+
+void ForwardAttempt::FinishWith(AttemptEnd end, const std::string& code,
+                                const std::string& message, CallEnd health) {
+  AttemptResult result;
+  result.end = end;
+  result.error.set_code(code);
+  result.error.set_message(message);
+  Finish(std::move(result), health);
+}
+
+void ForwardAttempt::Finish(AttemptResult result, CallEnd health) {
+  done_ = true;
+  if (!outcome_ && call_ != nullptr) {
+    call_->Cancel();
+  }
+  Release(health);
+  events_.on_done(std::move(result));
+}
+
+void ForwardAttempt::Release(CallEnd health) {
+  if (!released_ && !pool_lifetime_.expired()) {
+    released_ = true;
+    context_.pool.OnCallEnded(request_.use, health);
+  }
+}
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/gateway/forward_attempt.h
@@ -0,0 +1,73 @@
+#pragma once
+/// @file
+/// One try of a `ForwardExchange` at one replica. Threads: the owner's event loop only.
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "gateway/forward_exchange.h"
+
+namespace cloverbank {
+
+class ForwardAttempt final : public CallAttempt,
+                             public std::enable_shared_from_this<ForwardAttempt> {
+ public:
+  ForwardAttempt(const AttemptContext& context, AttemptRequest request,
+                 std::shared_ptr<ForwardExchange> exchange, ExchangeEvents events);
+
+  void Start() override;
+  CancelledWhen Cancel() override;
+
+ private:
+  /// What the body of the answer is.
+  enum class Reading : std::uint8_t {
+    kNothing,  ///< No head yet, or a body that says nothing.
+    kWhole,    ///< Gathered, handed on when complete.
+    kEvents,   ///< Handed on event by event.
+  };
+
+  HttpRequest MakeRequest(Duration remaining) const;
+  bool MaySend();
+  void OnHead(int status, const HttpHeaders& headers);
+  void OnBytes(const std::string& bytes, std::function<void()> more);
+  void OnEnd(HttpOutcome outcome);
+  /// Goes on as far as possible. Not re-entered: `more` may be called from within `OnEvent`.
+  void Advance();
+  bool Step();
+  void HandOn(StreamEvent event);
+  bool Follows(const StreamEvent& event) const;
+  void Conclude();
+  void ConcludeWhole();
+  void ConcludeSilent();
+  void BreakOff(const std::string& fault);
+  void FinishWith(AttemptEnd end, const std::string& code, const std::string& message,
+                  CallEnd health);
+  void Finish(AttemptResult result, CallEnd health);
+  void Release(CallEnd health);
+
+  AttemptContext context_;
+  AttemptRequest request_;
+  std::shared_ptr<ForwardExchange> exchange_;
+  ExchangeEvents events_;
+  std::weak_ptr<const void> pool_lifetime_;
+  EventSplitter splitter_;
+  std::shared_ptr<HttpCall> call_;
+  TimePoint sent_at_;
+  Reading reading_ = Reading::kNothing;
+  int status_ = 0;  ///< 0 until the head came.
+  HttpHeaders headers_;
+  std::string body_;
+  std::function<void()> read_on_;
+  std::optional<HttpOutcome> outcome_;
+  bool foreign_ = false;  ///< The answer is to another call.
+  bool not_run_ = false;  ///< The replica says that it did not run the request.
+  bool asked_ = false;    ///< Whether `may_send` was asked: nothing was sent before.
+  bool withheld_ = false;
+  bool event_under_way_ = false;
+  bool advancing_ = false;
+  bool released_ = false;
+  bool done_ = false;
+};
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/gateway/forwarding_service.cc
@@ -0,0 +1,98 @@
+#include "gateway/forwarding_service.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "gateway/live_forward.h"
+#include "gateway/route_match.h"
+
+namespace cloverbank {
+namespace {
+
+constexpr int kHttpNotFound = 404;
+constexpr int kHttpTooManyRequests = 429;
+constexpr int kHttpUnavailable = 503;
+constexpr Duration kRetryAfter = milliseconds(250);
+
+}  // namespace
+
+ForwardingService::ForwardingService(const CallContext& context, const GatewayOptions& options)
+    : context_(context), options_(options) {}
+
+ForwardingService::~ForwardingService() = default;
+
+const proto::Route* ForwardingService::FindRouteOf(std::string_view host,
+                                                   std::string_view path) const {
+  return MatchRoute(context_.right.configuration(), host, path);
+}
+
+void ForwardingService::Handle(IncomingCall call, const Responder& responder) {
+  if (context_.right.configuration().label() == 0 || !context_.right.Valid()) {
+    Refuse(*responder, kHttpUnavailable, "no_configuration",
+           "this gateway has no configuration from control now; try another one", kRetryAfter);
+    return;
+  }
+  const proto::Route* route = FindRouteOf(call.host, call.path);
+  if (route == nullptr) {
+    Refuse(*responder, kHttpNotFound, "unknown_route", "no route takes this host and path",
+           Duration::zero());
+    return;
+  }
+  const auto refusal = context_.queue.admission().Admit(*route, nullptr,
+                                                        context_.attempt.environment.Now());
+  if (refusal) {
+    Refuse(*responder,
+           refusal->refusal == Refusal::kTenantRate ? kHttpTooManyRequests : kHttpUnavailable,
+           std::string(RefusalName(refusal->refusal)), "too many calls; come back later",
+           refusal->retry_after);
+    return;
+  }
+  CallSpec spec = MakeSpec(*route, call);
+  ForwardCall forward;
+  forward.call_id = std::move(call.call_id);
+  forward.prefix_key = std::move(call.prefix_key);
+  forward.request = std::move(call.request);
+  forward.streamed = route->streamed();
+  forward.resumable = route->resumable();
+  const std::uint64_t number = next_call_++;
+  auto live = std::make_shared<LiveForward>(
+      context_, responder, [this, number, name = route->name()] { OnCallOver(number, name); });
+  calls_.emplace(number, live);
+  live->Start(std::move(spec), std::move(forward), options_.forward_headers);
+}
+
+CallSpec ForwardingService::MakeSpec(const proto::Route& route, const IncomingCall& call) const {
+  const TimePoint now = context_.attempt.environment.Now();
+  Duration longest = milliseconds(route.deadline_ms());
+  if (call.patience) {
+    longest = std::min(longest, *call.patience);
+  }
+  CallSpec spec;
+  spec.route = route.name();
+  spec.backend = route.backend();
+  spec.priority = route.priority();
+  spec.idempotent = route.idempotent();
+  spec.attempts = route.attempts();
+  spec.deadline = now + longest;
+  spec.wait_until = std::min(spec.deadline, now + options_.admission.longest_wait);
+  return spec;
+}
+
+void ForwardingService::Refuse(HttpResponder& responder, int http_status, const std::string& code,
+                               const std::string& message, Duration retry_after) {
+  context_.attempt.environment.metrics().Increment("gateway_refusals_total", {{"reason", code}});
+  proto::CallError error;
+  error.set_code(code);
+  error.set_message(message);
+  error.set_executed(proto::EXECUTED_NO);
+  error.set_retry_after_ms(static_cast<std::uint32_t>(
+      std::chrono::duration_cast<milliseconds>(retry_after).count()));
+  SendRefusal(responder, http_status, error);
+}
+
+void ForwardingService::OnCallOver(std::uint64_t number, const std::string& route) {
+  context_.queue.admission().Finish(route);
+  calls_.erase(number);
+}
+
+}  // namespace cloverbank
--- a/src/gateway/gateway_options.h
+++ b/src/gateway/gateway_options.h
@@ -3,6 +3,8 @@
 /// Every bound of the data plane, with its default.
 
 #include <cstddef>
+#include <functional>
+#include <memory>
 #include <string>
 
 #include "base/ids.h"
@@ -14,6 +16,19 @@
 
 namespace cloverbank {
 
+class HttpClient;
+class ReplicaListReader;
+
+/// Names of the headers that gateways and replicas add to what is passed on. Which ones a platform
+/// uses is told by its adapter.
+struct ReplicaHeaderNames {
+  std::string call_id = "X-Call-Id";                      ///< Echoed in every answer.
+  std::string deadline_ms = "X-Deadline-Ms";              ///< Time that is left.
+  std::string expected_instance = "X-Expected-Instance";  ///< Others answer 421, not run.
+  std::string not_run = "X-Not-Run";                      ///< The replica did not run the request.
+  std::string resume_after = "X-Resume-After";            ///< Go on after this event.
+};
+
 /// How the platform's list is read.
 struct ReplicaListOptions {
   Endpoint endpoint;
@@ -22,10 +37,14 @@
   Duration deadline = milliseconds(450);
   /// A list last asked for longer ago is not acted on: the process was frozen meanwhile.
   Duration stale_after = seconds(2);
+  /// Makes what reads the list; empty reads it as `GET path`.
+  std::function<std::unique_ptr<ReplicaListReader>(HttpClient&)> make_reader = {};
 };
 
 /// How replicas are probed.
 struct ProbeOptions {
+  /// Whether replicas are probed at all. If not, the list and the calls themselves tell who is well.
+  bool enabled = true;
   std::string path = "/health";
   Duration interval = seconds(1);               ///< Of one replica, while few are known.
   Duration eager_interval = milliseconds(150);  ///< Of one that is in slow start.
@@ -48,6 +67,8 @@
 struct CallOptions {
   Duration default_deadline = seconds(30);  ///< When neither the route nor the caller names one.
   Duration stream_idle_limit = seconds(4);  ///< Longest silence within a replica's stream.
+  /// The same of a batch item that is passed on: it may run elsewhere.
+  Duration batch_idle_limit = milliseconds(2500);
   /// A shorter wait for a first byte says nothing about the replica's health.
   Duration least_patience = seconds(1);
   std::size_t largest_request = std::size_t{1} << 20U;
@@ -65,6 +86,10 @@
   RetryOptions retry;
   CallOptions calls;
   IdempotencyOptions idempotency;
+  ReplicaHeaderNames forward_headers;
+  /// How long live calls are served by the configuration held after the lease ran out. Zero keeps
+  /// the promise that nobody serves by an older one than what was acknowledged, also when cut off.
+  Duration serve_without_control{};
 };
 
 }  // namespace cloverbank
--- a/src/gateway/gateway_service.cc
+++ b/src/gateway/gateway_service.cc
@@ -1,10 +1,13 @@
 #include "gateway/gateway_service.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "gateway/batch_api.h"
+#include "gateway/batch_service.h"
 #include "gateway/batch_worker.h"
 #include "gateway/call_queue.h"
+#include "gateway/forwarding_service.h"
 #include "gateway/live_call_handler.h"
 #include "gateway/operator_api.h"
 #include "gateway/replica_backend_caller.h"
@@ -20,14 +23,22 @@
 /// The node agent's lease and configuration.
 class AgentRight final : public ServingRight {
  public:
-  explicit AgentRight(const NodeAgent& agent) : agent_(agent) {}
-  bool Valid() const override { return agent_.LeaseValid(); }
+  AgentRight(const Environment& environment, const NodeAgent& agent, Duration longest_without)
+      : environment_(environment), agent_(agent), longest_without_(longest_without) {}
+  bool Valid() const override {
+    // An id that was fenced leaves no lease behind; its end counts all the same.
+    last_lease_end_ = std::max(last_lease_end_, agent_.lease_end());
+    return agent_.LeaseValid() || environment_.Now() < last_lease_end_ + longest_without_;
+  }
   const proto::RoutingConfiguration& configuration() const override {
     return agent_.configuration();
   }
 
  private:
+  const Environment& environment_;
   const NodeAgent& agent_;
+  const Duration longest_without_;
+  mutable TimePoint last_lease_end_{};
 };
 
 }  // namespace
@@ -38,15 +49,17 @@
       : environment(environment_in),
         agent(agent_in),
         options(std::move(options_in)),
-        right(agent),
+        right(environment, agent, options.serve_without_control),
         pool(environment, client, right, options),
         queue(environment, options.admission),
         retry_budget(options.retry),
         context{
             {environment, client, pool, options.calls}, right, queue, retry_budget, options.retry},
         live(context, options),
-        batch_caller(context),
+        forwarding(context, options),
+        batch_caller(context, options.forward_headers),
         batch_worker(environment, agent, batch_caller),
+        batch_service(environment, agent),
         batches(environment, router, agent),
         operators(router, agent),
         status(environment, router, agent) {
@@ -69,8 +82,10 @@
   RetryBudget retry_budget;
   CallContext context;
   LiveCallHandler live;
+  ForwardingService forwarding;
   ReplicaBackendCaller batch_caller;
   BatchWorker batch_worker;
+  BatchService batch_service;
   BatchApi batches;
   OperatorApi operators;
   StatusApi status;
@@ -88,6 +103,7 @@
   state->pool.OnRoom([state] { state->queue.DispatchSoon(); });
   agent.OnConfiguration([state, alive] {
     if (!alive.expired()) {
+      state->pool.SetGatewayCount(state->agent.gateway_count());
       state->pool.OnConfiguration();
       state->queue.DispatchSoon();
     }
@@ -118,7 +134,7 @@
   const char* missing = nullptr;
   if (state_->draining) {
     missing = "the gateway is stopping";
-  } else if (!state_->agent.LeaseValid()) {
+  } else if (!state_->right.Valid()) {
     missing = "no lease from the coordinators";
   } else if (state_->agent.configuration().version() == 0) {
     missing = "no configuration yet";
@@ -131,8 +147,14 @@
   return missing == nullptr;
 }
 
-std::size_t GatewayService::calls_under_way() const { return state_->live.calls_under_way(); }
+std::size_t GatewayService::calls_under_way() const {
+  return state_->live.calls_under_way() + state_->forwarding.calls_under_way();
+}
 
 BackendCaller& GatewayService::backend_caller() { return state_->batch_caller; }
 
+ForwardingService& GatewayService::forwarding() { return state_->forwarding; }
+
+BatchService& GatewayService::batches() { return state_->batch_service; }
+
 }  // namespace cloverbank
--- a/src/gateway/gateway_service.h
+++ b/src/gateway/gateway_service.h
@@ -15,6 +15,9 @@
 
 namespace cloverbank {
 
+class BatchService;
+class ForwardingService;
+
 class GatewayService {
  public:
   /// @param router must not serve any more once this is gone.
@@ -35,6 +38,10 @@
   /// Live calls that were admitted and have not ended.
   std::size_t calls_under_way() const;
   BackendCaller& backend_caller();
+  /// Live calls of the HTTP routes, for front interfaces.
+  ForwardingService& forwarding();
+  /// Batches of the HTTP routes, for front interfaces.
+  BatchService& batches();
 
  private:
   struct State;
--- /dev/null
+++ b/src/gateway/json_exchange.cc
@@ -0,0 +1,77 @@
+#include "gateway/json_exchange.h"
+
+#include <utility>
+
+namespace cloverbank {
+
+JsonExchange::JsonExchange(proto::CallRequest body, PieceHandler on_piece)
+    : body_(std::move(body)), on_piece_(std::move(on_piece)) {}
+
+std::shared_ptr<CallAttempt> JsonExchange::NewAttempt(const AttemptContext& context,
+                                                      AttemptRequest request,
+                                                      ExchangeEvents events) {
+  answer_.Clear();
+  JsonAttemptRequest json;
+  static_cast<AttemptRequest&>(json) = std::move(request);
+  json.body = body_;
+  json.body.set_model(json.backend);
+  JsonAttemptCallbacks callbacks;
+  const std::weak_ptr<JsonExchange> weak = weak_from_this();
+  callbacks.on_piece = [weak, events, largest = context.options.largest_answer](
+                           const proto::StreamPiece& piece, std::function<void()> more) {
+    if (const auto self = weak.lock()) {
+      self->OnPiece(piece, std::move(more), events, largest);
+    }
+  };
+  callbacks.on_done = [weak, events](JsonAttemptResult result) {
+    if (const auto self = weak.lock()) {
+      if (!result.answer.call_id().empty()) {
+        self->answer_ = std::move(result.answer);
+      }
+      self->OnDone(std::move(result), events);
+    }
+  };
+  const bool streamed = json.kind == proto::BACKEND_KIND_MODEL;
+  auto attempt = streamed ? MakeStreamAttempt(context, std::move(json), std::move(callbacks))
+                          : MakeServiceAttempt(context, std::move(json), std::move(callbacks));
+  attempt_ = attempt;
+  return attempt;
+}
+
+void JsonExchange::OnPiece(const proto::StreamPiece& piece, std::function<void()> more,
+                           const ExchangeEvents& events, std::size_t largest_answer) {
+  if (on_piece_) {
+    events.on_passed_on();
+    on_piece_(piece, std::move(more));
+    return;
+  }
+  answer_.set_run_id(piece.run_id());
+  answer_.mutable_text()->append(piece.text());
+  answer_.set_tokens(answer_.tokens() + (piece.text().empty() ? 0 : 1));
+  if (answer_.text().size() > largest_answer) {
+    GiveUpAsTooLarge(events);
+    return;
+  }
+  more();
+}
+
+void JsonExchange::GiveUpAsTooLarge(const ExchangeEvents& events) {
+  if (const auto attempt = attempt_.lock()) {
+    (void)attempt->Cancel();
+  }
+  AttemptResult result;
+  result.end = AttemptEnd::kUnknown;
+  result.final = true;
+  result.error.set_code("answer_too_large");
+  result.error.set_message("the answer is larger than this gateway keeps; ask for a stream");
+  events.on_done(std::move(result));
+}
+
+void JsonExchange::OnDone(AttemptResult result, const ExchangeEvents& events) {
+  if (result.end == AttemptEnd::kWhole) {
+    answer_.set_call_id(body_.call_id());
+  }
+  events.on_done(std::move(result));
+}
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/gateway/json_list_reader.cc
@@ -0,0 +1,83 @@
+#include <utility>
+
+#include "gateway/replica_list_reader.h"
+#include "json/json.h"
+
+namespace cloverbank {
+namespace {
+
+constexpr int kHttpOk = 200;
+constexpr int kHttpNotModified = 304;
+
+class JsonListReader final : public ReplicaListReader {
+ public:
+  JsonListReader(HttpClient& client, ReplicaListOptions options)
+      : client_(client), options_(std::move(options)) {}
+  ~JsonListReader() override {
+    if (call_ != nullptr) {
+      call_->Cancel();
+    }
+  }
+  JsonListReader(const JsonListReader&) = delete;
+  JsonListReader& operator=(const JsonListReader&) = delete;
+
+  void Read(Duration deadline, std::function<void(ListReading)> done) override {
+    HttpRequest request;
+    request.method = "GET";
+    request.path = options_.path;
+    if (!accepted_tag_.empty()) {
+      request.headers.emplace_back("If-None-Match", accepted_tag_);
+    }
+    call_ = client_.Call(
+        options_.endpoint, std::move(request), deadline,
+        [this, alive = std::weak_ptr<bool>(alive_), done = std::move(done)](
+            const HttpOutcome& outcome) {
+          if (!alive.expired()) {
+            done(Take(outcome));
+          }
+        });
+  }
+
+  void Accepted() override { accepted_tag_ = read_tag_; }
+
+ private:
+  ListReading Take(const HttpOutcome& outcome) {
+    ListReading reading;
+    if (outcome.kind != HttpOutcomeKind::kAnswered) {
+      reading.end = EndWithoutAnswer(outcome);
+      return reading;
+    }
+    if (outcome.response.status != kHttpOk) {
+      const bool unchanged = outcome.response.status == kHttpNotModified;
+      reading.end = unchanged ? ListReadEnd::kUnchanged : ListReadEnd::kRefused;
+      return reading;
+    }
+    const Status status =
+        FromJson(outcome.response.body, &reading.list, UnknownFields::kIgnore);
+    reading.end = status.ok() ? ListReadEnd::kRead : ListReadEnd::kMalformed;
+    reading.reason = status.message();
+    read_tag_ = std::string(FindHeader(outcome.response.headers, "etag"));
+    return reading;
+  }
+
+  HttpClient& client_;
+  ReplicaListOptions options_;
+  std::string read_tag_;
+  std::string accepted_tag_;
+  std::shared_ptr<HttpCall> call_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace
+
+ListReadEnd EndWithoutAnswer(const HttpOutcome& outcome) {
+  return outcome.kind == HttpOutcomeKind::kNotSent ? ListReadEnd::kNotConnected
+                                                   : ListReadEnd::kSilent;
+}
+
+std::unique_ptr<ReplicaListReader> MakeJsonListReader(HttpClient& client,
+                                                      const ReplicaListOptions& options) {
+  return std::make_unique<JsonListReader>(client, options);
+}
+
+}  // namespace cloverbank
--- a/src/gateway/live_call.cc
+++ b/src/gateway/live_call.cc
@@ -64,11 +64,11 @@
   }
 }
 
-KeptAnswer ToKept(const CallResult& result) {
+KeptAnswer ToKept(const CallResult& result, const proto::CallAnswer& answer) {
   KeptAnswer kept;
   kept.succeeded = result.succeeded;
   kept.http_status = result.http_status;
-  kept.answer = result.answer;
+  kept.answer = answer;
   kept.error = result.error;
   return kept;
 }
@@ -81,32 +81,40 @@
       kept_(kept),
       over_(std::move(over)) {}
 
-void LiveCall::Start(CallSpec spec) {
+void LiveCall::Start(CallSpec spec, proto::CallRequest body) {
   started_at_ = context_.attempt.environment.Now();
-  call_id_ = spec.body.call_id();
+  call_id_ = body.call_id();
   route_ = spec.route;
-  spec.pass_on = options_.stream;
   const std::weak_ptr<LiveCall> weak = weak_from_this();
-  CallEvents events;
-  events.on_piece = [weak](const proto::StreamPiece& piece, std::function<void()> more) {
+  JsonExchange::PieceHandler on_piece;
+  if (options_.stream) {
+    on_piece = [weak](const proto::StreamPiece& piece, std::function<void()> more) {
+      if (const auto self = weak.lock()) {
+        self->OnPiece(piece, std::move(more));
+      }
+    };
+  }
+  exchange_ = std::make_shared<JsonExchange>(std::move(body), std::move(on_piece));
+  spec.exchange = exchange_;
+  responder_->OnDisconnect([weak] {
     if (const auto self = weak.lock()) {
-      self->OnPiece(piece, std::move(more));
+      self->OnCallerGone();
     }
-  };
-  events.on_done = [weak](const CallResult& result) {
+  });
+  runner_ = std::make_shared<CallRunner>(context_, std::move(spec), [weak](const CallResult& result) {
     if (const auto self = weak.lock()) {
       self->OnDone(result);
     }
-  };
-  responder_->OnDisconnect([weak] {
-    if (const auto self = weak.lock()) {
-      self->OnCallerGone();
-    }
   });
-  runner_ = std::make_shared<CallRunner>(context_, std::move(spec), std::move(events));
   runner_->Start();
 }
 
+void LiveCall::TakeAnswer(const CallResult& result) {
+  if (result.succeeded) {
+    answer_ = exchange_->TakeAnswer();
+  }
+}
+
 void LiveCall::OnPiece(const proto::StreamPiece& piece, std::function<void()> more) {
   if (!stream_started_) {
     stream_started_ = true;
@@ -143,6 +151,7 @@
 }
 
 void LiveCall::OnDone(const CallResult& result) {
+  TakeAnswer(result);
   Remember(result);
   Count(result);
   if (caller_gone_) {
@@ -152,7 +161,7 @@
   if (options_.stream && (stream_started_ || result.succeeded)) {
     FinishStream(result);
   } else if (result.succeeded) {
-    SendAnswer(*responder_, result.answer);
+    SendAnswer(*responder_, answer_);
   } else {
     SendError(*responder_, result.http_status, result.error);
   }
@@ -170,7 +179,7 @@
 
 void LiveCall::FinishStream(const CallResult& result) {
   if (!stream_started_) {  // A service's whole answer to a caller that asked for a stream.
-    SendAsStream(*responder_, result.answer);
+    SendAsStream(*responder_, answer_);
     return;
   }
   if (!result.succeeded) {
@@ -208,7 +217,7 @@
   if (options_.idempotency_key.empty()) {
     return;
   }
-  KeptAnswer kept = ToKept(result);
+  KeptAnswer kept = ToKept(result, answer_);
   if (!result.succeeded && result.error.executed() == proto::EXECUTED_NO) {
     kept_.Forget(options_.idempotency_key, kept);
     return;
--- a/src/gateway/live_call.h
+++ b/src/gateway/live_call.h
@@ -9,14 +9,15 @@
 
 #include "gateway/call_runner.h"
 #include "gateway/idempotency_cache.h"
+#include "gateway/json_exchange.h"
 #include "net/http_types.h"
 
 namespace cloverbank {
 
 /// Sends what a kept or joined request ended with.
 void SendKept(HttpResponder& responder, const KeptAnswer& kept, bool stream);
-/// @return what is kept of a finished call.
-KeptAnswer ToKept(const CallResult& result);
+/// @return what is kept of a finished call. @param answer of one that succeeded.
+KeptAnswer ToKept(const CallResult& result, const proto::CallAnswer& answer);
 
 class LiveCall : public std::enable_shared_from_this<LiveCall> {
  public:
@@ -30,7 +31,8 @@
   LiveCall(const CallContext& context, std::shared_ptr<HttpResponder> responder, Options options,
            IdempotencyCache& kept, OverHandler over);
 
-  void Start(CallSpec spec);
+  /// @param spec lacks its exchange, which is made of `body`.
+  void Start(CallSpec spec, proto::CallRequest body);
 
  private:
   void OnPiece(const proto::StreamPiece& piece, std::function<void()> more);
@@ -39,6 +41,7 @@
   void OnCallerGone();
   void Count(const CallResult& result);
   void Remember(const CallResult& result);
+  void TakeAnswer(const CallResult& result);
   void CollectPiece(const proto::StreamPiece& piece);
   void Over();
 
@@ -47,7 +50,9 @@
   Options options_;
   IdempotencyCache& kept_;
   OverHandler over_;
+  std::shared_ptr<JsonExchange> exchange_;
   std::shared_ptr<CallRunner> runner_;
+  proto::CallAnswer answer_;  ///< Of a call that succeeded.
   std::string call_id_;
   std::string route_;
   std::string run_id_;
--- a/src/gateway/live_call_handler.cc
+++ b/src/gateway/live_call_handler.cc
@@ -156,14 +156,13 @@
   LiveCall::Options call_options;
   call_options.stream = body.stream();
   call_options.idempotency_key = key;
-  spec.body = std::move(body);
   const std::string call_id = NewCallId();
-  spec.body.set_call_id(call_id);
+  body.set_call_id(call_id);
   auto call = std::make_shared<LiveCall>(
       context_, responder, std::move(call_options), kept_,
       [this, call_id, name = route.name()] { OnCallOver(call_id, name); });
   calls_.emplace(call_id, call);
-  call->Start(std::move(spec));
+  call->Start(std::move(spec), std::move(body));
 }
 
 bool LiveCallHandler::TakeKey(const std::string& key, std::uint64_t fingerprint, bool stream,
--- /dev/null
+++ b/src/gateway/live_forward.h
@@ -0,0 +1,51 @@
+#pragma once
+/// @file
+/// The way back to the caller of one request that is passed on: a replica's answer as it is, or the
+/// final answer of a call that was given up. Threads: the owner's event loop only.
+
+#include <functional>
+#include <memory>
+
+#include "gateway/call_runner.h"
+#include "gateway/forward_exchange.h"
+#include "net/http_types.h"
+
+namespace cloverbank {
+
+/// Sends an error body with a time to come back, in seconds with fractions.
+void SendRefusal(HttpResponder& responder, int http_status, const proto::CallError& error);
+
+class LiveForward final : public ForwardSink, public std::enable_shared_from_this<LiveForward> {
+ public:
+  /// @param over runs once, after the caller was answered or left.
+  LiveForward(const CallContext& context, std::shared_ptr<HttpResponder> responder,
+              std::function<void()> over);
+
+  /// @param spec lacks its exchange, which is made of `call`.
+  void Start(CallSpec spec, ForwardCall call, const ReplicaHeaderNames& names);
+
+  // ForwardSink
+  void OnWhole(HttpResponse response) override;
+  void OnStreamHead(int status, HttpHeaders headers) override;
+  void OnEvent(StreamEvent event, std::function<void()> more) override;
+
+ private:
+  void OnDone(const CallResult& result);
+  void AnswerFailure(const CallResult& result);
+  void OnCallerGone();
+  void Count(const std::string& outcome);
+  void Over();
+
+  CallContext context_;
+  std::shared_ptr<HttpResponder> responder_;
+  std::function<void()> over_;
+  std::shared_ptr<ForwardExchange> exchange_;
+  std::shared_ptr<CallRunner> runner_;
+  std::string route_;
+  bool answered_ = false;
+  bool stream_started_ = false;
+  bool caller_gone_ = false;
+  TimePoint started_at_;
+};
+
+}  // namespace cloverbank
--- a/src/gateway/replica_backend_caller.cc
+++ b/src/gateway/replica_backend_caller.cc
@@ -1,7 +1,12 @@
 #include "gateway/replica_backend_caller.h"
 
+#include <algorithm>
 #include <utility>
 
+#include "gateway/event_collector.h"
+#include "gateway/forward_exchange.h"
+#include "gateway/json_exchange.h"
+
 namespace cloverbank {
 namespace {
 
@@ -9,7 +14,6 @@
   BackendOutcome outcome;
   outcome.succeeded = result.succeeded;
   outcome.executed = result.succeeded ? proto::EXECUTED_YES : result.error.executed();
-  outcome.answer = std::move(result.answer);
   outcome.error = std::move(result.error);
   return outcome;
 }
@@ -42,21 +46,62 @@
   spec.backend = route.backend();
   spec.priority = proto::PRIORITY_BATCH;
   spec.idempotent = route.idempotent();
-  spec.body = request;
+  spec.attempts = route.attempts();
   spec.deadline = context_.attempt.environment.Now() + deadline;
   spec.wait_until = spec.deadline;
   spec.work = WorkKind::kBatch;
   spec.may_start = [this, backend = route.backend(), may_start = std::move(may_start)] {
     return MayStartBatches(backend) && may_start();
   };
+  ReadAnswer read_answer;
+  spec.exchange = MakeExchange(route, request, &read_answer);
+  return Run(std::move(spec), std::move(read_answer), std::move(done));
+}
+
+std::shared_ptr<CallExchange> ReplicaBackendCaller::MakeExchange(const proto::Route& route,
+                                                                 const proto::CallRequest& request,
+                                                                 ReadAnswer* read_answer) const {
+  if (!request.has_forwarded()) {
+    const auto exchange = std::make_shared<JsonExchange>(request, nullptr);
+    *read_answer = [exchange](BackendOutcome* outcome) {
+      if (outcome->succeeded) {
+        outcome->answer = exchange->TakeAnswer();
+      }
+    };
+    return exchange;
+  }
+  ForwardCall call;
+  call.call_id = request.call_id();
+  call.prefix_key = request.prefix_key();
+  call.request = request.forwarded();
+  call.streamed = true;
+  call.resumable = true;
+  call.judge_failures = true;
+  const auto collector = std::make_shared<EventCollector>();
+  const auto exchange = std::make_shared<ForwardExchange>(std::move(call), names_, *collector);
+  *read_answer = [exchange, collector,
+                  attempts = std::max(1U, route.attempts())](BackendOutcome* outcome) {
+    if (outcome->succeeded) {
+      outcome->answer.set_text(collector->TakeText());
+    } else if (outcome->executed == proto::EXECUTED_YES && exchange->failures() < attempts) {
+      outcome->executed = proto::EXECUTED_UNKNOWN;  // It may be tried further.
+    }
+  };
+  return exchange;
+}
+
+std::shared_ptr<BackendCall> ReplicaBackendCaller::Run(CallSpec spec, ReadAnswer read_answer,
+                                                       std::function<void(BackendOutcome)> done) {
   const std::uint64_t id = next_item_++;
-  CallEvents events;
-  events.on_done = [this, id, done = std::move(done)](CallResult result) {
-    const auto finish = done;  // The next line may destroy this function.
+  const auto finish = [this, id, read_answer = std::move(read_answer),
+                       done = std::move(done)](CallResult result) {
+    BackendOutcome outcome = ToOutcome(std::move(result));
+    read_answer(&outcome);
+    const auto report = done;  // The next line may destroy this function.
     running_.erase(id);
-    finish(ToOutcome(std::move(result)));
+    report(std::move(outcome));
   };
-  const auto runner = std::make_shared<CallRunner>(context_, std::move(spec), std::move(events));
+  const auto runner = std::make_shared<CallRunner>(context_, std::move(spec), finish);
   running_.emplace(id, runner);
   runner->Start();
   return std::make_shared<BatchCall>([this, id, alive = std::weak_ptr<bool>(alive_)] {
--- a/src/gateway/replica_backend_caller.h
+++ b/src/gateway/replica_backend_caller.h
@@ -16,7 +16,9 @@
 
 class ReplicaBackendCaller final : public BackendCaller {
  public:
-  explicit ReplicaBackendCaller(const CallContext& context) : context_(context) {}
+  /// @param names of the headers of items that are passed on unchanged; must outlive the caller.
+  ReplicaBackendCaller(const CallContext& context, const ReplicaHeaderNames& names)
+      : context_(context), names_(names) {}
 
   std::uint32_t FreeBatchSlots(const std::string& backend) const override;
   std::shared_ptr<BackendCall> RunBatchItem(const proto::Route& route,
@@ -25,9 +27,18 @@
                                             std::function<void(BackendOutcome)> done) override;
 
  private:
+  /// Fills in the outcome of a call that ended.
+  using ReadAnswer = std::function<void(BackendOutcome*)>;
+
   bool MayStartBatches(const std::string& backend) const;
+  std::shared_ptr<CallExchange> MakeExchange(const proto::Route& route,
+                                             const proto::CallRequest& request,
+                                             ReadAnswer* read_answer) const;
+  std::shared_ptr<BackendCall> Run(CallSpec spec, ReadAnswer read_answer,
+                                   std::function<void(BackendOutcome)> done);
 
   CallContext context_;
+  const ReplicaHeaderNames& names_;
   std::uint64_t next_item_ = 1;
   std::unordered_map<std::uint64_t, std::shared_ptr<CallRunner>> running_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/gateway/replica_directory.h
+++ b/src/gateway/replica_directory.h
@@ -15,6 +15,7 @@
 
 #include "base/ids.h"
 #include "base/status.h"
+#include "base/time.h"
 #include "proto/live.pb.h"
 
 namespace cloverbank {
@@ -29,6 +30,7 @@
   std::uint32_t capacity = 1;  ///< Calls it runs at once; at least 1.
   std::string instance_id;     ///< New at each start of the replica.
   bool ready = false;          ///< False while draining.
+  Duration cold_left{};        ///< As of the list; zero once it is warm.
   bool operator==(const ReplicaRecord&) const = default;
 };
 
--- a/src/gateway/replica_health.cc
+++ b/src/gateway/replica_health.cc
@@ -19,6 +19,12 @@
   if (const Watch* previous = Find(id)) {
     fresh.in_flight = previous->in_flight;
   }
+  if (!options_.probed) {
+    fresh.condition = ReplicaCondition::kHealthy;
+    fresh.start_delay = Duration::zero();
+    fresh.at_work = true;
+    fresh.ramp_start = TimePoint() - options_.ramp_time;
+  }
   watches_[id] = fresh;
 }
 
@@ -56,9 +62,15 @@
   }
 }
 
-void ReplicaHealth::OnCallStarted(const std::string& id) {
-  if (Watch* watch = Find(id)) {
-    ++watch->in_flight;
+void ReplicaHealth::OnCallStarted(const std::string& id, TimePoint now) {
+  Watch* watch = Find(id);
+  if (watch == nullptr) {
+    return;
+  }
+  ++watch->in_flight;
+  const bool ejected = watch->condition == ReplicaCondition::kEjected;
+  if (!options_.probed && ejected && now >= watch->ejected_until) {
+    watch->condition = ReplicaCondition::kTrial;
   }
 }
 
@@ -154,8 +166,12 @@
       const bool trial_free = watch->in_flight == 0 && now >= watch->ejected_until;
       return trial_free ? Usability::kYes : Usability::kNo;
     }
+    case ReplicaCondition::kEjected: {
+      const bool trial_due =
+          !options_.probed && watch->in_flight == 0 && now >= watch->ejected_until;
+      return trial_due ? Usability::kYes : Usability::kNo;
+    }
     case ReplicaCondition::kUnproven:
-    case ReplicaCondition::kEjected:
       return Usability::kNo;
   }
   return Usability::kNo;
@@ -172,7 +188,9 @@
   if (watch == nullptr || capacity == 0) {
     return 0;
   }
-  if (watch->condition == ReplicaCondition::kTrial || !watch->at_work) {
+  const bool trial = watch->condition == ReplicaCondition::kTrial ||
+                     watch->condition == ReplicaCondition::kEjected;
+  if (trial || !watch->at_work) {
     return 1;
   }
   const Duration elapsed = now - watch->ramp_start;
--- a/src/gateway/replica_health.h
+++ b/src/gateway/replica_health.h
@@ -30,6 +30,9 @@
 namespace cloverbank {
 
 struct ReplicaHealthOptions {
+  /// Whether probes tell who is well. If not, a listed replica counts as well and warm until calls
+  /// show otherwise, and one call tries an ejected one again when its time is over.
+  bool probed = true;
   std::uint32_t failures_to_eject = 4;         ///< Consecutive failed answers (soft).
   std::uint32_t silences_to_eject = 2;         ///< Consecutive silent calls or probes (hard).
   std::uint32_t maximum_ejected_percent = 50;  ///< Of a back end's replicas, by soft evidence.
@@ -75,7 +78,7 @@
   /// It was seen at work, for this gateway or for others: its slow start begins, and a trial is
   /// over.
   void OnWorkSeen(const std::string& id, TimePoint now);
-  void OnCallStarted(const std::string& id);
+  void OnCallStarted(const std::string& id, TimePoint now);
   void OnCallEnded(const std::string& id, CallEnd end, TimePoint now);
   /// Time to the first byte of an answer.
   void OnLatency(const std::string& id, Duration latency);
--- a/src/gateway/replica_list_poller.cc
+++ b/src/gateway/replica_list_poller.cc
@@ -3,31 +3,25 @@
 #include <utility>
 
 #include "base/logging.h"
-#include "json/json.h"
 
 namespace cloverbank {
 namespace {
 
-constexpr int kHttpOk = 200;
-constexpr int kHttpNotModified = 304;
-constexpr std::string_view kUnchanged = "unchanged";
-constexpr std::string_view kChanged = "changed";
+std::unique_ptr<ReplicaListReader> MakeReader(HttpClient& client,
+                                              const ReplicaListOptions& options) {
+  return options.make_reader ? options.make_reader(client) : MakeJsonListReader(client, options);
+}
 
 }  // namespace
 
 ReplicaListPoller::ReplicaListPoller(Environment& environment, HttpClient& client,
                                      ReplicaListOptions options, ListHandler on_list)
     : environment_(environment),
-      client_(client),
       options_(std::move(options)),
+      reader_(MakeReader(client, options_)),
       on_list_(std::move(on_list)) {}
 
-ReplicaListPoller::~ReplicaListPoller() {
-  environment_.CancelTimer(timer_);
-  if (call_ != nullptr) {
-    call_->Cancel();
-  }
-}
+ReplicaListPoller::~ReplicaListPoller() { environment_.CancelTimer(timer_); }
 
 void ReplicaListPoller::Start() { Poll(); }
 
@@ -36,52 +30,47 @@
 }
 
 void ReplicaListPoller::Poll() {
-  HttpRequest request;
-  request.method = "GET";
-  request.path = options_.path;
-  if (!etag_.empty()) {
-    request.headers.emplace_back("If-None-Match", etag_);
-  }
   const TimePoint sent_at = environment_.Now();
-  const std::weak_ptr<bool> alive = alive_;
-  call_ = client_.Call(options_.endpoint, std::move(request), options_.deadline,
-                       [this, alive, sent_at](const HttpOutcome& outcome) {
-                         if (!alive.expired()) {
-                           OnOutcome(sent_at, outcome);
-                         }
-                       });
+  reader_->Read(options_.deadline, [this, alive = std::weak_ptr<bool>(alive_), sent_at](
+                                       const ListReading& reading) {
+    if (!alive.expired()) {
+      OnReading(sent_at, reading);
+    }
+  });
 }
 
-void ReplicaListPoller::OnOutcome(TimePoint sent_at, const HttpOutcome& outcome) {
-  const std::string result = Take(outcome);
+void ReplicaListPoller::OnReading(TimePoint sent_at, const ListReading& reading) {
+  const std::string result = Take(reading);
   environment_.metrics().Increment("gateway_replica_list_polls_total", {{"result", result}});
   polled_ = true;
   last_ended_sent_at_ = sent_at;
   ScheduleNext(sent_at);
 }
 
-std::string ReplicaListPoller::Take(const HttpOutcome& outcome) {
-  if (outcome.kind != HttpOutcomeKind::kAnswered) {
-    return outcome.kind == HttpOutcomeKind::kNotSent ? "not_connected" : "silent";
-  }
-  if (outcome.response.status == kHttpNotModified) {
-    return std::string(kUnchanged);
-  }
-  if (outcome.response.status != kHttpOk) {
-    return "refused";
-  }
-  proto::ReplicaList list;
-  Status status = FromJson(outcome.response.body, &list, UnknownFields::kIgnore);
-  if (status.ok()) {
-    status = on_list_(list);
+std::string ReplicaListPoller::Take(const ListReading& reading) {
+  switch (reading.end) {
+    case ListReadEnd::kUnchanged:
+      return "unchanged";
+    case ListReadEnd::kRefused:
+      return "refused";
+    case ListReadEnd::kNotConnected:
+      return "not_connected";
+    case ListReadEnd::kSilent:
+      return "silent";
+    case ListReadEnd::kMalformed:
+      Log(LogLevel::kWarning, "replica_list_unusable", {{"reason", reading.reason}});
+      return "malformed";
+    case ListReadEnd::kRead:
+      break;
   }
+  const Status status = on_list_(reading.list);
   if (!status.ok()) {
     Log(LogLevel::kWarning, "replica_list_unusable", {{"reason", status.message()}});
     return "malformed";
   }
-  etag_ = std::string(FindHeader(outcome.response.headers, "etag"));
+  reader_->Accepted();
   loaded_ = true;
-  return std::string(kChanged);
+  return "changed";
 }
 
 void ReplicaListPoller::ScheduleNext(TimePoint sent_at) {
--- a/src/gateway/replica_list_poller.h
+++ b/src/gateway/replica_list_poller.h
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "gateway/gateway_options.h"
+#include "gateway/replica_list_reader.h"
 #include "net/http_types.h"
 #include "proto/live.pb.h"
 #include "runtime/environment.h"
@@ -36,21 +37,19 @@
 
  private:
   void Poll();
-  void OnOutcome(TimePoint sent_at, const HttpOutcome& outcome);
+  void OnReading(TimePoint sent_at, const ListReading& reading);
   /// @return "unchanged", "changed", or why the list could not be read.
-  std::string Take(const HttpOutcome& outcome);
+  std::string Take(const ListReading& reading);
   void ScheduleNext(TimePoint sent_at);
 
   Environment& environment_;
-  HttpClient& client_;
   ReplicaListOptions options_;
+  std::unique_ptr<ReplicaListReader> reader_;
   ListHandler on_list_;
-  std::string etag_;
   bool loaded_ = false;
   TimePoint last_ended_sent_at_{};
   bool polled_ = false;
   TimerId timer_ = 0;
-  std::shared_ptr<HttpCall> call_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/gateway/replica_pool.cc
+++ b/src/gateway/replica_pool.cc
@@ -4,18 +4,28 @@
 #include <utility>
 
 #include "base/logging.h"
+#include "gateway/route_match.h"
 
 namespace cloverbank {
 namespace {
 
 constexpr Duration kEvaluationInterval = seconds(1);
+/// Between offers of room while calls are held back from cold replicas.
+constexpr Duration kColdOfferInterval = milliseconds(20);
 
 RouterOptions OptionsOfRouter(const GatewayOptions& options) {
   RouterOptions router;
   router.zone = options.zone;
+  router.load_reported = options.probe.enabled;
   return router;
 }
 
+ReplicaHealthOptions OptionsOfHealth(const GatewayOptions& options) {
+  ReplicaHealthOptions health = options.health;
+  health.probed = options.probe.enabled;
+  return health;
+}
+
 }  // namespace
 
 ReplicaPool::ReplicaPool(Environment& environment, HttpClient& client, const ServingRight& right,
@@ -24,28 +34,66 @@
       right_(right),
       own_zone_(options.zone),
       sharing_(options.sharing),
-      health_(options.health),
-      router_(OptionsOfRouter(options), directory_, health_, loads_),
+      health_(OptionsOfHealth(options)),
+      router_(OptionsOfRouter(options), directory_, health_, loads_, &cold_pacing_),
       poller_(environment, client, options.replica_list,
               [this](const proto::ReplicaList& list) { return OnList(list); }),
       prober_(environment, client, options.probe,
               [this](const std::string& id, const std::string& instance_id, bool answered,
                      const HttpHeaders& headers) { OnProbe(id, instance_id, answered, headers); }),
       cold_pacer_(options.sharing.first_cold_share, options.sharing.cold_share_growth),
-      batch_pacer_(options.sharing.first_batch_share, options.sharing.batch_share_growth) {}
+      batch_pacer_(options.sharing.first_batch_share, options.sharing.batch_share_growth),
+      probed_(options.probe.enabled) {}
 
-ReplicaPool::~ReplicaPool() { environment_.CancelTimer(evaluation_timer_); }
+ReplicaPool::~ReplicaPool() {
+  environment_.CancelTimer(evaluation_timer_);
+  environment_.CancelTimer(room_timer_);
+}
 
 void ReplicaPool::Start() {
   poller_.Start();
-  prober_.Start();
+  if (probed_) {
+    prober_.Start();
+  }
   EvaluateHealth();
 }
 
 void ReplicaPool::OnConfiguration() { RefreshActive({}); }
 
-RoutingChoice ReplicaPool::Choose(const RoutingQuery& query) const {
-  return router_.Choose(query, environment_.Now());
+RoutingChoice ReplicaPool::Choose(const RoutingQuery& query) {
+  const TimePoint now = environment_.Now();
+  const RoutingChoice choice = router_.Choose(query, now);
+  if (choice.replica == nullptr && cold_pacing_.AnyCold(now)) {
+    OfferRoomSoon();
+  }
+  return choice;
+}
+
+void ReplicaPool::OfferRoomSoon() {
+  if (room_timer_ != 0) {
+    return;
+  }
+  room_timer_ = environment_.ScheduleAfter(kColdOfferInterval, [this] {
+    room_timer_ = 0;
+    NotifyRoom();
+  });
+}
+
+void ReplicaPool::SetGatewayCount(std::uint32_t count) {
+  gateway_count_ = std::max(1U, count);
+  router_.SetGatewayCount(gateway_count_);
+}
+
+void ReplicaPool::TakeColdTimes() {
+  const TimePoint now = environment_.Now();
+  for (const auto& [id, record] : directory_.records()) {
+    const proto::Backend* backend = FindBackend(right_.configuration(), record.backend);
+    const bool bounded = backend != nullptr && backend->cold_calls_per_second() > 0;
+    if (bounded && record.cold_left > Duration::zero()) {
+      cold_pacing_.SetCold(id, backend->cold_calls_per_second() / gateway_count_,
+                           now + record.cold_left, now);
+    }
+  }
 }
 
 std::uint32_t ReplicaPool::FreeBatchSlots(const std::string& backend) const {
@@ -55,12 +103,18 @@
 bool ReplicaPool::MaySend(const ReplicaUse& use, const proto::Route& route) const {
   const ReplicaRecord* record = directory_.Find(use.id);
   const bool listed = record != nullptr && record->ready && record->instance_id == use.instance_id;
-  return list_usable() && listed && ZoneServes(right_.configuration(), route, record->zone);
+  if (!listed) {
+    return false;
+  }
+  const bool chosen =
+      route.backend_kind() != proto::BACKEND_KIND_HTTP || AllowsBackend(route, record->backend);
+  return list_usable() && chosen && ZoneServes(right_.configuration(), route, record->zone);
 }
 
 void ReplicaPool::OnCallStarted(const ReplicaUse& use) {
   loads_[use.id].OnStart(use.work);
-  health_.OnCallStarted(use.id);
+  cold_pacing_.OnStart(use.id, environment_.Now());
+  health_.OnCallStarted(use.id, environment_.Now());
 }
 
 void ReplicaPool::OnCallEnded(const ReplicaUse& use, CallEnd end) {
@@ -115,6 +169,7 @@
        {"cold", change->cold.size()},
        {"stopped", change->stopped.size()},
        {"removed", change->removed.size()}});
+  TakeColdTimes();
   RefreshActive(change->cold);
   return Status::Ok();
 }
@@ -167,7 +222,9 @@
     const ReplicaRecord* record = directory_.Find(id);
     targets.push_back({id, record->endpoint, record->instance_id});
   }
-  prober_.SetTargets(targets, nearest_first);
+  if (probed_) {
+    prober_.SetTargets(targets, nearest_first);
+  }
 }
 
 void ReplicaPool::OnProbe(const std::string& id, const std::string& instance_id, bool answered,
--- a/src/gateway/replica_pool.h
+++ b/src/gateway/replica_pool.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "gateway/cold_pacing.h"
 #include "gateway/gateway_options.h"
 #include "gateway/replica_directory.h"
 #include "gateway/replica_health.h"
@@ -43,7 +44,7 @@
   /// To be called when a newer configuration was taken: zones may have opened or closed.
   void OnConfiguration();
 
-  RoutingChoice Choose(const RoutingQuery& query) const;
+  RoutingChoice Choose(const RoutingQuery& query);
   std::uint32_t FreeBatchSlots(const std::string& backend) const;
   /// Whether a call of `route` may go to this life of a replica at this very moment: listed as
   /// ready in a list that is fresh, and in a zone that is open and allowed.
@@ -54,6 +55,9 @@
   /// The head of an answer came, `latency` after the request was sent.
   void OnAnswerHead(const ReplicaUse& use, const HttpHeaders& headers, Duration latency);
 
+  /// Among how many gateways what cold replicas and batch work may take is divided.
+  void SetGatewayCount(std::uint32_t count);
+
   /// Runs when a replica may have got room that it had not before.
   void OnRoom(std::function<void()> observer) { on_room_ = std::move(observer); }
   /// Expires with the pool, for calls whose connection outlives it.
@@ -78,6 +82,9 @@
   void GrantAllowances(const std::string& id);
   void GrantBatch(const ReplicaRecord& record, ReplicaLoad& load, TimePoint now);
   void GrantCold(const ReplicaRecord& record, ReplicaLoad& load, TimePoint now);
+  void TakeColdTimes();
+  /// Offers room again soon: time alone gives some while replicas are cold.
+  void OfferRoomSoon();
   void EvaluateHealth();
   void PublishMetrics();
   void NotifyRoom();
@@ -89,6 +96,7 @@
   ReplicaDirectory directory_;
   ReplicaHealth health_;
   LoadTable loads_;
+  ColdPacing cold_pacing_;
   Router router_;
   ReplicaListPoller poller_;
   ReplicaProber prober_;
@@ -99,6 +107,9 @@
   bool activated_ = false;             ///< Whether a list and a configuration were there together.
   std::function<void()> on_room_;
   TimerId evaluation_timer_ = 0;
+  TimerId room_timer_ = 0;
+  std::uint32_t gateway_count_ = 1;
+  const bool probed_;
   std::shared_ptr<const void> lifetime_ = std::make_shared<int>(0);
 };
 
--- a/src/gateway/retry_policy.cc
+++ b/src/gateway/retry_policy.cc
@@ -39,7 +39,7 @@
       if (passed_on_) {
         return {};
       }
-      if (attempts_left) {
+      if (attempts_left || attempts_since_wait_ < options_.maximum_refusals) {
         return {RetryAction::kSendElsewhere, {}};
       }
       attempts_since_wait_ = 0;
@@ -51,7 +51,9 @@
       executed_ = executed_ == proto::EXECUTED_UNKNOWN ? executed_ : proto::EXECUTED_YES;
       break;
   }
-  const bool retries_left = attempts_left && retries_ + 1 < options_.maximum_attempts;
+  // Refusals do not count where a call has attempts of its own: nothing ran there.
+  const bool counted = options_.maximum_refusals == 0;
+  const bool retries_left = (attempts_left || !counted) && retries_ + 1 < options_.maximum_attempts;
   if (passed_on_ || !repeatable || !retries_left || !budget_.TakeRetry()) {
     return {};
   }
--- /dev/null
+++ b/src/gateway/route_match.cc
@@ -0,0 +1,60 @@
+#include "gateway/route_match.h"
+
+#include <algorithm>
+
+#include "gateway/http_headers.h"
+
+namespace cloverbank {
+const proto::Route* MatchRoute(const proto::RoutingConfiguration& configuration,
+                               std::string_view host, std::string_view path) {
+  const proto::Route* best = nullptr;
+  for (const proto::Route& route : configuration.routes()) {
+    const bool longer =
+        best == nullptr || route.path_prefix().size() > best->path_prefix().size();
+    if (route.backend_kind() == proto::BACKEND_KIND_HTTP && longer &&
+        path.substr(0, route.path_prefix().size()) == route.path_prefix() &&
+        EqualIgnoringCase(route.host(), host)) {
+      best = &route;
+    }
+  }
+  return best;
+}
+
+std::string ChooseBackend(const proto::Route& route, std::uint64_t draw) {
+  std::uint64_t total = 0;
+  for (const proto::WeightedBackend& share : route.split()) {
+    total += share.weight();
+  }
+  if (total == 0) {
+    return route.backend();
+  }
+  std::uint64_t place = draw % total;
+  for (const proto::WeightedBackend& share : route.split()) {
+    if (place < share.weight()) {
+      return share.backend();
+    }
+    place -= share.weight();
+  }
+  return route.backend();
+}
+
+bool AllowsBackend(const proto::Route& route, std::string_view backend) {
+  if (route.split().empty()) {
+    return route.backend() == backend;
+  }
+  return std::any_of(route.split().begin(), route.split().end(),
+                     [backend](const proto::WeightedBackend& share) {
+                       return share.weight() > 0 && share.backend() == backend;
+                     });
+}
+
+const proto::Backend* FindBackend(const proto::RoutingConfiguration& configuration,
+                                  std::string_view name) {
+  const auto found = std::lower_bound(
+      configuration.backends().begin(), configuration.backends().end(), name,
+      [](const proto::Backend& backend, std::string_view key) { return backend.name() < key; });
+  const bool there = found != configuration.backends().end() && found->name() == name;
+  return there ? &*found : nullptr;
+}
+
+}  // namespace cloverbank
--- a/src/gateway/router.cc
+++ b/src/gateway/router.cc
@@ -104,7 +104,8 @@
   std::vector<Candidate> candidates;
   bool open = false;
   bool healthy = false;
-  const auto& ready = directory_.Ready(query.route->backend_kind(), query.route->backend());
+  const std::string backend(query.backend.empty() ? query.route->backend() : query.backend);
+  const auto& ready = directory_.Ready(query.route->backend_kind(), backend);
   for (const ReplicaRecord* replica : ready) {
     if (!ZoneServes(*query.configuration, *query.route, replica->zone)) {
       continue;
@@ -146,7 +147,10 @@
   const bool excluded = query.excluded != nullptr &&
                         std::find(query.excluded->begin(), query.excluded->end(), replica.id) !=
                             query.excluded->end();
-  const bool held_back = health_.Ramping(replica.id, now) && load.cold_allowance(now) == 0;
+  const bool allowance_spent = options_.load_reported && health_.Ramping(replica.id, now) &&
+                               load.cold_allowance(now) == 0;
+  const bool paced = cold_ != nullptr && !cold_->MayStart(replica.id, now);
+  const bool held_back = allowance_spent || paced;
   const bool barred = excluded || held_back || load.Refusing(now);
   candidate.has_room = candidate.load < candidate.limit && !barred;
   if (query.work == WorkKind::kBatch) {
@@ -181,7 +185,8 @@
 std::uint32_t Router::FreeBatchSlots(const proto::RoutingConfiguration& configuration,
                                      const std::string& backend, TimePoint now) const {
   std::uint32_t slots = 0;
-  for (const proto::BackendKind kind : {proto::BACKEND_KIND_MODEL, proto::BACKEND_KIND_SERVICE}) {
+  for (const proto::BackendKind kind :
+       {proto::BACKEND_KIND_MODEL, proto::BACKEND_KIND_SERVICE, proto::BACKEND_KIND_HTTP}) {
     for (const ReplicaRecord* replica : directory_.Ready(kind, backend)) {
       const proto::Zone* zone = FindZone(configuration, replica->zone);
       const bool open = zone != nullptr && zone->state() == proto::ZONE_STATE_OPEN;
@@ -196,6 +201,11 @@
                                 const proto::RoutingConfiguration& configuration,
                                 TimePoint now) const {
   const auto found = loads_.find(replica.id);
+  if (!options_.load_reported) {
+    const bool refusing = found != loads_.end() && found->second.Refusing(now);
+    const bool paced = cold_ != nullptr && !cold_->MayStart(replica.id, now);
+    return refusing || paced ? 0 : UnreportedHeadroom(replica, configuration, now).free;
+  }
   if (found == loads_.end() || found->second.Refusing(now)) {
     return 0;
   }
@@ -207,6 +217,19 @@
   return room;
 }
 
+Router::BatchHeadroom Router::UnreportedHeadroom(const ReplicaRecord& replica,
+                                                const proto::RoutingConfiguration& configuration,
+                                                TimePoint now) const {
+  const auto found = loads_.find(replica.id);
+  const std::uint32_t own = found == loads_.end() ? 0 : found->second.own();
+  const std::uint32_t all = replica.capacity * HeadroomPercent(configuration) / kPercent;
+  BatchHeadroom headroom;
+  headroom.bound = std::min(std::max(1U, all / gateway_count_),
+                            health_.LimitOf(replica.id, replica.capacity, now));
+  headroom.free = headroom.bound - std::min(headroom.bound, own);
+  return headroom;
+}
+
 Router::BatchHeadroom Router::HeadroomOf(const ReplicaRecord& replica,
                                          const proto::RoutingConfiguration& configuration,
                                          TimePoint now) const {
--- a/src/gateway/router.h
+++ b/src/gateway/router.h
@@ -7,6 +7,7 @@
 /// Sources: Thaler and Ravishankar, "Using name-based mappings to increase hit rates" (rendezvous
 /// hashing); Mirrokni, Thorup and Zadimoghaddam, "Consistent Hashing with Bounded Loads".
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -14,6 +15,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "gateway/cold_pacing.h"
 #include "gateway/replica_directory.h"
 #include "gateway/replica_health.h"
 #include "gateway/replica_load.h"
@@ -29,11 +31,15 @@
   double affinity_bound = 1.25;      ///< Most load of the affine replica, in times of the average.
   std::uint32_t affinity_slack = 1;  ///< Calls above the bound that are always allowed.
   double busy_share = 0.8;  ///< Of its limit, from which on calls rather go to another zone.
+  /// Whether replicas report their load. If not, room for batch work is an equal part for each
+  /// gateway, and slow start is left to `ColdPacing`.
+  bool load_reported = true;
 };
 
 struct RoutingQuery {
   const proto::RoutingConfiguration* configuration = nullptr;
   const proto::Route* route = nullptr;
+  std::string_view backend = {};  ///< Of the route's split; empty takes the route's only one.
   std::string_view prefix_key;                         ///< Empty: no affinity.
   const std::vector<std::string>* excluded = nullptr;  ///< Replicas tried before; may be null.
   WorkKind work = WorkKind::kLive;
@@ -71,9 +77,17 @@
 
 class Router {
  public:
+  /// @param cold may be nullptr. All referred to must outlive the router.
   Router(RouterOptions options, const ReplicaDirectory& directory, const ReplicaHealth& health,
-         const LoadTable& loads)
-      : options_(std::move(options)), directory_(directory), health_(health), loads_(loads) {}
+         const LoadTable& loads, const ColdPacing* cold = nullptr)
+      : options_(std::move(options)),
+        directory_(directory),
+        health_(health),
+        loads_(loads),
+        cold_(cold) {}
+
+  /// Among how many gateways the room for batch work is divided; only if loads are not reported.
+  void SetGatewayCount(std::uint32_t count) { gateway_count_ = std::max(1U, count); }
 
   RoutingChoice Choose(const RoutingQuery& query, TimePoint now) const;
 
@@ -108,6 +122,10 @@
   /// everywhere else. Suspects come after all others.
   std::uint32_t RankOf(const Candidate& candidate,
                        const proto::RoutingConfiguration& configuration) const;
+  /// Room that is known without reports: this gateway's part of the bound, less its own calls.
+  BatchHeadroom UnreportedHeadroom(const ReplicaRecord& replica,
+                                   const proto::RoutingConfiguration& configuration,
+                                   TimePoint now) const;
   const Candidate* ChooseAffine(const std::vector<Candidate>& candidates,
                                 std::string_view prefix_key) const;
 
@@ -115,6 +133,8 @@
   const ReplicaDirectory& directory_;
   const ReplicaHealth& health_;
   const LoadTable& loads_;
+  const ColdPacing* cold_;
+  std::uint32_t gateway_count_ = 1;
 };
 
 }  // namespace cloverbank
--- a/src/gateway/service_attempt.cc
+++ b/src/gateway/service_attempt.cc
@@ -14,7 +14,7 @@
 class ServiceAttempt final : public CallAttempt,
                              public std::enable_shared_from_this<ServiceAttempt> {
  public:
-  ServiceAttempt(const AttemptContext& context, AttemptRequest request, AttemptCallbacks callbacks)
+  ServiceAttempt(const AttemptContext& context, JsonAttemptRequest request, JsonAttemptCallbacks callbacks)
       : context_(context), request_(std::move(request)), callbacks_(std::move(callbacks)) {}
 
   void Start() override {
@@ -101,8 +101,8 @@
   }
 
   AttemptContext context_;
-  AttemptRequest request_;
-  AttemptCallbacks callbacks_;
+  JsonAttemptRequest request_;
+  JsonAttemptCallbacks callbacks_;
   std::shared_ptr<HttpCall> call_;
   TimePoint sent_at_;
   bool asked_ = false;  ///< Whether `may_send` was asked: nothing was sent before.
@@ -113,8 +113,8 @@
 }  // namespace
 
 std::shared_ptr<CallAttempt> MakeServiceAttempt(const AttemptContext& context,
-                                                AttemptRequest request,
-                                                AttemptCallbacks callbacks) {
+                                                JsonAttemptRequest request,
+                                                JsonAttemptCallbacks callbacks) {
   return std::make_shared<ServiceAttempt>(context, std::move(request), std::move(callbacks));
 }
 
--- a/src/gateway/stream_attempt.cc
+++ b/src/gateway/stream_attempt.cc
@@ -18,7 +18,7 @@
 /// further until the last one was taken.
 class StreamAttempt final : public CallAttempt, public std::enable_shared_from_this<StreamAttempt> {
  public:
-  StreamAttempt(const AttemptContext& context, AttemptRequest request, AttemptCallbacks callbacks)
+  StreamAttempt(const AttemptContext& context, JsonAttemptRequest request, JsonAttemptCallbacks callbacks)
       : context_(context),
         request_(std::move(request)),
         callbacks_(std::move(callbacks)),
@@ -220,7 +220,7 @@
     context_.environment.metrics().Increment("gateway_stream_faults_total", {{"fault", fault}});
     Log(LogLevel::kWarning, "stream_broken",
         {{"call_id", request_.body.call_id()}, {"replica", request_.use.id}, {"fault", fault}});
-    AttemptResult result;
+    JsonAttemptResult result;
     result.end = AttemptEnd::kUnknown;
     result.error.set_code("stream_broken");
     result.error.set_message("the replica's stream was not one unbroken run: " +
@@ -229,7 +229,7 @@
   }
 
   void FinishReported(const proto::CallError& error) {
-    AttemptResult result;
+    JsonAttemptResult result;
     result.end = AttemptEnd::kUnknown;
     if (error.executed() == proto::EXECUTED_NO && check_.next_sequence() == 1) {
       result.end = AttemptEnd::kNotRun;
@@ -251,12 +251,12 @@
     if (read_on_) {
       std::exchange(read_on_, nullptr)();
     }
-    AttemptResult result;
+    JsonAttemptResult result;
     result.end = AttemptEnd::kWhole;
     callbacks_.on_done(std::move(result));
   }
 
-  void Finish(AttemptResult result, CallEnd health) {
+  void Finish(JsonAttemptResult result, CallEnd health) {
     done_ = true;
     if (!outcome_) {
       CloseUpstream();
@@ -280,8 +280,8 @@
   }
 
   AttemptContext context_;
-  AttemptRequest request_;
-  AttemptCallbacks callbacks_;
+  JsonAttemptRequest request_;
+  JsonAttemptCallbacks callbacks_;
   std::weak_ptr<const void> pool_lifetime_;
   StreamCheck check_;
   LineReader lines_;
@@ -302,7 +302,7 @@
 }  // namespace
 
 std::shared_ptr<CallAttempt> MakeStreamAttempt(const AttemptContext& context,
-                                               AttemptRequest request, AttemptCallbacks callbacks) {
+                                               JsonAttemptRequest request, JsonAttemptCallbacks callbacks) {
   return std::make_shared<StreamAttempt>(context, std::move(request), std::move(callbacks));
 }
 
--- a/tests/gateway/gateway_harness.h
+++ b/tests/gateway/gateway_harness.h
@@ -63,7 +63,7 @@
     const CallContext context{
         {environment, client, *pool, options.calls}, right, *queue, budget, options.retry};
     live = std::make_unique<LiveCallHandler>(context, options);
-    batch = std::make_unique<ReplicaBackendCaller>(context);
+    batch = std::make_unique<ReplicaBackendCaller>(context, options.forward_headers);
     pool->OnRoom([this] { queue->DispatchSoon(); });
     live->Register(router);
   }
--- a/tests/gateway/replica_health_test.cc
+++ b/tests/gateway/replica_health_test.cc
@@ -14,7 +14,7 @@
     health_.OnProbe(id, true, warm, now_);
   }
   void End(const std::string& id, CallEnd end) {
-    health_.OnCallStarted(id);
+    health_.OnCallStarted(id, now_);
     health_.OnCallEnded(id, end, now_);
   }
   Usability Use(const std::string& id) { return health_.UsabilityOf(id, now_); }
@@ -50,7 +50,7 @@
   EXPECT_EQ(Use("x"), Usability::kNo);  // Not before a good probe.
   health_.OnProbe("x", true, false, now_);
   EXPECT_EQ(Use("x"), Usability::kYes);
-  health_.OnCallStarted("x");
+  health_.OnCallStarted("x", now_);
   EXPECT_EQ(Use("x"), Usability::kNo);  // One trial at a time.
   health_.OnCallEnded("x", CallEnd::kSuccess, now_);
   EXPECT_EQ(health_.ConditionOf("x"), ReplicaCondition::kHealthy);
@@ -155,7 +155,7 @@
     if (random() % 3 == 0) {
       health_.OnProbe(id, random() % 4 != 0, false, now_);
     } else if (use != Usability::kNo && random() % 2 == 0) {
-      health_.OnCallStarted(id);
+      health_.OnCallStarted(id, now_);
       ++in_flight[id];
     } else if (in_flight[id] > 0) {
       --in_flight[id];
