Teach the daemon front interfaces, planned stops and the adapter's settings

Change: front.*, seeds.port, node.zones, node.stop_*, control.form_group, control.serve_without_control_ms, platform.adapter, platform.probe_replicas; SIGHUP rereads the file.

--- a/apps/cloverbankd/daemon.cc
+++ b/apps/cloverbankd/daemon.cc
@@ -21,6 +21,17 @@
   return options;
 }
 
+std::unique_ptr<BeastHttpServer> MakeFrontServer(EventLoop& loop, const Settings& settings,
+                                                 const Endpoint& listen, Metrics& metrics,
+                                                 const FaultInjector& faults) {
+  if (!listen.valid()) {
+    return nullptr;
+  }
+  HttpServerOptions options = ClientServerOptions(settings);
+  options.listen = listen;
+  return std::make_unique<BeastHttpServer>(loop, options, metrics, &faults);
+}
+
 }  // namespace
 
 Daemon::Daemon(Settings settings, DaemonOptions options)
@@ -31,11 +42,20 @@
                                                        metrics_, &faults_)),
       peer_server_(std::make_unique<BeastHttpServer>(loop_, PeerServerOptions(settings_), metrics_,
                                                      &faults_)),
+      front_calls_(
+          MakeFrontServer(loop_, settings_, settings_.front_calls, metrics_, faults_)),
+      front_ready_(
+          MakeFrontServer(loop_, settings_, settings_.front_ready, metrics_, faults_)),
+      front_control_(
+          MakeFrontServer(loop_, settings_, settings_.front_control, metrics_, faults_)),
       environment_(std::make_unique<AsioEnvironment>(loop_, *client_, *peer_server_, settings_.peer,
                                                      metrics_)) {}
 
 Daemon::~Daemon() {
   // Callbacks of calls under way refer to the roles: drop them before the roles go.
+  front_calls_.reset();
+  front_ready_.reset();
+  front_control_.reset();
   client_server_.reset();
   peer_server_.reset();
   client_->CancelAll();
@@ -49,6 +69,7 @@
     Log(LogLevel::kInfo, "stop_signal", {{"signal", signal}});
     RequestStop();
   });
+  loop_.OnReloadSignal([this] { ReloadSettings(); });
   ServeProcessStatus(*client_server_, metrics_, [this] { return Readiness(); });
   if (options_.allow_fault_injection) {
     faults_.ServeAdmin(*client_server_);
@@ -57,13 +78,45 @@
   if (started.ok()) {
     started = StartRoles();
   }
-  if (started.ok()) {
-    started = peer_server_->Listen();
+  return started.ok() ? ListenAll() : started;
+}
+
+std::vector<BeastHttpServer*> Daemon::CallerServers() const {
+  std::vector<BeastHttpServer*> servers;
+  for (BeastHttpServer* server :
+       {front_calls_.get(), front_control_.get(), client_server_.get()}) {
+    if (server != nullptr) {
+      servers.push_back(server);
+    }
   }
-  if (started.ok()) {
-    started = client_server_->Listen();
+  return servers;
+}
+
+Status Daemon::ListenAll() {
+  std::vector<BeastHttpServer*> servers = CallerServers();
+  servers.insert(servers.begin(), peer_server_.get());
+  if (front_ready_ != nullptr) {
+    servers.push_back(front_ready_.get());
   }
-  return started;
+  for (BeastHttpServer* server : servers) {
+    if (Status listening = server->Listen(); !listening.ok()) {
+      return listening;
+    }
+  }
+  return Status::Ok();
+}
+
+void Daemon::ReloadSettings() {
+  Result<Settings> read = LoadSettings(options_.settings_path, {}, nullptr);
+  if (!read.ok()) {
+    Log(LogLevel::kWarning, "settings_not_reread", {{"reason", read.status().message()}});
+    return;
+  }
+  // Addresses and roles are of one process life; what may change within it is the logging.
+  LoggingOptions logging = read->logging;
+  logging.node_name = settings_.machine;
+  ConfigureLogging(logging);
+  Log(LogLevel::kInfo, "settings_reread", {{"path", options_.settings_path}});
 }
 
 Status Daemon::OpenDataFolder() {
@@ -77,9 +130,15 @@
 }
 
 Status Daemon::StartRoles() {
-  const RoleContext context{settings_,          *environment_,
-                            *client_,           *client_server_,
-                            data_folder_.get(), [this](const Status& status) { Fail(status); }};
+  const RoleContext context{
+      settings_,
+      *environment_,
+      *client_,
+      *client_server_,
+      {front_calls_.get(), front_ready_.get(), front_control_.get()},
+      [this] { return !stopping_; },
+      data_folder_.get(),
+      [this](const Status& status) { Fail(status); }};
   const std::vector<std::pair<bool, std::unique_ptr<Role> (*)(const RoleContext&)>> makers = {
       {settings_.roles.coordinator, &MakeCoordinatorRole},
       {settings_.roles.backup, &MakeBackupRole},
@@ -124,14 +183,22 @@
     return;
   }
   stopping_ = true;
-  stop_deadline_ = EventLoop::Now() + options_.stop_grace;
+  stop_deadline_ = EventLoop::Now() + settings_.stop_grace;
   for (const auto& role : roles_) {
     role->Drain();
   }
-  client_server_->Drain([this] { server_idle_ = true; });
+  // The front interfaces take new callers until the platform sends them elsewhere.
+  servers_draining_ = CallerServers().size();
+  loop_.ScheduleAfter(settings_.stop_linger, [this] { DrainServers(); });
   StopWhenDrained();
 }
 
+void Daemon::DrainServers() {
+  for (BeastHttpServer* server : CallerServers()) {
+    server->Drain([this] { --servers_draining_; });
+  }
+}
+
 void Daemon::StopWhenDrained() {
   const std::string undrained = UndrainedParts();
   const bool out_of_time = EventLoop::Now() >= stop_deadline_;
@@ -147,7 +214,7 @@
 }
 
 std::string Daemon::UndrainedParts() const {
-  std::string parts = server_idle_ ? "" : "client_server";
+  std::string parts = servers_draining_ == 0 ? "" : "servers";
   for (const auto& role : roles_) {
     if (!role->Drained()) {
       parts += (parts.empty() ? "" : ",") + std::string(role->name());
--- a/apps/cloverbankd/daemon.h
+++ b/apps/cloverbankd/daemon.h
@@ -22,8 +22,8 @@
 
 struct DaemonOptions {
   bool allow_fault_injection = false;
-  /// How long a clean stop waits for calls under way.
-  Duration stop_grace = seconds(5);
+  /// Where the settings came from, to be read again at SIGHUP; empty if nowhere.
+  std::string settings_path = {};
 };
 
 class Daemon {
@@ -44,6 +44,11 @@
  private:
   Status OpenDataFolder();
   Status StartRoles();
+  Status ListenAll();
+  /// @return the servers that exist, those of the front interfaces first.
+  std::vector<BeastHttpServer*> CallerServers() const;
+  void DrainServers();
+  void ReloadSettings();
   void Fail(const Status& status);
   void StopWhenDrained();
   /// @return what a clean stop still waits for; empty when nothing is left.
@@ -59,12 +64,16 @@
   std::unique_ptr<BeastHttpClient> client_;
   std::unique_ptr<BeastHttpServer> client_server_;
   std::unique_ptr<BeastHttpServer> peer_server_;
+  /// Front interfaces; null where the settings name none.
+  std::unique_ptr<BeastHttpServer> front_calls_;
+  std::unique_ptr<BeastHttpServer> front_ready_;
+  std::unique_ptr<BeastHttpServer> front_control_;
   std::unique_ptr<AsioEnvironment> environment_;
   std::unique_ptr<PosixDataFolder> data_folder_;
   std::vector<std::unique_ptr<Role>> roles_;
 
   bool stopping_ = false;
-  bool server_idle_ = false;
+  std::size_t servers_draining_ = 0;  ///< Servers of callers with answers under way.
   TimePoint stop_deadline_;
   int exit_code_ = 0;
 };
--- a/apps/cloverbankd/gateway_role.cc
+++ b/apps/cloverbankd/gateway_role.cc
@@ -2,6 +2,7 @@
 #include "cloverbankd/node_readiness.h"
 #include "cloverbankd/role.h"
 #include "gateway/gateway_service.h"
+#include "platform/adapter.h"
 
 namespace cloverbank {
 namespace {
@@ -11,6 +12,11 @@
   options.zone = settings.zone;
   options.replica_list.endpoint = settings.replica_list;
   options.replica_list.interval = settings.poll_interval;
+  options.probe.enabled = settings.probe_replicas;
+  options.serve_without_control = settings.serve_without_control;
+  if (settings.platform_adapter) {
+    platform::Adapt(&options);
+  }
   return options;
 }
 
@@ -19,7 +25,18 @@
   explicit GatewayRole(const RoleContext& context)
       : agent_(context.environment, MakeAgentOptions(context.settings, proto::ROLE_GATEWAY)),
         service_(context.environment, context.client, context.client_router, agent_,
-                 MakeGatewayOptions(context.settings)) {}
+                 MakeGatewayOptions(context.settings)),
+        front_(context.front),
+        linger_(context.settings.stop_linger),
+        environment_(context.environment) {
+    if (context.settings.platform_adapter) {
+      adapter_ = std::make_unique<platform::Adapter>(
+          context.environment, service_, agent_, context.front,
+          [this, taking = context.taking_callers] { return taking() && service_.Ready(nullptr); },
+          context.settings.zone_regions);
+    }
+    agent_.OnConfiguration([this] { TakeLimits(); });
+  }
 
   std::string_view name() const override { return "gateway"; }
 
@@ -37,12 +54,41 @@
     return service_.Ready(&reason) ? std::nullopt : std::optional(reason);
   }
 
-  void Drain() override { service_.Drain(); }
-  bool Drained() const override { return service_.Drained(); }
+  void Drain() override {
+    service_.Drain();
+    for (BeastHttpServer* server : {front_.calls, front_.control}) {
+      if (server != nullptr) {
+        server->EndConnections();
+      }
+    }
+    linger_until_ = environment_.Now() + linger_;
+  }
+  bool Drained() const override {
+    return service_.Drained() && environment_.Now() >= linger_until_;
+  }
 
  private:
+  /// What callers may send is part of the configuration.
+  void TakeLimits() {
+    if (front_.calls == nullptr || !agent_.configuration().document().has_limits()) {
+      return;
+    }
+    const proto::CallerLimits& configured = agent_.configuration().document().limits();
+    CallerBounds bounds;
+    bounds.maximum_header_bytes = configured.header_bytes();
+    bounds.maximum_body_bytes = configured.body_bytes();
+    bounds.header_timeout = milliseconds(configured.header_timeout_ms());
+    bounds.idle_timeout = milliseconds(configured.idle_timeout_ms());
+    front_.calls->SetBounds(bounds);
+  }
+
   NodeAgent agent_;
   GatewayService service_;
+  const FrontServers front_;
+  const Duration linger_;
+  Environment& environment_;
+  TimePoint linger_until_{};
+  std::unique_ptr<platform::Adapter> adapter_;  ///< Only if the settings ask for it.
 };
 
 }  // namespace
--- a/apps/cloverbankd/main.cc
+++ b/apps/cloverbankd/main.cc
@@ -2,6 +2,7 @@
 #include <CLI/CLI.hpp>
 #include <exception>
 #include <iostream>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -13,6 +14,7 @@
 namespace {
 
 constexpr int kStartFailed = 1;
+constexpr std::uint32_t kMsPerSecond = 1000;
 constexpr int kWrongSettings = 2;
 
 struct CommandLine {
@@ -25,20 +27,25 @@
 /// @return the exit code if the process is to end now (help, wrong flags), else nothing.
 std::optional<int> ParseCommandLine(int argc, char** argv, CommandLine* line) {
   CLI::App app{"cloverbankd: gateway, queue, backup and coordinator roles of a cloverbank fleet"};
-  std::uint32_t grace_seconds = 5;
-  app.add_option("--config", line->settings_path, "Settings file (TOML)")->required();
+  std::optional<std::uint32_t> grace_seconds;
+  app.add_option("--config", line->settings_path, "Settings file (TOML)")
+      ->envname("CLOVERBANK_CONFIG")
+      ->required();
   app.add_option("--set", line->overrides, "Override of one setting: section.key=value");
   app.add_flag("--check-only", line->check_only, "Check the settings and exit");
   app.add_flag("--allow-fault-injection", line->daemon.allow_fault_injection,
                "Serve /admin/faults on the client port; for test fleets only");
   app.add_option("--stop-grace-seconds", grace_seconds,
-                 "How long a clean stop waits for calls under way");
+                 "How long a clean stop waits for calls under way; in place of node.stop_grace_ms");
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& error) {
     return app.exit(error) == 0 ? 0 : kWrongSettings;
   }
-  line->daemon.stop_grace = seconds(grace_seconds);
+  if (grace_seconds) {
+    line->overrides.push_back("node.stop_grace_ms=" + std::to_string(*grace_seconds * kMsPerSecond));
+  }
+  line->daemon.settings_path = line->settings_path;
   return std::nullopt;
 }
 
--- a/apps/cloverbankd/role.h
+++ b/apps/cloverbankd/role.h
@@ -10,6 +10,7 @@
 #include <string_view>
 
 #include "base/status.h"
+#include "net/beast_http_server.h"
 #include "net/http_types.h"
 #include "runtime/environment.h"
 #include "settings/settings.h"
@@ -23,6 +24,9 @@
   Environment& environment;
   HttpClient& client;
   HttpRouter& client_router;  ///< Of the client port.
+  FrontServers front;         ///< Of the front interfaces that the settings name.
+  /// Whether the process takes new callers: false from the beginning of a clean stop.
+  std::function<bool()> taking_callers;
   DataFolder* data_folder;    ///< Null if the settings name none.
   /// Ends the process: the role can not go on.
   std::function<void(const Status&)> on_fatal;
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -15,6 +15,8 @@
 constexpr NumberBounds kPartitionBounds{1, 4096};
 constexpr NumberBounds kSegmentBounds{64 << 10, 64 << 20};
 constexpr NumberBounds kCopiesBounds{1, 7};
+constexpr NumberBounds kStopBounds{0, 60000};
+constexpr NumberBounds kStalenessBounds{0, 3'600'000};
 constexpr std::uint16_t kDefaultClientPort = 7400;
 constexpr std::uint16_t kDefaultPeerPort = 7401;
 constexpr std::string_view kEndpointExpected = "an IP number and port, such as \"127.0.0.1:7401\"";
@@ -52,6 +54,38 @@
   }
 }
 
+/// Reads "zone=region" pairs.
+void ReadZones(SettingsReader& reader, Settings* settings) {
+  constexpr std::string_view kExpected = "a list of \"zone=region\"";
+  for (const std::string& pair :
+       reader.TextList("node.zones", kExpected).value_or(std::vector<std::string>())) {
+    const std::size_t equals = pair.find('=');
+    if (equals == std::string::npos || equals == 0) {
+      reader.Reject("node.zones", '"' + pair + '"', kExpected);
+      continue;
+    }
+    settings->zone_regions[pair.substr(0, equals)] = pair.substr(equals + 1);
+  }
+}
+
+void ReadOptionalEndpoint(SettingsReader& reader, std::string_view key, Endpoint* endpoint) {
+  const auto text = reader.Text(key, kEndpointExpected);
+  if (!text) {
+    return;
+  }
+  if (const auto parsed = ParseEndpoint(*text)) {
+    *endpoint = *parsed;
+  } else {
+    reader.Reject(key, '"' + *text + '"', kEndpointExpected);
+  }
+}
+
+void ReadFront(SettingsReader& reader, Settings* settings) {
+  ReadOptionalEndpoint(reader, "front.calls", &settings->front_calls);
+  ReadOptionalEndpoint(reader, "front.ready", &settings->front_ready);
+  ReadOptionalEndpoint(reader, "front.control", &settings->front_control);
+}
+
 void ReadNode(SettingsReader& reader, Settings* settings) {
   constexpr std::string_view kNameExpected = "this machine's name";
   constexpr std::string_view kZoneExpected = "the name of this machine's zone";
@@ -64,6 +98,9 @@
   ReadRoles(reader, &settings->roles);
   settings->data_folder = reader.Text("node.data_folder", kFolderExpected).value_or("");
   settings->spare_backup = reader.Boolean("node.spare_backup").value_or(false);
+  ReadZones(reader, settings);
+  ReadDuration(reader, "node.stop_linger_ms", kStopBounds, &settings->stop_linger);
+  ReadDuration(reader, "node.stop_grace_ms", kStopBounds, &settings->stop_grace);
   if (settings->roles.coordinator || settings->roles.backup) {
     reader.RequireKey("node.data_folder", kFolderExpected);
   }
@@ -100,8 +137,10 @@
   if (addresses->empty()) {
     reader.Reject("seeds.addresses", "an empty list", kExpected);
   }
+  const auto port = reader.Number("seeds.port", kPortBounds);
   for (const std::string& address : *addresses) {
-    if (const auto endpoint = ParseEndpoint(address)) {
+    if (auto endpoint = ParseEndpoint(address)) {
+      endpoint->port = static_cast<std::uint16_t>(port.value_or(endpoint->port));
       settings->seeds.push_back(*endpoint);
     } else {
       reader.Reject("seeds.addresses", '"' + address + '"', kEndpointExpected);
@@ -121,6 +160,8 @@
     }
   }
   ReadDuration(reader, "platform.poll_interval_ms", kPollBounds, &settings->poll_interval);
+  settings->platform_adapter = reader.Boolean("platform.adapter").value_or(false);
+  settings->probe_replicas = reader.Boolean("platform.probe_replicas").value_or(true);
 }
 
 void ReadControl(SettingsReader& reader, Settings* settings) {
@@ -131,6 +172,9 @@
     reader.Reject("control.death_after_ms", "less than control.node_lease_ms",
                   "at least control.node_lease_ms, so that a dead node's lease has run out");
   }
+  settings->form_group = reader.Boolean("control.form_group").value_or(true);
+  ReadDuration(reader, "control.serve_without_control_ms", kStalenessBounds,
+               &settings->serve_without_control);
   if (const auto count = reader.Number("control.partition_count", kPartitionBounds)) {
     settings->partition_count = static_cast<std::uint32_t>(*count);
   }
@@ -199,6 +243,7 @@
     }
     ReadNode(reader, &settings);
     ReadListen(reader, &settings);
+    ReadFront(reader, &settings);
     ReadSeeds(reader, &settings);
     ReadPlatform(reader, &settings);
     ReadControl(reader, &settings);
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -5,6 +5,7 @@
 /// once.
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -32,6 +33,14 @@
   std::string data_folder;  ///< node.data_folder; needed by coordinator and backup.
   bool spare_backup =
       false;  ///< node.spare_backup: backup used only while store backups are short.
+  /// node.zones = ["zone=region", ...]: the region of each zone, where the platform tells it.
+  std::map<std::string, std::string> zone_regions;
+  Duration stop_linger{};                    ///< node.stop_linger_ms
+  Duration stop_grace = milliseconds(5000);  ///< node.stop_grace_ms
+  // [front]: front interfaces of a platform's adapter; invalid endpoints are not served.
+  Endpoint front_calls;
+  Endpoint front_ready;
+  Endpoint front_control;
   // [listen]
   Endpoint client;  ///< listen.address + listen.client_port (callers and operators)
   Endpoint peer;    ///< listen.address + listen.peer_port
@@ -40,11 +49,15 @@
   // [platform]
   Endpoint replica_list;  ///< platform.replica_list; needed by gateway.
   Duration poll_interval = milliseconds(500);
+  bool platform_adapter = false;  ///< platform.adapter: speak in the platform's form.
+  bool probe_replicas = true;     ///< platform.probe_replicas
   // [control]
   Duration election_timeout = milliseconds(400);
   Duration node_lease = seconds(3);
   Duration death_after = seconds(3);   ///< Silence after which a queue or backup node is dead.
   std::uint32_t partition_count = 12;  ///< Used only when the group is first formed.
+  bool form_group = true;              ///< Whether empty seeds may form a new group.
+  Duration serve_without_control{};    ///< How long live calls are served after the lease.
   // [log]
   std::uint64_t segment_bytes = 4ULL << 20U;
   std::uint32_t copies = 3;
