--- a/apps/cloverbankd/coordinator_role.cc
+++ b/apps/cloverbankd/coordinator_role.cc
@@ -25,6 +25,8 @@
   options.node_lease = settings.node_lease;
   options.death_after = settings.death_after;
   options.wanted_store_backups = settings.copies;
+  options.arrival_quiet = settings.arrival_quiet;
+  options.fewest_stores = settings.minimum_copies;
   return options;
 }
 
--- a/src/coordinator/coordinator_options.h
+++ b/src/coordinator/coordinator_options.h
@@ -31,6 +31,8 @@
   Duration retiring_sweep_interval = seconds(1);
   /// Store backups below which the fleet is called degraded.
   std::uint32_t wanted_store_backups = 3;
+  /// Store machines that must remain when one is emptied.
+  std::uint32_t fewest_stores = 1;
   /// Members below which the coordinator group is called degraded.
   std::uint32_t wanted_coordinators = 3;
   RecoveryOptions recovery;
--- a/src/coordinator/operator_requests.cc
+++ b/src/coordinator/operator_requests.cc
@@ -8,12 +8,6 @@
 #include "coordinator/transaction_handler.h"
 
 namespace cloverbank {
-namespace {
-
-/// Store machines that must remain when one is emptied: below, no batch could be accepted.
-constexpr std::size_t kFewestStores = 2;
-
-}  // namespace
 
 bool OperatorRequests::EnoughWithout(const std::string& machine) const {
   std::set<std::string> remaining;
@@ -23,7 +17,7 @@
       remaining.insert(backup->machine());
     }
   }
-  return remaining.size() >= kFewestStores;
+  return remaining.size() >= context_.options.fewest_stores;
 }
 
 std::vector<NodeId> OperatorRequests::StoreNodesOf(const std::string& machine) const {
--- a/src/gateway/call_attempt.h
+++ b/src/gateway/call_attempt.h
@@ -24,6 +24,7 @@
   std::string backend;  ///< Model or service that was chosen.
   proto::BackendKind kind = proto::BACKEND_KIND_UNSPECIFIED;
   TimePoint deadline;
+  bool may_go_elsewhere = false;  ///< Whether another replica could be tried after a silence.
   /// Asked immediately before the first byte leaves. False: certainly not run.
   std::function<bool()> may_send;
 };
--- a/src/gateway/call_runner.cc
+++ b/src/gateway/call_runner.cc
@@ -150,6 +150,8 @@
   request.backend = replica.backend;
   request.kind = route.backend_kind();
   request.deadline = spec_.deadline;
+  request.may_go_elsewhere =
+      Repeatable(route) && retry_.attempts() + 1 < retry_options_.maximum_attempts;
   const std::weak_ptr<CallRunner> weak = weak_from_this();
   request.may_send = [weak, use = request.use] {
     const auto self = weak.lock();
@@ -229,7 +231,7 @@
     return;
   }
   Environment& environment = context_.attempt.environment;
-  const bool repeatable = Repeatable() && !result.final;
+  const bool repeatable = RepeatableNow() && !result.final;
   const RetryDecision decision = retry_.Decide(result.end, repeatable, environment.Random());
   environment.metrics().Increment(
       "gateway_attempt_failures_total",
@@ -312,9 +314,13 @@
   events_(std::move(result));
 }
 
-bool CallRunner::Repeatable() const {
+bool CallRunner::Repeatable(const proto::Route& route) const {
+  return spec_.idempotent && route.idempotent();
+}
+
+bool CallRunner::RepeatableNow() const {
   const proto::Route* route = FindRoute(context_.right.configuration(), spec_.route);
-  return spec_.idempotent && route_idempotent_ && route != nullptr && route->idempotent();
+  return route_idempotent_ && route != nullptr && Repeatable(*route);
 }
 
 }  // namespace cloverbank
--- a/src/gateway/call_runner.h
+++ b/src/gateway/call_runner.h
@@ -87,7 +87,10 @@
   void FinishFailed(const AttemptResult& result);
   void FinishWith(const std::string& code, const std::string& message, Duration retry_after);
   void Finish(CallResult result);
-  bool Repeatable() const;
+  /// Whether the call may be carried out twice, as far as `route` says.
+  bool Repeatable(const proto::Route& route) const;
+  /// Whether an attempt that may have run may be followed by another one.
+  bool RepeatableNow() const;
 
   CallContext context_;
   CallSpec spec_;
--- a/src/gateway/forward_attempt.cc
+++ b/src/gateway/forward_attempt.cc
@@ -67,6 +67,7 @@
   }
   http.body = forwarded.body();
   http.accept_unframed = true;
+  http.connect_timeout = context_.options.replica_connect_timeout;
   return http;
 }
 
@@ -95,13 +96,22 @@
     self->OnEnd(std::move(outcome));
   };
   context_.pool.OnCallStarted(request_.use);
-  // To a caller that waits, silence is no reason to end an answer before its deadline.
-  const Duration idle_limit =
-      exchange_->call().judge_failures ? context_.options.batch_idle_limit : Duration::zero();
-  call_ = context_.client.Stream(request_.endpoint, std::move(http), remaining, idle_limit,
+  call_ = context_.client.Stream(request_.endpoint, std::move(http), remaining, IdleLimit(),
                                  std::move(callbacks));
 }
 
+Duration ForwardAttempt::IdleLimit() const {
+  if (exchange_->call().judge_failures) {
+    return context_.options.batch_idle_limit;
+  }
+  // To a caller that waits, silence is no reason to end an answer before its deadline: only what
+  // another replica may take up is taken there.
+  if (!request_.may_go_elsewhere) {
+    return Duration::zero();
+  }
+  return std::max(context_.options.patience_before_repeat, 2 * exchange_->call().target);
+}
+
 CancelledWhen ForwardAttempt::Cancel() {
   if (done_) {
     return CancelledWhen::kNotUnderWay;
@@ -146,6 +156,7 @@
   if (done_) {
     return;
   }
+  context_.pool.OnHeard(request_.use);
   if (reading_ == Reading::kEvents) {
     splitter_.Append(bytes);
     read_on_ = std::move(more);
--- a/src/gateway/forward_attempt.h
+++ b/src/gateway/forward_attempt.h
@@ -28,6 +28,8 @@
   };
 
   HttpRequest MakeRequest(Duration remaining) const;
+  /// @return the longest silence of the replica before the attempt ends; zero: none.
+  Duration IdleLimit() const;
   bool MaySend();
   void OnHead(int status, const HttpHeaders& headers);
   void OnBytes(const std::string& bytes, std::function<void()> more);
--- a/src/gateway/forward_exchange.h
+++ b/src/gateway/forward_exchange.h
@@ -39,6 +39,7 @@
   std::string prefix_key;
   proto::ForwardedRequest request;
   bool streamed = false;   ///< A successful answer is a stream of events.
+  Duration target{};       ///< Of its route: when the answer should have begun.
   bool resumable = false;  ///< A broken stream may go on at another replica.
   /// The caller can not be told a replica's own failure: it becomes the end of the attempt.
   bool judge_failures = false;
--- a/src/gateway/forwarding_service.cc
+++ b/src/gateway/forwarding_service.cc
@@ -12,32 +12,106 @@
 constexpr int kHttpNotFound = 404;
 constexpr int kHttpTooManyRequests = 429;
 constexpr int kHttpUnavailable = 503;
-constexpr Duration kRetryAfter = milliseconds(250);
+constexpr Duration kBatchRetryAfter = milliseconds(100);
+constexpr Duration kRetryAfter = milliseconds(500);
 
 }  // namespace
 
 ForwardingService::ForwardingService(const CallContext& context, const GatewayOptions& options)
     : context_(context), options_(options) {}
 
-ForwardingService::~ForwardingService() = default;
+ForwardingService::~ForwardingService() {
+  for (const Waiting& waiting : waiting_) {
+    context_.attempt.environment.CancelTimer(waiting.timer);
+  }
+}
 
 const proto::Route* ForwardingService::FindRouteOf(std::string_view host,
                                                    std::string_view path) const {
   return MatchRoute(context_.right.configuration(), host, path);
 }
 
+bool ForwardingService::MayServe() const {
+  return context_.right.configuration().label() != 0 && context_.right.Valid();
+}
+
 void ForwardingService::Handle(IncomingCall call, const Responder& responder) {
-  if (context_.right.configuration().label() == 0 || !context_.right.Valid()) {
-    Refuse(*responder, kHttpUnavailable, "no_configuration",
-           "this gateway has no configuration from control now; try another one", kRetryAfter);
+  if (MayServe()) {
+    Admit(std::move(call), responder);
+  } else if (waiting_.size() < options_.calls.most_waiting_for_control) {
+    WaitForControl(std::move(call), responder);
+  } else {
+    RefuseWithoutControl(*responder);
+  }
+}
+
+void ForwardingService::WaitForControl(IncomingCall call, const Responder& responder) {
+  Environment& environment = context_.attempt.environment;
+  Duration wait = options_.calls.control_wait;
+  const Duration patience = call.patience.value_or(options_.calls.default_deadline);
+  wait = std::min(wait, patience / 2);
+  const std::uint64_t number = next_call_++;
+  Waiting waiting;
+  waiting.number = number;
+  waiting.call = std::move(call);
+  waiting.responder = responder;
+  waiting.deadline = environment.Now() + patience;
+  waiting.timer =
+      environment.ScheduleAfter(wait, [this, number] { StopWaiting(number, /*answer=*/true); });
+  waiting_.push_back(std::move(waiting));
+  environment.metrics().Increment("gateway_calls_waited_for_control_total");
+  responder->OnDisconnect([this, number, alive = std::weak_ptr<bool>(alive_)] {
+    if (!alive.expired()) {
+      StopWaiting(number, /*answer=*/false);
+    }
+  });
+}
+
+void ForwardingService::StopWaiting(std::uint64_t number, bool answer) {
+  const auto waiting =
+      std::find_if(waiting_.begin(), waiting_.end(),
+                   [number](const Waiting& entry) { return entry.number == number; });
+  if (waiting == waiting_.end()) {
+    return;
+  }
+  const Responder responder = waiting->responder;
+  context_.attempt.environment.CancelTimer(waiting->timer);
+  waiting_.erase(waiting);
+  if (answer) {
+    RefuseWithoutControl(*responder);
+  }
+}
+
+void ForwardingService::OnConfiguration() {
+  if (!MayServe()) {
     return;
   }
+  Environment& environment = context_.attempt.environment;
+  for (Waiting& waiting : std::exchange(waiting_, {})) {
+    environment.CancelTimer(waiting.timer);
+    waiting.call.patience = waiting.deadline - environment.Now();
+    Admit(std::move(waiting.call), waiting.responder);
+  }
+}
+
+void ForwardingService::RefuseWithoutControl(HttpResponder& responder) {
+  Refuse(responder, kHttpUnavailable, "no_configuration",
+         "this gateway has no configuration from control now; try another one", kRetryAfter);
+}
+
+void ForwardingService::Admit(IncomingCall call, const Responder& responder) {
   const proto::Route* route = FindRouteOf(call.host, call.path);
   if (route == nullptr) {
     Refuse(*responder, kHttpNotFound, "unknown_route", "no route takes this host and path",
            Duration::zero());
     return;
   }
+  if (route->accepts_batches()) {
+    // Came before the configuration that tells it is a batch: it is not a call to pass on.
+    Refuse(*responder, kHttpUnavailable, "batch_route",
+           "this route takes batches; hand the batch in again", kBatchRetryAfter);
+    return;
+  }
   const auto refusal = context_.queue.admission().Admit(*route, nullptr,
                                                         context_.attempt.environment.Now());
   if (refusal) {
@@ -54,6 +128,7 @@
   forward.request = std::move(call.request);
   forward.streamed = route->streamed();
   forward.resumable = route->resumable();
+  forward.target = milliseconds(route->target_ms());
   const std::uint64_t number = next_call_++;
   auto live = std::make_shared<LiveForward>(
       context_, responder, [this, number, name = route->name()] { OnCallOver(number, name); });
--- a/src/gateway/forwarding_service.h
+++ b/src/gateway/forwarding_service.h
@@ -7,6 +7,7 @@
 /// Threads: the owner's event loop only.
 
 #include <cstdint>
+#include <list>
 #include <memory>
 #include <optional>
 #include <string>
@@ -41,14 +42,31 @@
   /// Answers with a replica's answer, or with an error that says whether anything ran.
   void Handle(IncomingCall call, const std::shared_ptr<HttpResponder>& responder);
 
+  /// A configuration was taken: calls that waited for it go on.
+  void OnConfiguration();
+
   /// @return the route that `path` of `host` belongs to, or nullptr.
   const proto::Route* FindRouteOf(std::string_view host, std::string_view path) const;
 
   std::size_t calls_under_way() const { return calls_.size(); }
 
  private:
+  /// A call that came before this gateway had a configuration.
+  struct Waiting {
+    std::uint64_t number = 0;
+    IncomingCall call;
+    std::shared_ptr<HttpResponder> responder;
+    TimePoint deadline;  ///< Of the caller's patience.
+    TimerId timer = 0;
+  };
+
   using Responder = std::shared_ptr<HttpResponder>;
 
+  bool MayServe() const;
+  void WaitForControl(IncomingCall call, const Responder& responder);
+  void StopWaiting(std::uint64_t number, bool answer);
+  void RefuseWithoutControl(HttpResponder& responder);
+  void Admit(IncomingCall call, const Responder& responder);
   CallSpec MakeSpec(const proto::Route& route, const IncomingCall& call) const;
   void Refuse(HttpResponder& responder, int http_status, const std::string& code,
               const std::string& message, Duration retry_after);
@@ -57,7 +75,9 @@
   CallContext context_;
   const GatewayOptions& options_;
   std::unordered_map<std::uint64_t, std::shared_ptr<LiveForward>> calls_;
+  std::list<Waiting> waiting_;  ///< In order of arrival.
   std::uint64_t next_call_ = 1;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 }  // namespace cloverbank
--- a/src/gateway/gateway_options.h
+++ b/src/gateway/gateway_options.h
@@ -67,6 +67,17 @@
 struct CallOptions {
   Duration default_deadline = seconds(30);  ///< When neither the route nor the caller names one.
   Duration stream_idle_limit = seconds(4);  ///< Longest silence within a replica's stream.
+  /// Longest wait for a connection to a replica that a call is passed on to; it is tried elsewhere.
+  Duration replica_connect_timeout = milliseconds(200);
+  /// Where replicas are not probed: silence of one with calls after which others are preferred.
+  Duration stall_limit = milliseconds(350);
+  /// A call that may be repeated is taken elsewhere after this silence before an answer, or twice
+  /// its route's target if that is longer.
+  Duration patience_before_repeat = milliseconds(500);
+  /// How long a call to be passed on waits for the first configuration of a gateway that has just
+  /// started; never longer than half of its caller's patience.
+  Duration control_wait = milliseconds(2500);
+  std::size_t most_waiting_for_control = 256;
   /// The same of a batch item that is passed on: it may run elsewhere.
   Duration batch_idle_limit = milliseconds(2500);
   /// A shorter wait for a first byte says nothing about the replica's health.
--- a/src/gateway/gateway_service.cc
+++ b/src/gateway/gateway_service.cc
@@ -105,6 +105,7 @@
     if (!alive.expired()) {
       state->pool.SetGatewayCount(state->agent.gateway_count());
       state->pool.OnConfiguration();
+      state->forwarding.OnConfiguration();
       state->queue.DispatchSoon();
     }
   });
--- a/src/gateway/replica_health.cc
+++ b/src/gateway/replica_health.cc
@@ -67,6 +67,9 @@
   if (watch == nullptr) {
     return;
   }
+  if (watch->in_flight == 0) {
+    watch->quiet_since = now;
+  }
   ++watch->in_flight;
   const bool ejected = watch->condition == ReplicaCondition::kEjected;
   if (!options_.probed && ejected && now >= watch->ejected_until) {
@@ -102,6 +105,17 @@
   }
 }
 
+void ReplicaHealth::OnHeard(const std::string& id, TimePoint now) {
+  if (Watch* watch = Find(id)) {
+    watch->quiet_since = now;
+  }
+}
+
+bool ReplicaHealth::Stalled(const Watch& watch, TimePoint now) const {
+  return options_.stall_limit > Duration::zero() && watch.in_flight > 0 &&
+         now - watch.quiet_since > options_.stall_limit;
+}
+
 void ReplicaHealth::OnLatency(const std::string& id, Duration latency) {
   Watch* watch = Find(id);
   if (watch == nullptr) {
@@ -157,8 +171,10 @@
   }
   switch (watch->condition) {
     case ReplicaCondition::kHealthy: {
-      const bool begun = now >= watch->healthy_since + watch->start_delay;
-      return begun ? Usability::kYes : Usability::kNo;
+      if (now < watch->healthy_since + watch->start_delay) {
+        return Usability::kNo;
+      }
+      return Stalled(*watch, now) ? Usability::kLastResort : Usability::kYes;
     }
     case ReplicaCondition::kSuspect:
       return Usability::kLastResort;
--- a/src/gateway/replica_health.h
+++ b/src/gateway/replica_health.h
@@ -36,6 +36,8 @@
   std::uint32_t failures_to_eject = 4;         ///< Consecutive failed answers (soft).
   std::uint32_t silences_to_eject = 2;         ///< Consecutive silent calls or probes (hard).
   std::uint32_t maximum_ejected_percent = 50;  ///< Of a back end's replicas, by soft evidence.
+  /// Nothing heard of it for this long while calls wait there: only a last resort. Zero: never.
+  Duration stall_limit{};
   Duration base_ejection = seconds(1);         ///< Doubles with each ejection in a row.
   Duration maximum_ejection = seconds(30);
   Duration forgive_after = seconds(30);     ///< Healthy time after which one ejection is forgotten.
@@ -80,6 +82,8 @@
   void OnWorkSeen(const std::string& id, TimePoint now);
   void OnCallStarted(const std::string& id, TimePoint now);
   void OnCallEnded(const std::string& id, CallEnd end, TimePoint now);
+  /// Bytes of it came in.
+  void OnHeard(const std::string& id, TimePoint now);
   /// Time to the first byte of an answer.
   void OnLatency(const std::string& id, Duration latency);
   /// Judges slowness and lets ejections decay; to be called about once a second.
@@ -101,6 +105,8 @@
     std::uint32_t ejections = 0;  ///< In a row; decays.
     std::uint32_t successes = 0;  ///< Since the ramp began.
     std::uint32_t in_flight = 0;
+    /// When it was last heard, or got its first call after it had none.
+    TimePoint quiet_since{};
     std::uint32_t warm_level = 0;  ///< Calls known to be safe when the ramp began.
     std::uint32_t latency_samples = 0;
     Duration latency{};      ///< Moving average.
@@ -114,6 +120,7 @@
 
   Watch* Find(const std::string& id);
   const Watch* Find(const std::string& id) const;
+  bool Stalled(const Watch& watch, TimePoint now) const;
   void BecomeHealthy(Watch& watch, TimePoint now);
   void Eject(Watch& watch, TimePoint now);
   void EjectSoftly(Watch& watch, TimePoint now);
--- a/src/gateway/replica_pool.cc
+++ b/src/gateway/replica_pool.cc
@@ -23,6 +23,9 @@
 ReplicaHealthOptions OptionsOfHealth(const GatewayOptions& options) {
   ReplicaHealthOptions health = options.health;
   health.probed = options.probe.enabled;
+  if (!health.probed) {
+    health.stall_limit = options.calls.stall_limit;
+  }
   return health;
 }
 
@@ -145,10 +148,17 @@
   }
   TakeReport(use.id, headers);
   health_.OnLatency(use.id, latency);
+  health_.OnHeard(use.id, environment_.Now());
   health_.OnWorkSeen(use.id, environment_.Now());
   GrantAllowances(use.id);
 }
 
+void ReplicaPool::OnHeard(const ReplicaUse& use) {
+  if (IsCurrent(use.id, use.instance_id)) {
+    health_.OnHeard(use.id, environment_.Now());
+  }
+}
+
 Status ReplicaPool::OnList(const proto::ReplicaList& list) {
   Result<DirectoryChange> change = directory_.Apply(list);
   if (!change.ok()) {
--- a/src/gateway/replica_pool.h
+++ b/src/gateway/replica_pool.h
@@ -55,6 +55,9 @@
   /// The head of an answer came, `latency` after the request was sent.
   void OnAnswerHead(const ReplicaUse& use, const HttpHeaders& headers, Duration latency);
 
+  /// Bytes of an answer came in.
+  void OnHeard(const ReplicaUse& use);
+
   /// Among how many gateways what cold replicas and batch work may take is divided.
   void SetGatewayCount(std::uint32_t count);
 
--- a/src/net/client_call.cc
+++ b/src/net/client_call.cc
@@ -82,6 +82,9 @@
       limits_(limits),
       may_send_(std::move(request.may_send)),
       accept_unframed_(request.accept_unframed),
+      connect_timeout_(request.connect_timeout > Duration::zero()
+                           ? request.connect_timeout
+                           : shared_->options.connect_timeout),
       callbacks_(std::make_shared<HttpStreamCallbacks>(std::move(callbacks))) {
   request_ = ToBeast(to_, std::move(request));
 }
@@ -140,7 +143,7 @@
     Finish(HttpOutcomeKind::kNotSent, "can not open a socket: " + error.message());
     return;
   }
-  ArmStepTimer(shared_->options.connect_timeout,
+  ArmStepTimer(connect_timeout_,
                [this] { Finish(HttpOutcomeKind::kNotSent, "connect timed out"); });
   connection_->socket.async_connect(endpoint,
                                     [self = shared_from_this()](const error_code& connect_error) {
--- a/src/net/client_call.h
+++ b/src/net/client_call.h
@@ -60,6 +60,7 @@
   boost::beast::http::request<boost::beast::http::string_body> request_;
   std::function<bool()> may_send_;
   bool accept_unframed_ = false;
+  Duration connect_timeout_;
   /// Null once the call is over.
   std::shared_ptr<HttpStreamCallbacks> callbacks_;
 
--- a/src/net/http_types.h
+++ b/src/net/http_types.h
@@ -39,6 +39,8 @@
   /// Outgoing calls: whether an answer may be ended by its connection (neither length nor chunks).
   /// A connection that is reset still makes it kUnknown.
   bool accept_unframed = false;
+  /// Outgoing calls: longest wait for a connection; zero takes the client's own.
+  Duration connect_timeout{};
 };
 
 struct HttpResponse {
--- a/src/node/leader_call.cc
+++ b/src/node/leader_call.cc
@@ -8,7 +8,7 @@
 
 /// Hints followed at once in a row; further ones wait, since two members may point at each other.
 constexpr std::uint32_t kMaximumRedirects = 3;
-constexpr Duration kMaximumBackoff = milliseconds(300);
+constexpr Duration kMaximumBackoff = milliseconds(150);
 
 bool MayRetry(StatusCode code) {
   return code == StatusCode::kUnavailable || code == StatusCode::kUnknownOutcome;
--- a/src/queue/owned_partition.cc
+++ b/src/queue/owned_partition.cc
@@ -1,5 +1,7 @@
 #include "queue/owned_partition.h"
 
+#include <algorithm>
+
 #include "base/logging.h"
 
 namespace cloverbank {
@@ -59,13 +61,18 @@
 
 void OwnedPartition::ReserveTokens(const std::string& tenant, const std::string& route,
                                    std::uint64_t count) {
-  reserved_tokens_[{tenant, route}] += count;
+  if (count > 0) {
+    reserved_tokens_[{tenant, route}] += count;
+  }
 }
 
 void OwnedPartition::ReleaseTokens(const std::string& tenant, const std::string& route,
                                    std::uint64_t count) {
   const auto found = reserved_tokens_.find({tenant, route});
-  found->second -= count;
+  if (found == reserved_tokens_.end()) {
+    return;
+  }
+  found->second -= std::min(found->second, count);
   if (found->second == 0) {
     reserved_tokens_.erase(found);
   }
--- a/src/queue/partition_replay.cc
+++ b/src/queue/partition_replay.cc
@@ -1,8 +1,10 @@
 #include "queue/partition_replay.h"
 
 #include <algorithm>
+#include <set>
 #include <string>
 #include <unordered_set>
+#include <utility>
 
 #include "queue/segment_usage.h"
 
@@ -35,6 +37,7 @@
       accepted.erase(entry.batch_removed().batch_id());
     }
   }
+  DropFinishedRequests();
   std::vector<proto::LogEntry> live;
   for (auto& [sequence, entry] : entries_) {
     if (accepted.contains(BatchIdOf(entry))) {
@@ -45,4 +48,26 @@
   return live;
 }
 
+void PartitionReplay::DropFinishedRequests() {
+  std::set<std::pair<std::string, std::uint64_t>> finished;
+  for (const auto& [sequence, entry] : entries_) {
+    if (entry.has_item_finished()) {
+      finished.emplace(entry.item_finished().batch_id(), entry.item_finished().item_index());
+    }
+  }
+  for (auto& [sequence, entry] : entries_) {
+    if (!entry.has_batch_items()) {
+      continue;
+    }
+    proto::BatchItems& items = *entry.mutable_batch_items();
+    std::uint64_t index = items.first_index();
+    for (proto::BatchItem& item : *items.mutable_items()) {
+      if (finished.contains({items.batch_id(), index})) {
+        item.clear_forwarded();
+      }
+      ++index;
+    }
+  }
+}
+
 }  // namespace cloverbank
--- a/src/queue/partition_replay.h
+++ b/src/queue/partition_replay.h
@@ -25,6 +25,10 @@
   PartitionSequence next_sequence() const { return next_sequence_; }
 
  private:
+  /// Requests of items that have their result are never needed again: logging them anew would only
+  /// make the recovery longer.
+  void DropFinishedRequests();
+
   std::map<PartitionSequence, proto::LogEntry> entries_;
   PartitionSequence next_sequence_{1};
 };
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -15,6 +15,7 @@
 constexpr NumberBounds kPartitionBounds{1, 4096};
 constexpr NumberBounds kSegmentBounds{64 << 10, 64 << 20};
 constexpr NumberBounds kCopiesBounds{1, 7};
+constexpr NumberBounds kArrivalBounds{50, 10000};
 constexpr NumberBounds kStopBounds{0, 60000};
 constexpr NumberBounds kStalenessBounds{0, 3'600'000};
 constexpr std::uint16_t kDefaultClientPort = 7400;
@@ -130,6 +131,7 @@
   constexpr std::string_view kExpected =
       "a list of three \"ip:port\" peer endpoints of coordinators";
   reader.RequireKey("seeds.addresses", kExpected);
+  const auto port = reader.Number("seeds.port", kPortBounds);
   const auto addresses = reader.TextList("seeds.addresses", kExpected);
   if (!addresses) {
     return;
@@ -137,7 +139,6 @@
   if (addresses->empty()) {
     reader.Reject("seeds.addresses", "an empty list", kExpected);
   }
-  const auto port = reader.Number("seeds.port", kPortBounds);
   for (const std::string& address : *addresses) {
     if (auto endpoint = ParseEndpoint(address)) {
       endpoint->port = static_cast<std::uint16_t>(port.value_or(endpoint->port));
@@ -172,6 +173,7 @@
     reader.Reject("control.death_after_ms", "less than control.node_lease_ms",
                   "at least control.node_lease_ms, so that a dead node's lease has run out");
   }
+  ReadDuration(reader, "control.arrival_quiet_ms", kArrivalBounds, &settings->arrival_quiet);
   settings->form_group = reader.Boolean("control.form_group").value_or(true);
   ReadDuration(reader, "control.serve_without_control_ms", kStalenessBounds,
                &settings->serve_without_control);
