Choose model replicas by the prompt tokens ahead, told among the gateways of a zone

Calls are a bad measure: a prompt of 50,000 tokens holds a replica up 250 ms, one of 500 2 ms. Change: PrefillLoad estimates each replica's backlog in tokens and remembers which shared parts went where; gateways tell their zone's neighbours of prompts over 3,000 tokens; one replica of a zone takes the long prompts, and the others avoid it. Batch items wait for a replica without backlog. Work items that come back or fall silent are logged.

--- a/src/coordinator/heartbeat_handler.cc
+++ b/src/coordinator/heartbeat_handler.cc
@@ -9,6 +9,9 @@
 namespace cloverbank {
 namespace {
 
+/// Gateways of its zone that a gateway is told of.
+constexpr int kMostNeighbours = 12;
+
 Status Fenced(std::uint64_t node_id, const std::string& reason) {
   return {StatusCode::kFenced, "node " + std::to_string(node_id) + " " + reason +
                                    "; stop using the id and register again"};
@@ -111,12 +114,30 @@
   for (const LogMember& member : context_.log.members()) {
     *response.add_coordinators() = ToProto(member.endpoint);
   }
-  response.set_gateway_count(
-      static_cast<std::uint32_t>(context_.state.servers().Live(proto::ROLE_GATEWAY).size()));
+  AddGateways(NodeId(held.request.node_id()), &response);
   context_.leases.Grant(NodeId(held.request.node_id()), configuration.version(), held.arrival);
   return response;
 }
 
+void HeartbeatHandler::AddGateways(NodeId node, proto::HeartbeatResponse* response) const {
+  const std::vector<const proto::Server*> gateways =
+      context_.state.servers().Live(proto::ROLE_GATEWAY);
+  response->set_gateway_count(static_cast<std::uint32_t>(gateways.size()));
+  const proto::Server* self = context_.state.servers().FindLive(node, proto::ROLE_GATEWAY);
+  if (self == nullptr) {
+    return;
+  }
+  // Those that follow in the ring of ids: with many gateways each knows a few, and all are known.
+  const auto own = std::find(gateways.begin(), gateways.end(), self);
+  for (std::size_t step = 1; step < gateways.size(); ++step) {
+    const std::size_t place = static_cast<std::size_t>(own - gateways.begin()) + step;
+    const proto::Server* other = gateways[place % gateways.size()];
+    if (other->zone() == self->zone() && response->neighbours_size() < kMostNeighbours) {
+      *response->add_neighbours() = other->peer_endpoint();
+    }
+  }
+}
+
 void HeartbeatHandler::Review() {
   if (!context_.MayAnswer()) {
     RefuseAll();
--- a/src/coordinator/heartbeat_handler.h
+++ b/src/coordinator/heartbeat_handler.h
@@ -37,6 +37,7 @@
   void TakeReport(const proto::HeartbeatRequest& request);
   /// @return whether it was answered.
   bool AnswerIfDue(Held& held);
+  void AddGateways(NodeId node, proto::HeartbeatResponse* response) const;
   proto::HeartbeatResponse Grant(const Held& held);
 
   LeaderContext& context_;
--- a/src/gateway/batch_worker.cc
+++ b/src/gateway/batch_worker.cc
@@ -24,6 +24,8 @@
   if (grant.item().has_forwarded()) {
     *request.mutable_forwarded() = grant.item().forwarded();
     request.set_prefix_key(grant.item().prefix_key());
+    request.set_prompt_tokens(grant.item().prompt_tokens());
+    request.set_shared_tokens(grant.item().shared_tokens());
     request.set_call_id(grant.item().custom_id());
     return request;
   }
--- a/src/gateway/call_attempt.h
+++ b/src/gateway/call_attempt.h
@@ -24,7 +24,8 @@
   std::string backend;  ///< Model or service that was chosen.
   proto::BackendKind kind = proto::BACKEND_KIND_UNSPECIFIED;
   TimePoint deadline;
-  bool may_go_elsewhere = false;  ///< Whether another replica could be tried after a silence.
+  /// Whether another replica could be tried now, after a silence; empty means never.
+  std::function<bool()> may_go_elsewhere;
   /// Asked immediately before the first byte leaves. False: certainly not run.
   std::function<bool()> may_send;
 };
--- a/src/gateway/call_exchange.h
+++ b/src/gateway/call_exchange.h
@@ -14,6 +14,7 @@
 #include <string>
 
 #include "gateway/call_attempt.h"
+#include "gateway/prefill_load.h"
 
 namespace cloverbank {
 
@@ -37,6 +38,8 @@
   virtual const std::string& call_id() const = 0;
   /// Calls with the same key share a prompt prefix; empty if none.
   virtual const std::string& prefix_key() const = 0;
+  /// The size of the prompt, if the caller told it.
+  virtual PromptShape prompt() const { return {}; }
   /// Bytes that are held while the call waits.
   virtual std::size_t request_bytes() const = 0;
 };
--- a/src/gateway/call_runner.cc
+++ b/src/gateway/call_runner.cc
@@ -98,6 +98,7 @@
   query.route = route;
   query.backend = spec_.backend;
   query.prefix_key = spec_.exchange->prefix_key();
+  query.prompt = spec_.exchange->prompt();
   query.excluded = &tried_;
   query.work = spec_.work;
   query.tie_breaker = context_.attempt.environment.Random();
@@ -146,13 +147,16 @@
 void CallRunner::Send(const ReplicaRecord& replica, const proto::Route& route) {
   AttemptRequest request;
   request.endpoint = replica.endpoint;
-  request.use = {replica.id, replica.instance_id, spec_.work};
+  request.use = context_.attempt.pool.MakeUse(replica, spec_.work, spec_.exchange->prompt(),
+                                              spec_.exchange->prefix_key());
   request.backend = replica.backend;
   request.kind = route.backend_kind();
   request.deadline = spec_.deadline;
-  request.may_go_elsewhere =
-      Repeatable(route) && retry_.attempts() + 1 < retry_options_.maximum_attempts;
   const std::weak_ptr<CallRunner> weak = weak_from_this();
+  request.may_go_elsewhere = [weak] {
+    const auto self = weak.lock();
+    return self != nullptr && self->RepeatableNow() && self->retry_.MayRetry();
+  };
   request.may_send = [weak, use = request.use] {
     const auto self = weak.lock();
     return self != nullptr && self->MaySendNow(use);
--- a/src/gateway/forward_attempt.cc
+++ b/src/gateway/forward_attempt.cc
@@ -96,20 +96,39 @@
     self->OnEnd(std::move(outcome));
   };
   context_.pool.OnCallStarted(request_.use);
-  call_ = context_.client.Stream(request_.endpoint, std::move(http), remaining, IdleLimit(),
+  // To a caller that waits, silence is no reason to end an answer before its deadline.
+  const Duration idle_limit =
+      exchange_->call().judge_failures ? context_.options.batch_idle_limit : Duration::zero();
+  call_ = context_.client.Stream(request_.endpoint, std::move(http), remaining, idle_limit,
                                  std::move(callbacks));
+  if (!exchange_->call().judge_failures) {
+    WatchSilence();
+  }
 }
 
-Duration ForwardAttempt::IdleLimit() const {
-  if (exchange_->call().judge_failures) {
-    return context_.options.batch_idle_limit;
+void ForwardAttempt::WatchSilence() {
+  const Duration patience =
+      std::max(context_.options.patience_before_repeat, 2 * exchange_->call().target);
+  silence_timer_ = context_.environment.ScheduleAfter(patience, [weak = weak_from_this()] {
+    if (const auto self = weak.lock()) {
+      self->silence_timer_ = 0;
+      self->CheckSilence();
+    }
+  });
+}
+
+void ForwardAttempt::CheckSilence() {
+  if (done_) {
+    return;
   }
-  // To a caller that waits, silence is no reason to end an answer before its deadline: only what
-  // another replica may take up is taken there.
-  if (!request_.may_go_elsewhere) {
-    return Duration::zero();
+  const bool heard = std::exchange(heard_, false);
+  const bool elsewhere = request_.may_go_elsewhere && request_.may_go_elsewhere();
+  // A slow replica is waited for; one that is silent to everybody here is left.
+  if (!heard && elsewhere && !event_under_way_ && context_.pool.Stalled(request_.use)) {
+    BreakOff("silent");
+    return;
   }
-  return std::max(context_.options.patience_before_repeat, 2 * exchange_->call().target);
+  WatchSilence();
 }
 
 CancelledWhen ForwardAttempt::Cancel() {
@@ -134,6 +153,7 @@
   if (done_) {
     return;
   }
+  heard_ = true;
   status_ = status;
   headers_ = headers;
   const ReplicaHeaderNames& names = exchange_->names();
@@ -156,6 +176,7 @@
   if (done_) {
     return;
   }
+  heard_ = true;
   context_.pool.OnHeard(request_.use);
   if (reading_ == Reading::kEvents) {
     splitter_.Append(bytes);
@@ -340,6 +361,7 @@
 }
 
 void ForwardAttempt::Release(CallEnd health) {
+  context_.environment.CancelTimer(std::exchange(silence_timer_, 0));
   if (!released_ && !pool_lifetime_.expired()) {
     released_ = true;
     context_.pool.OnCallEnded(request_.use, health);
--- a/src/gateway/forward_attempt.h
+++ b/src/gateway/forward_attempt.h
@@ -28,8 +28,10 @@
   };
 
   HttpRequest MakeRequest(Duration remaining) const;
-  /// @return the longest silence of the replica before the attempt ends; zero: none.
-  Duration IdleLimit() const;
+  /// Looks again and again whether the replica has fallen silent, so that what may be repeated goes
+  /// elsewhere.
+  void WatchSilence();
+  void CheckSilence();
   bool MaySend();
   void OnHead(int status, const HttpHeaders& headers);
   void OnBytes(const std::string& bytes, std::function<void()> more);
@@ -62,6 +64,8 @@
   std::string body_;
   std::function<void()> read_on_;
   std::optional<HttpOutcome> outcome_;
+  TimerId silence_timer_ = 0;
+  bool heard_ = false;    ///< Whether anything came in since the last look.
   bool foreign_ = false;  ///< The answer is to another call.
   bool not_run_ = false;  ///< The replica says that it did not run the request.
   bool asked_ = false;    ///< Whether `may_send` was asked: nothing was sent before.
--- a/src/gateway/forward_exchange.h
+++ b/src/gateway/forward_exchange.h
@@ -37,6 +37,7 @@
 struct ForwardCall {
   std::string call_id;
   std::string prefix_key;
+  PromptShape prompt;
   proto::ForwardedRequest request;
   bool streamed = false;   ///< A successful answer is a stream of events.
   Duration target{};       ///< Of its route: when the answer should have begun.
@@ -56,6 +57,7 @@
                                           ExchangeEvents events) override;
   const std::string& call_id() const override { return call_.call_id; }
   const std::string& prefix_key() const override { return call_.prefix_key; }
+  PromptShape prompt() const override { return call_.prompt; }
   std::size_t request_bytes() const override { return call_.request.body().size(); }
 
   // ---- For its attempts ----
--- a/src/gateway/forwarding_service.cc
+++ b/src/gateway/forwarding_service.cc
@@ -125,6 +125,7 @@
   ForwardCall forward;
   forward.call_id = std::move(call.call_id);
   forward.prefix_key = std::move(call.prefix_key);
+  forward.prompt = call.prompt;
   forward.request = std::move(call.request);
   forward.streamed = route->streamed();
   forward.resumable = route->resumable();
--- a/src/gateway/forwarding_service.h
+++ b/src/gateway/forwarding_service.h
@@ -28,6 +28,7 @@
   std::string path;  ///< Without the query, as it came.
   std::string call_id;
   std::string prefix_key;
+  PromptShape prompt;
   std::optional<Duration> patience;  ///< How long the caller will wait; unset: not told.
   proto::ForwardedRequest request;
 };
--- a/src/gateway/gateway_options.h
+++ b/src/gateway/gateway_options.h
@@ -11,6 +11,7 @@
 #include "base/time.h"
 #include "gateway/admission_control.h"
 #include "gateway/idempotency_cache.h"
+#include "gateway/prefill_load.h"
 #include "gateway/replica_health.h"
 #include "gateway/retry_policy.h"
 
@@ -95,6 +96,7 @@
   SharingOptions sharing;
   AdmissionOptions admission;
   RetryOptions retry;
+  PrefillOptions prefill;
   CallOptions calls;
   IdempotencyOptions idempotency;
   ReplicaHeaderNames forward_headers;
--- a/src/gateway/gateway_service.cc
+++ b/src/gateway/gateway_service.cc
@@ -10,6 +10,7 @@
 #include "gateway/forwarding_service.h"
 #include "gateway/live_call_handler.h"
 #include "gateway/operator_api.h"
+#include "gateway/prefill_gossip.h"
 #include "gateway/replica_backend_caller.h"
 #include "gateway/replica_pool.h"
 #include "gateway/serving_right.h"
@@ -60,6 +61,10 @@
         batch_caller(context, options.forward_headers),
         batch_worker(environment, agent, batch_caller),
         batch_service(environment, agent),
+        gossip(environment, agent,
+               [this](const std::string& replica, std::uint32_t tokens, std::uint64_t key) {
+                 pool.OnPromptOfOther(replica, tokens, key);
+               }),
         batches(environment, router, agent),
         operators(router, agent),
         status(environment, router, agent) {
@@ -86,6 +91,7 @@
   ReplicaBackendCaller batch_caller;
   BatchWorker batch_worker;
   BatchService batch_service;
+  PrefillGossip gossip;
   BatchApi batches;
   OperatorApi operators;
   StatusApi status;
@@ -100,6 +106,10 @@
     : state_(std::make_unique<State>(environment, client, router, agent, std::move(options))) {
   State* state = state_.get();
   const std::weak_ptr<bool> alive = state->alive;
+  state->pool.OnPrompt(
+      [state](const std::string& replica, std::uint32_t tokens, std::uint64_t key) {
+        state->gossip.Tell(replica, tokens, key);
+      });
   state->pool.OnRoom([state] { state->queue.DispatchSoon(); });
   agent.OnConfiguration([state, alive] {
     if (!alive.expired()) {
--- /dev/null
+++ b/src/gateway/prefill_gossip.cc
@@ -0,0 +1,62 @@
+#include "gateway/prefill_gossip.h"
+
+#include <utility>
+
+#include "runtime/typed_peer.h"
+
+namespace cloverbank {
+namespace {
+
+constexpr std::string_view kMethod = "gateway.NotePrefill";
+/// Prompts below are not told.
+constexpr std::uint32_t kLeastTokens = 3000;
+/// Calls that start within this time are told together.
+constexpr Duration kGatherTime = milliseconds(2);
+/// What comes later is of no use.
+constexpr Duration kDeadline = milliseconds(250);
+
+}  // namespace
+
+PrefillGossip::PrefillGossip(Environment& environment, NodeAgent& agent, Heard heard)
+    : environment_(environment), agent_(agent), heard_(std::move(heard)) {
+  ServePeer<proto::NotePrefillRequest, proto::NotePrefillResponse>(
+      environment_, kMethod,
+      [this, alive = std::weak_ptr<bool>(alive_)](
+          const proto::NotePrefillRequest& request, const std::string&,
+          const std::function<void(Result<proto::NotePrefillResponse>)>& reply) {
+        if (!alive.expired()) {
+          for (const proto::PrefillStart& start : request.starts()) {
+            heard_(start.replica(), start.tokens(), start.key());
+          }
+        }
+        reply(proto::NotePrefillResponse());
+      });
+}
+
+PrefillGossip::~PrefillGossip() { environment_.CancelTimer(timer_); }
+
+void PrefillGossip::Tell(const std::string& replica, std::uint32_t tokens, std::uint64_t key) {
+  if (tokens < kLeastTokens || agent_.neighbours().empty()) {
+    return;
+  }
+  proto::PrefillStart* start = pending_.add_starts();
+  start->set_replica(replica);
+  start->set_tokens(tokens);
+  start->set_key(key);
+  if (timer_ == 0) {
+    timer_ = environment_.ScheduleAfter(kGatherTime, [this] {
+      timer_ = 0;
+      Send();
+    });
+  }
+}
+
+void PrefillGossip::Send() {
+  const proto::NotePrefillRequest request = std::exchange(pending_, {});
+  for (const Endpoint& neighbour : agent_.neighbours()) {
+    CallPeer<proto::NotePrefillResponse>(environment_, neighbour, kMethod, request, kDeadline,
+                                         [](const Result<proto::NotePrefillResponse>&) {});
+  }
+}
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/gateway/prefill_load.h
@@ -0,0 +1,75 @@
+#pragma once
+/// @file
+/// How much prompt each model replica still has to read, as far as this gateway knows: its own calls
+/// and those that its neighbours told of. Replicas read prompts in the order in which they come,
+/// between the steps of what they generate, so a long prompt delays the first token of what comes
+/// after it and every token of what runs beside it. Counting calls does not show that; counting
+/// tokens does. Pure.
+///
+/// A part of a prompt that a replica has read lately is not read again: which keys were sent where is
+/// remembered, a bounded number for each replica.
+
+#include <cstdint>
+#include <list>
+#include <map>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+#include "base/time.h"
+
+namespace cloverbank {
+
+/// The prompt of a call, as far as its caller tells.
+struct PromptShape {
+  std::uint32_t prompt_tokens = 0;  ///< All of it; 0 is not told.
+  std::uint32_t shared_tokens = 0;  ///< Its first part, which other calls have too.
+  std::uint64_t shared_key = 0;     ///< Of the shared part; 0 is none.
+  bool known() const { return prompt_tokens > 0; }
+};
+
+struct PrefillOptions {
+  double first_tokens_per_ms = 180;      ///< Until answers show it.
+  std::uint32_t learn_from_tokens = 4000;  ///< Shorter prompts say little of the rate.
+  Duration fixed_latency = milliseconds(12);  ///< Of a first token, whatever the prompt.
+  std::size_t keys_per_replica = 128;
+  double learning_weight = 0.1;  ///< Of the newest answer.
+};
+
+class PrefillLoad {
+ public:
+  explicit PrefillLoad(PrefillOptions options)
+      : options_(options), tokens_per_ms_(options.first_tokens_per_ms) {}
+
+  /// @return how long the replica is busy with prompts that came before.
+  Duration Backlog(std::string_view replica, TimePoint now) const;
+  /// @return tokens that it would have to read. @param home whether calls of this key go there when
+  /// nothing speaks against it, so that its shared part is probably kept there.
+  std::uint32_t TokensToRead(std::string_view replica, const PromptShape& shape, bool home) const;
+  /// @return how long reading that many takes.
+  Duration TimeFor(std::uint32_t tokens) const;
+
+  /// A call with `tokens` to read goes to the replica. @param key of its shared part.
+  void OnStart(const std::string& replica, std::uint32_t tokens, std::uint64_t key, TimePoint now);
+  /// The first byte came `latency` after a call with that many tokens was sent to a replica that had
+  /// `backlog` before it.
+  void OnFirstByte(std::uint32_t tokens, Duration backlog, Duration latency);
+  void Remove(const std::string& replica) { replicas_.erase(replica); }
+
+  double tokens_per_ms() const { return tokens_per_ms_; }
+
+ private:
+  struct Replica {
+    TimePoint busy_until{};
+    std::list<std::uint64_t> recent;  ///< Keys, the one used last first.
+    std::unordered_map<std::uint64_t, std::list<std::uint64_t>::iterator> places;
+  };
+
+  void Remember(Replica& replica, std::uint64_t key);
+
+  PrefillOptions options_;
+  double tokens_per_ms_;
+  std::map<std::string, Replica, std::less<>> replicas_;
+};
+
+}  // namespace cloverbank
--- a/src/gateway/replica_backend_caller.cc
+++ b/src/gateway/replica_backend_caller.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/checksum.h"
 #include "gateway/event_collector.h"
 #include "gateway/forward_exchange.h"
 #include "gateway/json_exchange.h"
@@ -73,6 +74,9 @@
   ForwardCall call;
   call.call_id = request.call_id();
   call.prefix_key = request.prefix_key();
+  call.prompt.prompt_tokens = request.prompt_tokens();
+  call.prompt.shared_tokens = request.shared_tokens();
+  call.prompt.shared_key = request.prefix_key().empty() ? 0 : Checksum(request.prefix_key());
   call.request = request.forwarded();
   call.streamed = true;
   call.resumable = true;
--- a/src/gateway/replica_health.cc
+++ b/src/gateway/replica_health.cc
@@ -111,7 +111,12 @@
   }
 }
 
-bool ReplicaHealth::Stalled(const Watch& watch, TimePoint now) const {
+bool ReplicaHealth::Stalled(const std::string& id, TimePoint now) const {
+  const Watch* watch = Find(id);
+  return watch != nullptr && IsStalled(*watch, now);
+}
+
+bool ReplicaHealth::IsStalled(const Watch& watch, TimePoint now) const {
   return options_.stall_limit > Duration::zero() && watch.in_flight > 0 &&
          now - watch.quiet_since > options_.stall_limit;
 }
@@ -174,7 +179,7 @@
       if (now < watch->healthy_since + watch->start_delay) {
         return Usability::kNo;
       }
-      return Stalled(*watch, now) ? Usability::kLastResort : Usability::kYes;
+      return IsStalled(*watch, now) ? Usability::kLastResort : Usability::kYes;
     }
     case ReplicaCondition::kSuspect:
       return Usability::kLastResort;
--- a/src/gateway/replica_health.h
+++ b/src/gateway/replica_health.h
@@ -89,6 +89,8 @@
   /// Judges slowness and lets ejections decay; to be called about once a second.
   void Evaluate(TimePoint now);
 
+  /// Whether it has calls and nothing was heard of it for longer than the stall limit.
+  bool Stalled(const std::string& id, TimePoint now) const;
   Usability UsabilityOf(const std::string& id, TimePoint now) const;
   ReplicaCondition ConditionOf(const std::string& id) const;
   /// @return the most calls of everyone that it should have now.
@@ -120,7 +122,7 @@
 
   Watch* Find(const std::string& id);
   const Watch* Find(const std::string& id) const;
-  bool Stalled(const Watch& watch, TimePoint now) const;
+  bool IsStalled(const Watch& watch, TimePoint now) const;
   void BecomeHealthy(Watch& watch, TimePoint now);
   void Eject(Watch& watch, TimePoint now);
   void EjectSoftly(Watch& watch, TimePoint now);
--- a/src/gateway/replica_pool.cc
+++ b/src/gateway/replica_pool.cc
@@ -38,7 +38,8 @@
       own_zone_(options.zone),
       sharing_(options.sharing),
       health_(OptionsOfHealth(options)),
-      router_(OptionsOfRouter(options), directory_, health_, loads_, &cold_pacing_),
+      prefill_(options.prefill),
+      router_(OptionsOfRouter(options), directory_, health_, loads_, &cold_pacing_, &prefill_),
       poller_(environment, client, options.replica_list,
               [this](const proto::ReplicaList& list) { return OnList(list); }),
       prober_(environment, client, options.probe,
@@ -114,7 +115,35 @@
   return list_usable() && chosen && ZoneServes(right_.configuration(), route, record->zone);
 }
 
+ReplicaUse ReplicaPool::MakeUse(const ReplicaRecord& replica, WorkKind work,
+                                const PromptShape& prompt, std::string_view prefix_key) const {
+  ReplicaUse use;
+  use.id = replica.id;
+  use.instance_id = replica.instance_id;
+  use.work = work;
+  if (prompt.known()) {
+    use.prompt_tokens =
+        prefill_.TokensToRead(replica.id, prompt, router_.IsHome(replica, prefix_key));
+    use.shared_key = prompt.shared_key;
+    use.backlog = prefill_.Backlog(replica.id, environment_.Now());
+  }
+  return use;
+}
+
+void ReplicaPool::OnPromptOfOther(const std::string& replica, std::uint32_t tokens,
+                                  std::uint64_t key) {
+  if (directory_.Find(replica) != nullptr) {
+    prefill_.OnStart(replica, tokens, key, environment_.Now());
+  }
+}
+
 void ReplicaPool::OnCallStarted(const ReplicaUse& use) {
+  if (use.prompt_tokens > 0) {
+    prefill_.OnStart(use.id, use.prompt_tokens, use.shared_key, environment_.Now());
+    if (on_prompt_) {
+      on_prompt_(use.id, use.prompt_tokens, use.shared_key);
+    }
+  }
   loads_[use.id].OnStart(use.work);
   cold_pacing_.OnStart(use.id, environment_.Now());
   health_.OnCallStarted(use.id, environment_.Now());
@@ -147,12 +176,17 @@
     return;
   }
   TakeReport(use.id, headers);
+  prefill_.OnFirstByte(use.prompt_tokens, use.backlog, latency);
   health_.OnLatency(use.id, latency);
   health_.OnHeard(use.id, environment_.Now());
   health_.OnWorkSeen(use.id, environment_.Now());
   GrantAllowances(use.id);
 }
 
+bool ReplicaPool::Stalled(const ReplicaUse& use) const {
+  return !IsCurrent(use.id, use.instance_id) || health_.Stalled(use.id, environment_.Now());
+}
+
 void ReplicaPool::OnHeard(const ReplicaUse& use) {
   if (IsCurrent(use.id, use.instance_id)) {
     health_.OnHeard(use.id, environment_.Now());
@@ -169,6 +203,7 @@
                                      change->skipped);
   }
   for (const std::string& id : change->removed) {
+    prefill_.Remove(id);
     const auto load = loads_.find(id);
     if (load != loads_.end() && load->second.own() == 0) {
       loads_.erase(load);
--- a/src/gateway/replica_pool.h
+++ b/src/gateway/replica_pool.h
@@ -30,6 +30,9 @@
   std::string id;
   std::string instance_id;
   WorkKind work = WorkKind::kLive;
+  std::uint32_t prompt_tokens = 0;  ///< That the replica has to read, as far as is known.
+  std::uint64_t shared_key = 0;     ///< Of the part of the prompt that other calls have too.
+  Duration backlog{};               ///< Of prompts before it.
 };
 
 class ReplicaPool {
@@ -50,11 +53,22 @@
   /// ready in a list that is fresh, and in a zone that is open and allowed.
   bool MaySend(const ReplicaUse& use, const proto::Route& route) const;
 
+  /// @return the use of `replica` by a call with that prompt.
+  ReplicaUse MakeUse(const ReplicaRecord& replica, WorkKind work, const PromptShape& prompt,
+                     std::string_view prefix_key) const;
   void OnCallStarted(const ReplicaUse& use);
+  /// Another gateway sent a prompt to the replica.
+  void OnPromptOfOther(const std::string& replica, std::uint32_t tokens, std::uint64_t key);
+  /// Runs for each prompt that is sent from here.
+  using PromptObserver =
+      std::function<void(const std::string& replica, std::uint32_t tokens, std::uint64_t key)>;
+  void OnPrompt(PromptObserver observer) { on_prompt_ = std::move(observer); }
   void OnCallEnded(const ReplicaUse& use, CallEnd end);
   /// The head of an answer came, `latency` after the request was sent.
   void OnAnswerHead(const ReplicaUse& use, const HttpHeaders& headers, Duration latency);
 
+  /// Whether a replica has fallen silent while calls wait there, or is not the same any more.
+  bool Stalled(const ReplicaUse& use) const;
   /// Bytes of an answer came in.
   void OnHeard(const ReplicaUse& use);
 
@@ -100,6 +114,7 @@
   ReplicaHealth health_;
   LoadTable loads_;
   ColdPacing cold_pacing_;
+  PrefillLoad prefill_;
   Router router_;
   ReplicaListPoller poller_;
   ReplicaProber prober_;
@@ -109,6 +124,7 @@
   std::set<std::string> preexisting_;  ///< Not probed yet, and listed before this gateway started.
   bool activated_ = false;             ///< Whether a list and a configuration were there together.
   std::function<void()> on_room_;
+  PromptObserver on_prompt_;
   TimerId evaluation_timer_ = 0;
   TimerId room_timer_ = 0;
   std::uint32_t gateway_count_ = 1;
--- a/src/gateway/retry_policy.cc
+++ b/src/gateway/retry_policy.cc
@@ -51,16 +51,21 @@
       executed_ = executed_ == proto::EXECUTED_UNKNOWN ? executed_ : proto::EXECUTED_YES;
       break;
   }
-  // Refusals do not count where a call has attempts of its own: nothing ran there.
-  const bool counted = options_.maximum_refusals == 0;
-  const bool retries_left = (attempts_left || !counted) && retries_ + 1 < options_.maximum_attempts;
-  if (passed_on_ || !repeatable || !retries_left || !budget_.TakeRetry()) {
+  if (!repeatable || !MayRetry() || !budget_.TakeRetry()) {
     return {};
   }
   ++retries_;
   return {RetryAction::kSendLater, Backoff(random)};
 }
 
+bool RetryState::MayRetry() const {
+  // Refusals do not count where a call has attempts of its own: nothing ran there.
+  const bool counted = options_.maximum_refusals == 0;
+  const bool attempts_left = !counted || attempts_since_wait_ < options_.maximum_attempts;
+  return !passed_on_ && attempts_left && retries_ + 1 < options_.maximum_attempts &&
+         budget_.HasRetry();
+}
+
 Duration RetryState::Backoff(std::uint64_t random) const {
   const std::uint32_t doubling = std::min(retries_, kLargestDoubling);
   const Duration longest =
--- a/src/gateway/retry_policy.h
+++ b/src/gateway/retry_policy.h
@@ -41,6 +41,8 @@
 
   /// A call was sent for the first time.
   void OnFirstAttempt();
+  /// Whether a retry could be made now.
+  bool HasRetry() const { return tokens_ >= 1; }
   /// @return whether a retry may be made now; takes it from the budget.
   bool TakeRetry();
 
@@ -75,6 +77,9 @@
   /// @param random for the jitter of the backoff.
   RetryDecision Decide(AttemptEnd end, bool repeatable, std::uint64_t random);
 
+  /// Whether an attempt that may have run could be followed by another one now.
+  bool MayRetry() const;
+
   /// What the caller may be told if the call ends without a whole answer now.
   proto::Executed executed() const { return executed_; }
   std::uint32_t attempts() const { return attempts_; }
--- a/src/gateway/router.cc
+++ b/src/gateway/router.cc
@@ -12,6 +12,9 @@
 constexpr std::uint32_t kDefaultHeadroomPercent = 70;
 constexpr std::uint32_t kElsewhereRank = 4;   // After own zone and region, busy or not.
 constexpr std::uint32_t kLastResortRank = 5;  // Added to the rank of a suspect.
+constexpr Duration kLastResortCost = seconds(10);
+/// Affinity key of all long prompts together.
+constexpr std::string_view kLongPromptsKey = "long prompts";
 
 template <typename List>
 auto FindByName(const List& list, std::string_view name) -> decltype(&*list.begin()) {
@@ -75,6 +78,10 @@
   if (candidates.empty()) {
     return choice;
   }
+  if (prefill_ != nullptr && query.prompt.known()) {
+    choice.replica = ChooseByPrefill(candidates, query, now)->replica;
+    return choice;
+  }
   const std::uint32_t rank = std::min_element(candidates.begin(), candidates.end(),
                                               [](const Candidate& left, const Candidate& right) {
                                                 return left.rank < right.rank;
@@ -159,6 +166,51 @@
   return candidate;
 }
 
+bool Router::IsHome(const ReplicaRecord& replica, std::string_view prefix_key) const {
+  if (prefix_key.empty()) {
+    return false;
+  }
+  const std::uint64_t weight = Checksum(prefix_key, Checksum(replica.id));
+  const auto& ready = directory_.Ready(replica.kind, replica.backend);
+  return std::none_of(ready.begin(), ready.end(), [&](const ReplicaRecord* other) {
+    return other->zone == replica.zone && Checksum(prefix_key, Checksum(other->id)) > weight;
+  });
+}
+
+Duration Router::PrefillCost(const Candidate& candidate, const RoutingQuery& query,
+                             TimePoint now) const {
+  const ReplicaRecord& replica = *candidate.replica;
+  const std::uint32_t tokens = prefill_->TokensToRead(replica.id, query.prompt,
+                                                      IsHome(replica, query.prefix_key));
+  Duration cost = prefill_->Backlog(replica.id, now) + prefill_->TimeFor(tokens);
+  cost += candidate.load * options_.running_call_cost;
+  cost += replica.zone == options_.zone ? Duration::zero() : options_.other_zone_cost;
+  cost += candidate.last_resort ? kLastResortCost : Duration::zero();
+  const bool for_long_ones = IsHome(replica, kLongPromptsKey);
+  if (query.prompt.prompt_tokens >= options_.long_prompt_tokens) {
+    cost += for_long_ones ? Duration::zero() : options_.long_elsewhere_cost;
+  } else {
+    cost += for_long_ones ? options_.short_beside_long_cost : Duration::zero();
+  }
+  return cost;
+}
+
+const Router::Candidate* Router::ChooseByPrefill(const std::vector<Candidate>& candidates,
+                                                 const RoutingQuery& query, TimePoint now) const {
+  const Candidate* best = nullptr;
+  Duration best_cost{};
+  const std::size_t first = query.tie_breaker % candidates.size();
+  for (std::size_t step = 0; step < candidates.size(); ++step) {
+    const Candidate& candidate = candidates[(first + step) % candidates.size()];
+    const Duration cost = PrefillCost(candidate, query, now);
+    if (best == nullptr || cost < best_cost) {
+      best = &candidate;
+      best_cost = cost;
+    }
+  }
+  return best;
+}
+
 const Router::Candidate* Router::ChooseAffine(const std::vector<Candidate>& candidates,
                                               std::string_view prefix_key) const {
   double sum = 0;
@@ -204,7 +256,10 @@
   if (!options_.load_reported) {
     const bool refusing = found != loads_.end() && found->second.Refusing(now);
     const bool paced = cold_ != nullptr && !cold_->MayStart(replica.id, now);
-    return refusing || paced ? 0 : UnreportedHeadroom(replica, configuration, now).free;
+    const bool reading =
+        prefill_ != nullptr && prefill_->Backlog(replica.id, now) > options_.batch_backlog;
+    const bool closed = refusing || paced || reading;
+    return closed ? 0 : UnreportedHeadroom(replica, configuration, now).free;
   }
   if (found == loads_.end() || found->second.Refusing(now)) {
     return 0;
--- a/src/gateway/router.h
+++ b/src/gateway/router.h
@@ -16,6 +16,7 @@
 
 #include "base/time.h"
 #include "gateway/cold_pacing.h"
+#include "gateway/prefill_load.h"
 #include "gateway/replica_directory.h"
 #include "gateway/replica_health.h"
 #include "gateway/replica_load.h"
@@ -34,6 +35,17 @@
   /// Whether replicas report their load. If not, room for batch work is an equal part for each
   /// gateway, and slow start is left to `ColdPacing`.
   bool load_reported = true;
+  /// What a call to another zone costs, in time that its prompt might take at home instead.
+  Duration other_zone_cost = milliseconds(40);
+  /// The same for each of this gateway's calls at a replica.
+  Duration running_call_cost = std::chrono::microseconds(400);
+  /// Prompts of at least that many tokens to read go to one replica of a zone, which the others
+  /// avoid: a long prompt stops what is generated beside it. Each side's cost of leaving its place.
+  std::uint32_t long_prompt_tokens = 16'000;
+  Duration long_elsewhere_cost = milliseconds(120);
+  Duration short_beside_long_cost = milliseconds(25);
+  /// Prompts ahead of a batch item, above which it is not started there.
+  Duration batch_backlog = milliseconds(10);
 };
 
 struct RoutingQuery {
@@ -41,6 +53,7 @@
   const proto::Route* route = nullptr;
   std::string_view backend = {};  ///< Of the route's split; empty takes the route's only one.
   std::string_view prefix_key;                         ///< Empty: no affinity.
+  PromptShape prompt = {};
   const std::vector<std::string>* excluded = nullptr;  ///< Replicas tried before; may be null.
   WorkKind work = WorkKind::kLive;
   std::uint64_t tie_breaker = 0;  ///< Random number.
@@ -77,20 +90,25 @@
 
 class Router {
  public:
-  /// @param cold may be nullptr. All referred to must outlive the router.
+  /// @param cold, @param prefill may be nullptr. All referred to must outlive the router.
   Router(RouterOptions options, const ReplicaDirectory& directory, const ReplicaHealth& health,
-         const LoadTable& loads, const ColdPacing* cold = nullptr)
+         const LoadTable& loads, const ColdPacing* cold = nullptr,
+         const PrefillLoad* prefill = nullptr)
       : options_(std::move(options)),
         directory_(directory),
         health_(health),
         loads_(loads),
-        cold_(cold) {}
+        cold_(cold),
+        prefill_(prefill) {}
 
   /// Among how many gateways the room for batch work is divided; only if loads are not reported.
   void SetGatewayCount(std::uint32_t count) { gateway_count_ = std::max(1U, count); }
 
   RoutingChoice Choose(const RoutingQuery& query, TimePoint now) const;
 
+  /// Whether `replica` is where calls of that key go in its zone when nothing speaks against it.
+  bool IsHome(const ReplicaRecord& replica, std::string_view prefix_key) const;
+
   /// @return how many further batch items may start on the replicas of a back end in open zones.
   std::uint32_t FreeBatchSlots(const proto::RoutingConfiguration& configuration,
                                const std::string& backend, TimePoint now) const;
@@ -126,6 +144,10 @@
   BatchHeadroom UnreportedHeadroom(const ReplicaRecord& replica,
                                    const proto::RoutingConfiguration& configuration,
                                    TimePoint now) const;
+  Duration PrefillCost(const Candidate& candidate, const RoutingQuery& query, TimePoint now) const;
+  /// @return the candidate whose first token would come soonest, all things told.
+  const Candidate* ChooseByPrefill(const std::vector<Candidate>& candidates,
+                                   const RoutingQuery& query, TimePoint now) const;
   const Candidate* ChooseAffine(const std::vector<Candidate>& candidates,
                                 std::string_view prefix_key) const;
 
@@ -134,6 +156,7 @@
   const ReplicaHealth& health_;
   const LoadTable& loads_;
   const ColdPacing* cold_;
+  const PrefillLoad* prefill_;
   std::uint32_t gateway_count_ = 1;
 };
 
--- a/src/node/node_agent.cc
+++ b/src/node/node_agent.cc
@@ -283,6 +283,10 @@
 
 std::uint32_t NodeAgent::gateway_count() const { return state_->session.gateway_count(); }
 
+const std::vector<Endpoint>& NodeAgent::neighbours() const {
+  return state_->session.neighbours();
+}
+
 bool NodeAgent::LeaseValid() const { return state_->session.LeaseValid(state_->environment.Now()); }
 
 TimePoint NodeAgent::lease_end() const { return state_->session.lease_end(); }
--- a/src/node/node_agent.h
+++ b/src/node/node_agent.h
@@ -64,6 +64,8 @@
   std::uint32_t partition_count() const;
   /// @return live gateways as last heard, at least 1: shares of what all may take are this part.
   std::uint32_t gateway_count() const;
+  /// @return peer endpoints of other gateways in this zone, a bounded number of them.
+  const std::vector<Endpoint>& neighbours() const;
   /// Whether this node still holds the right to act: registered, not fenced, lease not run out.
   bool LeaseValid() const;
   /// @return when the lease runs out; a past time if there is none.
--- a/src/node/node_session.cc
+++ b/src/node/node_session.cc
@@ -67,6 +67,11 @@
     effects.fleet = fleet_.Take(response.fleet());
   }
   gateway_count_ = std::max(1U, response.gateway_count());
+  neighbours_.clear();
+  for (const proto::Endpoint& neighbour : response.neighbours()) {
+    neighbours_.push_back(
+        {neighbour.host(), static_cast<std::uint16_t>(neighbour.port())});
+  }
   const bool same_life = node_id_.valid() && NodeId(request.node_id()) == node_id_;
   if (same_life && effects.configuration != UpdateOutcome::kGap) {
     const TimePoint end = sent + UsableLease(response.lease_ms());
--- a/src/node/node_session.h
+++ b/src/node/node_session.h
@@ -37,6 +37,7 @@
   std::uint32_t partition_count() const { return partition_count_; }
   /// Live gateways as of the last heartbeat; at least 1.
   std::uint32_t gateway_count() const { return gateway_count_; }
+  const std::vector<Endpoint>& neighbours() const { return neighbours_; }
   TimePoint lease_end() const { return lease_end_; }
   bool LeaseValid(TimePoint now) const { return node_id_.valid() && now < lease_end_; }
   const proto::RoutingConfiguration& configuration() const {
@@ -65,6 +66,7 @@
   NodeId previous_node_id_;
   std::uint32_t partition_count_ = 0;
   std::uint32_t gateway_count_ = 1;
+  std::vector<Endpoint> neighbours_;
   TimePoint lease_end_{};
   ConfigurationWatch configuration_;
   FleetWatch fleet_;
--- a/src/queue/work_results.cc
+++ b/src/queue/work_results.cc
@@ -82,6 +82,8 @@
       pending->status = Status(StatusCode::kUnavailable, "a result of the item is being logged");
       return false;
     case ReportAction::kReturnItem:
+      Log(LogLevel::kInfo, "work_returned",
+          {{"batch", item.batch_id}, {"item", item.index}, {"reason", report.error()}});
       leases_.End(item);
       ReturnItem(item);
       return false;
@@ -171,6 +173,10 @@
       continue;
     }
     environment_.metrics().Increment("queue_silent_leases_total");
+    Log(LogLevel::kInfo, "work_lease_silent",
+        {{"batch", lease.item.batch_id},
+         {"item", lease.item.index},
+         {"gateway", lease.gateway_node_id}});
     if (lease.idempotent && !batch->cancelled) {
       ReturnItem(lease.item);
     } else {
