Test what is passed on unchanged, and count failed runs of batch items over leases

A test of an idle connection closed by its peer hung under load: it did not wait for the close; it does now, with the same expectations. Change: failed runs travel with reports and grants; batch retries are bounded by attempts, not by the budget of live calls; rates and unexpected delays are learned for each replica.

--- a/src/gateway/backend_caller.h
+++ b/src/gateway/backend_caller.h
@@ -27,6 +27,9 @@
   bool succeeded = false;  ///< A whole, good answer: `answer` is set and executed is yes.
   proto::CallAnswer answer;
   proto::CallError error;  ///< Set when not succeeded.
+  /// Of a batch item that is passed on: runs that failed by the replicas' own word, earlier leases
+  /// included.
+  std::uint32_t failed_runs = 0;
 };
 
 /// One running call at a back end.
--- a/src/gateway/batch_work_ledger.cc
+++ b/src/gateway/batch_work_ledger.cc
@@ -119,6 +119,7 @@
   if (item == nullptr || IsDone(*item)) {
     return;
   }
+  item->report.set_failed_runs(outcome.failed_runs);
   if (outcome.succeeded) {
     Complete(*item, proto::WORK_DISPOSITION_FINISHED, proto::ITEM_OUTCOME_SUCCEEDED,
              outcome.answer.text(), "");
--- a/src/gateway/batch_worker.cc
+++ b/src/gateway/batch_worker.cc
@@ -26,6 +26,7 @@
     request.set_prefix_key(grant.item().prefix_key());
     request.set_prompt_tokens(grant.item().prompt_tokens());
     request.set_shared_tokens(grant.item().shared_tokens());
+    request.set_failed_runs(grant.failed_runs());
     request.set_call_id(grant.item().custom_id());
     return request;
   }
--- a/src/gateway/call_runner.cc
+++ b/src/gateway/call_runner.cc
@@ -25,6 +25,7 @@
   if (spec.attempts > 0) {
     options.maximum_refusals = std::max(options.maximum_attempts, options.maximum_refusals);
     options.maximum_attempts = spec.attempts;
+    options.budgeted = spec.work == WorkKind::kLive;
   }
   return options;
 }
--- a/src/gateway/forward_attempt.cc
+++ b/src/gateway/forward_attempt.cc
@@ -302,7 +302,12 @@
   if (failed) {
     exchange_->CountFailure();
     exchange_->NoteFailure(std::move(response));
-    FinishWith(AttemptEnd::kFailed, "replica_failed", message, CallEnd::kFailed);
+    AttemptResult result;
+    result.end = AttemptEnd::kFailed;
+    result.error.set_code("replica_failed");
+    result.error.set_message(message);
+    result.final = exchange_->FailedForGood();
+    Finish(std::move(result), CallEnd::kFailed);
     return;
   }
   if (!IsSuccess(status_) && exchange_->call().judge_failures) {
--- a/src/gateway/forward_exchange.h
+++ b/src/gateway/forward_exchange.h
@@ -44,6 +44,9 @@
   bool resumable = false;  ///< A broken stream may go on at another replica.
   /// The caller can not be told a replica's own failure: it becomes the end of the attempt.
   bool judge_failures = false;
+  /// Failures of replicas, by their own word, after which it is not tried further; 0 is no bound.
+  std::uint32_t most_failures = 0;
+  std::uint32_t earlier_failures = 0;  ///< Before this exchange.
 };
 
 class ForwardExchange final : public CallExchange,
@@ -51,7 +54,10 @@
  public:
   /// @param sink outlives the exchange's attempts.
   ForwardExchange(ForwardCall call, const ReplicaHeaderNames& names, ForwardSink& sink)
-      : call_(std::move(call)), names_(names), sink_(sink) {}
+      : call_(std::move(call)),
+        names_(names),
+        sink_(sink),
+        failures_(call_.earlier_failures) {}
 
   std::shared_ptr<CallAttempt> NewAttempt(const AttemptContext& context, AttemptRequest request,
                                           ExchangeEvents events) override;
@@ -81,6 +87,9 @@
   /// Failures of replicas that ran the request, by their own word.
   std::uint32_t failures() const { return failures_; }
   void CountFailure() { ++failures_; }
+  bool FailedForGood() const {
+    return call_.most_failures > 0 && failures_ >= call_.most_failures;
+  }
 
  private:
   const ForwardCall call_;
@@ -89,7 +98,7 @@
   bool started_ = false;
   std::optional<std::uint64_t> last_event_;
   std::optional<HttpResponse> failure_;
-  std::uint32_t failures_ = 0;
+  std::uint32_t failures_;
 };
 
 }  // namespace cloverbank
--- a/src/gateway/prefill_load.cc
+++ b/src/gateway/prefill_load.cc
@@ -1,6 +1,7 @@
 #include "gateway/prefill_load.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace cloverbank {
 namespace {
@@ -16,8 +17,24 @@
 
 Duration PrefillLoad::Backlog(std::string_view replica, TimePoint now) const {
   const auto found = replicas_.find(replica);
-  const bool busy = found != replicas_.end() && found->second.busy_until > now;
-  return busy ? found->second.busy_until - now : Duration::zero();
+  if (found == replicas_.end()) {
+    return Duration::zero();
+  }
+  const Replica& entry = found->second;
+  const Duration known = std::max(Duration::zero(), entry.busy_until - now);
+  return known + DelayOf(entry, now);
+}
+
+Duration PrefillLoad::DelayOf(const Replica& replica, TimePoint now) const {
+  const double half_lives = std::chrono::duration<double>(now - replica.delay_at) /
+                            std::chrono::duration<double>(options_.delay_half_life);
+  return std::chrono::duration_cast<Duration>(replica.delay * std::exp2(-half_lives));
+}
+
+double PrefillLoad::tokens_per_ms(std::string_view replica) const {
+  const auto found = replicas_.find(replica);
+  const bool learned = found != replicas_.end() && found->second.tokens_per_ms > 0;
+  return learned ? found->second.tokens_per_ms : options_.first_tokens_per_ms;
 }
 
 std::uint32_t PrefillLoad::TokensToRead(std::string_view replica, const PromptShape& shape,
@@ -31,15 +48,15 @@
   return shape.prompt_tokens - (kept && shape.shared_key != 0 ? shared : 0);
 }
 
-Duration PrefillLoad::TimeFor(std::uint32_t tokens) const {
-  const std::chrono::duration<double, std::milli> time(tokens / tokens_per_ms_);
+Duration PrefillLoad::TimeFor(std::string_view replica, std::uint32_t tokens) const {
+  const std::chrono::duration<double, std::milli> time(tokens / tokens_per_ms(replica));
   return std::chrono::duration_cast<Duration>(time);
 }
 
 void PrefillLoad::OnStart(const std::string& replica, std::uint32_t tokens, std::uint64_t key,
                           TimePoint now) {
   Replica& entry = replicas_[replica];
-  entry.busy_until = std::max(entry.busy_until, now) + TimeFor(tokens);
+  entry.busy_until = std::max(entry.busy_until, now) + TimeFor(replica, tokens);
   if (key != 0) {
     Remember(entry, key);
   }
@@ -59,15 +76,24 @@
   }
 }
 
-void PrefillLoad::OnFirstByte(std::uint32_t tokens, Duration backlog, Duration latency) {
+void PrefillLoad::OnFirstByte(const std::string& replica, std::uint32_t tokens, Duration backlog,
+                              Duration latency, TimePoint now) {
+  Replica& entry = replicas_[replica];
+  const Duration expected = backlog + TimeFor(replica, tokens) + options_.fixed_latency;
+  const Duration late = std::max(Duration::zero(), latency - expected);
+  const Duration past = DelayOf(entry, now);
+  entry.delay = std::chrono::duration_cast<Duration>(past * (1 - options_.delay_weight) +
+                                                     late * options_.delay_weight);
+  entry.delay_at = now;
   const Duration reading = latency - options_.fixed_latency;
   if (tokens < options_.learn_from_tokens || backlog > Duration::zero() ||
       reading <= Duration::zero()) {
     return;
   }
-  const double seen = std::clamp(tokens / ToMilliseconds(reading), kLeastTokensPerMs,
-                                 kMostTokensPerMs);
-  tokens_per_ms_ += options_.learning_weight * (seen - tokens_per_ms_);
+  const double seen =
+      std::clamp(tokens / ToMilliseconds(reading), kLeastTokensPerMs, kMostTokensPerMs);
+  const double rate = tokens_per_ms(replica);
+  entry.tokens_per_ms = rate + options_.learning_weight * (seen - rate);
 }
 
 }  // namespace cloverbank
--- a/src/gateway/prefill_load.h
+++ b/src/gateway/prefill_load.h
@@ -33,42 +33,50 @@
   std::uint32_t learn_from_tokens = 4000;  ///< Shorter prompts say little of the rate.
   Duration fixed_latency = milliseconds(12);  ///< Of a first token, whatever the prompt.
   std::size_t keys_per_replica = 128;
-  double learning_weight = 0.1;  ///< Of the newest answer.
+  double learning_weight = 0.2;  ///< Of the newest answer.
+  /// How much of an answer's unexpected delay counts against its replica, and how fast that fades:
+  /// prompts of gateways that this one does not hear of, and slow replicas, show in nothing else.
+  double delay_weight = 0.5;
+  Duration delay_half_life = milliseconds(400);
 };
 
 class PrefillLoad {
  public:
-  explicit PrefillLoad(PrefillOptions options)
-      : options_(options), tokens_per_ms_(options.first_tokens_per_ms) {}
+  explicit PrefillLoad(PrefillOptions options) : options_(options) {}
 
-  /// @return how long the replica is busy with prompts that came before.
+  /// @return how long the replica is busy with prompts that came before, as far as is known, and
+  /// what its last answers were late beyond that.
   Duration Backlog(std::string_view replica, TimePoint now) const;
   /// @return tokens that it would have to read. @param home whether calls of this key go there when
   /// nothing speaks against it, so that its shared part is probably kept there.
   std::uint32_t TokensToRead(std::string_view replica, const PromptShape& shape, bool home) const;
-  /// @return how long reading that many takes.
-  Duration TimeFor(std::uint32_t tokens) const;
+  /// @return how long the replica takes to read that many.
+  Duration TimeFor(std::string_view replica, std::uint32_t tokens) const;
 
   /// A call with `tokens` to read goes to the replica. @param key of its shared part.
   void OnStart(const std::string& replica, std::uint32_t tokens, std::uint64_t key, TimePoint now);
   /// The first byte came `latency` after a call with that many tokens was sent to a replica that had
   /// `backlog` before it.
-  void OnFirstByte(std::uint32_t tokens, Duration backlog, Duration latency);
+  void OnFirstByte(const std::string& replica, std::uint32_t tokens, Duration backlog,
+                   Duration latency, TimePoint now);
   void Remove(const std::string& replica) { replicas_.erase(replica); }
 
-  double tokens_per_ms() const { return tokens_per_ms_; }
+  double tokens_per_ms(std::string_view replica) const;
 
  private:
   struct Replica {
     TimePoint busy_until{};
+    double tokens_per_ms = 0;  ///< 0 until learned.
+    Duration delay{};          ///< Unexpected, as of `delay_at`.
+    TimePoint delay_at{};
     std::list<std::uint64_t> recent;  ///< Keys, the one used last first.
     std::unordered_map<std::uint64_t, std::list<std::uint64_t>::iterator> places;
   };
 
   void Remember(Replica& replica, std::uint64_t key);
+  Duration DelayOf(const Replica& replica, TimePoint now) const;
 
   PrefillOptions options_;
-  double tokens_per_ms_;
   std::map<std::string, Replica, std::less<>> replicas_;
 };
 
--- a/src/gateway/replica_backend_caller.cc
+++ b/src/gateway/replica_backend_caller.cc
@@ -82,12 +82,14 @@
   call.resumable = true;
   call.judge_failures = true;
   const auto collector = std::make_shared<EventCollector>();
+  call.most_failures = std::max(1U, route.attempts());
+  call.earlier_failures = request.failed_runs();
   const auto exchange = std::make_shared<ForwardExchange>(std::move(call), names_, *collector);
-  *read_answer = [exchange, collector,
-                  attempts = std::max(1U, route.attempts())](BackendOutcome* outcome) {
+  *read_answer = [exchange, collector](BackendOutcome* outcome) {
+    outcome->failed_runs = exchange->failures();
     if (outcome->succeeded) {
       outcome->answer.set_text(collector->TakeText());
-    } else if (outcome->executed == proto::EXECUTED_YES && exchange->failures() < attempts) {
+    } else if (outcome->executed == proto::EXECUTED_YES && !exchange->FailedForGood()) {
       outcome->executed = proto::EXECUTED_UNKNOWN;  // It may be tried further.
     }
   };
--- a/src/gateway/replica_pool.cc
+++ b/src/gateway/replica_pool.cc
@@ -176,7 +176,9 @@
     return;
   }
   TakeReport(use.id, headers);
-  prefill_.OnFirstByte(use.prompt_tokens, use.backlog, latency);
+  if (use.prompt_tokens > 0) {
+    prefill_.OnFirstByte(use.id, use.prompt_tokens, use.backlog, latency, environment_.Now());
+  }
   health_.OnLatency(use.id, latency);
   health_.OnHeard(use.id, environment_.Now());
   health_.OnWorkSeen(use.id, environment_.Now());
--- a/src/gateway/retry_policy.cc
+++ b/src/gateway/retry_policy.cc
@@ -51,7 +51,7 @@
       executed_ = executed_ == proto::EXECUTED_UNKNOWN ? executed_ : proto::EXECUTED_YES;
       break;
   }
-  if (!repeatable || !MayRetry() || !budget_.TakeRetry()) {
+  if (!repeatable || !MayRetry() || (options_.budgeted && !budget_.TakeRetry())) {
     return {};
   }
   ++retries_;
@@ -63,7 +63,7 @@
   const bool counted = options_.maximum_refusals == 0;
   const bool attempts_left = !counted || attempts_since_wait_ < options_.maximum_attempts;
   return !passed_on_ && attempts_left && retries_ + 1 < options_.maximum_attempts &&
-         budget_.HasRetry();
+         (!options_.budgeted || budget_.HasRetry());
 }
 
 Duration RetryState::Backoff(std::uint64_t random) const {
--- a/src/gateway/router.cc
+++ b/src/gateway/router.cc
@@ -10,6 +10,8 @@
 
 constexpr std::uint32_t kPercent = 100;
 constexpr std::uint32_t kDefaultHeadroomPercent = 70;
+/// Where loads are not reported, a gateway's part of the room is not all used at once.
+constexpr std::uint32_t kUnreportedHeadroomPercent = 90;
 constexpr std::uint32_t kElsewhereRank = 4;   // After own zone and region, busy or not.
 constexpr std::uint32_t kLastResortRank = 5;  // Added to the rank of a suspect.
 constexpr Duration kLastResortCost = seconds(10);
@@ -24,9 +26,10 @@
   return found != list.end() && found->name() == name ? &*found : nullptr;
 }
 
-std::uint32_t HeadroomPercent(const proto::RoutingConfiguration& configuration) {
+std::uint32_t HeadroomPercent(const proto::RoutingConfiguration& configuration,
+                              std::uint32_t standard) {
   const std::uint32_t percent = configuration.batch().live_headroom_percent();
-  return percent == 0 ? kDefaultHeadroomPercent : std::min(percent, kPercent);
+  return percent == 0 ? standard : std::min(percent, kPercent);
 }
 
 }  // namespace
@@ -182,7 +185,7 @@
   const ReplicaRecord& replica = *candidate.replica;
   const std::uint32_t tokens = prefill_->TokensToRead(replica.id, query.prompt,
                                                       IsHome(replica, query.prefix_key));
-  Duration cost = prefill_->Backlog(replica.id, now) + prefill_->TimeFor(tokens);
+  Duration cost = prefill_->Backlog(replica.id, now) + prefill_->TimeFor(replica.id, tokens);
   cost += candidate.load * options_.running_call_cost;
   cost += replica.zone == options_.zone ? Duration::zero() : options_.other_zone_cost;
   cost += candidate.last_resort ? kLastResortCost : Duration::zero();
@@ -277,10 +280,12 @@
                                                 TimePoint now) const {
   const auto found = loads_.find(replica.id);
   const std::uint32_t own = found == loads_.end() ? 0 : found->second.own();
-  const std::uint32_t all = replica.capacity * HeadroomPercent(configuration) / kPercent;
+  const std::uint32_t all = replica.capacity *
+                            HeadroomPercent(configuration, kUnreportedHeadroomPercent) / kPercent;
   BatchHeadroom headroom;
-  headroom.bound = std::min(std::max(1U, all / gateway_count_),
-                            health_.LimitOf(replica.id, replica.capacity, now));
+  const auto part =
+      static_cast<std::uint32_t>(std::lround(static_cast<double>(all) / gateway_count_));
+  headroom.bound = std::min(std::max(1U, part), health_.LimitOf(replica.id, replica.capacity, now));
   headroom.free = headroom.bound - std::min(headroom.bound, own);
   return headroom;
 }
@@ -295,7 +300,7 @@
   const ReplicaLoad& load = found->second;
   const std::uint32_t capacity = load.Capacity(replica.capacity);
   // At least one, or batches would never run on replicas that take one call at a time.
-  const std::uint32_t share = std::max(1U, capacity * HeadroomPercent(configuration) / kPercent);
+  const std::uint32_t share = std::max(1U, capacity * HeadroomPercent(configuration, kDefaultHeadroomPercent) / kPercent);
   BatchHeadroom headroom;
   headroom.bound = std::min(share, health_.LimitOf(replica.id, capacity, now));
   headroom.free = headroom.bound - std::min(headroom.bound, load.total());
--- a/src/gateway/router.h
+++ b/src/gateway/router.h
@@ -36,14 +36,14 @@
   /// gateway, and slow start is left to `ColdPacing`.
   bool load_reported = true;
   /// What a call to another zone costs, in time that its prompt might take at home instead.
-  Duration other_zone_cost = milliseconds(40);
+  Duration other_zone_cost = milliseconds(30);
   /// The same for each of this gateway's calls at a replica.
   Duration running_call_cost = std::chrono::microseconds(400);
   /// Prompts of at least that many tokens to read go to one replica of a zone, which the others
   /// avoid: a long prompt stops what is generated beside it. Each side's cost of leaving its place.
-  std::uint32_t long_prompt_tokens = 16'000;
-  Duration long_elsewhere_cost = milliseconds(120);
-  Duration short_beside_long_cost = milliseconds(25);
+  std::uint32_t long_prompt_tokens = 20'000;
+  Duration long_elsewhere_cost = milliseconds(80);
+  Duration short_beside_long_cost = milliseconds(18);
   /// Prompts ahead of a batch item, above which it is not started there.
   Duration batch_backlog = milliseconds(10);
 };
--- a/src/queue/work_dispatcher.h
+++ b/src/queue/work_dispatcher.h
@@ -138,6 +138,8 @@
   std::set<BatchKey> unsettled_;
   std::set<BatchKey> settling_;
   std::list<HeldAcquire> held_;
+  /// Failed runs of items that came back. Not logged: a new owner counts anew.
+  std::map<WorkItemKey, std::uint32_t> failed_runs_;
   std::set<WorkItemKey> unknown_due_;  ///< To be finished as unknown.
   std::set<WorkItemKey> unknown_under_way_;
 };
--- a/src/queue/work_grants.cc
+++ b/src/queue/work_grants.cc
@@ -167,6 +167,8 @@
   *grant.mutable_item() = batch->items[item.index];
   grant.set_route(batch->accepted.route());
   grant.set_idempotent(batch->accepted.idempotent());
+  const auto failed = failed_runs_.find(item);
+  grant.set_failed_runs(failed == failed_runs_.end() ? 0 : failed->second);
   // Counts from when the request was sent, which was before it arrived and was held here.
   const auto window = std::chrono::duration_cast<milliseconds>(held + kWorkLeaseStartWindow);
   grant.set_start_within_ms(static_cast<std::uint32_t>(window.count()));
--- a/src/queue/work_results.cc
+++ b/src/queue/work_results.cc
@@ -84,6 +84,9 @@
     case ReportAction::kReturnItem:
       Log(LogLevel::kInfo, "work_returned",
           {{"batch", item.batch_id}, {"item", item.index}, {"reason", report.error()}});
+      if (report.failed_runs() > 0) {
+        failed_runs_[item] = report.failed_runs();
+      }
       leases_.End(item);
       ReturnItem(item);
       return false;
@@ -158,6 +161,7 @@
     }
     leases_.End(item);
     unknown_due_.erase(item);
+    failed_runs_.erase(item);
     const StoredBatch* batch = FindBatch(item);
     if (batch != nullptr && batch->AllFinished()) {
       Dequeue({partition, item.batch_id});
--- /dev/null
+++ b/tests/coordinator/labelled_configuration_test.cc
@@ -0,0 +1,129 @@
+// Configurations that operators number themselves, with HTTP routes and documents.
+#include <gtest/gtest.h>
+
+#include "control_commands.h"
+#include "coordinator/configuration_store.h"
+#include "node/configuration_watch.h"
+
+namespace cloverbank {
+namespace {
+
+/// A whole configuration: one back end and a route for each prefix.
+proto::ConfigurationTransaction Whole(const std::string& operation_id, std::uint64_t base,
+                                      std::uint64_t label,
+                                      const std::vector<std::string>& prefixes) {
+  proto::ConfigurationTransaction transaction;
+  transaction.set_operation_id(operation_id);
+  transaction.set_label(label);
+  transaction.set_expected_label(base);
+  transaction.set_replaces_traffic(true);
+  transaction.add_changes()->mutable_set_backend()->set_name("blobs");
+  for (const std::string& prefix : prefixes) {
+    proto::Route& route = *transaction.add_changes()->mutable_set_route();
+    route.set_name("r" + std::to_string(transaction.changes_size()));
+    route.set_backend_kind(proto::BACKEND_KIND_HTTP);
+    route.set_host("shop.example");
+    route.set_path_prefix(prefix);
+    route.set_backend("blobs");
+    route.set_deadline_ms(1000);
+  }
+  transaction.add_changes()->mutable_set_document()->set_source("document " +
+                                                                std::to_string(label));
+  return transaction;
+}
+
+TEST(LabelledConfiguration, RisesInUnevenStepsAndReadsBackAsItWasSent) {
+  ControlDriver control;
+  EXPECT_EQ(control.Submit(Whole("a", 0, 3, {"/x/", "/y/"})).outcome(),
+            proto::TRANSACTION_OUTCOME_APPLIED);
+  EXPECT_EQ(control.Submit(Whole("b", 3, 10, {"/x/"})).outcome(),
+            proto::TRANSACTION_OUTCOME_APPLIED);
+  const proto::RoutingConfiguration& whole = control.state.configuration().Whole();
+  EXPECT_EQ(whole.label(), 10U);
+  EXPECT_EQ(whole.document().source(), "document 10");
+  EXPECT_EQ(whole.routes_size(), 1);  // What the document does not name is gone.
+}
+
+TEST(LabelledConfiguration, OneOfTwoOnTheSameBaseWinsAndAResendIsAcknowledgedAgain) {
+  ControlDriver control;
+  control.Submit(Whole("a", 0, 3, {"/x/"}));
+  const auto winner = Whole("w", 3, 5, {"/x/", "/y/"});
+  const auto loser = Whole("l", 3, 5, {"/x/", "/z/"});
+  EXPECT_EQ(control.Submit(winner).outcome(), proto::TRANSACTION_OUTCOME_APPLIED);
+  EXPECT_EQ(control.Submit(loser).outcome(), proto::TRANSACTION_OUTCOME_VERSION_CONFLICT);
+  control.Submit(Whole("n", 5, 8, {"/x/"}));
+  ControlDriver restored;
+  ASSERT_TRUE(restored.state.RestoreSnapshot(control.state.TakeSnapshot()).ok());
+  // The gateway that resends may hold another configuration, so its changes may read differently.
+  auto resent = winner;
+  resent.clear_changes();
+  EXPECT_EQ(restored.Submit(resent).outcome(), proto::TRANSACTION_OUTCOME_APPLIED);
+  EXPECT_EQ(restored.Submit(loser).outcome(), proto::TRANSACTION_OUTCOME_VERSION_CONFLICT);
+  EXPECT_EQ(restored.state.configuration().label(), 8U);
+}
+
+TEST(LabelledConfiguration, InvalidOnesChangeNothing) {
+  ControlDriver control;
+  control.Submit(Whole("a", 0, 3, {"/x/"}));
+  std::vector<proto::ConfigurationTransaction> invalid;
+  invalid.push_back(Whole("same-place", 3, 4, {"/x/", "/x/"}));
+  invalid.push_back(Whole("same-label", 3, 3, {"/x/"}));
+  invalid.push_back(Whole("lower-label", 3, 2, {"/x/"}));
+  invalid.push_back(Whole("no-timeout", 3, 4, {"/x/"}));
+  invalid.back().mutable_changes(1)->mutable_set_route()->set_deadline_ms(0);
+  invalid.push_back(Whole("unknown-backend", 3, 4, {"/x/"}));
+  invalid.back().mutable_changes(1)->mutable_set_route()->set_backend("nothing");
+  invalid.push_back(Whole("no-weight", 3, 4, {"/x/"}));
+  invalid.back().mutable_changes(1)->mutable_set_route()->add_split()->set_backend("blobs");
+  for (const auto& transaction : invalid) {
+    EXPECT_EQ(control.Submit(transaction).outcome(), proto::TRANSACTION_OUTCOME_INVALID)
+        << transaction.operation_id();
+  }
+  EXPECT_EQ(control.state.configuration().label(), 3U);
+}
+
+TEST(LabelledConfiguration, ADrainedZoneStaysDrainedUnderNewConfigurations) {
+  ControlDriver control;
+  auto first = Whole("a", 0, 3, {"/x/"});
+  proto::Zone& zone = *first.add_changes()->mutable_ensure_zone();
+  zone.set_name("z");
+  zone.set_state(proto::ZONE_STATE_OPEN);
+  proto::Zone& other = *first.add_changes()->mutable_ensure_zone();
+  other.set_name("other");
+  other.set_state(proto::ZONE_STATE_OPEN);
+  EXPECT_EQ(control.Submit(first).outcome(), proto::TRANSACTION_OUTCOME_APPLIED);
+  proto::ConfigurationTransaction drain;
+  drain.set_operation_id("drain");
+  drain.set_any_version(true);
+  drain.add_changes()->mutable_set_zone()->set_name("z");
+  drain.mutable_changes(0)->mutable_set_zone()->set_state(proto::ZONE_STATE_DRAINED);
+  EXPECT_EQ(control.Submit(drain).outcome(), proto::TRANSACTION_OUTCOME_APPLIED);
+  EXPECT_EQ(control.state.configuration().label(), 3U);
+  auto second = Whole("b", 3, 4, {"/x/"});
+  *second.add_changes()->mutable_ensure_zone() = zone;
+  EXPECT_EQ(control.Submit(second).outcome(), proto::TRANSACTION_OUTCOME_APPLIED);
+  EXPECT_EQ(control.state.configuration().objects().zones.at("z").state(),
+            proto::ZONE_STATE_DRAINED);
+}
+
+TEST(LabelledConfiguration, ADeltaBringsANodeToWhatTheWholeIs) {
+  ControlDriver control;
+  std::vector<std::string> prefixes;
+  for (int count = 0; count < 30; ++count) {
+    prefixes.push_back("/p" + std::to_string(count) + "/");
+  }
+  control.Submit(Whole("a", 0, 3, prefixes));
+  ConfigurationWatch watch;
+  watch.Take(control.state.configuration().UpdateFrom(ConfigurationVersion()));
+  prefixes.pop_back();
+  control.Submit(Whole("b", 3, 9, prefixes));
+  const proto::ConfigurationUpdate& update =
+      control.state.configuration().UpdateFrom(watch.version());
+  EXPECT_FALSE(update.has_full());
+  watch.Take(update);
+  EXPECT_EQ(watch.configuration().SerializeAsString(),
+            control.state.configuration().Whole().SerializeAsString());
+}
+
+}  // namespace
+}  // namespace cloverbank
--- /dev/null
+++ b/tests/gateway/forward_harness.h
@@ -0,0 +1,91 @@
+#pragma once
+/// @file
+/// A gateway whose HTTP routes are served by scripted replicas: for tests of requests that are passed
+/// on unchanged.
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "gateway/forwarding_service.h"
+#include "gateway_harness.h"
+
+namespace cloverbank {
+
+class ForwardHarness : public GatewayHarness {
+ public:
+  ForwardHarness() {
+    options.probe.enabled = false;
+    right.held.set_label(7);
+  }
+
+  proto::Route& AddHttpRoute(const std::string& name, const std::string& prefix, bool idempotent,
+                             bool streamed) {
+    proto::Route& route = AddRoute(name, proto::BACKEND_KIND_HTTP, idempotent);
+    route.set_host("shop.example");
+    route.set_path_prefix(prefix);
+    route.set_streamed(streamed);
+    route.set_resumable(streamed && idempotent);
+    route.set_attempts(idempotent ? 2 : 1);
+    route.set_target_ms(100);
+    route.set_deadline_ms(5'000);
+    return route;
+  }
+
+  /// Adds a replica whose calls are kept in `arrived`, to be answered by the test.
+  void AddHttpReplica(const std::string& id, const std::string& zone) {
+    FakeReplica& replica = AddReplica(id, zone, 8, proto::BACKEND_KIND_HTTP);
+    client->scripts[EndpointOf(replica).ToString()] = [this, id](const ExchangePtr& exchange) {
+      arrived.push_back(exchange);
+      arrived_at.push_back(id);
+    };
+  }
+
+  void StartForwarding() {
+    Start(seconds(1));
+    context = std::make_unique<CallContext>(CallContext{
+        {*environment, *client, *pool, options.calls}, right, *queue, first->budget, options.retry});
+    service = std::make_unique<ForwardingService>(*context, options);
+  }
+
+  std::shared_ptr<FakeResponder> Forward(const std::string& path, const std::string& id) {
+    auto responder = std::make_shared<FakeResponder>();
+    IncomingCall call;
+    call.host = "Shop.example";
+    call.path = path;
+    call.call_id = id;
+    call.patience = seconds(4);
+    call.request.set_method("POST");
+    call.request.set_target(path + "?q=1%20");
+    call.request.set_body("body");
+    proto::HttpField* field = call.request.add_headers();
+    field->set_name("X-Anything");
+    field->set_value("kept");
+    service->Handle(std::move(call), responder);
+    world.RunFor(milliseconds(20));
+    return responder;
+  }
+
+  /// The replica that got call number `index` answers it whole, and the caller gets it.
+  void Answer(std::size_t index, HttpResponse response) {
+    arrived[index]->Answer(std::move(response));
+    world.RunFor(milliseconds(5));
+  }
+  void Bytes(std::size_t index, const std::string& bytes) {
+    arrived[index]->Bytes(bytes);
+    world.RunFor(milliseconds(5));
+  }
+
+  static HttpHeaders Echo(const std::string& id) { return {{"X-Call-Id", id}, {"Stamp", "s"}}; }
+  static std::string Event(int id) {
+    return "id: " + std::to_string(id) + "\ndata: d" + std::to_string(id) + "\n\n";
+  }
+
+  std::vector<ExchangePtr> arrived;
+  std::vector<std::string> arrived_at;  ///< Replica ids.
+  std::unique_ptr<CallContext> context;
+  std::unique_ptr<ForwardingService> service;
+};
+
+}  // namespace cloverbank
--- /dev/null
+++ b/tests/gateway/prefill_load_test.cc
@@ -0,0 +1,99 @@
+#include "gateway/prefill_load.h"
+
+#include <gtest/gtest.h>
+
+#include "gateway/cold_pacing.h"
+
+namespace cloverbank {
+namespace {
+
+PrefillOptions Options() {
+  PrefillOptions options;
+  options.first_tokens_per_ms = 100;
+  options.keys_per_replica = 2;
+  return options;
+}
+
+class PrefillLoadTest : public ::testing::Test {
+ protected:
+  TimePoint now_ = TimePoint(seconds(1000));
+  PrefillLoad load_{Options()};
+};
+
+TEST_F(PrefillLoadTest, PromptsQueueUpAndAreReadInTime) {
+  load_.OnStart("r", 10'000, 0, now_);
+  load_.OnStart("r", 5'000, 0, now_);
+  EXPECT_EQ(load_.Backlog("r", now_), milliseconds(150));
+  EXPECT_EQ(load_.Backlog("r", now_ + milliseconds(100)), milliseconds(50));
+  EXPECT_EQ(load_.Backlog("r", now_ + seconds(1)), Duration::zero());
+  EXPECT_EQ(load_.Backlog("other", now_), Duration::zero());
+}
+
+TEST_F(PrefillLoadTest, SharedPartsThatWereSentThereAreNotReadAgain) {
+  const PromptShape shape{1000, 600, 42};
+  EXPECT_EQ(load_.TokensToRead("r", shape, /*home=*/false), 1000U);
+  EXPECT_EQ(load_.TokensToRead("r", shape, /*home=*/true), 400U);
+  load_.OnStart("r", 1000, 42, now_);
+  EXPECT_EQ(load_.TokensToRead("r", shape, false), 400U);
+  EXPECT_EQ(load_.TokensToRead("other", shape, false), 1000U);
+}
+
+TEST_F(PrefillLoadTest, TheKeyUsedLongestAgoIsForgotten) {
+  for (const std::uint64_t key : {1U, 2U, 1U, 3U}) {
+    load_.OnStart("r", 10, key, now_);
+  }
+  EXPECT_EQ(load_.TokensToRead("r", {100, 50, 1}, false), 50U);
+  EXPECT_EQ(load_.TokensToRead("r", {100, 50, 2}, false), 100U);
+  EXPECT_EQ(load_.TokensToRead("r", {100, 50, 3}, false), 50U);
+}
+
+TEST_F(PrefillLoadTest, LearnsEachReplicasRateFromLongPromptsWithoutABacklog) {
+  const Duration fixed = Options().fixed_latency;
+  for (int sample = 0; sample < 40; ++sample) {
+    load_.OnFirstByte("slow", 8'000, Duration::zero(), fixed + milliseconds(160), now_);
+  }
+  EXPECT_NEAR(load_.tokens_per_ms("slow"), 50, 1);
+  EXPECT_EQ(load_.tokens_per_ms("other"), 100);
+  load_.OnFirstByte("other", 8'000, milliseconds(10), fixed + milliseconds(160), now_);
+  load_.OnFirstByte("other", 100, Duration::zero(), fixed + milliseconds(160), now_);
+  EXPECT_EQ(load_.tokens_per_ms("other"), 100);
+}
+
+TEST_F(PrefillLoadTest, AnAnswerThatWasLateBeyondWhatIsKnownCountsForAWhile) {
+  load_.OnFirstByte("r", 100, Duration::zero(), milliseconds(213), now_);
+  const Duration at_once = load_.Backlog("r", now_);
+  EXPECT_EQ(at_once, milliseconds(100));
+  const Duration later = load_.Backlog("r", now_ + Options().delay_half_life);
+  EXPECT_EQ(later, milliseconds(50));
+}
+
+TEST(ColdPacingTest, GatewaysTogetherStayWithinTheRateWhateverTheyAsk) {
+  constexpr int kGateways = 12;
+  constexpr double kPerSecond = 36;
+  std::vector<ColdPacing> gateways(kGateways);
+  TimePoint now{seconds(1000)};
+  for (ColdPacing& gateway : gateways) {
+    gateway.SetCold("r", kPerSecond / kGateways, now + seconds(3), now);
+  }
+  std::vector<TimePoint> starts;
+  for (; now < TimePoint(seconds(1003)); now += milliseconds(1)) {
+    for (ColdPacing& gateway : gateways) {
+      if (gateway.MayStart("r", now)) {
+        gateway.OnStart("r", now);
+        starts.push_back(now);
+      }
+    }
+  }
+  std::size_t first = 0;
+  for (std::size_t last = 0; last < starts.size(); ++last) {
+    while (starts[last] - starts[first] >= seconds(1)) {
+      ++first;
+    }
+    ASSERT_LE(last - first + 1, kPerSecond * 1.5 + 5);
+  }
+  EXPECT_GE(starts.size(), static_cast<std::size_t>(kPerSecond * 2.5));
+  EXPECT_TRUE(gateways[0].MayStart("r", TimePoint(seconds(1003))));
+}
+
+}  // namespace
+}  // namespace cloverbank
--- a/tests/net/http_call_test.cc
+++ b/tests/net/http_call_test.cc
@@ -1,4 +1,6 @@
 // Whole calls: answers, and what each way of failing lets the caller assume.
+#include <future>
+
 #include "net/net_fixture.h"
 
 namespace cloverbank {
@@ -155,14 +157,20 @@
 
 TEST_F(HttpCallTest, ReplacesAnIdleConnectionThatThePeerClosed) {
   const RawListener listener;
+  std::promise<void> first_closed;
   std::thread peer([&] {
     for (int round = 0; round < 2; ++round) {
-      const auto connection = listener.Accept();
+      auto connection = listener.Accept();
       connection->ReadUntil("\r\n\r\n");
       connection->Send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+      connection.reset();
+      if (round == 0) {
+        first_closed.set_value();
+      }
     }
   });
   EXPECT_EQ(CallAndWait(listener.endpoint(), Get("/")).kind, HttpOutcomeKind::kAnswered);
+  first_closed.get_future().wait();
   EXPECT_EQ(CallAndWait(listener.endpoint(), Get("/")).kind, HttpOutcomeKind::kAnswered);
   peer.join();
 }
--- a/tests/queue/batch_store_test.cc
+++ b/tests/queue/batch_store_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include "queue/partition_replay.h"
+
 namespace cloverbank {
 namespace {
 
@@ -178,5 +180,52 @@
   EXPECT_EQ(store_.next_sequence(), PartitionSequence(40));
 }
 
+/// Items that are passed on unchanged: their tokens count until they have a result.
+TEST_F(BatchStoreTest, TokensCountUntilAResultOrACancelAndRequestsAreKeptUntilThen) {
+  proto::LogEntry items = writer_.Items("b1", 0, 3);
+  for (proto::BatchItem& item : *items.mutable_batch_items()->mutable_items()) {
+    item.set_tokens(100);
+    item.mutable_forwarded()->set_body("body of " + item.custom_id());
+  }
+  Apply(items);
+  proto::LogEntry accepted = writer_.Accepted("b1", "host", 3);
+  accepted.mutable_batch_accepted()->set_route("r");
+  Apply(accepted);
+  EXPECT_EQ(store_.OpenTokens("host", "r"), 300U);
+  EXPECT_EQ(store_.OpenTokens("host", "other"), 0U);
+  ASSERT_TRUE(store_.OpenItem("b1", "item1").ok());
+  EXPECT_EQ(store_.OpenItem("b1", "item1")->forwarded().body(), "body of item1");
+  Apply(writer_.Finished("b1", 1, "text"));
+  EXPECT_EQ(store_.OpenTokens("host", "r"), 200U);
+  EXPECT_EQ(store_.OpenItem("b1", "item1").status().code(), StatusCode::kNotFound);
+  proto::LogEntry cancelled = writer_.Next();
+  cancelled.mutable_batch_cancelled()->set_batch_id("b1");
+  Apply(cancelled);
+  EXPECT_EQ(store_.OpenTokens("host", "r"), 0U);
+  Apply(writer_.Finished("b1", 2, "text"));
+  EXPECT_EQ(store_.OpenTokens("host", "r"), 0U);
+  EXPECT_EQ(store_.ListResults("b1", "", 0)->total(), 3U);
+}
+
+/// A recovery does not log anew what nobody needs: the store that comes of it is the same.
+TEST_F(BatchStoreTest, ReplayDropsRequestsOfFinishedItemsOnly) {
+  PartitionReplay replay;
+  proto::LogEntry items = writer_.Items("b1", 0, 2);
+  for (proto::BatchItem& item : *items.mutable_batch_items()->mutable_items()) {
+    item.mutable_forwarded()->set_body(std::string(1000, 'x'));
+  }
+  replay.Add(items);
+  replay.Add(writer_.Accepted("b1", "host", 2));
+  replay.Add(writer_.Finished("b1", 0, "text"));
+  std::size_t bytes = 0;
+  for (const proto::LogEntry& entry : replay.TakeEntries()) {
+    bytes += entry.ByteSizeLong();
+    Apply(entry);
+  }
+  EXPECT_LT(bytes, 1500U);
+  EXPECT_EQ(store_.OpenItem("b1", "item1")->forwarded().body().size(), 1000U);
+  EXPECT_EQ(store_.ListResults("b1", "", 0)->results(0).output(), "text");
+}
+
 }  // namespace
 }  // namespace cloverbank
