--- a/apps/cloverbankd/daemon.cc
+++ b/apps/cloverbankd/daemon.cc
@@ -42,12 +42,9 @@
                                                        metrics_, &faults_)),
       peer_server_(std::make_unique<BeastHttpServer>(loop_, PeerServerOptions(settings_), metrics_,
                                                      &faults_)),
-      front_calls_(
-          MakeFrontServer(loop_, settings_, settings_.front_calls, metrics_, faults_)),
-      front_ready_(
-          MakeFrontServer(loop_, settings_, settings_.front_ready, metrics_, faults_)),
-      front_control_(
-          MakeFrontServer(loop_, settings_, settings_.front_control, metrics_, faults_)),
+      front_calls_(MakeFrontServer(loop_, settings_, settings_.front_calls, metrics_, faults_)),
+      front_ready_(MakeFrontServer(loop_, settings_, settings_.front_ready, metrics_, faults_)),
+      front_control_(MakeFrontServer(loop_, settings_, settings_.front_control, metrics_, faults_)),
       environment_(std::make_unique<AsioEnvironment>(loop_, *client_, *peer_server_, settings_.peer,
                                                      metrics_)) {}
 
@@ -83,8 +80,7 @@
 
 std::vector<BeastHttpServer*> Daemon::CallerServers() const {
   std::vector<BeastHttpServer*> servers;
-  for (BeastHttpServer* server :
-       {front_calls_.get(), front_control_.get(), client_server_.get()}) {
+  for (BeastHttpServer* server : {front_calls_.get(), front_control_.get(), client_server_.get()}) {
     if (server != nullptr) {
       servers.push_back(server);
     }
@@ -130,15 +126,14 @@
 }
 
 Status Daemon::StartRoles() {
-  const RoleContext context{
-      settings_,
-      *environment_,
-      *client_,
-      *client_server_,
-      {front_calls_.get(), front_ready_.get(), front_control_.get()},
-      [this] { return !stopping_; },
-      data_folder_.get(),
-      [this](const Status& status) { Fail(status); }};
+  const RoleContext context{settings_,
+                            *environment_,
+                            *client_,
+                            *client_server_,
+                            {front_calls_.get(), front_ready_.get(), front_control_.get()},
+                            [this] { return !stopping_; },
+                            data_folder_.get(),
+                            [this](const Status& status) { Fail(status); }};
   const std::vector<std::pair<bool, std::unique_ptr<Role> (*)(const RoleContext&)>> makers = {
       {settings_.roles.coordinator, &MakeCoordinatorRole},
       {settings_.roles.backup, &MakeBackupRole},
--- a/apps/cloverbankd/main.cc
+++ b/apps/cloverbankd/main.cc
@@ -43,7 +43,8 @@
     return app.exit(error) == 0 ? 0 : kWrongSettings;
   }
   if (grace_seconds) {
-    line->overrides.push_back("node.stop_grace_ms=" + std::to_string(*grace_seconds * kMsPerSecond));
+    line->overrides.push_back("node.stop_grace_ms=" +
+                              std::to_string(*grace_seconds * kMsPerSecond));
   }
   line->daemon.settings_path = line->settings_path;
   return std::nullopt;
--- a/apps/cloverbankd/role.h
+++ b/apps/cloverbankd/role.h
@@ -27,7 +27,7 @@
   FrontServers front;         ///< Of the front interfaces that the settings name.
   /// Whether the process takes new callers: false from the beginning of a clean stop.
   std::function<bool()> taking_callers;
-  DataFolder* data_folder;    ///< Null if the settings name none.
+  DataFolder* data_folder;  ///< Null if the settings name none.
   /// Ends the process: the role can not go on.
   std::function<void(const Status&)> on_fatal;
 };
--- a/src/coordinator/configuration_store.cc
+++ b/src/coordinator/configuration_store.cc
@@ -15,8 +15,8 @@
 
 std::uint64_t ChecksumOf(const proto::ConfigurationTransaction& transaction) {
   if (transaction.label() != 0) {
-    // Its id is drawn from the bytes of the operator's order: what a gateway made of them may differ
-    // with the configuration that it held.
+    // Its id is drawn from the bytes of the operator's order: what a gateway made of them may
+    // differ with the configuration that it held.
     return transaction.label();
   }
   return Checksum(transaction.SerializeAsString());
@@ -25,8 +25,7 @@
 template <typename Map, typename Object>
 bool Holds(const Map& objects, const Object& object) {
   const auto found = objects.find(object.name());
-  return found != objects.end() &&
-         found->second.SerializeAsString() == object.SerializeAsString();
+  return found != objects.end() && found->second.SerializeAsString() == object.SerializeAsString();
 }
 
 /// History tells what was changed, not how the document read.
--- a/src/coordinator/operator_requests.h
+++ b/src/coordinator/operator_requests.h
@@ -6,8 +6,8 @@
 #include <string>
 #include <vector>
 
-#include "coordinator/fleet_problems.h"
 #include "coordinator/command_proposer.h"
+#include "coordinator/fleet_problems.h"
 #include "coordinator/leader_context.h"
 #include "coordinator/leader_duties.h"
 #include "coordinator/leader_reply.h"
--- a/src/coordinator/transaction_validator.cc
+++ b/src/coordinator/transaction_validator.cc
@@ -127,8 +127,8 @@
     Add(key, "changed twice, by changes " + std::to_string(first->second + 1) + " and " +
                  std::to_string(index + 1) + "; keep one");
   }
-  const bool named = key.kind != ConfigurationObjectKind::kBatch &&
-                     key.kind != ConfigurationObjectKind::kDocument;
+  const bool named =
+      key.kind != ConfigurationObjectKind::kBatch && key.kind != ConfigurationObjectKind::kDocument;
   if (const auto problem = NameProblem(key.name); named && problem.has_value()) {
     Add(key, *problem);
   }
@@ -190,8 +190,7 @@
     if (route.backend_kind() != proto::BACKEND_KIND_HTTP) {
       continue;
     }
-    const auto [first, fresh] =
-        taken.emplace(std::pair(route.host(), route.path_prefix()), name);
+    const auto [first, fresh] = taken.emplace(std::pair(route.host(), route.path_prefix()), name);
     if (!fresh) {
       Add({ConfigurationObjectKind::kRoute, name},
           "has the same host and path_prefix as route \"" + first->second + "\"");
--- a/src/gateway/batch_worker.cc
+++ b/src/gateway/batch_worker.cc
@@ -127,8 +127,7 @@
   const proto::WorkGrant& grant = *ledger_.FindGrant(lease);
   proto::Route granted_route = route;
   granted_route.set_idempotent(grant.idempotent());  // The stricter of the two: see MayStart.
-  const bool bounded =
-      route.deadline_ms() > 0 && route.backend_kind() != proto::BACKEND_KIND_HTTP;
+  const bool bounded = route.deadline_ms() > 0 && route.backend_kind() != proto::BACKEND_KIND_HTTP;
   const Duration deadline =
       bounded ? Duration(milliseconds(route.deadline_ms())) : options_.default_item_deadline;
   ledger_.MarkRunning(lease);
--- a/src/gateway/call_runner.cc
+++ b/src/gateway/call_runner.cc
@@ -176,8 +176,7 @@
   tried_.push_back(replica.id);
   route_idempotent_ = route.idempotent();
   retry_.OnAttempt();
-  attempt_ =
-      spec_.exchange->NewAttempt(context_.attempt, std::move(request), std::move(events));
+  attempt_ = spec_.exchange->NewAttempt(context_.attempt, std::move(request), std::move(events));
   attempt_->Start();
 }
 
@@ -264,13 +263,13 @@
       if (decision.action == RetryAction::kSendLater) {
         spec_.wait_until = spec_.deadline;  // The wait for room begins anew.
       }
-      timer_ = context_.attempt.environment.ScheduleAfter(decision.backoff,
-                                                          [weak = weak_from_this()] {
-                                                            if (const auto self = weak.lock()) {
-                                                              self->timer_ = 0;
-                                                              self->TryNow();
-                                                            }
-                                                          });
+      timer_ =
+          context_.attempt.environment.ScheduleAfter(decision.backoff, [weak = weak_from_this()] {
+            if (const auto self = weak.lock()) {
+              self->timer_ = 0;
+              self->TryNow();
+            }
+          });
       return;
   }
 }
--- a/src/gateway/call_runner.h
+++ b/src/gateway/call_runner.h
@@ -3,9 +3,9 @@
 /// One call from the moment it was admitted to its one end: chooses a replica, waits for room,
 /// sends, retries where that is allowed, and says truthfully what became of it.
 ///
-/// Invariants: the `CallDone` runs exactly once unless the call is cancelled; nothing is sent after it;
-/// `executed: no` is said only if no attempt may have run.
-/// Threads: the owner's event loop only.
+/// Invariants: the `CallDone` runs exactly once unless the call is cancelled; nothing is sent after
+/// it; `executed: no` is said only if no attempt may have run. Threads: the owner's event loop
+/// only.
 
 #include <functional>
 #include <memory>
@@ -23,7 +23,7 @@
   std::string route;    ///< Name; looked up anew before each forward.
   std::string backend;  ///< Of the route when the call came in.
   proto::Priority priority = proto::PRIORITY_STANDARD;
-  bool idempotent = false;  ///< Of the route when the call came in.
+  bool idempotent = false;     ///< Of the route when the call came in.
   std::uint32_t attempts = 0;  ///< Most replicas that may run it; 0 is the gateway's default.
   std::shared_ptr<CallExchange> exchange;
   TimePoint deadline;
--- a/src/gateway/cold_pacing.cc
+++ b/src/gateway/cold_pacing.cc
@@ -30,8 +30,7 @@
   }
   Window& window = found->second;
   const std::chrono::duration<double> gap(1.0 / window.calls_per_second);
-  window.next_start =
-      std::max(now, window.next_start) + std::chrono::duration_cast<Duration>(gap);
+  window.next_start = std::max(now, window.next_start) + std::chrono::duration_cast<Duration>(gap);
 }
 
 bool ColdPacing::AnyCold(TimePoint now) const {
--- a/src/gateway/forward_attempt.cc
+++ b/src/gateway/forward_attempt.cc
@@ -347,8 +347,8 @@
              CallEnd::kFailed);
 }
 
-void ForwardAttempt::FinishWith(AttemptEnd end, const std::string& code,
-                                const std::string& message, CallEnd health) {
+void ForwardAttempt::FinishWith(AttemptEnd end, const std::string& code, const std::string& message,
+                                CallEnd health) {
   AttemptResult result;
   result.end = end;
   result.error.set_code(code);
--- a/src/gateway/forward_exchange.h
+++ b/src/gateway/forward_exchange.h
@@ -54,10 +54,7 @@
  public:
   /// @param sink outlives the exchange's attempts.
   ForwardExchange(ForwardCall call, const ReplicaHeaderNames& names, ForwardSink& sink)
-      : call_(std::move(call)),
-        names_(names),
-        sink_(sink),
-        failures_(call_.earlier_failures) {}
+      : call_(std::move(call)), names_(names), sink_(sink), failures_(call_.earlier_failures) {}
 
   std::shared_ptr<CallAttempt> NewAttempt(const AttemptContext& context, AttemptRequest request,
                                           ExchangeEvents events) override;
@@ -87,9 +84,7 @@
   /// Failures of replicas that ran the request, by their own word.
   std::uint32_t failures() const { return failures_; }
   void CountFailure() { ++failures_; }
-  bool FailedForGood() const {
-    return call_.most_failures > 0 && failures_ >= call_.most_failures;
-  }
+  bool FailedForGood() const { return call_.most_failures > 0 && failures_ >= call_.most_failures; }
 
  private:
   const ForwardCall call_;
--- a/src/gateway/forwarding_service.cc
+++ b/src/gateway/forwarding_service.cc
@@ -112,8 +112,8 @@
            "this route takes batches; hand the batch in again", kBatchRetryAfter);
     return;
   }
-  const auto refusal = context_.queue.admission().Admit(*route, nullptr,
-                                                        context_.attempt.environment.Now());
+  const auto refusal =
+      context_.queue.admission().Admit(*route, nullptr, context_.attempt.environment.Now());
   if (refusal) {
     Refuse(*responder,
            refusal->refusal == Refusal::kTenantRate ? kHttpTooManyRequests : kHttpUnavailable,
@@ -161,8 +161,8 @@
   error.set_code(code);
   error.set_message(message);
   error.set_executed(proto::EXECUTED_NO);
-  error.set_retry_after_ms(static_cast<std::uint32_t>(
-      std::chrono::duration_cast<milliseconds>(retry_after).count()));
+  error.set_retry_after_ms(
+      static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(retry_after).count()));
   SendRefusal(responder, http_status, error);
 }
 
--- a/src/gateway/gateway_options.h
+++ b/src/gateway/gateway_options.h
@@ -44,7 +44,8 @@
 
 /// How replicas are probed.
 struct ProbeOptions {
-  /// Whether replicas are probed at all. If not, the list and the calls themselves tell who is well.
+  /// Whether replicas are probed at all. If not, the list and the calls themselves tell who is
+  /// well.
   bool enabled = true;
   std::string path = "/health";
   Duration interval = seconds(1);               ///< Of one replica, while few are known.
--- a/src/gateway/gateway_service.cc
+++ b/src/gateway/gateway_service.cc
@@ -106,10 +106,8 @@
     : state_(std::make_unique<State>(environment, client, router, agent, std::move(options))) {
   State* state = state_.get();
   const std::weak_ptr<bool> alive = state->alive;
-  state->pool.OnPrompt(
-      [state](const std::string& replica, std::uint32_t tokens, std::uint64_t key) {
-        state->gossip.Tell(replica, tokens, key);
-      });
+  state->pool.OnPrompt([state](const std::string& replica, std::uint32_t tokens,
+                               std::uint64_t key) { state->gossip.Tell(replica, tokens, key); });
   state->pool.OnRoom([state] { state->queue.DispatchSoon(); });
   agent.OnConfiguration([state, alive] {
     if (!alive.expired()) {
--- a/src/gateway/http_headers.cc
+++ b/src/gateway/http_headers.cc
@@ -9,9 +9,16 @@
 namespace cloverbank {
 namespace {
 
-constexpr std::array<std::string_view, 10> kHopByHop = {
-    "Connection", "Keep-Alive", "Proxy-Connection",  "Proxy-Authenticate", "Proxy-Authorization",
-    "TE",         "Trailer",    "Transfer-Encoding", "Upgrade",            "Expect"};
+constexpr std::array<std::string_view, 10> kHopByHop = {"Connection",
+                                                        "Keep-Alive",
+                                                        "Proxy-Connection",
+                                                        "Proxy-Authenticate",
+                                                        "Proxy-Authorization",
+                                                        "TE",
+                                                        "Trailer",
+                                                        "Transfer-Encoding",
+                                                        "Upgrade",
+                                                        "Expect"};
 
 std::string_view Trim(std::string_view text) {
   const std::size_t first = text.find_first_not_of(" \t");
@@ -55,10 +62,9 @@
   dropped.emplace_back("Content-Length");
   HttpHeaders kept;
   for (const auto& [name, value] : headers) {
-    const bool drop =
-        std::any_of(dropped.begin(), dropped.end(), [&name = name](std::string_view other) {
-          return EqualIgnoringCase(name, other);
-        });
+    const bool drop = std::any_of(
+        dropped.begin(), dropped.end(),
+        [&name = name](std::string_view other) { return EqualIgnoringCase(name, other); });
     if (!drop) {
       kept.emplace_back(name, value);
     }
--- a/src/gateway/json_list_reader.cc
+++ b/src/gateway/json_list_reader.cc
@@ -28,14 +28,13 @@
     if (!accepted_tag_.empty()) {
       request.headers.emplace_back("If-None-Match", accepted_tag_);
     }
-    call_ = client_.Call(
-        options_.endpoint, std::move(request), deadline,
-        [this, alive = std::weak_ptr<bool>(alive_), done = std::move(done)](
-            const HttpOutcome& outcome) {
-          if (!alive.expired()) {
-            done(Take(outcome));
-          }
-        });
+    call_ = client_.Call(options_.endpoint, std::move(request), deadline,
+                         [this, alive = std::weak_ptr<bool>(alive_),
+                          done = std::move(done)](const HttpOutcome& outcome) {
+                           if (!alive.expired()) {
+                             done(Take(outcome));
+                           }
+                         });
   }
 
   void Accepted() override { accepted_tag_ = read_tag_; }
@@ -52,8 +51,7 @@
       reading.end = unchanged ? ListReadEnd::kUnchanged : ListReadEnd::kRefused;
       return reading;
     }
-    const Status status =
-        FromJson(outcome.response.body, &reading.list, UnknownFields::kIgnore);
+    const Status status = FromJson(outcome.response.body, &reading.list, UnknownFields::kIgnore);
     reading.end = status.ok() ? ListReadEnd::kRead : ListReadEnd::kMalformed;
     reading.reason = status.message();
     read_tag_ = std::string(FindHeader(outcome.response.headers, "etag"));
--- a/src/gateway/live_call.cc
+++ b/src/gateway/live_call.cc
@@ -101,11 +101,12 @@
       self->OnCallerGone();
     }
   });
-  runner_ = std::make_shared<CallRunner>(context_, std::move(spec), [weak](const CallResult& result) {
-    if (const auto self = weak.lock()) {
-      self->OnDone(result);
-    }
-  });
+  runner_ =
+      std::make_shared<CallRunner>(context_, std::move(spec), [weak](const CallResult& result) {
+        if (const auto self = weak.lock()) {
+          self->OnDone(result);
+        }
+      });
   runner_->Start();
 }
 
--- a/src/gateway/prefill_gossip.h
+++ b/src/gateway/prefill_gossip.h
@@ -1,8 +1,8 @@
 #pragma once
 /// @file
-/// Tells the gateways of the same zone which long prompts go to which replica, and hears it of them:
-/// they send to the same replicas, and a collision of two long prompts is what makes answers late.
-/// Lost messages only make an estimate worse. Short prompts are not worth a message.
+/// Tells the gateways of the same zone which long prompts go to which replica, and hears it of
+/// them: they send to the same replicas, and a collision of two long prompts is what makes answers
+/// late. Lost messages only make an estimate worse. Short prompts are not worth a message.
 ///
 /// Threads: the owner's event loop only.
 
--- a/src/gateway/prefill_load.h
+++ b/src/gateway/prefill_load.h
@@ -1,13 +1,13 @@
 #pragma once
 /// @file
-/// How much prompt each model replica still has to read, as far as this gateway knows: its own calls
-/// and those that its neighbours told of. Replicas read prompts in the order in which they come,
-/// between the steps of what they generate, so a long prompt delays the first token of what comes
-/// after it and every token of what runs beside it. Counting calls does not show that; counting
-/// tokens does. Pure.
+/// How much prompt each model replica still has to read, as far as this gateway knows: its own
+/// calls and those that its neighbours told of. Replicas read prompts in the order in which they
+/// come, between the steps of what they generate, so a long prompt delays the first token of what
+/// comes after it and every token of what runs beside it. Counting calls does not show that;
+/// counting tokens does. Pure.
 ///
-/// A part of a prompt that a replica has read lately is not read again: which keys were sent where is
-/// remembered, a bounded number for each replica.
+/// A part of a prompt that a replica has read lately is not read again: which keys were sent where
+/// is remembered, a bounded number for each replica.
 
 #include <cstdint>
 #include <list>
@@ -29,8 +29,8 @@
 };
 
 struct PrefillOptions {
-  double first_tokens_per_ms = 180;      ///< Until answers show it.
-  std::uint32_t learn_from_tokens = 4000;  ///< Shorter prompts say little of the rate.
+  double first_tokens_per_ms = 180;           ///< Until answers show it.
+  std::uint32_t learn_from_tokens = 4000;     ///< Shorter prompts say little of the rate.
   Duration fixed_latency = milliseconds(12);  ///< Of a first token, whatever the prompt.
   std::size_t keys_per_replica = 128;
   double learning_weight = 0.2;  ///< Of the newest answer.
@@ -55,8 +55,8 @@
 
   /// A call with `tokens` to read goes to the replica. @param key of its shared part.
   void OnStart(const std::string& replica, std::uint32_t tokens, std::uint64_t key, TimePoint now);
-  /// The first byte came `latency` after a call with that many tokens was sent to a replica that had
-  /// `backlog` before it.
+  /// The first byte came `latency` after a call with that many tokens was sent to a replica that
+  /// had `backlog` before it.
   void OnFirstByte(const std::string& replica, std::uint32_t tokens, Duration backlog,
                    Duration latency, TimePoint now);
   void Remove(const std::string& replica) { replicas_.erase(replica); }
--- a/src/gateway/replica_health.h
+++ b/src/gateway/replica_health.h
@@ -38,7 +38,7 @@
   std::uint32_t maximum_ejected_percent = 50;  ///< Of a back end's replicas, by soft evidence.
   /// Nothing heard of it for this long while calls wait there: only a last resort. Zero: never.
   Duration stall_limit{};
-  Duration base_ejection = seconds(1);         ///< Doubles with each ejection in a row.
+  Duration base_ejection = seconds(1);  ///< Doubles with each ejection in a row.
   Duration maximum_ejection = seconds(30);
   Duration forgive_after = seconds(30);     ///< Healthy time after which one ejection is forgotten.
   Duration ramp_time = seconds(6);          ///< From one call to full capacity.
--- a/src/gateway/replica_list_poller.cc
+++ b/src/gateway/replica_list_poller.cc
@@ -31,12 +31,12 @@
 
 void ReplicaListPoller::Poll() {
   const TimePoint sent_at = environment_.Now();
-  reader_->Read(options_.deadline, [this, alive = std::weak_ptr<bool>(alive_), sent_at](
-                                       const ListReading& reading) {
-    if (!alive.expired()) {
-      OnReading(sent_at, reading);
-    }
-  });
+  reader_->Read(options_.deadline,
+                [this, alive = std::weak_ptr<bool>(alive_), sent_at](const ListReading& reading) {
+                  if (!alive.expired()) {
+                    OnReading(sent_at, reading);
+                  }
+                });
 }
 
 void ReplicaListPoller::OnReading(TimePoint sent_at, const ListReading& reading) {
--- a/src/gateway/retry_policy.h
+++ b/src/gateway/retry_policy.h
@@ -27,8 +27,8 @@
   std::uint32_t maximum_attempts = 3;  ///< Of all kinds together, before waiting in the queue.
   /// Replicas that may refuse a call before it waits, where that is more.
   std::uint32_t maximum_refusals = 0;
-  double budget_ratio = 0.2;           ///< Retries allowed for each first attempt.
-  double budget_reserve = 10;          ///< Retries allowed without any.
+  double budget_ratio = 0.2;   ///< Retries allowed for each first attempt.
+  double budget_reserve = 10;  ///< Retries allowed without any.
   /// Whether retries are taken from the budget: those of batch work are bounded by its room.
   bool budgeted = true;
   Duration base_backoff = milliseconds(20);
--- a/src/gateway/route_match.cc
+++ b/src/gateway/route_match.cc
@@ -9,8 +9,7 @@
                                std::string_view host, std::string_view path) {
   const proto::Route* best = nullptr;
   for (const proto::Route& route : configuration.routes()) {
-    const bool longer =
-        best == nullptr || route.path_prefix().size() > best->path_prefix().size();
+    const bool longer = best == nullptr || route.path_prefix().size() > best->path_prefix().size();
     if (route.backend_kind() == proto::BACKEND_KIND_HTTP && longer &&
         path.substr(0, route.path_prefix().size()) == route.path_prefix() &&
         EqualIgnoringCase(route.host(), host)) {
--- a/src/gateway/router.cc
+++ b/src/gateway/router.cc
@@ -157,8 +157,8 @@
   const bool excluded = query.excluded != nullptr &&
                         std::find(query.excluded->begin(), query.excluded->end(), replica.id) !=
                             query.excluded->end();
-  const bool allowance_spent = options_.load_reported && health_.Ramping(replica.id, now) &&
-                               load.cold_allowance(now) == 0;
+  const bool allowance_spent =
+      options_.load_reported && health_.Ramping(replica.id, now) && load.cold_allowance(now) == 0;
   const bool paced = cold_ != nullptr && !cold_->MayStart(replica.id, now);
   const bool held_back = allowance_spent || paced;
   const bool barred = excluded || held_back || load.Refusing(now);
@@ -183,8 +183,8 @@
 Duration Router::PrefillCost(const Candidate& candidate, const RoutingQuery& query,
                              TimePoint now) const {
   const ReplicaRecord& replica = *candidate.replica;
-  const std::uint32_t tokens = prefill_->TokensToRead(replica.id, query.prompt,
-                                                      IsHome(replica, query.prefix_key));
+  const std::uint32_t tokens =
+      prefill_->TokensToRead(replica.id, query.prompt, IsHome(replica, query.prefix_key));
   Duration cost = prefill_->Backlog(replica.id, now) + prefill_->TimeFor(replica.id, tokens);
   cost += candidate.load * options_.running_call_cost;
   cost += replica.zone == options_.zone ? Duration::zero() : options_.other_zone_cost;
@@ -276,12 +276,12 @@
 }
 
 Router::BatchHeadroom Router::UnreportedHeadroom(const ReplicaRecord& replica,
-                                                const proto::RoutingConfiguration& configuration,
-                                                TimePoint now) const {
+                                                 const proto::RoutingConfiguration& configuration,
+                                                 TimePoint now) const {
   const auto found = loads_.find(replica.id);
   const std::uint32_t own = found == loads_.end() ? 0 : found->second.own();
-  const std::uint32_t all = replica.capacity *
-                            HeadroomPercent(configuration, kUnreportedHeadroomPercent) / kPercent;
+  const std::uint32_t all =
+      replica.capacity * HeadroomPercent(configuration, kUnreportedHeadroomPercent) / kPercent;
   BatchHeadroom headroom;
   const auto part =
       static_cast<std::uint32_t>(std::lround(static_cast<double>(all) / gateway_count_));
@@ -300,7 +300,8 @@
   const ReplicaLoad& load = found->second;
   const std::uint32_t capacity = load.Capacity(replica.capacity);
   // At least one, or batches would never run on replicas that take one call at a time.
-  const std::uint32_t share = std::max(1U, capacity * HeadroomPercent(configuration, kDefaultHeadroomPercent) / kPercent);
+  const std::uint32_t share =
+      std::max(1U, capacity * HeadroomPercent(configuration, kDefaultHeadroomPercent) / kPercent);
   BatchHeadroom headroom;
   headroom.bound = std::min(share, health_.LimitOf(replica.id, capacity, now));
   headroom.free = headroom.bound - std::min(headroom.bound, load.total());
--- a/src/gateway/router.h
+++ b/src/gateway/router.h
@@ -52,7 +52,7 @@
   const proto::RoutingConfiguration* configuration = nullptr;
   const proto::Route* route = nullptr;
   std::string_view backend = {};  ///< Of the route's split; empty takes the route's only one.
-  std::string_view prefix_key;                         ///< Empty: no affinity.
+  std::string_view prefix_key;    ///< Empty: no affinity.
   PromptShape prompt = {};
   const std::vector<std::string>* excluded = nullptr;  ///< Replicas tried before; may be null.
   WorkKind work = WorkKind::kLive;
--- a/src/gateway/service_attempt.cc
+++ b/src/gateway/service_attempt.cc
@@ -14,7 +14,8 @@
 class ServiceAttempt final : public CallAttempt,
                              public std::enable_shared_from_this<ServiceAttempt> {
  public:
-  ServiceAttempt(const AttemptContext& context, JsonAttemptRequest request, JsonAttemptCallbacks callbacks)
+  ServiceAttempt(const AttemptContext& context, JsonAttemptRequest request,
+                 JsonAttemptCallbacks callbacks)
       : context_(context), request_(std::move(request)), callbacks_(std::move(callbacks)) {}
 
   void Start() override {
--- a/src/gateway/stream_attempt.cc
+++ b/src/gateway/stream_attempt.cc
@@ -18,7 +18,8 @@
 /// further until the last one was taken.
 class StreamAttempt final : public CallAttempt, public std::enable_shared_from_this<StreamAttempt> {
  public:
-  StreamAttempt(const AttemptContext& context, JsonAttemptRequest request, JsonAttemptCallbacks callbacks)
+  StreamAttempt(const AttemptContext& context, JsonAttemptRequest request,
+                JsonAttemptCallbacks callbacks)
       : context_(context),
         request_(std::move(request)),
         callbacks_(std::move(callbacks)),
@@ -302,7 +303,8 @@
 }  // namespace
 
 std::shared_ptr<CallAttempt> MakeStreamAttempt(const AttemptContext& context,
-                                               JsonAttemptRequest request, JsonAttemptCallbacks callbacks) {
+                                               JsonAttemptRequest request,
+                                               JsonAttemptCallbacks callbacks) {
   return std::make_shared<StreamAttempt>(context, std::move(request), std::move(callbacks));
 }
 
--- a/src/net/beast_http_server.cc
+++ b/src/net/beast_http_server.cc
@@ -131,9 +131,7 @@
   shared_->routes.Add(method, pattern, std::move(handler));
 }
 
-void BeastHttpServer::HandleOther(HttpHandler handler) {
-  shared_->other = std::move(handler);
-}
+void BeastHttpServer::HandleOther(HttpHandler handler) { shared_->other = std::move(handler); }
 
 void BeastHttpServer::SetBounds(const CallerBounds& bounds) {
   const auto replace = [](auto bound, auto* option) {
--- a/src/net/client_call.cc
+++ b/src/net/client_call.cc
@@ -39,9 +39,8 @@
     message.target(request.target);
     const std::string_view host = FindHeader(request.headers, "Host");
     message.set(http::field::host, host.empty() ? to.ToString() : std::string(host));
-    std::erase_if(request.headers, [](const auto& header) {
-      return boost::beast::iequals(header.first, "Host");
-    });
+    std::erase_if(request.headers,
+                  [](const auto& header) { return boost::beast::iequals(header.first, "Host"); });
   }
   AddHeaders(request.headers, &message);
   message.keep_alive(true);
--- a/src/node/node_agent.cc
+++ b/src/node/node_agent.cc
@@ -283,9 +283,7 @@
 
 std::uint32_t NodeAgent::gateway_count() const { return state_->session.gateway_count(); }
 
-const std::vector<Endpoint>& NodeAgent::neighbours() const {
-  return state_->session.neighbours();
-}
+const std::vector<Endpoint>& NodeAgent::neighbours() const { return state_->session.neighbours(); }
 
 bool NodeAgent::LeaseValid() const { return state_->session.LeaseValid(state_->environment.Now()); }
 
--- a/src/node/node_session.cc
+++ b/src/node/node_session.cc
@@ -69,8 +69,7 @@
   gateway_count_ = std::max(1U, response.gateway_count());
   neighbours_.clear();
   for (const proto::Endpoint& neighbour : response.neighbours()) {
-    neighbours_.push_back(
-        {neighbour.host(), static_cast<std::uint16_t>(neighbour.port())});
+    neighbours_.push_back({neighbour.host(), static_cast<std::uint16_t>(neighbour.port())});
   }
   const bool same_life = node_id_.valid() && NodeId(request.node_id()) == node_id_;
   if (same_life && effects.configuration != UpdateOutcome::kGap) {
--- a/src/queue/work_dispatcher.cc
+++ b/src/queue/work_dispatcher.cc
@@ -75,8 +75,7 @@
   };
   std::erase_if(unsettled_, of_partition);
   std::erase_if(unknown_due_, item_of_partition);
-  std::erase_if(failed_runs_,
-                [&](const auto& entry) { return item_of_partition(entry.first); });
+  std::erase_if(failed_runs_, [&](const auto& entry) { return item_of_partition(entry.first); });
   leases_.EndPartition(partition);
   settle_from_.erase(partition);
   partitions_.erase(partition);
--- a/tests/gateway/event_stream_test.cc
+++ b/tests/gateway/event_stream_test.cc
@@ -70,8 +70,8 @@
 
 TEST(RouteMatchTest, SharesFollowTheirWeightsAndADrawKeepsItsBackEnd) {
   proto::Route route = HttpRoute("a", "/x/");
-  for (const auto& [backend, weight] : {std::pair("one", 90U), std::pair("two", 10U),
-                                        std::pair("none", 0U)}) {
+  for (const auto& [backend, weight] :
+       {std::pair("one", 90U), std::pair("two", 10U), std::pair("none", 0U)}) {
     route.add_split()->set_backend(backend);
     route.mutable_split()->rbegin()->set_weight(weight);
   }
--- a/tests/gateway/forward_harness.h
+++ b/tests/gateway/forward_harness.h
@@ -1,7 +1,7 @@
 #pragma once
 /// @file
-/// A gateway whose HTTP routes are served by scripted replicas: for tests of requests that are passed
-/// on unchanged.
+/// A gateway whose HTTP routes are served by scripted replicas: for tests of requests that are
+/// passed on unchanged.
 
 #include <map>
 #include <memory>
@@ -44,8 +44,12 @@
 
   void StartForwarding() {
     Start(seconds(1));
-    context = std::make_unique<CallContext>(CallContext{
-        {*environment, *client, *pool, options.calls}, right, *queue, first->budget, options.retry});
+    context =
+        std::make_unique<CallContext>(CallContext{{*environment, *client, *pool, options.calls},
+                                                  right,
+                                                  *queue,
+                                                  first->budget,
+                                                  options.retry});
     service = std::make_unique<ForwardingService>(*context, options);
   }
 
--- a/tests/gateway/forwarding_test.cc
+++ b/tests/gateway/forwarding_test.cc
@@ -99,8 +99,8 @@
   h.Answer(1, {200, ForwardHarness::Echo("c1"), ForwardHarness::Event(2)});
   EXPECT_EQ(caller->answers, 1);
   EXPECT_TRUE(caller->complete);
-  EXPECT_EQ(caller->body, ForwardHarness::Event(0) + ForwardHarness::Event(1) +
-                              ForwardHarness::Event(2));
+  EXPECT_EQ(caller->body,
+            ForwardHarness::Event(0) + ForwardHarness::Event(1) + ForwardHarness::Event(2));
 }
 
 TEST_F(ForwardingTest, AGapAfterAResumeBreaksTheAnswerInsteadOfLookingWhole) {
@@ -197,8 +197,8 @@
   EXPECT_TRUE(h.arrived.empty());
 }
 
-/// The hole that a deliberate bug had shown: the right to start must be asked right before the first
-/// byte, however long the connection took.
+/// The hole that a deliberate bug had shown: the right to start must be asked right before the
+/// first byte, however long the connection took.
 TEST_F(ForwardingTest, AnItemWhoseRightRunsOutWhileTheConnectionIsMadeNeverLeaves) {
   h.client->connect_time = milliseconds(150);
   bool may_start = true;
