Give the place of a coordinator that is gone to an empty one at another address

Two coordinators were replaced by empty machines at other addresses, 22 s apart. A full group took nobody in who named nobody to replace, and seeds that lag name nobody; it went on with two voters and stopped with one. Ruled out: seeds as the sign of who is outside, since they may name a living member as outside.

--- a/apps/cloverbankd/coordinator_role.cc
+++ b/apps/cloverbankd/coordinator_role.cc
@@ -13,6 +13,7 @@
 RaftNodeOptions MakeRaftOptions(const RoleContext& context) {
   RaftNodeOptions options;
   options.seeds = context.settings.seeds;
+  options.replace_silent_after = context.settings.replace_silent_after;
   options.may_found = context.settings.form_group;
   options.election_timeout = context.settings.election_timeout;
   options.heartbeat_interval = context.settings.election_timeout / kHeartbeatsPerElectionTimeout;
--- a/apps/cloverbankd/daemon.cc
+++ b/apps/cloverbankd/daemon.cc
@@ -36,7 +36,7 @@
 
 Daemon::Daemon(Settings settings, DaemonOptions options)
     : settings_(std::move(settings)),
-      options_(options),
+      options_(std::move(options)),
       client_(std::make_unique<BeastHttpClient>(loop_, MakeClientOptions(settings_), &faults_)),
       client_server_(std::make_unique<BeastHttpServer>(loop_, ClientServerOptions(settings_),
                                                        metrics_, &faults_)),
--- a/src/consensus/raft_core.h
+++ b/src/consensus/raft_core.h
@@ -168,6 +168,9 @@
   void AdvanceTransfer(TimePoint now);
 
   // raft_core_membership.cc
+  /// @return the voter that was not heard for the longest time, if long enough to give its place to
+  /// a member at another address; else 0.
+  std::uint64_t LongestSilent(TimePoint now) const;
   Status MoveMember(TimePoint now, const proto::RaftMember& member);
   void ProposeConfiguration(TimePoint now, const proto::RaftConfiguration& configuration);
   void RebuildPeers();
--- a/src/consensus/raft_core_membership.cc
+++ b/src/consensus/raft_core_membership.cc
@@ -93,17 +93,21 @@
     if (displaced && present.learner()) {
       continue;  // Learners do not count: they may come and go along with another change.
     }
-    if (displaced) {
+    // Whoever had this very address is gone for certain, so it goes before one that is only named.
+    if (SameEndpoint(present, member) || (displaced && learner.replaces() == 0)) {
       learner.set_replaces(present.member_id());
     }
     *next.add_members() = present;
   }
+  const bool full = static_cast<std::size_t>(next.members_size()) >= options_.maximum_members;
+  if (learner.replaces() == 0 && full) {
+    learner.set_replaces(LongestSilent(now));
+  }
   if (learner.replaces() == member_id()) {
     Refuse("replaces_leader");
     return {StatusCode::kConflict, "the leader can not be replaced"};
   }
-  if (learner.replaces() == 0 &&
-      static_cast<std::size_t>(next.members_size()) >= options_.maximum_members) {
+  if (learner.replaces() == 0 && full) {
     Refuse("group_full");
     return {StatusCode::kConflict, "the group is complete; name the member to replace"};
   }
@@ -112,6 +116,22 @@
   return Status::Ok();
 }
 
+std::uint64_t RaftCore::LongestSilent(TimePoint now) const {
+  if (options_.replace_silent_after <= Duration::zero()) {
+    return 0;
+  }
+  std::uint64_t longest = 0;
+  TimePoint longest_since = now - options_.replace_silent_after;
+  for (const auto& [id, peer] : peers_) {
+    const TimePoint since = std::max(term_started_, peer.heard_since.value_or(term_started_));
+    if (!peer.member.learner() && since <= longest_since) {
+      longest = id;
+      longest_since = since;
+    }
+  }
+  return longest;
+}
+
 Status RaftCore::MoveMember(TimePoint now, const proto::RaftMember& member) {
   // The same disk at another address: who votes does not change, so this is safe at any time.
   proto::RaftConfiguration next = configuration();
--- a/src/consensus/raft_node.cc
+++ b/src/consensus/raft_node.cc
@@ -29,6 +29,7 @@
   core_options.snapshot_chunk_bytes = options_.snapshot_chunk_bytes;
   core_options.maximum_append_entries = options_.maximum_append_entries;
   core_options.maximum_members = options_.seeds.size();
+  core_options.replace_silent_after = options_.replace_silent_after;
   core_options.random_seed = environment_.Random();
   return core_options;
 }
--- a/src/consensus/raft_node.h
+++ b/src/consensus/raft_node.h
@@ -30,6 +30,8 @@
   /// Whether seeds that are all empty may found a new group. False on every start but the first of
   /// the whole system: an empty disk then only ever joins.
   bool may_found = true;
+  /// See `RaftCoreOptions`. If set, seeds say nothing of who is to be replaced: they may lag.
+  Duration replace_silent_after{};
   /// Shortest silence of the leader after which another is elected; the longest is twice that.
   Duration election_timeout = milliseconds(400);
   Duration heartbeat_interval = milliseconds(100);
--- a/src/consensus/raft_node_formation.cc
+++ b/src/consensus/raft_node_formation.cc
@@ -82,8 +82,10 @@
     return Status(StatusCode::kNotLeader, "this member has stopped");
   }
   const Endpoint endpoint = ToEndpoint(member.endpoint());
-  Status status = core_->AdmitMember(environment_.Now(), member,
-                                     replaces != 0 ? replaces : MemberOutsideSeeds(endpoint));
+  const bool seeds_tell = options_.replace_silent_after <= Duration::zero();
+  const std::uint64_t outside = seeds_tell ? MemberOutsideSeeds(endpoint) : 0;
+  Status status =
+      core_->AdmitMember(environment_.Now(), member, replaces != 0 ? replaces : outside);
   Drain();
   if (!status.ok()) {
     return status;
--- a/src/gateway/call_runner.cc
+++ b/src/gateway/call_runner.cc
@@ -224,7 +224,7 @@
              "too many calls for the replicas there are; come back later", notice.retry_after);
 }
 
-void CallRunner::OnAttemptDone(AttemptResult result) {
+void CallRunner::OnAttemptDone(const AttemptResult& result) {
   if (done_) {
     return;
   }
--- a/src/gateway/call_runner.h
+++ b/src/gateway/call_runner.h
@@ -82,7 +82,7 @@
   void Send(const ReplicaRecord& replica, const proto::Route& route);
   bool MaySendNow(const ReplicaUse& use) const;
   void Wait();
-  void OnAttemptDone(AttemptResult result);
+  void OnAttemptDone(const AttemptResult& result);
   void RetryOrFinish(const AttemptResult& result, const RetryDecision& decision);
   void FinishFailed(const AttemptResult& result);
   void FinishWith(const std::string& code, const std::string& message, Duration retry_after);
--- a/tests/consensus/raft_core_membership_test.cc
+++ b/tests/consensus/raft_core_membership_test.cc
@@ -1,3 +1,5 @@
+#include <set>
+
 #include "consensus/raft_core_fixture.h"
 
 namespace cloverbank {
@@ -15,6 +17,39 @@
   EXPECT_TRUE(core_->AdmitMember(now_, Member(13), 0).ok());
 }
 
+/// A machine is replaced by an empty one at another address: without this the group goes on with two
+/// voters, and the next loss stops it.
+TEST_F(RaftCoreTest, ALongSilentVoterGivesItsPlaceToAMemberAtAnotherAddress) {
+  options_.replace_silent_after = seconds(2);
+  Restart();
+  Lead();
+  Exchange(Heartbeat(), {2, 3});
+  EXPECT_EQ(core_->AdmitMember(now_, Member(14), 0).code(), StatusCode::kConflict);
+  for (int round = 0; round < 30; ++round) {
+    Exchange(Heartbeat(), {2});  // Member 3 is silent.
+  }
+  ASSERT_TRUE(core_->AdmitMember(now_, Member(14), 0).ok());
+  for (int round = 0; round < 4; ++round) {
+    Exchange(Heartbeat(), {2, 14});
+  }
+  std::set<std::uint64_t> members;
+  for (const proto::RaftMember& member : core_->configuration().members()) {
+    EXPECT_FALSE(member.learner());
+    members.insert(member.member_id());
+  }
+  EXPECT_EQ(members, (std::set<std::uint64_t>{1, 2, 14}));
+}
+
+TEST_F(RaftCoreTest, WhoeverHadTheVeryAddressGoesBeforeOneThatIsOnlyNamed) {
+  Lead();
+  ASSERT_TRUE(core_->AdmitMember(now_, Member(13), 2).ok());  // The endpoint of member 3.
+  for (const proto::RaftMember& member : core_->configuration().members()) {
+    if (member.member_id() == 13) {
+      EXPECT_EQ(member.replaces(), 3U);
+    }
+  }
+}
+
 TEST_F(RaftCoreTest, EmptiedMemberTakesItsOldPlaceInTwoSteps) {
   Lead();
   ASSERT_TRUE(core_->AdmitMember(now_, Member(13), 0).ok());  // The endpoint of member 3.
--- a/tests/coordinator/labelled_configuration_test.cc
+++ b/tests/coordinator/labelled_configuration_test.cc
@@ -108,8 +108,10 @@
 
 TEST(LabelledConfiguration, ADeltaBringsANodeToWhatTheWholeIs) {
   ControlDriver control;
+  constexpr int kPrefixes = 30;
   std::vector<std::string> prefixes;
-  for (int count = 0; count < 30; ++count) {
+  prefixes.reserve(kPrefixes);
+  for (int count = 0; count < kPrefixes; ++count) {
     prefixes.push_back("/p" + std::to_string(count) + "/");
   }
   control.Submit(Whole("a", 0, 3, prefixes));
