--- a/src/consensus/raft_types.h
+++ b/src/consensus/raft_types.h
@@ -41,8 +41,8 @@
   std::uint64_t maximum_uncommitted_entries = 16384;
   /// A join that replaces nobody is refused when the group has this many members.
   std::size_t maximum_members = 3;
-  /// A voter that was not heard for this long gives its place to a joining member at another address
-  /// that names nobody to replace. Zero: never.
+  /// A voter that was not heard for this long gives its place to a joining member at another
+  /// address that names nobody to replace. Zero: never.
   Duration replace_silent_after{};
   /// Seeds the election timeouts. Differs from member to member.
   std::uint64_t random_seed = 1;
--- a/src/gateway/event_stream.cc
+++ b/src/gateway/event_stream.cc
@@ -1,6 +1,8 @@
 #include "gateway/event_stream.h"
 
-#include <charconv>
+#include <algorithm>
+
+#include "base/parse_number.h"
 
 namespace cloverbank {
 namespace {
@@ -8,14 +10,6 @@
 constexpr std::string_view kIdField = "id";
 constexpr std::string_view kDataField = "data";
 
-std::optional<std::uint64_t> ParseNumber(std::string_view text) {
-  std::uint64_t number = 0;
-  const char* end = text.data() + text.size();
-  const auto [stop, error] = std::from_chars(text.data(), end, number);
-  const bool whole = error == std::errc() && stop == end && !text.empty();
-  return whole ? std::optional(number) : std::nullopt;
-}
-
 /// @return one past the empty line that ends the first event from `from` on, or npos.
 std::size_t FindEnd(std::string_view bytes, std::size_t from) {
   for (std::size_t feed = bytes.find('\n', from); feed != std::string_view::npos;
@@ -39,7 +33,7 @@
     value.remove_prefix(1);
   }
   if (field == kIdField) {
-    event->id = ParseNumber(value);
+    event->id = ParseWholeNumber(value);
   } else if (field == kDataField) {
     event->data += *has_data ? "\n" : "";
     event->data += value;
--- a/src/gateway/forward_attempt.cc
+++ b/src/gateway/forward_attempt.cc
@@ -6,13 +6,11 @@
 #include "base/logging.h"
 #include "gateway/backend_caller.h"
 #include "gateway/http_headers.h"
+#include "net/http_status.h"
 
 namespace cloverbank {
 namespace {
 
-constexpr int kHttpMisdirected = 421;
-constexpr int kHttpTooManyRequests = 429;
-constexpr int kHttpServiceUnavailable = 503;
 constexpr int kFirstClientError = 400;
 constexpr int kFirstServerError = 500;
 
@@ -20,8 +18,7 @@
 
 /// Statuses by which a replica turns a request away; only its own mark makes them a promise.
 bool TurnsAway(int status) {
-  return status == kHttpMisdirected || status == kHttpTooManyRequests ||
-         status == kHttpServiceUnavailable;
+  return status == kHttpMisdirected || status == kHttpTooManyRequests || status == kHttpUnavailable;
 }
 
 std::int64_t ToMilliseconds(Duration duration) {
--- a/src/gateway/forwarding_service.cc
+++ b/src/gateway/forwarding_service.cc
@@ -5,13 +5,11 @@
 
 #include "gateway/live_forward.h"
 #include "gateway/route_match.h"
+#include "net/http_status.h"
 
 namespace cloverbank {
 namespace {
 
-constexpr int kHttpNotFound = 404;
-constexpr int kHttpTooManyRequests = 429;
-constexpr int kHttpUnavailable = 503;
 constexpr Duration kBatchRetryAfter = milliseconds(100);
 constexpr Duration kRetryAfter = milliseconds(500);
 
--- a/src/gateway/json_list_reader.cc
+++ b/src/gateway/json_list_reader.cc
@@ -2,11 +2,11 @@
 
 #include "gateway/replica_list_reader.h"
 #include "json/json.h"
+#include "net/http_status.h"
 
 namespace cloverbank {
 namespace {
 
-constexpr int kHttpOk = 200;
 constexpr int kHttpNotModified = 304;
 
 class JsonListReader final : public ReplicaListReader {
--- a/src/gateway/live_forward.cc
+++ b/src/gateway/live_forward.cc
@@ -5,14 +5,11 @@
 #include <utility>
 
 #include "gateway/http_json.h"
+#include "net/http_status.h"
 
 namespace cloverbank {
 namespace {
 
-constexpr int kHttpRequestTimeout = 408;
-constexpr int kHttpMisdirected = 421;
-constexpr int kHttpTooManyRequests = 429;
-constexpr int kHttpUnavailable = 503;
 constexpr std::uint32_t kMillisecondsPerSecond = 1000;
 
 /// Statuses that promise that nothing ran: a replica's own failure may not be passed on as one.
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -57,7 +57,7 @@
   Duration death_after = seconds(3);   ///< Silence after which a queue or backup node is dead.
   std::uint32_t partition_count = 12;  ///< Used only when the group is first formed.
   Duration arrival_quiet = milliseconds(700);  ///< control.arrival_quiet_ms
-  Duration replace_silent_after{};     ///< control.replace_silent_after_ms
+  Duration replace_silent_after{};             ///< control.replace_silent_after_ms
   bool form_group = true;                      ///< Whether empty seeds may form a new group.
   Duration serve_without_control{};            ///< How long live calls are served after the lease.
   // [log]
--- a/tests/consensus/raft_core_membership_test.cc
+++ b/tests/consensus/raft_core_membership_test.cc
@@ -17,8 +17,8 @@
   EXPECT_TRUE(core_->AdmitMember(now_, Member(13), 0).ok());
 }
 
-/// A machine is replaced by an empty one at another address: without this the group goes on with two
-/// voters, and the next loss stops it.
+/// A machine is replaced by an empty one at another address: without this the group goes on with
+/// two voters, and the next loss stops it.
 TEST_F(RaftCoreTest, ALongSilentVoterGivesItsPlaceToAMemberAtAnotherAddress) {
   options_.replace_silent_after = seconds(2);
   Restart();
--- /dev/null
+++ b/tests/queue/segment_log_fixture.h
@@ -0,0 +1,122 @@
+#pragma once
+/// @file
+/// A segment log over simulated backups that tests can lose, cut off and empty.
+
+#include <gtest/gtest.h>
+
+#include "backup/segment_file.h"
+#include "queue/log_world.h"
+#include "queue/segment_log.h"
+
+namespace cloverbank {
+
+constexpr std::uint64_t kPartition = 0;
+constexpr std::uint64_t kSegmentBytes = 16 << 10;
+
+/// A queue process that has only its log.
+struct LogProcess {
+  std::unique_ptr<NodeAgent> agent;
+  std::unique_ptr<SegmentLog> log;
+};
+
+class SegmentLogTest : public testing::Test {
+ protected:
+  explicit SegmentLogTest(std::uint64_t seed = 11) : logs(seed) {
+    for (const std::string name : {"b1", "b2", "b3"}) {
+      logs.AddBackup(name, "zone-" + name);
+    }
+    logs.world.AddMachine("q", "10.0.2.1")
+        .SetProgram([this](Environment& environment, DataFolder&) {
+          auto started = std::make_shared<LogProcess>();
+          started->agent = std::make_unique<NodeAgent>(
+              environment, logs.AgentOptions("q", "zone-b1", proto::ROLE_QUEUE));
+          LogProcess* raw = started.get();
+          started->agent->OnRegistered([this, raw, &environment] { OpenLog(*raw, environment); });
+          started->agent->OnFleet([raw] {
+            if (raw->log != nullptr) {
+              raw->log->OnFleet();
+            }
+          });
+          started->agent->Start();
+          process = raw;
+          return started;
+        });
+  }
+
+  void OpenLog(LogProcess& opened, Environment& environment) {
+    if (opened.log != nullptr) {
+      return;
+    }
+    SegmentLogOptions options;
+    options.segment_bytes = kSegmentBytes;
+    options.write_bytes = 2 << 10;
+    node = opened.agent->node_id().value();
+    opened.log = std::make_unique<SegmentLog>(
+        environment, *opened.agent, options, [] { return std::vector<proto::LogEntry>(); },
+        [this](const std::string&) { ++fences; });
+    opened.log->Start();
+  }
+
+  void StartQueue() {
+    logs.world.RunFor(seconds(1));
+    logs.world.machine("q").Start();
+    ASSERT_TRUE(logs.world.RunUntil(
+        [this] { return process->log != nullptr && process->log->ready(); }, seconds(5)));
+  }
+
+  proto::LogEntry Entry(std::uint64_t sequence, std::size_t bytes = 300,
+                        const std::string& batch = "b") {
+    proto::LogEntry entry;
+    entry.set_partition_tag(kPartition + 1);
+    entry.set_sequence(sequence);
+    entry.mutable_item_finished()->set_batch_id(batch);
+    entry.mutable_item_finished()->set_output(std::string(bytes, 'x'));
+    return entry;
+  }
+
+  /// Appends one entry with the next sequence. Its outcome goes to `outcomes`.
+  std::uint64_t Append(std::size_t bytes = 300, const std::string& batch = "b") {
+    const std::uint64_t sequence = ++last_sequence;
+    process->log->Append({Entry(sequence, bytes, batch)}, [this, sequence](const Status& status) {
+      EXPECT_FALSE(outcomes.contains(sequence));
+      outcomes[sequence] = status.code();
+    });
+    return sequence;
+  }
+  bool AppendAndWait(std::size_t bytes = 300, const std::string& batch = "b") {
+    const std::uint64_t sequence = Append(bytes, batch);
+    return logs.world.RunUntil([&] { return outcomes.contains(sequence); }, seconds(10)) &&
+           outcomes[sequence] == StatusCode::kOk;
+  }
+  bool WaitFor(const std::function<bool()>& condition, Duration limit = seconds(10)) {
+    return logs.world.RunUntil(condition, limit);
+  }
+  proto::LogHead Head() { return logs.coordinator.heads[node]; }
+
+  /// Recovers the log and checks that everything acknowledged is in it, in order.
+  void ExpectAcknowledgedRecoverable() {
+    const auto entries = logs.Recover(node, kPartition);
+    ASSERT_TRUE(entries.ok()) << entries.status().ToString();
+    std::set<std::uint64_t> found;
+    std::uint64_t last = 0;
+    for (const proto::LogEntry& entry : *entries) {
+      EXPECT_GT(entry.sequence(), last);
+      last = entry.sequence();
+      found.insert(last);
+    }
+    for (const auto& [sequence, outcome] : outcomes) {
+      if (outcome == StatusCode::kOk) {
+        EXPECT_TRUE(found.contains(sequence)) << "lost " << sequence;
+      }
+    }
+  }
+
+  LogWorld logs;
+  LogProcess* process = nullptr;
+  std::uint64_t node = 0;
+  std::uint64_t last_sequence = 0;
+  std::map<std::uint64_t, StatusCode> outcomes;
+  int fences = 0;
+};
+
+}  // namespace cloverbank
