--- a/src/gateway/live_forward.cc
+++ b/src/gateway/live_forward.cc
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr std::uint32_t kMillisecondsPerSecond = 1000;
+/// When to come back with what has not run, where nothing better is known.
+constexpr std::uint32_t kDefaultRetryAfterMs = 400;
 
 /// Statuses that promise that nothing ran: a replica's own failure may not be passed on as one.
 bool PromisesNotRun(int status) {
@@ -32,8 +34,12 @@
   HttpResponse response;
   response.status = http_status;
   response.headers.emplace_back("Content-Type", "application/json");
-  if (error.retry_after_ms() > 0) {
-    response.headers.emplace_back("Retry-After", FormatSeconds(error.retry_after_ms()));
+  const bool come_back = http_status == kHttpTooManyRequests || http_status == kHttpUnavailable;
+  const bool not_run = error.executed() == proto::EXECUTED_NO;
+  const std::uint32_t standard = come_back && not_run ? kDefaultRetryAfterMs : 0;
+  const std::uint32_t wait_ms = error.retry_after_ms() > 0 ? error.retry_after_ms() : standard;
+  if (wait_ms > 0) {
+    response.headers.emplace_back("Retry-After", FormatSeconds(wait_ms));
   }
   proto::ErrorBody body;
   *body.mutable_error() = error;
--- a/src/gateway/operator_api.cc
+++ b/src/gateway/operator_api.cc
@@ -10,10 +10,9 @@
 namespace cloverbank {
 namespace {
 
-constexpr Duration kReadDeadline = seconds(3);
-/// Longer than a node lease, which an acknowledgement may have to wait for, and an election.
-constexpr Duration kTransactionDeadline = seconds(10);
-constexpr Duration kRetireDeadline = seconds(5);
+/// Operators of this interface wait rather than turn to another gateway.
+constexpr OperatorTimeouts kTimeouts{.read = seconds(3), .order = seconds(10)};
+constexpr std::uint32_t kNoHistory = 0;
 constexpr std::uint32_t kDefaultHistory = 50;
 constexpr std::uint32_t kMaximumHistory = 1000;
 constexpr std::uint32_t kResendAfterMs = 1000;
@@ -82,7 +81,7 @@
 
 }  // namespace
 
-OperatorApi::OperatorApi(HttpRouter& router, NodeAgent& agent) : agent_(agent) {
+OperatorApi::OperatorApi(HttpRouter& router, NodeAgent& agent) : orders_(agent, kTimeouts) {
   router.Handle("GET", "/v1/config", [this](const HttpRequest&, const Responder& responder) {
     GetConfiguration(responder);
   });
@@ -101,9 +100,8 @@
 }
 
 void OperatorApi::GetConfiguration(const Responder& responder) {
-  agent_.CallLeader<proto::GetConfigurationResponse>(
-      "coordinator.GetConfiguration", proto::GetConfigurationRequest(), kReadDeadline,
-      [responder](Result<proto::GetConfigurationResponse> result) {
+  orders_.ReadConfiguration(
+      kNoHistory, [responder](Result<proto::GetConfigurationResponse> result) {
         if (!result.ok()) {
           SendStatus(*responder, ReadFailure(result.status()), proto::EXECUTED_NO);
           return;
@@ -120,23 +118,18 @@
     SendStatus(*responder, limit.status(), proto::EXECUTED_NO);
     return;
   }
-  proto::GetConfigurationRequest ask;
-  ask.set_history(*limit);
-  agent_.CallLeader<proto::GetConfigurationResponse>(
-      "coordinator.GetConfiguration", ask, kReadDeadline,
-      [responder](Result<proto::GetConfigurationResponse> result) {
-        if (!result.ok()) {
-          SendStatus(*responder, ReadFailure(result.status()), proto::EXECUTED_NO);
-          return;
-        }
-        result->clear_configuration();
-        SendJson(*responder, 200, *result);
-      });
+  orders_.ReadConfiguration(*limit, [responder](Result<proto::GetConfigurationResponse> result) {
+    if (!result.ok()) {
+      SendStatus(*responder, ReadFailure(result.status()), proto::EXECUTED_NO);
+      return;
+    }
+    result->clear_configuration();
+    SendJson(*responder, 200, *result);
+  });
 }
 
 void OperatorApi::SubmitTransaction(const HttpRequest& request, const Responder& responder) {
-  proto::SubmitTransactionRequest submit;
-  proto::ConfigurationTransaction& transaction = *submit.mutable_transaction();
+  proto::ConfigurationTransaction transaction;
   Status read = FromJson(request.body, &transaction);
   if (read.ok() && transaction.operation_id().empty()) {
     read = Status(StatusCode::kInvalidArgument,
@@ -147,18 +140,16 @@
     SendStatus(*responder, read, proto::EXECUTED_NO);
     return;
   }
-  agent_.CallLeader<proto::SubmitTransactionResponse>(
-      "coordinator.SubmitTransaction", submit, kTransactionDeadline,
-      [responder, operation_id = transaction.operation_id()](
-          const Result<proto::SubmitTransactionResponse>& result) {
-        if (result.ok()) {
-          SendResult(*responder, result->result());
-        } else if (IsRefusal(result.status().code())) {
-          SendStatus(*responder, result.status(), proto::EXECUTED_NO);
-        } else {
-          SendLostTransaction(*responder, result.status(), operation_id);
-        }
-      });
+  orders_.Submit(transaction, [responder, operation_id = transaction.operation_id()](
+                                  const Result<proto::SubmitTransactionResponse>& result) {
+    if (result.ok()) {
+      SendResult(*responder, result->result());
+    } else if (IsRefusal(result.status().code())) {
+      SendStatus(*responder, result.status(), proto::EXECUTED_NO);
+    } else {
+      SendLostTransaction(*responder, result.status(), operation_id);
+    }
+  });
 }
 
 void OperatorApi::Retire(const HttpRequest& request, const Responder& responder) {
@@ -173,18 +164,15 @@
     return;
   }
   retire.set_cancel(cancel == "true");
-  agent_.CallLeader<proto::RetireServerResponse>(
-      "coordinator.RetireServer", retire, kRetireDeadline,
-      [responder](const Result<proto::RetireServerResponse>& result) {
-        if (result.ok()) {
-          SendJson(*responder, 200, *result);
-          return;
-        }
-        const StatusCode code = result.status().code();
-        const bool refused = IsRefusal(code) || code == StatusCode::kNotFound;
-        SendStatus(*responder, result.status(),
-                   refused ? proto::EXECUTED_NO : proto::EXECUTED_UNKNOWN);
-      });
+  orders_.Retire(retire, [responder](const Result<proto::RetireServerResponse>& result) {
+    if (result.ok()) {
+      SendJson(*responder, 200, *result);
+      return;
+    }
+    const StatusCode code = result.status().code();
+    const bool refused = IsRefusal(code) || code == StatusCode::kNotFound;
+    SendStatus(*responder, result.status(), refused ? proto::EXECUTED_NO : proto::EXECUTED_UNKNOWN);
+  });
 }
 
 }  // namespace cloverbank
--- a/src/gateway/operator_api.h
+++ b/src/gateway/operator_api.h
@@ -11,7 +11,7 @@
 /// Threads: the owner's event loop only.
 
 #include "net/http_types.h"
-#include "node/node_agent.h"
+#include "node/operator_orders.h"
 
 namespace cloverbank {
 
@@ -28,7 +28,7 @@
   void SubmitTransaction(const HttpRequest& request, const Responder& responder);
   void Retire(const HttpRequest& request, const Responder& responder);
 
-  NodeAgent& agent_;
+  OperatorOrders orders_;
 };
 
 }  // namespace cloverbank
--- a/tests/gateway/forwarding_test.cc
+++ b/tests/gateway/forwarding_test.cc
@@ -2,6 +2,7 @@
 #include <gtest/gtest.h>
 
 #include "forward_harness.h"
+#include "gateway/live_forward.h"
 
 namespace cloverbank {
 namespace {
@@ -259,5 +260,20 @@
   EXPECT_EQ(outcome.failed_runs, 1U);
 }
 
+TEST(RefusalTest, SaysWhenToComeBackIfAndOnlyIfNothingRan) {
+  proto::CallError error;
+  error.set_executed(proto::EXECUTED_NO);
+  FakeResponder busy;
+  SendRefusal(busy, 503, error);
+  EXPECT_EQ(FindHeader(busy.headers, "Retry-After"), "0.400");
+  FakeResponder unknown_route;
+  SendRefusal(unknown_route, 404, error);
+  EXPECT_EQ(FindHeader(unknown_route.headers, "Retry-After"), "");
+  error.set_executed(proto::EXECUTED_UNKNOWN);
+  FakeResponder broken;
+  SendRefusal(broken, 504, error);
+  EXPECT_EQ(FindHeader(broken.headers, "Retry-After"), "");
+}
+
 }  // namespace
 }  // namespace cloverbank
