Read the list of replicas once a zone and hand it on

Change: SharedListReader asks a gateway of its zone that the leader names (heartbeat's list_sources, in the order of ids) and holds the question open until that one's next reading; without a source that answers it reads the platform itself.

SharedListReaderTest (9 cases), the order in CoordinatorServiceTest.

--- a/apps/cloverbankd/gateway_role.cc
+++ b/apps/cloverbankd/gateway_role.cc
@@ -12,6 +12,7 @@
   options.zone = settings.zone;
   options.replica_list.endpoint = settings.replica_list;
   options.replica_list.interval = settings.poll_interval;
+  options.replica_list.shared = settings.share_list;
   options.probe.enabled = settings.probe_replicas;
   options.serve_without_control = settings.serve_without_control;
   if (settings.platform_adapter) {
--- a/src/coordinator/heartbeat_handler.cc
+++ b/src/coordinator/heartbeat_handler.cc
@@ -11,6 +11,8 @@
 
 /// Gateways of its zone that a gateway is told of.
 constexpr int kMostNeighbours = 12;
+/// Gateways of its zone that a gateway may ask for the list of replicas.
+constexpr int kMostListSources = 3;
 
 Status Fenced(std::uint64_t node_id, const std::string& reason) {
   return {StatusCode::kFenced, "node " + std::to_string(node_id) + " " + reason +
@@ -136,6 +138,11 @@
       *response->add_neighbours() = other->peer_endpoint();
     }
   }
+  for (auto before = gateways.begin(); before != own; ++before) {
+    if ((*before)->zone() == self->zone() && response->list_sources_size() < kMostListSources) {
+      *response->add_list_sources() = (*before)->peer_endpoint();
+    }
+  }
 }
 
 void HeartbeatHandler::Review() {
--- a/src/gateway/gateway_options.h
+++ b/src/gateway/gateway_options.h
@@ -40,6 +40,8 @@
   Duration stale_after = seconds(2);
   /// Makes what reads the list; empty reads it as `GET path`.
   std::function<std::unique_ptr<ReplicaListReader>(HttpClient&)> make_reader = {};
+  /// Whether the gateways of a zone read the list from one of them.
+  bool shared = false;
 };
 
 /// How replicas are probed.
--- a/src/gateway/gateway_service.cc
+++ b/src/gateway/gateway_service.cc
@@ -14,6 +14,7 @@
 #include "gateway/replica_backend_caller.h"
 #include "gateway/replica_pool.h"
 #include "gateway/serving_right.h"
+#include "gateway/shared_list_reader.h"
 #include "gateway/status_api.h"
 
 namespace cloverbank {
@@ -42,6 +43,19 @@
   mutable TimePoint last_lease_end_{};
 };
 
+/// @return the options with a list reader that asks other gateways first, if that is wanted.
+GatewayOptions ShareList(Environment& environment, NodeAgent& agent, GatewayOptions options) {
+  if (!options.replica_list.shared) {
+    return options;
+  }
+  const ReplicaListOptions own = options.replica_list;
+  options.replica_list.make_reader = [&environment, &agent, own](HttpClient& client) {
+    return std::make_unique<SharedListReader>(
+        environment, [&agent] { return agent.list_sources(); }, MakeListReader(client, own));
+  };
+  return options;
+}
+
 }  // namespace
 
 struct GatewayService::State {
@@ -49,7 +63,7 @@
         GatewayOptions options_in)
       : environment(environment_in),
         agent(agent_in),
-        options(std::move(options_in)),
+        options(ShareList(environment_in, agent_in, std::move(options_in))),
         right(environment, agent, options.serve_without_control),
         pool(environment, client, right, options),
         queue(environment, options.admission),
--- a/src/gateway/json_list_reader.cc
+++ b/src/gateway/json_list_reader.cc
@@ -78,4 +78,9 @@
   return std::make_unique<JsonListReader>(client, options);
 }
 
+std::unique_ptr<ReplicaListReader> MakeListReader(HttpClient& client,
+                                                  const ReplicaListOptions& options) {
+  return options.make_reader ? options.make_reader(client) : MakeJsonListReader(client, options);
+}
+
 }  // namespace cloverbank
--- a/src/gateway/replica_list_poller.cc
+++ b/src/gateway/replica_list_poller.cc
@@ -1,5 +1,6 @@
 #include "gateway/replica_list_poller.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "base/logging.h"
@@ -7,18 +8,15 @@
 namespace cloverbank {
 namespace {
 
-std::unique_ptr<ReplicaListReader> MakeReader(HttpClient& client,
-                                              const ReplicaListOptions& options) {
-  return options.make_reader ? options.make_reader(client) : MakeJsonListReader(client, options);
-}
+/// Between two reads of which the second waits for news by itself.
+constexpr Duration kLeastGap = milliseconds(20);
 
 }  // namespace
-
 ReplicaListPoller::ReplicaListPoller(Environment& environment, HttpClient& client,
                                      ReplicaListOptions options, ListHandler on_list)
     : environment_(environment),
       options_(std::move(options)),
-      reader_(MakeReader(client, options_)),
+      reader_(MakeListReader(client, options_)),
       on_list_(std::move(on_list)) {}
 
 ReplicaListPoller::~ReplicaListPoller() { environment_.CancelTimer(timer_); }
@@ -43,8 +41,8 @@
   const std::string result = Take(reading);
   environment_.metrics().Increment("gateway_replica_list_polls_total", {{"result", result}});
   polled_ = true;
-  last_ended_sent_at_ = sent_at;
-  ScheduleNext(sent_at);
+  last_ended_sent_at_ = reading.read_at.value_or(sent_at);
+  ScheduleNext(sent_at, reading.next_waits);
 }
 
 std::string ReplicaListPoller::Take(const ListReading& reading) {
@@ -73,9 +71,10 @@
   return "changed";
 }
 
-void ReplicaListPoller::ScheduleNext(TimePoint sent_at) {
+void ReplicaListPoller::ScheduleNext(TimePoint sent_at, bool next_waits) {
   const Duration since = environment_.Now() - sent_at;
-  const Duration delay = since >= options_.interval ? Duration::zero() : options_.interval - since;
+  const Duration rest = since >= options_.interval ? Duration::zero() : options_.interval - since;
+  const Duration delay = next_waits ? std::min(rest, kLeastGap) : rest;
   timer_ = environment_.ScheduleAfter(delay, [this] { Poll(); });
 }
 
--- a/src/gateway/replica_list_poller.h
+++ b/src/gateway/replica_list_poller.h
@@ -40,7 +40,7 @@
   void OnReading(TimePoint sent_at, const ListReading& reading);
   /// @return "unchanged", "changed", or why the list could not be read.
   std::string Take(const ListReading& reading);
-  void ScheduleNext(TimePoint sent_at);
+  void ScheduleNext(TimePoint sent_at, bool next_waits);
 
   Environment& environment_;
   ReplicaListOptions options_;
--- a/src/gateway/replica_list_reader.h
+++ b/src/gateway/replica_list_reader.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "base/time.h"
@@ -28,6 +29,10 @@
   ListReadEnd end = ListReadEnd::kSilent;
   proto::ReplicaList list;  ///< Set when read.
   std::string reason;       ///< For people, when malformed.
+  /// When the platform was asked, if that was not when `Read` was called.
+  std::optional<TimePoint> read_at;
+  /// The next call of `Read` waits for news by itself: it may come at once.
+  bool next_waits = false;
 };
 
 class ReplicaListReader {
@@ -42,6 +47,10 @@
 /// @return the end of a call that brought no answer.
 ListReadEnd EndWithoutAnswer(const HttpOutcome& outcome);
 
+/// Makes the reader that the options ask for.
+std::unique_ptr<ReplicaListReader> MakeListReader(HttpClient& client,
+                                                  const ReplicaListOptions& options);
+
 /// Reads `GET /replicas`: one JSON document with an entity tag.
 std::unique_ptr<ReplicaListReader> MakeJsonListReader(HttpClient& client,
                                                       const ReplicaListOptions& options);
--- /dev/null
+++ b/src/gateway/shared_list_reader.cc
@@ -0,0 +1,247 @@
+#include "gateway/shared_list_reader.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/checksum.h"
+#include "runtime/typed_peer.h"
+
+namespace cloverbank {
+namespace {
+
+constexpr std::string_view kMethod = "gateway.GetReplicaList";
+/// How long a call waits at a source for its next reading.
+constexpr Duration kHold = milliseconds(1100);
+/// The same for the first list: a source may have started at the same time.
+constexpr Duration kFirstHold = milliseconds(300);
+/// What a call may take beside that.
+constexpr Duration kRoundTrip = milliseconds(250);
+/// A list that was read longer ago is not taken from a source.
+constexpr Duration kOldest = milliseconds(1600);
+/// The same of an answer that was waited for: a source answers with its next reading, so an older
+/// one means that the source itself waits for something. With an older list of its own a gateway
+/// does not wait either.
+constexpr Duration kOldestAwaited = milliseconds(600);
+/// How long a source that failed is passed over.
+constexpr Duration kPassOver = seconds(10);
+/// A gateway that has just started waits this long for the coordinators to name its sources.
+constexpr Duration kFirstWait = milliseconds(250);
+constexpr Duration kFirstWaitStep = milliseconds(50);
+
+std::uint64_t IdOf(proto::ReplicaList list) {
+  list.clear_version();
+  const std::uint64_t checksum = Checksum(list.SerializeAsString());
+  return checksum == 0 ? 1 : checksum;
+}
+
+std::uint32_t ToMilliseconds(Duration duration) {
+  return static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(duration).count());
+}
+
+}  // namespace
+
+SharedListReader::SharedListReader(Environment& environment, Sources sources,
+                                   std::unique_ptr<ReplicaListReader> platform)
+    : environment_(environment), sources_(std::move(sources)), platform_(std::move(platform)) {
+  ServePeer<proto::GetReplicaListRequest, proto::GetReplicaListResponse>(
+      environment_, kMethod,
+      [this, alive = std::weak_ptr<bool>(alive_)](const proto::GetReplicaListRequest& request,
+                                                  const std::string& address, Reply reply) {
+        if (alive.expired()) {
+          reply(Status(StatusCode::kUnavailable, "the gateway is stopping"));
+          return;
+        }
+        Serve(request, address, std::move(reply));
+      });
+}
+
+SharedListReader::~SharedListReader() {
+  environment_.CancelTimer(timer_);
+  for (const Held& held : held_) {
+    environment_.CancelTimer(held.timer);
+  }
+}
+
+void SharedListReader::Read(Duration deadline, std::function<void(ListReading)> done) {
+  done_ = std::move(done);
+  deadline_ = deadline;
+  if (sources_().has_value()) {
+    AskSource();
+  } else {
+    WaitForSources();
+  }
+}
+
+void SharedListReader::WaitForSources() {
+  if (sources_().has_value()) {
+    AskSource();
+    return;
+  }
+  if (waited_for_sources_ >= kFirstWait) {
+    ReadPlatform();
+    return;
+  }
+  waited_for_sources_ += kFirstWaitStep;
+  timer_ = environment_.ScheduleAfter(kFirstWaitStep, [this] { WaitForSources(); });
+}
+
+std::optional<Endpoint> SharedListReader::NextSource() const {
+  for (const Endpoint& source : sources_().value_or(std::vector<Endpoint>())) {
+    const auto passed_over = passed_over_until_.find(source);
+    if (passed_over == passed_over_until_.end() || environment_.Now() >= passed_over->second) {
+      return source;
+    }
+  }
+  return std::nullopt;
+}
+
+void SharedListReader::AskSource() {
+  asked_ = NextSource();
+  if (!asked_.has_value()) {
+    ReadPlatform();
+    return;
+  }
+  awaits_ = id_ != 0 && environment_.Now() - read_at_ <= kOldestAwaited;
+  const Duration hold = awaits_ ? kHold : (id_ == 0 ? kFirstHold : Duration::zero());
+  proto::GetReplicaListRequest request;
+  request.set_known_id(id_);
+  request.set_hold_ms(ToMilliseconds(hold));
+  environment_.metrics().Increment("gateway_replica_list_shared_reads_total", {});
+  CallPeer<proto::GetReplicaListResponse>(
+      environment_, *asked_, kMethod, request, hold + kRoundTrip,
+      [this, alive = std::weak_ptr<bool>(alive_),
+       sent = environment_.Now()](const Result<proto::GetReplicaListResponse>& answer) {
+        if (!alive.expired()) {
+          OnAnswer(sent, answer);
+        }
+      });
+}
+
+void SharedListReader::OnAnswer(TimePoint sent,
+                                const Result<proto::GetReplicaListResponse>& answer) {
+  const Endpoint source = *std::exchange(asked_, std::nullopt);
+  if (answer.ok() && !answer->failing()) {
+    const Duration oldest = awaits_ && !answer->has_list() ? kOldestAwaited : kOldest;
+    if (milliseconds(answer->read_ms_ago()) <= oldest) {
+      TakeAnswer(sent, *answer);
+    } else {
+      ReadPlatform();
+    }
+    return;
+  }
+  passed_over_until_[source] = environment_.Now() + kPassOver;
+  // Time was lost with a source that was silent or failed itself: no second one is waited for.
+  const bool not_reached = !answer.ok() && answer.status().code() == StatusCode::kUnavailable;
+  if (not_reached) {
+    AskSource();
+  } else {
+    ReadPlatform();
+  }
+}
+
+void SharedListReader::TakeAnswer(TimePoint sent, const proto::GetReplicaListResponse& answer) {
+  ListReading reading;
+  reading.next_waits = true;
+  // A lower bound also if this process was stopped before it took the answer in.
+  reading.read_at =
+      sent + milliseconds(answer.held_ms()) - Duration(milliseconds(answer.read_ms_ago()));
+  if (answer.has_list()) {
+    reading.end = ListReadEnd::kRead;
+    reading.list = answer.list();
+    reading.list.set_version(++version_);
+    candidate_ = reading.list;
+    candidate_read_at_ = *reading.read_at;
+    candidate_from_platform_ = false;
+  } else {
+    reading.end = ListReadEnd::kUnchanged;
+    Publish(*reading.read_at);
+  }
+  Finish(std::move(reading));
+}
+
+void SharedListReader::ReadPlatform() {
+  platform_->Read(deadline_, [this, sent = environment_.Now()](ListReading reading) {
+    TakePlatform(sent, std::move(reading));
+  });
+}
+
+void SharedListReader::TakePlatform(TimePoint sent, ListReading reading) {
+  reading.read_at = sent;
+  if (reading.end == ListReadEnd::kRead) {
+    reading.list.set_version(++version_);
+    candidate_ = reading.list;
+    candidate_read_at_ = sent;
+    candidate_from_platform_ = true;
+  } else if (reading.end == ListReadEnd::kUnchanged && id_ != 0) {
+    Publish(sent);
+  } else {
+    failing_ = true;
+    AnswerHeld();
+  }
+  Finish(std::move(reading));
+}
+
+void SharedListReader::Finish(ListReading reading) { std::exchange(done_, nullptr)(reading); }
+
+void SharedListReader::Accepted() {
+  if (candidate_from_platform_) {
+    platform_->Accepted();
+  }
+  list_ = std::move(candidate_);
+  id_ = IdOf(list_);
+  Publish(candidate_read_at_);
+}
+
+void SharedListReader::Publish(TimePoint read_at) {
+  read_at_ = read_at;
+  failing_ = false;
+  AnswerHeld();
+}
+
+void SharedListReader::AnswerHeld() {
+  for (const Held& held : std::exchange(held_, {})) {
+    environment_.CancelTimer(held.timer);
+    Answer(held);
+  }
+}
+
+bool SharedListReader::Recent() const {
+  return id_ != 0 && environment_.Now() - read_at_ <= kOldest;
+}
+
+void SharedListReader::Serve(const proto::GetReplicaListRequest& request,
+                             const std::string& address, Reply reply) {
+  if (asked_.has_value() && asked_->host == address) {
+    reply(Status(StatusCode::kUnavailable, "this gateway waits for the asking one's list"));
+    return;
+  }
+  Held held{request.known_id(), environment_.Now(), 0, std::move(reply)};
+  if (Recent() && held.known != id_) {
+    Answer(held);
+    return;
+  }
+  const auto place = held_.insert(held_.end(), std::move(held));
+  const Duration hold = std::min<Duration>(milliseconds(request.hold_ms()), kHold);
+  place->timer = environment_.ScheduleAfter(hold, [this, place] {
+    const Held late = std::move(*place);
+    held_.erase(place);
+    Answer(late);
+  });
+}
+
+void SharedListReader::Answer(const Held& held) const {
+  if (id_ == 0) {
+    held.reply(Status(StatusCode::kUnavailable, "no list of replicas was read yet"));
+    return;
+  }
+  proto::GetReplicaListResponse response;
+  response.set_held_ms(ToMilliseconds(environment_.Now() - held.arrival));
+  response.set_failing(failing_);
+  response.set_read_ms_ago(ToMilliseconds(environment_.Now() - read_at_));
+  if (held.known != id_) {
+    *response.mutable_list() = list_;
+  }
+  held.reply(std::move(response));
+}
+
+}  // namespace cloverbank
--- a/src/node/node_agent.cc
+++ b/src/node/node_agent.cc
@@ -285,6 +285,10 @@
 
 const std::vector<Endpoint>& NodeAgent::neighbours() const { return state_->session.neighbours(); }
 
+const std::optional<std::vector<Endpoint>>& NodeAgent::list_sources() const {
+  return state_->session.list_sources();
+}
+
 bool NodeAgent::LeaseValid() const { return state_->session.LeaseValid(state_->environment.Now()); }
 
 TimePoint NodeAgent::lease_end() const { return state_->session.lease_end(); }
--- a/src/node/node_session.cc
+++ b/src/node/node_session.cc
@@ -5,6 +5,15 @@
 namespace cloverbank {
 namespace {
 
+std::vector<Endpoint> ToEndpoints(
+    const google::protobuf::RepeatedPtrField<proto::Endpoint>& messages) {
+  std::vector<Endpoint> endpoints;
+  for (const proto::Endpoint& message : messages) {
+    endpoints.push_back({message.host(), static_cast<std::uint16_t>(message.port())});
+  }
+  return endpoints;
+}
+
 /// The holder's clock may run slower than the giver's: it gives up this share of each lease.
 constexpr int kClockDriftDivisor = 100;
 
@@ -67,10 +76,8 @@
     effects.fleet = fleet_.Take(response.fleet());
   }
   gateway_count_ = std::max(1U, response.gateway_count());
-  neighbours_.clear();
-  for (const proto::Endpoint& neighbour : response.neighbours()) {
-    neighbours_.push_back({neighbour.host(), static_cast<std::uint16_t>(neighbour.port())});
-  }
+  neighbours_ = ToEndpoints(response.neighbours());
+  list_sources_ = ToEndpoints(response.list_sources());
   const bool same_life = node_id_.valid() && NodeId(request.node_id()) == node_id_;
   if (same_life && effects.configuration != UpdateOutcome::kGap) {
     const TimePoint end = sent + UsableLease(response.lease_ms());
--- a/src/node/node_session.h
+++ b/src/node/node_session.h
@@ -8,8 +8,10 @@
 /// acknowledged meanwhile. Threads: the owner's event loop only.
 
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "base/ids.h"
 #include "base/time.h"
@@ -38,6 +40,8 @@
   /// Live gateways as of the last heartbeat; at least 1.
   std::uint32_t gateway_count() const { return gateway_count_; }
   const std::vector<Endpoint>& neighbours() const { return neighbours_; }
+  /// Nothing before the first heartbeat was answered.
+  const std::optional<std::vector<Endpoint>>& list_sources() const { return list_sources_; }
   TimePoint lease_end() const { return lease_end_; }
   bool LeaseValid(TimePoint now) const { return node_id_.valid() && now < lease_end_; }
   const proto::RoutingConfiguration& configuration() const {
@@ -67,6 +71,7 @@
   std::uint32_t partition_count_ = 0;
   std::uint32_t gateway_count_ = 1;
   std::vector<Endpoint> neighbours_;
+  std::optional<std::vector<Endpoint>> list_sources_;
   TimePoint lease_end_{};
   ConfigurationWatch configuration_;
   FleetWatch fleet_;
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -164,6 +164,7 @@
   ReadDuration(reader, "platform.poll_interval_ms", kPollBounds, &settings->poll_interval);
   settings->platform_adapter = reader.Boolean("platform.adapter").value_or(false);
   settings->probe_replicas = reader.Boolean("platform.probe_replicas").value_or(true);
+  settings->share_list = reader.Boolean("platform.share_list").value_or(false);
 }
 
 void ReadControl(SettingsReader& reader, Settings* settings) {
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -51,6 +51,7 @@
   Duration poll_interval = milliseconds(500);
   bool platform_adapter = false;  ///< platform.adapter: speak in the platform's form.
   bool probe_replicas = true;     ///< platform.probe_replicas
+  bool share_list = false;        ///< platform.share_list: one gateway of a zone reads the list.
   // [control]
   Duration election_timeout = milliseconds(400);
   Duration node_lease = seconds(3);
--- a/tests/coordinator/coordinator_service_test.cc
+++ b/tests/coordinator/coordinator_service_test.cc
@@ -23,6 +23,27 @@
   EXPECT_EQ(Submit(Change("a")).status().code(), StatusCode::kNotLeader);
 }
 
+TEST_F(CoordinatorServiceTest, GatewaysOfAZoneAreToldInOneOrderWhomToAskForTheList) {
+  for (const char* name : {"g1", "g2", "g3", "g4", "g5"}) {
+    Add(proto::ROLE_GATEWAY, name);
+  }
+  world.RunFor(seconds(2));
+  std::map<std::uint64_t, const TestNode*> by_id;
+  for (const auto& [name, node] : nodes) {
+    by_id[node->node_id] = node;
+  }
+  std::vector<std::string> before;
+  for (const auto& [id, node] : by_id) {
+    std::vector<std::string> sources;
+    for (const proto::Endpoint& source : node->list_sources) {
+      sources.push_back(source.host());
+    }
+    EXPECT_EQ(sources, std::vector(before.begin(), before.begin() + std::min<std::ptrdiff_t>(
+                                                                        3, std::ssize(before))));
+    before.push_back(node->host());
+  }
+}
+
 TEST_F(CoordinatorServiceTest, AcknowledgedWithinARoundTripWhenAllConfirm) {
   Add(proto::ROLE_GATEWAY, "g1");
   Add(proto::ROLE_GATEWAY, "g2");
--- a/tests/coordinator/test_node.h
+++ b/tests/coordinator/test_node.h
@@ -39,6 +39,7 @@
     Register();
   }
 
+  std::string host() const { return environment_.peer_endpoint().host; }
   bool LeaseValid() const { return node_id != 0 && environment_.Now() < lease_end; }
 
   std::uint64_t node_id = 0;
@@ -46,9 +47,10 @@
   TimePoint old_lease_end;  ///< Of the last lease taken under an earlier configuration.
   std::uint64_t configuration_version = 0;
   std::uint64_t fleet_version = 0;
-  bool confirms = true;  ///< Whether heartbeats tell the newest version held.
-  bool finishes = true;  ///< Queue nodes: whether replays get done.
-  int fenced = 0;        ///< How often the id was refused as dead.
+  std::vector<proto::Endpoint> list_sources;  ///< Of a gateway, as last told.
+  bool confirms = true;                       ///< Whether heartbeats tell the newest version held.
+  bool finishes = true;                       ///< Queue nodes: whether replays get done.
+  int fenced = 0;                             ///< How often the id was refused as dead.
 
  private:
   /// Calls the coordinators one after the other until one answers as leader.
@@ -120,6 +122,7 @@
     if (response.has_fleet()) {
       fleet_version = std::max<std::uint64_t>(fleet_version, response.fleet().to_version());
     }
+    list_sources.assign(response.list_sources().begin(), response.list_sources().end());
     lease_end = std::max(lease_end, sent + milliseconds(response.lease_ms()));
   }
 
--- /dev/null
+++ b/tests/gateway/shared_list_reader_test.cc
@@ -0,0 +1,260 @@
+// Gateways of one zone that read the list of replicas from one of them.
+#include "gateway/shared_list_reader.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "gateway/fake_http.h"
+#include "gateway/replica_list_poller.h"
+#include "simulation/simulated_world.h"
+
+namespace cloverbank {
+namespace {
+
+constexpr int kGateways = 5;
+constexpr Duration kStep = milliseconds(50);
+
+/// What the platform shows, and who asked it.
+struct FakePlatform {
+  std::uint32_t replicas = 1;
+  bool answers = true;
+  std::map<std::string, int> reads;  ///< By gateway.
+};
+
+class FakePlatformReader final : public ReplicaListReader {
+ public:
+  FakePlatformReader(Environment& environment, std::string gateway, FakePlatform& platform)
+      : environment_(environment), gateway_(std::move(gateway)), platform_(platform) {}
+
+  void Read(Duration deadline, std::function<void(ListReading)> done) override {
+    ++platform_.reads[gateway_];
+    const Duration delay = platform_.answers ? milliseconds(3) : deadline;
+    environment_.ScheduleAfter(delay,
+                               [this, alive = std::weak_ptr<bool>(alive_), done = std::move(done)] {
+                                 if (!alive.expired()) {
+                                   done(MakeReading());
+                                 }
+                               });
+  }
+
+ private:
+  ListReading MakeReading() const {
+    ListReading reading;
+    if (!platform_.answers) {
+      return reading;
+    }
+    reading.end = ListReadEnd::kRead;
+    for (std::uint32_t number = 0; number < platform_.replicas; ++number) {
+      reading.list.add_replicas()->set_id("r" + std::to_string(number));
+    }
+    return reading;
+  }
+
+  Environment& environment_;
+  const std::string gateway_;
+  FakePlatform& platform_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+/// What one gateway holds.
+struct Gateway {
+  int known_replicas = 0;
+  int lists = 0;
+  ReplicaListPoller* poller = nullptr;
+  std::optional<std::vector<Endpoint>> sources;
+};
+
+class GatewayProgram {
+ public:
+  GatewayProgram(Environment& environment, const std::string& name, FakePlatform& platform,
+                 Gateway& gateway)
+      : client_(environment),
+        poller_(environment, client_, Options(environment, name, platform, gateway),
+                [&gateway](const proto::ReplicaList& list) {
+                  gateway.known_replicas = list.replicas_size();
+                  ++gateway.lists;
+                  return Status::Ok();
+                }) {
+    gateway.poller = &poller_;
+    poller_.Start();
+  }
+
+ private:
+  static ReplicaListOptions Options(Environment& environment, const std::string& name,
+                                    FakePlatform& platform, Gateway& gateway) {
+    ReplicaListOptions options;
+    options.interval = seconds(1);
+    options.make_reader = [&environment, name, &platform, &gateway](HttpClient&) {
+      return std::make_unique<SharedListReader>(
+          environment, [&gateway] { return gateway.sources; },
+          std::make_unique<FakePlatformReader>(environment, name, platform));
+    };
+    return options;
+  }
+
+  FakeHttpClient client_;
+  ReplicaListPoller poller_;
+};
+
+class SharedListReaderTest : public testing::Test {
+ protected:
+  SharedListReaderTest() {
+    for (int number = 0; number < kGateways; ++number) {
+      const std::string name = Name(number);
+      SimulatedMachine& machine = world_.AddMachine(name, "10.0.1." + std::to_string(number + 1));
+      Gateway& gateway = gateways_[name];
+      gateway.sources = std::vector<Endpoint>();
+      for (int before = 0; before < std::min(number, 3); ++before) {
+        gateway.sources->push_back(world_.machine(Name(before)).endpoint());
+      }
+      machine.SetProgram([this, name, &gateway](Environment& environment, DataFolder&) {
+        return std::make_shared<GatewayProgram>(environment, name, platform_, gateway);
+      });
+    }
+  }
+
+  static std::string Name(int number) { return "g" + std::to_string(number); }
+
+  void StartAll() {
+    for (int number = 0; number < kGateways; ++number) {
+      world_.machine(Name(number)).Start();
+    }
+  }
+
+  /// @return whether every running gateway was fresh all the time.
+  bool RunFresh(Duration duration) {
+    bool fresh = true;
+    for (Duration passed{}; passed < duration; passed += kStep) {
+      world_.RunFor(kStep);
+      for (const auto& [name, gateway] : gateways_) {
+        const bool counts = world_.machine(name).running() && name != stopped_;
+        fresh = fresh && (!counts || (gateway.poller->loaded() && gateway.poller->Fresh()));
+      }
+    }
+    return fresh;
+  }
+
+  /// @return whether all gateways but the stopped one know so many replicas.
+  bool AllKnow(int replicas) const {
+    for (const auto& [name, gateway] : gateways_) {
+      if (name != stopped_ && gateway.known_replicas != replicas) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  int Reads() const {
+    int sum = 0;
+    for (const auto& [name, reads] : platform_.reads) {
+      sum += reads;
+    }
+    return sum;
+  }
+
+  FakePlatform platform_;
+  std::map<std::string, Gateway> gateways_;
+  std::string stopped_;
+  SimulatedWorld world_{7};
+};
+
+TEST_F(SharedListReaderTest, OneGatewayOfTheZoneReadsThePlatform) {
+  StartAll();
+  world_.RunFor(seconds(2));
+  const int before = Reads();
+  EXPECT_TRUE(RunFresh(seconds(10)));
+  EXPECT_LE(Reads() - before, 11);
+  EXPECT_EQ(platform_.reads.count("g3"), 0U);
+  EXPECT_TRUE(AllKnow(1));
+}
+
+TEST_F(SharedListReaderTest, AChangeReachesAllWithTheNextReading) {
+  StartAll();
+  world_.RunFor(seconds(3));
+  platform_.replicas = 2;
+  world_.RunFor(milliseconds(1100));
+  EXPECT_TRUE(AllKnow(2));
+}
+
+TEST_F(SharedListReaderTest, AnUnchangedListIsTakenInOnce) {
+  StartAll();
+  world_.RunFor(seconds(10));
+  EXPECT_EQ(gateways_["g4"].lists, 1);
+}
+
+TEST_F(SharedListReaderTest, TheNextGatewayReadsOnceTheFirstIsKilled) {
+  StartAll();
+  world_.RunFor(seconds(3));
+  stopped_ = "g0";
+  world_.machine("g0").Kill();
+  EXPECT_TRUE(RunFresh(seconds(2)));
+  platform_.replicas = 3;
+  EXPECT_TRUE(RunFresh(milliseconds(1500)));
+  EXPECT_TRUE(AllKnow(3));
+  const int before = Reads();
+  EXPECT_TRUE(RunFresh(seconds(10)));
+  EXPECT_LE(Reads() - before, 14) << "g1 reads each second; the others only try g0 again";
+}
+
+TEST_F(SharedListReaderTest, AFrozenSourceCostsNobodyItsFreshness) {
+  StartAll();
+  world_.RunFor(seconds(3));
+  stopped_ = "g0";
+  world_.machine("g0").Freeze();
+  platform_.replicas = 4;
+  EXPECT_TRUE(RunFresh(milliseconds(2500)));
+  EXPECT_TRUE(AllKnow(4));
+  EXPECT_TRUE(RunFresh(seconds(10)));
+}
+
+TEST_F(SharedListReaderTest, AGatewayThatWokeUpDoesNotTrustTheAnswerItFinds) {
+  StartAll();
+  world_.RunFor(seconds(3));
+  stopped_ = "g4";
+  world_.machine("g4").Freeze();
+  world_.RunFor(seconds(5));
+  world_.machine("g4").Wake();
+  world_.RunFor(milliseconds(2));
+  EXPECT_FALSE(gateways_["g4"].poller->Fresh());
+  world_.RunFor(seconds(2));
+  EXPECT_TRUE(gateways_["g4"].poller->Fresh());
+}
+
+TEST_F(SharedListReaderTest, WithoutWordFromTheCoordinatorsEachReadsThePlatform) {
+  for (auto& [name, gateway] : gateways_) {
+    gateway.sources.reset();
+  }
+  StartAll();
+  world_.RunFor(milliseconds(400));
+  EXPECT_TRUE(AllKnow(1));
+  EXPECT_TRUE(RunFresh(seconds(5)));
+}
+
+TEST_F(SharedListReaderTest, TheLastListStaysInUseWhileThePlatformIsSilent) {
+  StartAll();
+  world_.RunFor(seconds(3));
+  platform_.answers = false;
+  world_.RunFor(seconds(5));
+  EXPECT_TRUE(RunFresh(seconds(5)));
+  platform_.answers = true;
+  platform_.replicas = 2;
+  world_.RunFor(seconds(5));
+  EXPECT_TRUE(AllKnow(2));
+}
+
+// The coordinators' word may be older at one gateway than at another.
+TEST_F(SharedListReaderTest, TwoThatAskEachOtherGoToThePlatform) {
+  gateways_["g0"].sources = {world_.machine("g1").endpoint()};
+  StartAll();
+  world_.RunFor(seconds(1));
+  EXPECT_TRUE(AllKnow(1));
+  EXPECT_TRUE(RunFresh(seconds(5)));
+}
+
+}  // namespace
+}  // namespace cloverbank
