Divide cold rates and batch slots among the gateways of a replica's zone

Cause: each of G gateways took 1/G of a cold replica's rate and at least one of its batch slots. The count was also taken in only when the configuration changed.

Change: GatewayShare divides a replica's room among the gateways of its own zone by the place that the leader gives each; where there are more gateways than parts, some draw none. Rates are never below two a second, which bounds the sum of any second by one and a half of the rate; who takes a share over begins 1.5 s late. Places are taken with each heartbeat.

--- a/src/coordinator/heartbeat_handler.cc
+++ b/src/coordinator/heartbeat_handler.cc
@@ -10,9 +10,9 @@
 namespace {
 
 /// Gateways of its zone that a gateway is told of.
-constexpr int kMostNeighbours = 12;
+constexpr std::size_t kMostNeighbours = 12;
 /// Gateways of its zone that a gateway may ask for the list of replicas.
-constexpr int kMostListSources = 3;
+constexpr std::size_t kMostListSources = 3;
 
 Status Fenced(std::uint64_t node_id, const std::string& reason) {
   return {StatusCode::kFenced, "node " + std::to_string(node_id) + " " + reason +
@@ -122,26 +122,23 @@
 }
 
 void HeartbeatHandler::AddGateways(NodeId node, proto::HeartbeatResponse* response) const {
-  const std::vector<const proto::Server*> gateways =
-      context_.state.servers().Live(proto::ROLE_GATEWAY);
-  response->set_gateway_count(static_cast<std::uint32_t>(gateways.size()));
   const proto::Server* self = context_.state.servers().FindLive(node, proto::ROLE_GATEWAY);
   if (self == nullptr) {
     return;
   }
+  std::vector<const proto::Server*> zone = context_.state.servers().Live(proto::ROLE_GATEWAY);
+  std::erase_if(zone, [self](const proto::Server* other) { return other->zone() != self->zone(); });
+  const auto own =
+      static_cast<std::size_t>(std::find(zone.begin(), zone.end(), self) - zone.begin());
+  response->set_zone_gateway_count(static_cast<std::uint32_t>(zone.size()));
+  response->set_zone_gateway_index(static_cast<std::uint32_t>(own));
   // Those that follow in the ring of ids: with many gateways each knows a few, and all are known.
-  const auto own = std::find(gateways.begin(), gateways.end(), self);
-  for (std::size_t step = 1; step < gateways.size(); ++step) {
-    const std::size_t place = static_cast<std::size_t>(own - gateways.begin()) + step;
-    const proto::Server* other = gateways[place % gateways.size()];
-    if (other->zone() == self->zone() && response->neighbours_size() < kMostNeighbours) {
-      *response->add_neighbours() = other->peer_endpoint();
-    }
-  }
-  for (auto before = gateways.begin(); before != own; ++before) {
-    if ((*before)->zone() == self->zone() && response->list_sources_size() < kMostListSources) {
-      *response->add_list_sources() = (*before)->peer_endpoint();
-    }
+  const std::size_t neighbours = std::min(kMostNeighbours, zone.size() - 1);
+  for (std::size_t step = 1; step <= neighbours; ++step) {
+    *response->add_neighbours() = zone[(own + step) % zone.size()]->peer_endpoint();
+  }
+  for (std::size_t place = 0; place < std::min(kMostListSources, own); ++place) {
+    *response->add_list_sources() = zone[place]->peer_endpoint();
   }
 }
 
--- a/src/gateway/cold_pacing.cc
+++ b/src/gateway/cold_pacing.cc
@@ -12,6 +12,17 @@
   std::erase_if(windows_, [now](const auto& entry) { return entry.second.until <= now; });
 }
 
+void ColdPacing::ChangeRates(const std::function<double(const std::string& id)>& rate_of,
+                             Duration delay, TimePoint now) {
+  for (auto& [id, window] : windows_) {
+    const double rate = rate_of(id);
+    if (window.calls_per_second <= 0 && rate > 0) {
+      window.next_start = std::max(window.next_start, now + delay);
+    }
+    window.calls_per_second = rate;
+  }
+}
+
 void ColdPacing::Remove(const std::string& id) { windows_.erase(id); }
 
 bool ColdPacing::IsCold(std::string_view id, TimePoint now) const {
@@ -20,7 +31,11 @@
 }
 
 bool ColdPacing::MayStart(std::string_view id, TimePoint now) const {
-  return !IsCold(id, now) || now >= windows_.find(id)->second.next_start;
+  if (!IsCold(id, now)) {
+    return true;
+  }
+  const Window& window = windows_.find(id)->second;
+  return window.calls_per_second > 0 && now >= window.next_start;
 }
 
 void ColdPacing::OnStart(const std::string& id, TimePoint now) {
--- a/src/gateway/cold_pacing.h
+++ b/src/gateway/cold_pacing.h
@@ -1,10 +1,11 @@
 #pragma once
 /// @file
 /// Holds back what goes to cold replicas. A cold replica bears a number of calls a second from the
-/// whole fleet; each gateway takes an equal share of it, so the sum is safe whichever gateways die
-/// or join, as long as the count of gateways is not below the truth. Pure.
+/// whole fleet; each gateway takes its share of it (`GatewayShare`), so the sum is safe whichever
+/// gateways die or join, as long as the count of gateways is not below the truth. Pure.
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 #include <string_view>
@@ -17,6 +18,10 @@
  public:
   /// The replica bears `calls_per_second` of this gateway's until `until`.
   void SetCold(const std::string& id, double calls_per_second, TimePoint until, TimePoint now);
+  /// Changes the rates of all that are cold. Where this gateway had none it begins after `delay`,
+  /// so that those whose share it takes over have stopped.
+  void ChangeRates(const std::function<double(const std::string& id)>& rate_of, Duration delay,
+                   TimePoint now);
   void Remove(const std::string& id);
 
   /// Whether a call may start at the replica now.
--- a/src/gateway/gateway_service.cc
+++ b/src/gateway/gateway_service.cc
@@ -83,10 +83,16 @@
         operators(router, agent),
         status(environment, router, agent) {
     live.Register(router);
+    TakePlace();
   }
 
   ~State() { environment.CancelTimer(tidy_timer); }
 
+  void TakePlace() {
+    const GatewayPlace place = agent.gateway_place();
+    pool.SetShare({options.zone, place.index, place.count});
+  }
+
   void Tidy() {
     queue.admission().Tidy(agent.configuration(), environment.Now());
     tidy_timer = environment.ScheduleAfter(kTidyInterval, [this] { Tidy(); });
@@ -123,9 +129,13 @@
   state->pool.OnPrompt([state](const std::string& replica, std::uint32_t tokens,
                                std::uint64_t key) { state->gossip.Tell(replica, tokens, key); });
   state->pool.OnRoom([state] { state->queue.DispatchSoon(); });
+  agent.OnGatewayPlace([state, alive] {
+    if (!alive.expired()) {
+      state->TakePlace();
+    }
+  });
   agent.OnConfiguration([state, alive] {
     if (!alive.expired()) {
-      state->pool.SetGatewayCount(state->agent.gateway_count());
       state->pool.OnConfiguration();
       state->forwarding.OnConfiguration();
       state->queue.DispatchSoon();
--- /dev/null
+++ b/src/gateway/gateway_share.cc
@@ -0,0 +1,43 @@
+#include "gateway/gateway_share.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "base/checksum.h"
+
+namespace cloverbank {
+namespace {
+
+/// A gateway that starts calls evenly spaced at a rate of two a second or more starts at most one
+/// and a half of its rate in any second.
+constexpr double kLeastRate = 2;
+
+}  // namespace
+
+bool GatewayShare::Drawn(std::string_view replica_id, std::uint32_t parts) const {
+  // A fraction of the ring rather than a place: when a gateway comes or goes, few places move.
+  constexpr double kWhole = 18446744073709551616.0;  // 2 to the power of 64.
+  const double fraction = static_cast<double>(Checksum(replica_id)) / kWhole;
+  const auto first = static_cast<std::uint32_t>(fraction * count);
+  return (index + count - std::min(first, count - 1)) % count < parts;
+}
+
+std::uint32_t GatewayShare::SlotsOf(std::string_view replica_id, std::string_view replica_zone,
+                                    std::uint32_t slots) const {
+  if (replica_zone != zone) {
+    return 0;
+  }
+  return slots / count + (Drawn(replica_id, slots % count) ? 1 : 0);
+}
+
+double GatewayShare::RateOf(std::string_view replica_id, std::string_view replica_zone,
+                            double per_second) const {
+  if (replica_zone != zone) {
+    return 0;
+  }
+  const auto most = static_cast<std::uint32_t>(std::max(1.0, std::floor(per_second / kLeastRate)));
+  const std::uint32_t parts = std::min(count, most);
+  return Drawn(replica_id, parts) ? per_second / parts : 0;
+}
+
+}  // namespace cloverbank
--- a/src/gateway/replica_pool.cc
+++ b/src/gateway/replica_pool.cc
@@ -1,6 +1,7 @@
 #include "gateway/replica_pool.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 #include "base/logging.h"
@@ -12,6 +13,9 @@
 constexpr Duration kEvaluationInterval = seconds(1);
 /// Between offers of room while calls are held back from cold replicas.
 constexpr Duration kColdOfferInterval = milliseconds(20);
+/// Longer than a gateway takes to hear that its share has gone to another one.
+constexpr Duration kTakeOver = milliseconds(1500);
+constexpr double kUnbounded = std::numeric_limits<double>::infinity();
 
 RouterOptions OptionsOfRouter(const GatewayOptions& options) {
   RouterOptions router;
@@ -47,6 +51,7 @@
                      const HttpHeaders& headers) { OnProbe(id, instance_id, answered, headers); }),
       cold_pacer_(options.sharing.first_cold_share, options.sharing.cold_share_growth),
       batch_pacer_(options.sharing.first_batch_share, options.sharing.batch_share_growth),
+      share_{options.zone},
       probed_(options.probe.enabled) {}
 
 ReplicaPool::~ReplicaPool() {
@@ -62,7 +67,10 @@
   EvaluateHealth();
 }
 
-void ReplicaPool::OnConfiguration() { RefreshActive({}); }
+void ReplicaPool::OnConfiguration() {
+  RefreshActive({});
+  ChangeColdRates(Duration::zero());
+}
 
 RoutingChoice ReplicaPool::Choose(const RoutingQuery& query) {
   const TimePoint now = environment_.Now();
@@ -83,19 +91,38 @@
   });
 }
 
-void ReplicaPool::SetGatewayCount(std::uint32_t count) {
-  gateway_count_ = std::max(1U, count);
-  router_.SetGatewayCount(gateway_count_);
+void ReplicaPool::SetShare(const GatewayShare& share) {
+  if (share == share_) {
+    return;
+  }
+  share_ = share;
+  router_.SetShare(share);
+  ChangeColdRates(kTakeOver);
+}
+
+void ReplicaPool::ChangeColdRates(Duration delay) {
+  cold_pacing_.ChangeRates(
+      [this](const std::string& id) {
+        const ReplicaRecord* record = directory_.Find(id);
+        return record == nullptr ? 0 : ColdRate(*record);
+      },
+      delay, environment_.Now());
+}
+
+double ReplicaPool::ColdRate(const ReplicaRecord& record) const {
+  const proto::Backend* backend = FindBackend(right_.configuration(), record.backend);
+  if (backend == nullptr) {
+    return 0;
+  }
+  const double bound = backend->cold_calls_per_second();
+  return bound > 0 ? share_.RateOf(record.id, record.zone, bound) : kUnbounded;
 }
 
 void ReplicaPool::TakeColdTimes() {
   const TimePoint now = environment_.Now();
   for (const auto& [id, record] : directory_.records()) {
-    const proto::Backend* backend = FindBackend(right_.configuration(), record.backend);
-    const bool bounded = backend != nullptr && backend->cold_calls_per_second() > 0;
-    if (bounded && record.cold_left > Duration::zero()) {
-      cold_pacing_.SetCold(id, backend->cold_calls_per_second() / gateway_count_,
-                           now + record.cold_left, now);
+    if (record.cold_left > Duration::zero()) {
+      cold_pacing_.SetCold(id, ColdRate(record), now + record.cold_left, now);
     }
   }
 }
--- a/src/gateway/replica_pool.h
+++ b/src/gateway/replica_pool.h
@@ -72,8 +72,8 @@
   /// Bytes of an answer came in.
   void OnHeard(const ReplicaUse& use);
 
-  /// Among how many gateways what cold replicas and batch work may take is divided.
-  void SetGatewayCount(std::uint32_t count);
+  /// Which part of what cold replicas bear and of the room for batch work is this gateway's.
+  void SetShare(const GatewayShare& share);
 
   /// Runs when a replica may have got room that it had not before.
   void OnRoom(std::function<void()> observer) { on_room_ = std::move(observer); }
@@ -100,6 +100,10 @@
   void GrantBatch(const ReplicaRecord& record, ReplicaLoad& load, TimePoint now);
   void GrantCold(const ReplicaRecord& record, ReplicaLoad& load, TimePoint now);
   void TakeColdTimes();
+  /// @param delay before calls begin where there were none before.
+  void ChangeColdRates(Duration delay);
+  /// @return how many calls a second this gateway may send to a cold replica.
+  double ColdRate(const ReplicaRecord& record) const;
   /// Offers room again soon: time alone gives some while replicas are cold.
   void OfferRoomSoon();
   void EvaluateHealth();
@@ -127,7 +131,7 @@
   PromptObserver on_prompt_;
   TimerId evaluation_timer_ = 0;
   TimerId room_timer_ = 0;
-  std::uint32_t gateway_count_ = 1;
+  GatewayShare share_;
   const bool probed_;
   std::shared_ptr<const void> lifetime_ = std::make_shared<int>(0);
 };
--- a/src/gateway/router.cc
+++ b/src/gateway/router.cc
@@ -283,9 +283,8 @@
   const std::uint32_t all =
       replica.capacity * HeadroomPercent(configuration, kUnreportedHeadroomPercent) / kPercent;
   BatchHeadroom headroom;
-  const auto part =
-      static_cast<std::uint32_t>(std::lround(static_cast<double>(all) / gateway_count_));
-  headroom.bound = std::min(std::max(1U, part), health_.LimitOf(replica.id, replica.capacity, now));
+  headroom.bound = std::min(share_.SlotsOf(replica.id, replica.zone, all),
+                            health_.LimitOf(replica.id, replica.capacity, now));
   headroom.free = headroom.bound - std::min(headroom.bound, own);
   return headroom;
 }
--- a/src/gateway/router.h
+++ b/src/gateway/router.h
@@ -16,6 +16,7 @@
 
 #include "base/time.h"
 #include "gateway/cold_pacing.h"
+#include "gateway/gateway_share.h"
 #include "gateway/prefill_load.h"
 #include "gateway/replica_directory.h"
 #include "gateway/replica_health.h"
@@ -99,10 +100,11 @@
         health_(health),
         loads_(loads),
         cold_(cold),
-        prefill_(prefill) {}
+        prefill_(prefill),
+        share_{options_.zone} {}
 
-  /// Among how many gateways the room for batch work is divided; only if loads are not reported.
-  void SetGatewayCount(std::uint32_t count) { gateway_count_ = std::max(1U, count); }
+  /// Which part of the room for batch work is this gateway's; only if loads are not reported.
+  void SetShare(GatewayShare share) { share_ = std::move(share); }
 
   RoutingChoice Choose(const RoutingQuery& query, TimePoint now) const;
 
@@ -157,7 +159,7 @@
   const LoadTable& loads_;
   const ColdPacing* cold_;
   const PrefillLoad* prefill_;
-  std::uint32_t gateway_count_ = 1;
+  GatewayShare share_;
 };
 
 }  // namespace cloverbank
--- a/src/node/node_agent.cc
+++ b/src/node/node_agent.cc
@@ -86,6 +86,7 @@
   TimerId timer = 0;
   Observers on_configuration;
   Observers on_fleet;
+  Observers on_gateway_place;
   Observers on_registered;
   Observers on_fenced;
 };
@@ -219,6 +220,9 @@
   TakeCoordinators(response);
   NoteOutcome("configuration", effects.configuration);
   NoteOutcome("fleet", effects.fleet);
+  if (effects.place_changed) {
+    RunAll(on_gateway_place);
+  }
   if (effects.configuration == UpdateOutcome::kTaken) {
     RunAll(on_configuration);
   }
@@ -281,7 +285,7 @@
 
 std::uint32_t NodeAgent::partition_count() const { return state_->session.partition_count(); }
 
-std::uint32_t NodeAgent::gateway_count() const { return state_->session.gateway_count(); }
+GatewayPlace NodeAgent::gateway_place() const { return state_->session.gateway_place(); }
 
 const std::vector<Endpoint>& NodeAgent::neighbours() const { return state_->session.neighbours(); }
 
@@ -309,6 +313,10 @@
   state_->on_fleet.push_back(std::move(observer));
 }
 
+void NodeAgent::OnGatewayPlace(std::function<void()> observer) {
+  state_->on_gateway_place.push_back(std::move(observer));
+}
+
 void NodeAgent::OnRegistered(std::function<void()> observer) {
   state_->on_registered.push_back(std::move(observer));
 }
--- a/src/node/node_agent.h
+++ b/src/node/node_agent.h
@@ -48,6 +48,13 @@
   const proto::Server* OwnerOf(PartitionId partition) const;
 };
 
+/// Place of a gateway among the live gateways of its zone, as of the last heartbeat.
+struct GatewayPlace {
+  std::uint32_t index = 0;  ///< Below `count`.
+  std::uint32_t count = 1;
+  bool operator==(const GatewayPlace&) const = default;
+};
+
 class NodeAgent {
  public:
   NodeAgent(Environment& environment, NodeAgentOptions options);
@@ -62,8 +69,9 @@
   NodeId node_id() const;
   Incarnation incarnation() const;
   std::uint32_t partition_count() const;
-  /// @return live gateways as last heard, at least 1: shares of what all may take are this part.
-  std::uint32_t gateway_count() const;
+  /// @return where this gateway stands among those of its zone: shares of what all of them may take
+  /// are divided by it.
+  GatewayPlace gateway_place() const;
   /// @return peer endpoints of other gateways in this zone, a bounded number of them.
   const std::vector<Endpoint>& neighbours() const;
   /// @return peer endpoints of gateways of this zone to ask for the list of replicas, in order;
@@ -83,6 +91,8 @@
   /// Observers run after a newer configuration or fleet view was taken.
   void OnConfiguration(std::function<void()> observer);
   void OnFleet(std::function<void()> observer);
+  /// Runs after the place among the gateways of the zone has changed.
+  void OnGatewayPlace(std::function<void()> observer);
   /// Runs when the node id became valid (first, and again after each fence).
   void OnRegistered(std::function<void()> observer);
   /// Runs when the coordinators refused this node id as dead. The owner must stop every act under
--- a/src/node/node_session.cc
+++ b/src/node/node_session.cc
@@ -1,6 +1,7 @@
 #include "node/node_session.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace cloverbank {
 namespace {
@@ -61,6 +62,14 @@
   return request;
 }
 
+bool NodeSession::TakePlace(const proto::HeartbeatResponse& response) {
+  if (response.zone_gateway_count() == 0) {
+    return false;
+  }
+  const GatewayPlace place{response.zone_gateway_index(), response.zone_gateway_count()};
+  return std::exchange(gateway_place_, place) != place;
+}
+
 HeartbeatEffects NodeSession::TakeHeartbeat(const proto::HeartbeatRequest& request, TimePoint sent,
                                             const proto::HeartbeatResponse& response) {
   HeartbeatEffects effects;
@@ -75,7 +84,7 @@
   if (response.has_fleet()) {
     effects.fleet = fleet_.Take(response.fleet());
   }
-  gateway_count_ = std::max(1U, response.gateway_count());
+  effects.place_changed = TakePlace(response);
   neighbours_ = ToEndpoints(response.neighbours());
   list_sources_ = ToEndpoints(response.list_sources());
   const bool same_life = node_id_.valid() && NodeId(request.node_id()) == node_id_;
--- a/src/node/node_session.h
+++ b/src/node/node_session.h
@@ -26,6 +26,7 @@
   UpdateOutcome configuration = UpdateOutcome::kNothing;
   UpdateOutcome fleet = UpdateOutcome::kNothing;
   bool lease_extended = false;
+  bool place_changed = false;
 };
 
 class NodeSession {
@@ -37,8 +38,7 @@
   NodeId previous_node_id() const { return previous_node_id_; }
   Incarnation incarnation() const { return incarnation_; }
   std::uint32_t partition_count() const { return partition_count_; }
-  /// Live gateways as of the last heartbeat; at least 1.
-  std::uint32_t gateway_count() const { return gateway_count_; }
+  GatewayPlace gateway_place() const { return gateway_place_; }
   const std::vector<Endpoint>& neighbours() const { return neighbours_; }
   /// Nothing before the first heartbeat was answered.
   const std::optional<std::vector<Endpoint>>& list_sources() const { return list_sources_; }
@@ -65,11 +65,14 @@
                                  const proto::HeartbeatResponse& response);
 
  private:
+  /// @return whether the place among the gateways is another one now.
+  bool TakePlace(const proto::HeartbeatResponse& response);
+
   Incarnation incarnation_;
   NodeId node_id_;
   NodeId previous_node_id_;
   std::uint32_t partition_count_ = 0;
-  std::uint32_t gateway_count_ = 1;
+  GatewayPlace gateway_place_;
   std::vector<Endpoint> neighbours_;
   std::optional<std::vector<Endpoint>> list_sources_;
   TimePoint lease_end_{};
