Hand in batches that came before the first configuration once it comes

Cause: after a loss of power everywhere a front knows no routes for about 0.7 s. Calls wait for the configuration, but what turned out to be a batch was refused then, and clients come back once only.

Change: a waiting call carries what to do if its route takes batches; the front interface hands the batch in by it.

Test: ABatchThatWaitedForTheConfigurationIsHandedInOnceItIsKnownToBeOne.

--- a/src/gateway/forwarding_service.cc
+++ b/src/gateway/forwarding_service.cc
@@ -104,6 +104,10 @@
            Duration::zero());
     return;
   }
+  if (route->accepts_batches() && call.take_as_batch) {
+    call.take_as_batch(*route);
+    return;
+  }
   if (route->accepts_batches()) {
     // Came before the configuration that tells it is a batch: it is not a call to pass on.
     Refuse(*responder, kHttpUnavailable, "batch_route",
--- a/src/gateway/forwarding_service.h
+++ b/src/gateway/forwarding_service.h
@@ -7,6 +7,7 @@
 /// Threads: the owner's event loop only.
 
 #include <cstdint>
+#include <functional>
 #include <list>
 #include <memory>
 #include <optional>
@@ -31,6 +32,8 @@
   PromptShape prompt;
   std::optional<Duration> patience;  ///< How long the caller will wait; unset: not told.
   proto::ForwardedRequest request;
+  /// Runs in place of the call if its route turns out to take batches; unset: the call is refused.
+  std::function<void(const proto::Route&)> take_as_batch;
 };
 
 class ForwardingService {
--- a/tests/gateway/forwarding_test.cc
+++ b/tests/gateway/forwarding_test.cc
@@ -188,6 +188,22 @@
   EXPECT_EQ(caller->status, 503);
 }
 
+TEST_F(ForwardingTest, ABatchThatWaitedForTheConfigurationIsHandedInOnceItIsKnownToBeOne) {
+  h.right.held.mutable_routes(1)->set_accepts_batches(true);
+  h.right.held.set_label(0);
+  std::vector<std::string> handed_in;
+  const auto caller = h.Forward("/safe/batch", "batch-1", [&](const proto::Route& route) {
+    handed_in.push_back(route.name());
+  });
+  EXPECT_TRUE(handed_in.empty());
+  h.right.held.set_label(8);
+  h.service->OnConfiguration();
+  h.world.RunFor(milliseconds(100));
+  EXPECT_EQ(handed_in, std::vector<std::string>{"safe"});
+  EXPECT_TRUE(h.arrived.empty());
+  EXPECT_EQ(caller->answers, 0) << "the taker answers";
+}
+
 TEST_F(ForwardingTest, ACallerThatLeavesWhileItWaitsForControlIsForgotten) {
   h.right.held.set_label(0);
   const auto caller = h.Forward("/safe/x", "c1");
