Spread the batches of a host over all partitions, and keep its limit over them

Cause: the limit of open tokens was kept by one partition, so all batches of a host were in one partition and on one store. A recovery also replayed the whole log on one node.

Change: a batch's partition is drawn from host and batch id. The owner of the host's own partition keeps the limit: owners of batches ask it for room (queue.ReserveTokens); TokenLedger holds an upper bound of what is open, by what partitions counted and what was granted since, so most grants need no count. Without room all owners are counted (queue.CountOpenTokens), at most every 100 ms. A new keeper counts all partitions before its first grant; without a keeper nothing is taken and the caller's gateway asks again.

--- a/src/gateway/batch_api.cc
+++ b/src/gateway/batch_api.cc
@@ -7,6 +7,7 @@
 #include "gateway/batch_validation.h"
 #include "gateway/http_json.h"
 #include "gateway/http_query.h"
+#include "node/batch_partitions.h"
 
 namespace cloverbank {
 namespace {
--- a/src/gateway/batch_owner_call.cc
+++ b/src/gateway/batch_owner_call.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "node/batch_partitions.h"
+
 namespace cloverbank {
 namespace {
 
@@ -22,8 +24,9 @@
     case StatusCode::kNotLeader:
       return ReplyMeaning::kNotCarriedOut;
     case StatusCode::kConflict:
-      return status.detail() == kNotOwnerDetail ? ReplyMeaning::kNotCarriedOut
-                                                : ReplyMeaning::kFinal;
+      return status.detail() == kNotOwnerDetail || status.detail() == kKeeperAwayDetail
+                 ? ReplyMeaning::kNotCarriedOut
+                 : ReplyMeaning::kFinal;
     case StatusCode::kUnknownOutcome:
     case StatusCode::kFenced:
     case StatusCode::kStaleEpoch:
--- a/src/gateway/batch_owner_call.h
+++ b/src/gateway/batch_owner_call.h
@@ -16,9 +16,6 @@
 
 namespace cloverbank {
 
-/// Detail of a kConflict by a queue node that does not own the named partition.
-inline constexpr std::string_view kNotOwnerDetail = "not_owner";
-
 struct OwnerCallOptions {
   std::string method;
   std::string body;
--- a/src/gateway/batch_service.cc
+++ b/src/gateway/batch_service.cc
@@ -3,7 +3,7 @@
 #include <utility>
 
 #include "gateway/batch_owner_call.h"
-#include "gateway/batch_validation.h"
+#include "node/batch_partitions.h"
 
 namespace cloverbank {
 namespace {
@@ -43,8 +43,8 @@
   return {StatusCode::kUnavailable, "this gateway has lost touch with control; try another one"};
 }
 
-std::uint64_t BatchService::PartitionOf(std::string_view host) const {
-  return PartitionOfTenant(std::string(host), agent_.partition_count()).value();
+std::uint64_t BatchService::PartitionOf(std::string_view host, std::string_view batch_id) const {
+  return PartitionOfNamedBatch(host, batch_id, agent_.partition_count()).value();
 }
 
 template <typename Response, typename Request>
@@ -75,7 +75,7 @@
     return;
   }
   proto::SubmitBatchRequest request;
-  request.set_partition_id(PartitionOf(submission.host));
+  request.set_partition_id(PartitionOf(submission.host, submission.batch_id));
   request.set_idempotent(true);
   proto::SubmitBatch& batch = *request.mutable_batch();
   batch.set_tenant(submission.host);
@@ -104,7 +104,7 @@
     return;
   }
   proto::ListResultsRequest request;
-  request.set_partition_id(PartitionOf(host));
+  request.set_partition_id(PartitionOf(host, batch_id));
   request.set_batch_id(batch_id);
   request.set_cursor(CursorAt(position));
   request.set_limit(kLargestPage);
@@ -126,7 +126,7 @@
     return;
   }
   proto::GetItemRequest request;
-  request.set_partition_id(PartitionOf(host));
+  request.set_partition_id(PartitionOf(host, batch_id));
   request.set_batch_id(batch_id);
   request.set_custom_id(item_id);
   CallOwner<proto::GetItemResponse>(
@@ -147,7 +147,7 @@
     return;
   }
   proto::CancelBatchRequest request;
-  request.set_partition_id(PartitionOf(host));
+  request.set_partition_id(PartitionOf(host, batch_id));
   request.set_batch_id(batch_id);
   CallOwner<proto::CancelBatchResponse>(
       "queue.CancelBatch", request, kChangeDeadline,
--- a/src/gateway/batch_service.h
+++ b/src/gateway/batch_service.h
@@ -2,8 +2,8 @@
 /// @file
 /// Batches of the HTTP routes, as a front interface hands them in: client-chosen ids, items that
 /// are passed on unchanged, positions from 0. Any gateway answers, by asking the owner of the
-/// partition that the batch's host belongs to: all batches of a host are in one partition, so that
-/// the limit of a route's open tokens has one keeper.
+/// batch's partition. Batches of a host are spread over all partitions; queue nodes keep the limit
+/// of a route's open tokens together.
 ///
 /// Threads: the owner's event loop only.
 
@@ -64,7 +64,7 @@
  private:
   /// Whether this gateway may ask on behalf of clients now.
   Status Serving() const;
-  std::uint64_t PartitionOf(std::string_view host) const;
+  std::uint64_t PartitionOf(std::string_view host, std::string_view batch_id) const;
   template <typename Response, typename Request>
   void CallOwner(std::string_view method, const Request& request, Duration deadline,
                  Done<Response> done);
--- a/src/gateway/batch_validation.cc
+++ b/src/gateway/batch_validation.cc
@@ -5,8 +5,6 @@
 #include <unordered_map>
 #include <utility>
 
-#include "base/checksum.h"
-
 namespace cloverbank {
 namespace {
 
@@ -116,10 +114,6 @@
   return problems.Take();
 }
 
-PartitionId PartitionOfTenant(const std::string& tenant, std::uint32_t partition_count) {
-  return PartitionId(Checksum(tenant) % partition_count);
-}
-
 Result<PartitionId> PartitionOfBatch(const std::string& batch_id, std::uint32_t partition_count) {
   std::uint64_t partition = 0;
   const char* end = batch_id.data() + batch_id.size();
--- a/src/gateway/batch_validation.h
+++ b/src/gateway/batch_validation.h
@@ -25,8 +25,6 @@
 std::vector<std::string> FindBatchProblems(const proto::SubmitBatch& batch,
                                            const proto::RoutingConfiguration& configuration);
 
-/// @return the partition that all batches of `tenant` belong to. Requires `partition_count` > 0.
-PartitionId PartitionOfTenant(const std::string& tenant, std::uint32_t partition_count);
 /// @return the partition in a batch id ("<partition>-<hexadecimal number>"), or kNotFound for text
 /// that is no id of a partition below `partition_count`.
 Result<PartitionId> PartitionOfBatch(const std::string& batch_id, std::uint32_t partition_count);
--- a/src/queue/batch_intake.cc
+++ b/src/queue/batch_intake.cc
@@ -43,8 +43,12 @@
 }  // namespace
 
 BatchIntake::BatchIntake(Environment& environment, NodeAgent& agent, SegmentLog& log,
-                         Accepted on_accepted)
-    : environment_(environment), agent_(agent), log_(log), on_accepted_(std::move(on_accepted)) {}
+                         ReserveTokens reserve_tokens, Accepted on_accepted)
+    : environment_(environment),
+      agent_(agent),
+      log_(log),
+      reserve_tokens_(std::move(reserve_tokens)),
+      on_accepted_(std::move(on_accepted)) {}
 
 Status BatchIntake::Check(const proto::SubmitBatch& batch) const {
   if (batch.tenant().empty() || batch.route().empty() || batch.items().empty()) {
@@ -79,20 +83,6 @@
               std::to_string(tenant->max_open_items()) + "; submit again when some are finished"};
 }
 
-Status BatchIntake::CheckTokens(const OwnedPartition& partition, const proto::SubmitBatch& batch) {
-  if (batch.open_token_limit() == 0) {
-    return Status::Ok();
-  }
-  const std::uint64_t open = partition.OpenTokens(batch.tenant(), batch.route());
-  if (open + TokensOf(batch) <= batch.open_token_limit()) {
-    return Status::Ok();
-  }
-  return {StatusCode::kResourceExhausted,
-          "route " + batch.route() + " has " + std::to_string(open) +
-              " tokens waiting and may have " + std::to_string(batch.open_token_limit()) +
-              "; submit again when some are finished"};
-}
-
 bool BatchIntake::MeetEarlier(OwnedPartition& partition, const Key& key, std::uint64_t checksum,
                               Reply& reply) {
   const std::string& idempotency_key = std::get<2>(key);
@@ -133,7 +123,6 @@
   }
   Status status = Check(batch);
   status = status.ok() ? CheckLimit(*partition, batch) : status;
-  status = status.ok() ? CheckTokens(*partition, batch) : status;
   status = status.ok() ? log_.Accepting() : status;
   if (!status.ok()) {
     reply(std::move(status));
@@ -144,7 +133,31 @@
   if (!std::get<2>(key).empty()) {
     under_way_[key] = submission;
   }
-  LogNext(submission);
+  if (submission->batch.open_token_limit() == 0) {
+    LogNext(submission);
+  } else {
+    LogWithinLimit(submission);
+  }
+}
+
+void BatchIntake::LogWithinLimit(const SubmissionPtr& submission) {
+  reserve_tokens_(
+      submission->partition->id(), submission->batch, submission->tokens,
+      [weak = weak_from_this(), submission](const Status& status) {
+        const auto self = weak.lock();
+        if (self == nullptr) {
+          for (const Reply& reply : submission->replies) {
+            reply(status.ok() ? Status(StatusCode::kUnavailable, "this life ended") : status);
+          }
+        } else if (!status.ok()) {
+          self->Finish(submission, status);
+        } else {
+          submission->tokens_reserved = true;
+          submission->partition->ReserveTokens(submission->accepted.tenant(),
+                                               submission->accepted.route(), submission->tokens);
+          self->LogNext(submission);
+        }
+      });
 }
 
 BatchIntake::SubmissionPtr BatchIntake::Begin(const std::shared_ptr<OwnedPartition>& partition,
@@ -164,7 +177,6 @@
   accepted.set_idempotent(request.idempotent());
   submission->tokens = TokensOf(submission->batch);
   partition->ReserveItems(accepted.tenant(), accepted.item_count());
-  partition->ReserveTokens(accepted.tenant(), accepted.route(), submission->tokens);
   return submission;
 }
 
@@ -224,7 +236,9 @@
   OwnedPartition& partition = *submission->partition;
   const proto::BatchAccepted& accepted = submission->accepted;
   partition.ReleaseItems(accepted.tenant(), accepted.item_count());
-  partition.ReleaseTokens(accepted.tenant(), accepted.route(), submission->tokens);
+  if (submission->tokens_reserved) {
+    partition.ReleaseTokens(accepted.tenant(), accepted.route(), submission->tokens);
+  }
   const auto waiting =
       under_way_.find({partition.id(), accepted.tenant(), accepted.idempotency_key()});
   if (waiting != under_way_.end() && waiting->second == submission) {
--- a/src/queue/batch_intake.h
+++ b/src/queue/batch_intake.h
@@ -26,13 +26,18 @@
   using Reply = std::function<void(Result<proto::SubmitBatchResponse>)>;
   using Accepted = std::function<void(OwnedPartition&, const StoredBatch&)>;
 
+  /// Asks whether a batch's tokens may be open; `done` gets what `TokenReserver::Reserve` says.
+  using ReserveTokens = std::function<void(PartitionId partition, const proto::SubmitBatch& batch,
+                                           std::uint64_t tokens, std::function<void(Status)> done)>;
+
   /// @param on_accepted runs when a new batch is held and applied, before its submission is
   /// answered.
-  BatchIntake(Environment& environment, NodeAgent& agent, SegmentLog& log, Accepted on_accepted);
+  BatchIntake(Environment& environment, NodeAgent& agent, SegmentLog& log,
+              ReserveTokens reserve_tokens, Accepted on_accepted);
 
-  /// Refuses kInvalidArgument (malformed), kConflict (key used for another body),
-  /// kResourceExhausted (the tenant's limit), kUnavailable (the log takes nothing now): certainly
-  /// not accepted.
+  /// Refuses kInvalidArgument (malformed), kConflict (key used for another body, or detail
+  /// `kKeeperAwayDetail`), kResourceExhausted (the tenant's or the route's limit), kUnavailable
+  /// (the log takes nothing now): certainly not accepted.
   void Submit(const std::shared_ptr<OwnedPartition>& partition, proto::SubmitBatchRequest request,
               Reply reply);
 
@@ -43,7 +48,8 @@
     std::shared_ptr<OwnedPartition> partition;
     proto::SubmitBatch batch;
     proto::BatchAccepted accepted;
-    std::uint64_t tokens = 0;  ///< Of all its items.
+    std::uint64_t tokens = 0;      ///< Of all its items.
+    bool tokens_reserved = false;  ///< They count as open at the partition.
     int next_item = 0;
     std::vector<Reply> replies;
   };
@@ -51,12 +57,13 @@
 
   Status Check(const proto::SubmitBatch& batch) const;
   Status CheckLimit(const OwnedPartition& partition, const proto::SubmitBatch& batch) const;
-  static Status CheckTokens(const OwnedPartition& partition, const proto::SubmitBatch& batch);
   /// @return whether the request met an earlier submission and needs nothing more.
   bool MeetEarlier(OwnedPartition& partition, const Key& key, std::uint64_t checksum, Reply& reply);
   SubmissionPtr Begin(const std::shared_ptr<OwnedPartition>& partition,
                       proto::SubmitBatchRequest request, std::uint64_t checksum);
   std::string NewBatchId(const OwnedPartition& partition);
+  /// Logs the batch once the keeper of its route's limit has given room.
+  void LogWithinLimit(const SubmissionPtr& submission);
   void LogNext(const SubmissionPtr& submission);
   proto::LogEntry NextItems(Submission& submission) const;
   void Finish(const SubmissionPtr& submission, const Status& status);
@@ -64,6 +71,7 @@
   Environment& environment_;
   NodeAgent& agent_;
   SegmentLog& log_;
+  ReserveTokens reserve_tokens_;
   Accepted on_accepted_;
   std::map<Key, SubmissionPtr> under_way_;
 };
--- a/src/queue/owned_partition.h
+++ b/src/queue/owned_partition.h
@@ -18,9 +18,6 @@
 
 namespace cloverbank {
 
-/// Detail of the kConflict that a request for a partition of another owner gets.
-inline constexpr const char* kNotOwnerDetail = "not_owner";
-
 class OwnedPartition : public std::enable_shared_from_this<OwnedPartition> {
  public:
   using Done = std::function<void(Status)>;
--- a/src/queue/queue_life.cc
+++ b/src/queue/queue_life.cc
@@ -4,6 +4,7 @@
 #include <set>
 
 #include "base/logging.h"
+#include "node/batch_partitions.h"
 
 namespace cloverbank {
 namespace {
@@ -23,8 +24,18 @@
           environment, agent, options.log, [this] { return Marks(); },
           [this](const std::string& reason) { fenced_(reason); }),
       dispatcher_(std::make_shared<WorkDispatcher>(environment, agent)),
+      keeper_(std::make_shared<TokenKeeper>(environment, agent,
+                                            [this](const proto::CountOpenTokensRequest& request) {
+                                              return CountOwnTokens(request);
+                                            })),
+      reserver_(std::make_shared<TokenReserver>(environment, agent, keeper_)),
       intake_(std::make_shared<BatchIntake>(
-          environment, agent, log_, [this](OwnedPartition& partition, const StoredBatch& batch) {
+          environment, agent, log_,
+          [this](PartitionId partition, const proto::SubmitBatch& batch, std::uint64_t tokens,
+                 std::function<void(Status)> done) {
+            reserver_->Reserve(partition, batch, tokens, std::move(done));
+          },
+          [this](OwnedPartition& partition, const StoredBatch& batch) {
             dispatcher_->AddBatch(partition, batch);
           })) {}
 
@@ -127,6 +138,7 @@
   Log(LogLevel::kInfo, "partition_given_up", {{"partition", id.value()}});
   partitions_.at(id)->Deactivate();
   dispatcher_->RemovePartition(id);
+  keeper_->Drop(id);
   partitions_.erase(id);
 }
 
@@ -138,7 +150,7 @@
   if (found == partitions_.end()) {
     return Status(StatusCode::kConflict,
                   "partition " + std::to_string(partition_id) + " is not owned by this node",
-                  kNotOwnerDetail);
+                  std::string(kNotOwnerDetail));
   }
   return found->second;
 }
@@ -153,6 +165,37 @@
   intake_->Submit(*partition, request, reply);
 }
 
+void QueueLife::ReserveTokens(const proto::ReserveTokensRequest& request,
+                              const Reply<proto::ReserveTokensResponse>& reply) {
+  const auto partition = Answerable(request.partition_id());
+  if (!partition.ok()) {
+    reply(partition.status());
+    return;
+  }
+  keeper_->Reserve(request, reply);
+}
+
+proto::CountOpenTokensResponse QueueLife::CountOwnTokens(
+    const proto::CountOpenTokensRequest& request) const {
+  proto::CountOpenTokensResponse response;
+  response.set_holder_node_id(agent_.node_id().value());
+  response.set_settled_below(reserver_->settled_below());
+  for (const std::uint64_t id : request.partition_ids()) {
+    const auto partition = Answerable(id);
+    if (partition.ok()) {
+      proto::OpenTokens& count = *response.add_counts();
+      count.set_partition_id(id);
+      count.set_tokens((*partition)->OpenTokens(request.tenant(), request.route()));
+    }
+  }
+  return response;
+}
+
+void QueueLife::CountOpenTokens(const proto::CountOpenTokensRequest& request,
+                                const Reply<proto::CountOpenTokensResponse>& reply) {
+  reply(CountOwnTokens(request));
+}
+
 void QueueLife::Get(const proto::GetBatchRequest& request,
                     const Reply<proto::GetBatchResponse>& reply) {
   const auto partition = Answerable(request.partition_id());
--- a/src/queue/queue_life.h
+++ b/src/queue/queue_life.h
@@ -20,6 +20,8 @@
 #include "queue/owned_partition.h"
 #include "queue/partition_recovery.h"
 #include "queue/segment_log.h"
+#include "queue/token_keeper.h"
+#include "queue/token_reserver.h"
 #include "queue/work_dispatcher.h"
 #include "runtime/environment.h"
 
@@ -62,6 +64,10 @@
                const Reply<proto::AcquireWorkResponse>& reply);
   void Report(const proto::ReportWorkRequest& request,
               const Reply<proto::ReportWorkResponse>& reply);
+  void ReserveTokens(const proto::ReserveTokensRequest& request,
+                     const Reply<proto::ReserveTokensResponse>& reply);
+  void CountOpenTokens(const proto::CountOpenTokensRequest& request,
+                       const Reply<proto::CountOpenTokensResponse>& reply);
   void Recover(const proto::RecoverPartitionsRequest& request,
                const Reply<proto::RecoverPartitionsResponse>& reply);
 
@@ -75,6 +81,7 @@
   void DropRecoveries(PartitionId partition, NodeId except);
   void Activate(PartitionId partition);
   void Deactivate(PartitionId partition);
+  proto::CountOpenTokensResponse CountOwnTokens(const proto::CountOpenTokensRequest& request) const;
   std::vector<proto::LogEntry> Marks() const;
   void Tick();
   void SweepFinished();
@@ -86,6 +93,8 @@
   std::function<void(const std::string&)> fenced_;
   SegmentLog log_;
   std::shared_ptr<WorkDispatcher> dispatcher_;
+  std::shared_ptr<TokenKeeper> keeper_;
+  std::shared_ptr<TokenReserver> reserver_;
   std::shared_ptr<BatchIntake> intake_;
   std::map<PartitionId, std::shared_ptr<OwnedPartition>> partitions_;
   std::vector<std::shared_ptr<PartitionRecovery>> recoveries_;
--- a/src/queue/queue_service.cc
+++ b/src/queue/queue_service.cc
@@ -84,6 +84,10 @@
 void QueueService::ServeBatches() {
   Serve<proto::SubmitBatchRequest, proto::SubmitBatchResponse>("queue.SubmitBatch",
                                                                &QueueLife::Submit);
+  Serve<proto::ReserveTokensRequest, proto::ReserveTokensResponse>("queue.ReserveTokens",
+                                                                   &QueueLife::ReserveTokens);
+  Serve<proto::CountOpenTokensRequest, proto::CountOpenTokensResponse>("queue.CountOpenTokens",
+                                                                       &QueueLife::CountOpenTokens);
   Serve<proto::GetBatchRequest, proto::GetBatchResponse>("queue.GetBatch", &QueueLife::Get);
   Serve<proto::ListBatchesRequest, proto::ListBatchesResponse>("queue.ListBatches",
                                                                &QueueLife::ListBatches);
--- /dev/null
+++ b/src/queue/token_keeper.cc
@@ -0,0 +1,156 @@
+#include "queue/token_keeper.h"
+
+#include <vector>
+
+#include "runtime/typed_peer.h"
+
+namespace cloverbank {
+namespace {
+
+constexpr Duration kCountDeadline = milliseconds(300);
+/// A count that began within this time is not repeated.
+constexpr Duration kCountAge = milliseconds(100);
+/// How long a request waits until all partitions can be counted.
+constexpr Duration kLongestWait = milliseconds(1200);
+
+Status OverLimit(const proto::ReserveTokensRequest& request, std::uint64_t open) {
+  return {StatusCode::kResourceExhausted,
+          "route " + request.route() + " has " + std::to_string(open) +
+              " tokens waiting and may have " + std::to_string(request.limit()) +
+              "; submit again when some are finished"};
+}
+
+}  // namespace
+
+TokenKeeper::TokenKeeper(Environment& environment, NodeAgent& agent, CountOwn count_own)
+    : environment_(environment), agent_(agent), count_own_(std::move(count_own)) {}
+
+bool TokenKeeper::Grant(Limit& limit, const proto::ReserveTokensRequest& request) {
+  if (limit.ledger.UpperBound() + request.tokens() > request.limit()) {
+    return false;
+  }
+  limit.ledger.AddGrant({PartitionId(request.holder_partition_id()),
+                         NodeId(request.holder_node_id()), request.sequence(), request.tokens()});
+  return true;
+}
+
+bool TokenKeeper::Complete(const Limit& limit) const {
+  return limit.ledger.Complete(agent_.partition_count());
+}
+
+void TokenKeeper::Reserve(const proto::ReserveTokensRequest& request, Reply reply) {
+  const Key key(request.tenant(), request.route());
+  LimitPtr& limit = limits_[key];
+  if (limit == nullptr) {
+    limit = std::make_shared<Limit>();
+    limit->partition = PartitionId(request.partition_id());
+  }
+  if (Complete(*limit) && Grant(*limit, request)) {
+    reply(proto::ReserveTokensResponse());
+    return;
+  }
+  const bool fresh = environment_.Now() - limit->counted_at <= kCountAge;
+  if (Complete(*limit) && fresh && !limit->counting) {
+    reply(OverLimit(request, limit->ledger.UpperBound()));
+    return;
+  }
+  limit->waiting.push_back({request, std::move(reply), environment_.Now() + kLongestWait});
+  if (!limit->counting) {
+    BeginCount(key, limit);
+  }
+}
+
+void TokenKeeper::BeginCount(const Key& key, const LimitPtr& limit) {
+  std::map<NodeId, proto::CountOpenTokensRequest> questions;
+  for (const auto& [id, partition] : agent_.fleet().partitions) {
+    if (partition.owner() != 0) {
+      questions[NodeId(partition.owner())].add_partition_ids(id.value());
+    }
+  }
+  limit->counting = true;
+  limit->count_began = environment_.Now();
+  limit->awaited = static_cast<int>(questions.size()) + 1;
+  environment_.metrics().Increment("queue_token_counts_total");
+  for (auto& [owner, question] : questions) {
+    question.set_tenant(key.first);
+    question.set_route(key.second);
+    if (owner == agent_.node_id()) {
+      TakeCounts(key, limit, count_own_(question));
+      continue;
+    }
+    const auto server = agent_.fleet().servers.find(owner);
+    if (server == agent_.fleet().servers.end()) {
+      TakeCounts(key, limit, Status(StatusCode::kUnavailable, "its owner is not known"));
+      continue;
+    }
+    const proto::Endpoint& endpoint = server->second.peer_endpoint();
+    CallPeer<proto::CountOpenTokensResponse>(
+        environment_, {endpoint.host(), static_cast<std::uint16_t>(endpoint.port())},
+        "queue.CountOpenTokens", question, kCountDeadline,
+        [weak = weak_from_this(), key,
+         limit](const Result<proto::CountOpenTokensResponse>& counts) {
+          if (const auto self = weak.lock()) {
+            self->TakeCounts(key, limit, counts);
+          }
+        });
+  }
+  // Stands for the round itself, so that it never ends before all questions are asked.
+  TakeCounts(key, limit, proto::CountOpenTokensResponse());
+}
+
+void TokenKeeper::TakeCounts(const Key& key, const LimitPtr& limit,
+                             const Result<proto::CountOpenTokensResponse>& counts) {
+  if (counts.ok()) {
+    for (const proto::OpenTokens& count : counts->counts()) {
+      limit->ledger.TakeCount({PartitionId(count.partition_id()), NodeId(counts->holder_node_id()),
+                               count.tokens(), counts->settled_below()});
+    }
+  }
+  if (--limit->awaited > 0) {
+    return;
+  }
+  limit->counting = false;
+  limit->counted_at = limit->count_began;
+  SettleWaiting(key, limit);
+}
+
+void TokenKeeper::SettleWaiting(const Key& key, const LimitPtr& limit) {
+  const bool complete = Complete(*limit);
+  std::list<Waiting> still_waiting;
+  for (Waiting& waiting : std::exchange(limit->waiting, {})) {
+    if (complete) {
+      const bool granted = Grant(*limit, waiting.request);
+      waiting.reply(granted ? Result<proto::ReserveTokensResponse>(proto::ReserveTokensResponse())
+                            : OverLimit(waiting.request, limit->ledger.UpperBound()));
+    } else if (environment_.Now() >= waiting.deadline) {
+      waiting.reply(Status(StatusCode::kUnavailable, "not all partitions can be counted now"));
+    } else {
+      still_waiting.push_back(std::move(waiting));
+    }
+  }
+  limit->waiting.splice(limit->waiting.begin(), still_waiting);
+  if (limit->waiting.empty()) {
+    return;
+  }
+  environment_.ScheduleAfter(kCountAge, [weak = weak_from_this(), key, limit] {
+    const auto self = weak.lock();
+    if (self != nullptr && !limit->counting && !limit->waiting.empty()) {
+      self->BeginCount(key, limit);
+    }
+  });
+}
+
+void TokenKeeper::Drop(PartitionId partition) {
+  for (auto entry = limits_.begin(); entry != limits_.end();) {
+    if (entry->second->partition != partition) {
+      ++entry;
+      continue;
+    }
+    for (const Waiting& waiting : std::exchange(entry->second->waiting, {})) {
+      waiting.reply(Status(StatusCode::kUnavailable, "the limit has another keeper now"));
+    }
+    entry = limits_.erase(entry);
+  }
+}
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/queue/token_keeper.h
@@ -0,0 +1,72 @@
+#pragma once
+/// @file
+/// Keeps the limit of open tokens of a tenant's routes over all partitions. The owner of the
+/// tenant's partition is the keeper; owners of other partitions ask it before they take a batch.
+/// Nothing of it is durable: a new keeper counts at all partitions before its first grant.
+///
+/// A grant needs no count while the upper bound leaves room. Otherwise all owners are asked, at
+/// most once in a short while. Threads: the owner's event loop only. Made by `std::make_shared`.
+
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "base/ids.h"
+#include "node/node_agent.h"
+#include "proto/batch.pb.h"
+#include "queue/token_ledger.h"
+#include "runtime/environment.h"
+
+namespace cloverbank {
+
+class TokenKeeper : public std::enable_shared_from_this<TokenKeeper> {
+ public:
+  using Reply = std::function<void(Result<proto::ReserveTokensResponse>)>;
+  /// Counts at this node's own partitions.
+  using CountOwn =
+      std::function<proto::CountOpenTokensResponse(const proto::CountOpenTokensRequest& request)>;
+
+  TokenKeeper(Environment& environment, NodeAgent& agent, CountOwn count_own);
+
+  /// Refuses kResourceExhausted over the limit, and kUnavailable while it can not be told what is
+  /// open. The partition of the request must be owned by this node.
+  void Reserve(const proto::ReserveTokensRequest& request, Reply reply);
+  /// The node no longer owns the keeper's partition.
+  void Drop(PartitionId partition);
+
+ private:
+  using Key = std::pair<std::string, std::string>;  ///< Tenant and route.
+  struct Waiting {
+    proto::ReserveTokensRequest request;
+    Reply reply;
+    TimePoint deadline{};
+  };
+  struct Limit {
+    PartitionId partition;  ///< The keeper's.
+    TokenLedger ledger;
+    std::list<Waiting> waiting;
+    bool counting = false;
+    int awaited = 0;  ///< Owners that have not answered the count under way.
+    TimePoint count_began{};
+    TimePoint counted_at{};  ///< When the last count that has ended began.
+  };
+  using LimitPtr = std::shared_ptr<Limit>;
+
+  static bool Grant(Limit& limit, const proto::ReserveTokensRequest& request);
+  bool Complete(const Limit& limit) const;
+  void BeginCount(const Key& key, const LimitPtr& limit);
+  void TakeCounts(const Key& key, const LimitPtr& limit,
+                  const Result<proto::CountOpenTokensResponse>& counts);
+  void SettleWaiting(const Key& key, const LimitPtr& limit);
+
+  Environment& environment_;
+  NodeAgent& agent_;
+  CountOwn count_own_;
+  std::map<Key, LimitPtr> limits_;
+};
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/queue/token_ledger.h
@@ -0,0 +1,53 @@
+#pragma once
+/// @file
+/// Pure core of `TokenKeeper`: how many tokens of one route of one tenant may be open in all
+/// partitions together. What is open is what partitions counted, and what was granted to them
+/// since.
+///
+/// Invariant: `UpperBound()` is never below the truth once every partition was counted. Open tokens
+/// become more only by a grant, and a grant is forgotten only when a count has come that includes
+/// it or tells that nothing came of it.
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+#include "base/ids.h"
+
+namespace cloverbank {
+
+class TokenLedger {
+ public:
+  /// A grant to the owner of a partition, named by the owner's own rising sequence.
+  struct Grant {
+    PartitionId partition;
+    NodeId holder;
+    std::uint64_t sequence = 0;
+    std::uint64_t tokens = 0;
+  };
+  /// What the owner of a partition counted there. Its requests below `settled_below` are in the
+  /// count, if anything came of them.
+  struct Count {
+    PartitionId partition;
+    NodeId holder;
+    std::uint64_t tokens = 0;
+    std::uint64_t settled_below = 0;
+  };
+
+  void AddGrant(const Grant& grant) { grants_.push_back(grant); }
+  void TakeCount(const Count& count);
+  /// Whether each of so many partitions was counted at least once.
+  bool Complete(std::uint32_t partition_count) const { return counted_.size() >= partition_count; }
+  std::uint64_t UpperBound() const;
+
+ private:
+  struct Counted {
+    NodeId holder;
+    std::uint64_t tokens = 0;
+  };
+
+  std::map<PartitionId, Counted> counted_;
+  std::vector<Grant> grants_;
+};
+
+}  // namespace cloverbank
--- a/src/queue/work_results.cc
+++ b/src/queue/work_results.cc
@@ -1,6 +1,7 @@
 // Results: reports of gateways, renewals, silent leases and outcomes that stay unknown.
 
 #include "base/logging.h"
+#include "node/batch_partitions.h"
 #include "queue/work_dispatcher.h"
 
 namespace cloverbank {
@@ -23,7 +24,7 @@
     if (!partitions_.contains(PartitionId(report.partition_id()))) {
       return {StatusCode::kConflict,
               "partition " + std::to_string(report.partition_id()) + " is not owned by this node",
-              kNotOwnerDetail};
+              std::string(kNotOwnerDetail)};
     }
   }
   return Status::Ok();
--- a/tests/gateway/batch_api_test.cc
+++ b/tests/gateway/batch_api_test.cc
@@ -6,6 +6,7 @@
 #include "gateway/adapter_harness.h"
 #include "gateway/batch_owner_call.h"
 #include "gateway/batch_validation.h"
+#include "node/batch_partitions.h"
 #include "node/fake_control.h"
 
 namespace cloverbank {
--- a/tests/queue/queue_service_test.cc
+++ b/tests/queue/queue_service_test.cc
@@ -4,6 +4,7 @@
 
 #include <optional>
 
+#include "node/batch_partitions.h"
 #include "queue/queue_world.h"
 
 namespace cloverbank {
--- /dev/null
+++ b/tests/queue/token_limit_test.cc
@@ -0,0 +1,138 @@
+// The limit of a route's open tokens over partitions of several queue nodes.
+#include <gtest/gtest.h>
+
+#include "node/batch_partitions.h"
+#include "queue/queue_world.h"
+
+namespace cloverbank {
+namespace {
+
+constexpr std::uint32_t kPartitions = 3;
+constexpr std::uint64_t kLimit = 1000;
+constexpr std::uint64_t kItemTokens = 100;
+
+class TokenLimitTest : public testing::Test {
+ protected:
+  TokenLimitTest() : world_(5) {
+    for (std::uint64_t id = 0; id < kPartitions; ++id) {
+      world_.coordinator.Assign(id, 0);
+    }
+    for (std::uint64_t id = 0; id < kPartitions; ++id) {
+      world_.AddQueue(Name(id));
+      world_.Own(Name(id), id);
+    }
+  }
+
+  static std::string Name(std::uint64_t partition) { return "q" + std::to_string(partition); }
+  static std::uint64_t Keeper() { return PartitionOfTenant("studio", kPartitions).value(); }
+
+  Result<proto::SubmitBatchResponse> Submit(std::uint64_t partition, const std::string& key,
+                                            int items, std::uint64_t limit = kLimit) {
+    return world_.Submit(Name(partition), MakeBatch(partition, key, items, limit));
+  }
+  static proto::SubmitBatchRequest MakeBatch(std::uint64_t partition, const std::string& key,
+                                             int items, std::uint64_t limit) {
+    proto::SubmitBatchRequest request = QueueWorld::MakeBatch(key, items);
+    request.set_partition_id(partition);
+    request.mutable_batch()->set_batch_id(key);
+    request.mutable_batch()->set_open_token_limit(limit);
+    for (proto::BatchItem& item : *request.mutable_batch()->mutable_items()) {
+      item.set_tokens(kItemTokens);
+    }
+    return request;
+  }
+  void FinishAll(std::uint64_t partition) {
+    for (const proto::WorkGrant& grant : world_.Acquire(Name(partition), 100)) {
+      EXPECT_TRUE(world_.Finish(Name(partition), grant).ok());
+    }
+  }
+
+  QueueWorld world_;
+};
+
+TEST_F(TokenLimitTest, HoldsOverAllPartitionsTogether) {
+  EXPECT_TRUE(Submit(0, "a", 4).ok());
+  EXPECT_TRUE(Submit(1, "b", 4).ok());
+  EXPECT_EQ(Submit(2, "c", 3).status().code(), StatusCode::kResourceExhausted);
+  EXPECT_TRUE(Submit(2, "d", 2).ok());
+  EXPECT_EQ(Submit(0, "e", 1).status().code(), StatusCode::kResourceExhausted);
+}
+
+TEST_F(TokenLimitTest, WhatIsFinishedAnywhereMakesRoom) {
+  EXPECT_TRUE(Submit(1, "a", 10).ok());
+  EXPECT_EQ(Submit(2, "b", 5).status().code(), StatusCode::kResourceExhausted);
+  FinishAll(1);
+  world_.world.RunFor(milliseconds(200));
+  EXPECT_TRUE(Submit(2, "b", 5).ok());
+}
+
+TEST_F(TokenLimitTest, ARefusedBatchTakesNoRoom) {
+  EXPECT_TRUE(Submit(0, "a", 6).ok());
+  EXPECT_EQ(Submit(1, "b", 5).status().code(), StatusCode::kResourceExhausted);
+  EXPECT_TRUE(Submit(2, "c", 4).ok());
+}
+
+TEST_F(TokenLimitTest, ManyAtTheSameMomentStayWithinIt) {
+  int accepted = 0;
+  int answers = 0;
+  for (int batch = 0; batch < 30; ++batch) {
+    const std::uint64_t partition = static_cast<std::uint64_t>(batch) % kPartitions;
+    world_.world.CallPeer(
+        world_.world.machine(Name(partition)).endpoint(), "queue.SubmitBatch",
+        MakeBatch(partition, "k" + std::to_string(batch), 1, kLimit).SerializeAsString(),
+        seconds(5), [&](const PeerReply& reply) {
+          ++answers;
+          accepted += reply.status.ok() ? 1 : 0;
+        });
+  }
+  ASSERT_TRUE(world_.world.RunUntil([&] { return answers == 30; }, seconds(10)));
+  EXPECT_EQ(accepted, 10);
+}
+
+TEST_F(TokenLimitTest, ASubmissionThatComesAgainMeetsTheOneThatWaitsForRoom) {
+  int accepted = 0;
+  int answers = 0;
+  for (int copy = 0; copy < 3; ++copy) {
+    world_.world.CallPeer(world_.world.machine(Name(1)).endpoint(), "queue.SubmitBatch",
+                          MakeBatch(1, "same", 6, kLimit).SerializeAsString(), seconds(5),
+                          [&](const PeerReply& reply) {
+                            ++answers;
+                            accepted += reply.status.ok() ? 1 : 0;
+                          });
+  }
+  ASSERT_TRUE(world_.world.RunUntil([&] { return answers == 3; }, seconds(10)));
+  EXPECT_EQ(accepted, 3);
+  EXPECT_TRUE(Submit(0, "other", 4).ok()) << "its tokens count once";
+}
+
+TEST_F(TokenLimitTest, ANewKeeperCountsBeforeItGrants) {
+  EXPECT_TRUE(Submit((Keeper() + 1) % kPartitions, "a", 8).ok());
+  const std::uint64_t heir = (Keeper() + 2) % kPartitions;
+  world_.FailOver(Name(Keeper()), Name(heir), Keeper());
+  world_.world.RunFor(seconds(3));
+  EXPECT_EQ(Submit(heir, "b", 3).status().code(), StatusCode::kResourceExhausted);
+  EXPECT_TRUE(Submit(heir, "c", 2).ok());
+}
+
+TEST_F(TokenLimitTest, NothingIsTakenWhileThereIsNoKeeperAndTheCallerMayComeAgainAtOnce) {
+  const std::uint64_t other = (Keeper() + 1) % kPartitions;
+  world_.world.machine(Name(Keeper())).Kill();
+  const auto refused = Submit(other, "a", 1);
+  EXPECT_EQ(refused.status().code(), StatusCode::kConflict);
+  EXPECT_EQ(refused.status().detail(), kKeeperAwayDetail);
+  proto::GetBatchRequest question;
+  question.set_partition_id(other);
+  question.set_batch_id("a");
+  EXPECT_EQ(
+      world_.Call<proto::GetBatchResponse>(Name(other), "queue.GetBatch", question).status().code(),
+      StatusCode::kNotFound);
+}
+
+TEST_F(TokenLimitTest, ARouteWithoutALimitNeedsNoKeeper) {
+  const std::uint64_t other = (Keeper() + 1) % kPartitions;
+  world_.world.machine(Name(Keeper())).Kill();
+  EXPECT_TRUE(Submit(other, "a", 50, 0).ok());
+}
+
+}  // namespace
+}  // namespace cloverbank
