Give long prompts one replica in three of a zone

Cause: prompts of 20,000 tokens and more went to one replica of a zone. The choice also hashed all replicas for each replica.

Change: one replica in three of each zone and back end takes long prompts, drawn when the list is taken in; a key's homes are found in one pass.

The small sites have three replicas a zone: unchanged. Test: LongPromptsGoToOneReplicaInThreeOfEachZone.

--- a/src/gateway/replica_directory.cc
+++ b/src/gateway/replica_directory.cc
@@ -1,11 +1,17 @@
 #include "gateway/replica_directory.h"
 
 #include <algorithm>
+#include <functional>
+#include <utility>
+
+#include "base/checksum.h"
 
 namespace cloverbank {
 namespace {
 
 constexpr std::uint32_t kLargestPort = 65535;
+constexpr std::string_view kLongPromptsKey = "long prompts";
+constexpr std::size_t kReplicasPerLongPromptPlace = 3;
 
 bool WellFormed(const proto::Replica& replica) {
   const bool reachable = !replica.endpoint().host().empty() && replica.endpoint().port() != 0 &&
@@ -82,13 +88,32 @@
   return found == ready_.end() ? none : found->second;
 }
 
+void ReplicaDirectory::DrawLongPromptPlaces(const std::vector<const ReplicaRecord*>& ready) {
+  std::map<std::string_view, std::vector<std::pair<std::uint64_t, const ReplicaRecord*>>> zones;
+  for (const ReplicaRecord* replica : ready) {
+    const std::uint64_t weight = Checksum(kLongPromptsKey, Checksum(replica->id));
+    zones[replica->zone].emplace_back(weight, replica);
+  }
+  for (auto& [zone, replicas] : zones) {
+    std::sort(replicas.begin(), replicas.end(), std::greater<>());
+    replicas.resize(std::max<std::size_t>(1, replicas.size() / kReplicasPerLongPromptPlace));
+    for (const auto& [weight, replica] : replicas) {
+      long_prompt_places_.insert(replica->id);
+    }
+  }
+}
+
 void ReplicaDirectory::RebuildIndex() {
   ready_.clear();
+  long_prompt_places_.clear();
   for (const auto& [id, record] : records_) {
     if (record.ready) {
       ready_[BackendKey(record.kind, record.backend)].push_back(&record);
     }
   }
+  for (const auto& [backend, ready] : ready_) {
+    DrawLongPromptPlaces(ready);
+  }
 }
 
 }  // namespace cloverbank
--- a/src/gateway/replica_directory.h
+++ b/src/gateway/replica_directory.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -55,6 +56,11 @@
   /// @return the ready replicas of a back end, by id. Valid until the next `Apply`.
   const std::vector<const ReplicaRecord*>& Ready(proto::BackendKind kind,
                                                  const std::string& backend) const;
+  /// Whether it is one of those replicas of its zone that long prompts go to: one in three of each
+  /// back end, at least one, the same ones as seen by every gateway.
+  bool TakesLongPrompts(const ReplicaRecord& replica) const {
+    return long_prompt_places_.contains(replica.id);
+  }
   const std::map<std::string, ReplicaRecord, std::less<>>& records() const { return records_; }
   /// Whether any list has been applied.
   bool loaded() const { return loaded_; }
@@ -64,11 +70,13 @@
   using BackendKey = std::pair<proto::BackendKind, std::string>;
 
   void RebuildIndex();
+  void DrawLongPromptPlaces(const std::vector<const ReplicaRecord*>& ready);
 
   bool loaded_ = false;
   std::uint64_t version_ = 0;
   std::map<std::string, ReplicaRecord, std::less<>> records_;
   std::map<BackendKey, std::vector<const ReplicaRecord*>> ready_;
+  std::set<std::string, std::less<>> long_prompt_places_;
 };
 
 }  // namespace cloverbank
--- a/src/gateway/router.cc
+++ b/src/gateway/router.cc
@@ -16,7 +16,6 @@
 constexpr std::uint32_t kLastResortRank = 5;  // Added to the rank of a suspect.
 constexpr Duration kLastResortCost = seconds(10);
 /// Affinity key of all long prompts together.
-constexpr std::string_view kLongPromptsKey = "long prompts";
 
 template <typename List>
 auto FindByName(const List& list, std::string_view name) -> decltype(&*list.begin()) {
@@ -180,16 +179,35 @@
   });
 }
 
-Duration Router::PrefillCost(const Candidate& candidate, const RoutingQuery& query,
+std::vector<const ReplicaRecord*> Router::Homes(const RoutingQuery& query) const {
+  if (query.prefix_key.empty()) {
+    return {};
+  }
+  const std::string backend(query.backend.empty() ? query.route->backend() : query.backend);
+  std::map<std::string_view, std::pair<std::uint64_t, const ReplicaRecord*>> best;
+  for (const ReplicaRecord* replica : directory_.Ready(query.route->backend_kind(), backend)) {
+    const std::uint64_t weight = Checksum(query.prefix_key, Checksum(replica->id));
+    auto& place = best[replica->zone];
+    if (place.second == nullptr || weight > place.first) {
+      place = {weight, replica};
+    }
+  }
+  std::vector<const ReplicaRecord*> homes;
+  for (const auto& [zone, place] : best) {
+    homes.push_back(place.second);
+  }
+  return homes;
+}
+
+Duration Router::PrefillCost(const Candidate& candidate, const RoutingQuery& query, bool home,
                              TimePoint now) const {
   const ReplicaRecord& replica = *candidate.replica;
-  const std::uint32_t tokens =
-      prefill_->TokensToRead(replica.id, query.prompt, IsHome(replica, query.prefix_key));
+  const std::uint32_t tokens = prefill_->TokensToRead(replica.id, query.prompt, home);
   Duration cost = prefill_->Backlog(replica.id, now) + prefill_->TimeFor(replica.id, tokens);
   cost += candidate.load * options_.running_call_cost;
   cost += replica.zone == options_.zone ? Duration::zero() : options_.other_zone_cost;
   cost += candidate.last_resort ? kLastResortCost : Duration::zero();
-  const bool for_long_ones = IsHome(replica, kLongPromptsKey);
+  const bool for_long_ones = directory_.TakesLongPrompts(replica);
   if (query.prompt.prompt_tokens >= options_.long_prompt_tokens) {
     cost += for_long_ones ? Duration::zero() : options_.long_elsewhere_cost;
   } else {
@@ -202,10 +220,12 @@
                                                  const RoutingQuery& query, TimePoint now) const {
   const Candidate* best = nullptr;
   Duration best_cost{};
+  const std::vector<const ReplicaRecord*> homes = Homes(query);
   const std::size_t first = query.tie_breaker % candidates.size();
   for (std::size_t step = 0; step < candidates.size(); ++step) {
     const Candidate& candidate = candidates[(first + step) % candidates.size()];
-    const Duration cost = PrefillCost(candidate, query, now);
+    const bool home = std::find(homes.begin(), homes.end(), candidate.replica) != homes.end();
+    const Duration cost = PrefillCost(candidate, query, home, now);
     if (best == nullptr || cost < best_cost) {
       best = &candidate;
       best_cost = cost;
--- a/src/gateway/router.h
+++ b/src/gateway/router.h
@@ -40,8 +40,8 @@
   Duration other_zone_cost = milliseconds(30);
   /// The same for each of this gateway's calls at a replica.
   Duration running_call_cost = std::chrono::microseconds(400);
-  /// Prompts of at least that many tokens to read go to one replica of a zone, which the others
-  /// avoid: a long prompt stops what is generated beside it. Each side's cost of leaving its place.
+  /// Prompts of at least that many tokens go to some replicas of a zone, which the others avoid: a
+  /// long prompt stops what is generated beside it. Each side's cost of leaving its place.
   std::uint32_t long_prompt_tokens = 20'000;
   Duration long_elsewhere_cost = milliseconds(80);
   Duration short_beside_long_cost = milliseconds(18);
@@ -146,7 +146,11 @@
   BatchHeadroom UnreportedHeadroom(const ReplicaRecord& replica,
                                    const proto::RoutingConfiguration& configuration,
                                    TimePoint now) const;
-  Duration PrefillCost(const Candidate& candidate, const RoutingQuery& query, TimePoint now) const;
+  /// @return of each zone the replica where calls of the query's key go.
+  std::vector<const ReplicaRecord*> Homes(const RoutingQuery& query) const;
+  /// @param home whether the query's key belongs to the candidate.
+  Duration PrefillCost(const Candidate& candidate, const RoutingQuery& query, bool home,
+                       TimePoint now) const;
   /// @return the candidate whose first token would come soonest, all things told.
   const Candidate* ChooseByPrefill(const std::vector<Candidate>& candidates,
                                    const RoutingQuery& query, TimePoint now) const;
--- a/tests/gateway/router_test.cc
+++ b/tests/gateway/router_test.cc
@@ -233,6 +233,31 @@
   EXPECT_EQ(pacer.Allowance(5, 0), 5U);
 }
 
+TEST(ReplicaDirectoryTest, LongPromptsGoToOneReplicaInThreeOfEachZone) {
+  proto::ReplicaList list;
+  list.set_version(1);
+  const std::map<std::string, int> zones{{"a", 1}, {"b", 3}, {"c", 30}};
+  for (const auto& [zone, count] : zones) {
+    for (int number = 0; number < count; ++number) {
+      proto::Replica& replica = *list.add_replicas();
+      replica.set_id(zone + std::to_string(number));
+      replica.set_zone(zone);
+      replica.set_kind(proto::BACKEND_KIND_HTTP);
+      replica.set_backend("model");
+      replica.set_state(proto::REPLICA_STATE_READY);
+      replica.mutable_endpoint()->set_host("10.0.0.1");
+      replica.mutable_endpoint()->set_port(80);
+    }
+  }
+  ReplicaDirectory directory;
+  ASSERT_TRUE(directory.Apply(list).ok());
+  std::map<std::string, int> places;
+  for (const auto& [id, record] : directory.records()) {
+    places[record.zone] += directory.TakesLongPrompts(record) ? 1 : 0;
+  }
+  EXPECT_EQ(places, (std::map<std::string, int>{{"a", 1}, {"b", 1}, {"c", 10}}));
+}
+
 TEST(ReplicaDirectoryTest, TellsWhoIsCold) {
   ReplicaDirectory directory;
   proto::ReplicaList list;
