Spread the recoveries of several logs over the queue nodes, and bound their reads

Cause: after all store machines had lost power, the logs of all dead queue nodes became complete in the same step of the leader, and each was given to the least loaded node as the state showed it: the same one for all.

Change: RecoveryManager counts what it has proposed for other logs and the state does not show yet; ReadLimit bounds the reads of a node over all its recoveries (4) in place of 4 for each log.

Test: LogsThatAreCompleteAtTheSameTimeGoToDifferentNodes.

--- a/src/coordinator/partition_assigner.cc
+++ b/src/coordinator/partition_assigner.cc
@@ -27,10 +27,11 @@
 
 std::map<NodeId, std::vector<PartitionId>> SpreadPartitions(
     const std::vector<PartitionId>& partitions, const ControlState& state,
-    const std::set<NodeId>& doubtful) {
+    const std::set<NodeId>& doubtful, const PlannedLoads& planned) {
   std::map<NodeId, std::size_t> load;
   for (const NodeId node : EligibleQueueNodes(state, doubtful)) {
-    load[node] = state.partitions().LoadOf(node);
+    const auto more = planned.find(node);
+    load[node] = state.partitions().LoadOf(node) + (more == planned.end() ? 0 : more->second);
   }
   std::map<NodeId, std::vector<PartitionId>> spread;
   if (load.empty()) {
--- a/src/coordinator/partition_assigner.h
+++ b/src/coordinator/partition_assigner.h
@@ -16,11 +16,14 @@
 /// `doubtful` (silent, not yet dead); if there is none, the retiring ones; else the doubtful ones.
 std::vector<NodeId> EligibleQueueNodes(const ControlState& state, const std::set<NodeId>& doubtful);
 
-/// Spreads `partitions` over the eligible queue nodes, each to the one that owns and replays the
-/// fewest then. @return empty if no queue node is live.
+/// Partitions that queue nodes are to get and that the state does not show yet.
+using PlannedLoads = std::map<NodeId, std::size_t>;
+
+/// Spreads `partitions` over the eligible queue nodes, each to the one that owns, replays and is to
+/// get the fewest then. @return empty if no queue node is live.
 std::map<NodeId, std::vector<PartitionId>> SpreadPartitions(
     const std::vector<PartitionId>& partitions, const ControlState& state,
-    const std::set<NodeId>& doubtful);
+    const std::set<NodeId>& doubtful, const PlannedLoads& planned = {});
 
 /// @return whether `server` is a queue node being retired that still has partitions, while another
 /// queue node can take them. It is then told to give up its id, as after a restart: its partitions
--- a/src/coordinator/recovery_manager.cc
+++ b/src/coordinator/recovery_manager.cc
@@ -13,6 +13,9 @@
   const auto& recoveries = state.partitions().recoveries();
   std::erase_if(progress_,
                 [&recoveries](const auto& entry) { return !recoveries.contains(entry.first); });
+  std::erase_if(proposed_, [&state](const auto& entry) {
+    return state.partitions().UnassignedOf(entry.first).empty();
+  });
   std::vector<RecoveryAction> actions;
   for (const auto& [dead, recovery] : recoveries) {
     StepOne(state, recovery, facts, &actions);
@@ -77,11 +80,14 @@
 
 void RecoveryManager::ProposeReplay(const ControlState& state, NodeId dead,
                                     const RecoveryFacts& facts,
-                                    std::vector<RecoveryAction>* actions) const {
+                                    std::vector<RecoveryAction>* actions) {
   const std::vector<PartitionId> unassigned = state.partitions().UnassignedOf(dead);
   ProposeReplayAction action;
   action.command.set_dead_node_id(dead.value());
-  for (const auto& [node, partitions] : SpreadPartitions(unassigned, state, facts.doubtful)) {
+  PlannedLoads loads;
+  for (const auto& [node, partitions] :
+       SpreadPartitions(unassigned, state, facts.doubtful, PlannedBeside(dead))) {
+    loads[node] = partitions.size();
     proto::RecoveryAssignment* assignment = action.command.add_assignments();
     assignment->set_queue_node_id(node.value());
     for (const PartitionId partition : partitions) {
@@ -89,10 +95,21 @@
     }
   }
   if (action.command.assignments_size() > 0) {
+    proposed_[dead] = std::move(loads);
     actions->push_back(std::move(action));
   }
 }
 
+PlannedLoads RecoveryManager::PlannedBeside(NodeId dead) const {
+  PlannedLoads planned;
+  for (const auto& [other, loads] : proposed_) {
+    for (const auto& [node, count] : loads) {
+      planned[node] += other == dead ? 0 : count;
+    }
+  }
+  return planned;
+}
+
 void RecoveryManager::SendReplays(const ControlState& state, const proto::Recovery& recovery,
                                   TimePoint now, Progress* progress,
                                   std::vector<RecoveryAction>* actions) const {
--- a/src/coordinator/recovery_manager.h
+++ b/src/coordinator/recovery_manager.h
@@ -17,6 +17,7 @@
 #include "base/time.h"
 #include "coordinator/control_state.h"
 #include "coordinator/log_assembly.h"
+#include "coordinator/partition_assigner.h"
 #include "proto/log.pb.h"
 
 namespace cloverbank {
@@ -66,7 +67,10 @@
   explicit RecoveryManager(RecoveryOptions options) : options_(options) {}
 
   /// Forgets what is not replicated: this member became leader.
-  void Reset() { progress_.clear(); }
+  void Reset() {
+    progress_.clear();
+    proposed_.clear();
+  }
 
   /// @return what to do now. Proposals are returned at each step until the state has changed.
   std::vector<RecoveryAction> Step(const ControlState& state, const RecoveryFacts& facts);
@@ -104,7 +108,9 @@
             std::vector<RecoveryAction>* actions) const;
   void Assemble(const ControlState& state, NodeId dead, Progress* progress) const;
   void ProposeReplay(const ControlState& state, NodeId dead, const RecoveryFacts& facts,
-                     std::vector<RecoveryAction>* actions) const;
+                     std::vector<RecoveryAction>* actions);
+  /// @return what was proposed for other recoveries and is not in the state yet.
+  PlannedLoads PlannedBeside(NodeId dead) const;
   void SendReplays(const ControlState& state, const proto::Recovery& recovery, TimePoint now,
                    Progress* progress, std::vector<RecoveryAction>* actions) const;
   void Release(const ControlState& state, NodeId dead, TimePoint now, Progress* progress,
@@ -113,7 +119,8 @@
   bool Begin(TimePoint now, Call* call) const;
 
   RecoveryOptions options_;
-  std::map<NodeId, Progress> progress_;  // By dead node.
+  std::map<NodeId, Progress> progress_;      // By dead node.
+  std::map<NodeId, PlannedLoads> proposed_;  // Replays not in the state yet, by dead node.
 };
 
 }  // namespace cloverbank
--- a/src/queue/partition_recovery.cc
+++ b/src/queue/partition_recovery.cc
@@ -10,7 +10,6 @@
 namespace cloverbank {
 namespace {
 
-constexpr std::size_t kParallelReads = 4;
 constexpr Duration kReadDeadline = seconds(3);
 constexpr Duration kReportDeadline = seconds(2);
 constexpr Duration kRetryDelay = milliseconds(100);
@@ -20,12 +19,14 @@
 }  // namespace
 
 PartitionRecovery::PartitionRecovery(Environment& environment, NodeAgent& agent, SegmentLog& log,
+                                     std::shared_ptr<ReadLimit> reads,
                                      proto::RecoverPartitionsRequest request,
                                      const std::vector<PartitionId>& partitions,
                                      std::function<void(const std::string&)> fenced)
     : environment_(environment),
       agent_(agent),
       log_(log),
+      reads_(std::move(reads)),
       request_(std::move(request)),
       fenced_(std::move(fenced)),
       sources_(static_cast<std::size_t>(request_.segments_size())) {
@@ -83,7 +84,7 @@
 }
 
 void PartitionRecovery::ReadMore() {
-  for (std::size_t i = 0; i < sources_.size() && reading_ < kParallelReads; ++i) {
+  for (std::size_t i = 0; i < sources_.size() && !waits_for_room_; ++i) {
     if (!sources_[i].read && !sources_[i].reading) {
       Read(i);
     }
@@ -103,6 +104,9 @@
     Later(&PartitionRecovery::ReadMore);
     return;
   }
+  if (!TakeRoom()) {
+    return;
+  }
   const auto backup =
       static_cast<int>(source.tries % static_cast<std::size_t>(segment.backups_size()));
   const Endpoint endpoint{segment.backups(backup).host(),
@@ -114,21 +118,32 @@
     request.add_partition_ids(partition.value());
   }
   source.reading = true;
-  ++reading_;
   CallPeer<proto::GetRecoveryDataResponse>(
       environment_, endpoint, "backup.GetRecoveryData", request, kReadDeadline,
-      [weak = weak_from_this(), position](Result<proto::GetRecoveryDataResponse> result) {
+      [weak = weak_from_this(), reads = reads_,
+       position](Result<proto::GetRecoveryDataResponse> result) {
+        reads->Release();
         if (const auto self = weak.lock()) {
           self->TakeRead(position, std::move(result));
         }
       });
 }
 
+bool PartitionRecovery::TakeRoom() {
+  const bool taken = reads_->Take([weak = weak_from_this()] {
+    if (const auto self = weak.lock()) {
+      self->waits_for_room_ = false;
+      self->ReadMore();
+    }
+  });
+  waits_for_room_ = !taken;
+  return taken;
+}
+
 void PartitionRecovery::TakeRead(std::size_t position,
                                  Result<proto::GetRecoveryDataResponse> result) {
   Source& source = sources_[position];
   source.reading = false;
-  --reading_;
   if (!result.ok()) {
     ++source.tries;
     Log(LogLevel::kWarning, "recovery_read_failed",
--- a/src/queue/partition_recovery.h
+++ b/src/queue/partition_recovery.h
@@ -16,15 +16,17 @@
 #include "node/node_agent.h"
 #include "proto/log.pb.h"
 #include "queue/batch_store.h"
+#include "queue/read_limit.h"
 #include "queue/segment_log.h"
 
 namespace cloverbank {
 
 class PartitionRecovery : public std::enable_shared_from_this<PartitionRecovery> {
  public:
+  /// @param reads shared by all recoveries of this node.
   /// @param partitions of `request` that this recovery takes on.
   PartitionRecovery(Environment& environment, NodeAgent& agent, SegmentLog& log,
-                    proto::RecoverPartitionsRequest request,
+                    std::shared_ptr<ReadLimit> reads, proto::RecoverPartitionsRequest request,
                     const std::vector<PartitionId>& partitions,
                     std::function<void(const std::string&)> fenced);
 
@@ -61,6 +63,8 @@
 
   void ReadMore();
   void Read(std::size_t position);
+  /// @return whether a read may begin now; if not, `ReadMore` runs again later.
+  bool TakeRoom();
   void TakeRead(std::size_t position, Result<proto::GetRecoveryDataResponse> result);
   void Sort();
   void LogMore();
@@ -74,11 +78,12 @@
   Environment& environment_;
   NodeAgent& agent_;
   SegmentLog& log_;
+  std::shared_ptr<ReadLimit> reads_;
   proto::RecoverPartitionsRequest request_;
   std::function<void(const std::string&)> fenced_;
   std::map<PartitionId, Part> parts_;
   std::vector<Source> sources_;  ///< One a segment of the request.
-  std::size_t reading_ = 0;
+  bool waits_for_room_ = false;  ///< `reads_` calls back.
   bool sorted_ = false;
   bool logging_ = false;
   bool reporting_ = false;
--- a/src/queue/queue_life.cc
+++ b/src/queue/queue_life.cc
@@ -11,6 +11,8 @@
 
 /// Batches removed from one partition in one sweep.
 constexpr std::size_t kRemovedPerSweep = 500;
+/// Segments read at once for recoveries.
+constexpr std::size_t kParallelReads = 4;
 
 }  // namespace
 
@@ -20,6 +22,7 @@
       agent_(agent),
       options_(options),
       fenced_(std::move(fenced)),
+      recovery_reads_(std::make_shared<ReadLimit>(kParallelReads)),
       log_(
           environment, agent, options.log, [this] { return Marks(); },
           [this](const std::string& reason) { fenced_(reason); }),
@@ -321,8 +324,8 @@
     }
   }
   if (!fresh.empty()) {
-    recoveries_.push_back(
-        std::make_shared<PartitionRecovery>(environment_, agent_, log_, request, fresh, fenced_));
+    recoveries_.push_back(std::make_shared<PartitionRecovery>(
+        environment_, agent_, log_, recovery_reads_, request, fresh, fenced_));
     recoveries_.back()->Start();
   }
   proto::RecoverPartitionsResponse response;
--- a/src/queue/queue_life.h
+++ b/src/queue/queue_life.h
@@ -91,6 +91,7 @@
   NodeAgent& agent_;
   QueueOptions options_;
   std::function<void(const std::string&)> fenced_;
+  std::shared_ptr<ReadLimit> recovery_reads_;
   SegmentLog log_;
   std::shared_ptr<WorkDispatcher> dispatcher_;
   std::shared_ptr<TokenKeeper> keeper_;
--- /dev/null
+++ b/src/queue/read_limit.h
@@ -0,0 +1,41 @@
+#pragma once
+/// @file
+/// How many segments one queue node reads at once, over all its recoveries: with too many on one
+/// link each of them takes longer than its deadline, and none ever ends. Threads: the owner's event
+/// loop only.
+
+#include <cstddef>
+#include <functional>
+#include <utility>
+#include <vector>
+
+namespace cloverbank {
+
+class ReadLimit {
+ public:
+  explicit ReadLimit(std::size_t most) : most_(most) {}
+
+  /// @return whether a read may begin. If not, `on_room` runs once after one has ended.
+  bool Take(std::function<void()> on_room) {
+    if (used_ < most_) {
+      ++used_;
+      return true;
+    }
+    waiting_.push_back(std::move(on_room));
+    return false;
+  }
+  /// A read has ended.
+  void Release() {
+    --used_;
+    for (const std::function<void()>& on_room : std::exchange(waiting_, {})) {
+      on_room();
+    }
+  }
+
+ private:
+  const std::size_t most_;
+  std::size_t used_ = 0;
+  std::vector<std::function<void()>> waiting_;
+};
+
+}  // namespace cloverbank
--- a/tests/coordinator/recovery_test.cc
+++ b/tests/coordinator/recovery_test.cc
@@ -263,6 +263,40 @@
   EXPECT_EQ(Owned(second), 4U);
 }
 
+// Each dead node had one partition: the first to be told would have replayed them all.
+TEST_F(RecoveryTest, LogsThatAreCompleteAtTheSameTimeGoToDifferentNodes) {
+  ControlDriver fleet;
+  std::vector<NodeId> owners;
+  const NodeId keeper = fleet.Register(proto::ROLE_BACKUP, "s1", 1);
+  for (const char* machine : {"d1", "d2", "d3", "d4"}) {
+    owners.push_back(fleet.Register(proto::ROLE_QUEUE, machine, 1));
+    fleet.Assign(owners.back(), {owners.size() - 1});
+    fleet.CommitHead(owners.back(), 1, 1, {keeper});
+  }
+  for (const char* machine : {"q1", "q2", "q3", "q4"}) {
+    fleet.Register(proto::ROLE_QUEUE, machine, 2);
+  }
+  for (const NodeId owner : owners) {
+    fleet.MarkDead(owner);
+  }
+  RecoveryManager recoveries{RecoveryOptions()};
+  recoveries.Step(fleet.state, {TimePoint(seconds(100)), false, {}});
+  for (const NodeId owner : owners) {
+    proto::StartReadingDataResponse answer;
+    *answer.add_segments() = Stored(1, 10, 1, true, {1});
+    recoveries.OnReadingData(owner, keeper, answer);
+  }
+  std::set<std::uint64_t> assigned;
+  for (const RecoveryAction& action :
+       recoveries.Step(fleet.state, {TimePoint(seconds(101)), true, {}})) {
+    if (const auto* replay = std::get_if<ProposeReplayAction>(&action)) {
+      EXPECT_EQ(replay->command.assignments_size(), 1);
+      assigned.insert(replay->command.assignments(0).queue_node_id());
+    }
+  }
+  EXPECT_EQ(assigned.size(), 4U);
+}
+
 TEST_F(RecoveryTest, GateWaitsForArrivalsButNotForEver) {
   ArrivalGate gate(milliseconds(700), seconds(2));
   TimePoint now{seconds(50)};
