Tell owners of a partition apart by order of hearing, not by node id

Cause: the ledger of open tokens took a lower node id for an earlier owner. A partition of a dead node goes to a node that registered before it as well as after it; its counts were then passed over, and what was granted to the partition stayed counted for ever.

Change: the ledger remembers past owners of each partition; whoever is heard of first takes over, and counts of past owners are passed over.

--- a/src/queue/token_ledger.h
+++ b/src/queue/token_ledger.h
@@ -10,6 +10,8 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
+#include <set>
 #include <vector>
 
 #include "base/ids.h"
@@ -34,19 +36,27 @@
     std::uint64_t settled_below = 0;
   };
 
-  void AddGrant(const Grant& grant) { grants_.push_back(grant); }
+  void AddGrant(const Grant& grant);
+  /// Counts of an owner after which another one was heard of are passed over.
   void TakeCount(const Count& count);
   /// Whether each of so many partitions was counted at least once.
-  bool Complete(std::uint32_t partition_count) const { return counted_.size() >= partition_count; }
+  bool Complete(std::uint32_t partition_count) const;
   std::uint64_t UpperBound() const;
 
  private:
-  struct Counted {
-    NodeId holder;
-    std::uint64_t tokens = 0;
+  /// What is known of one partition. An owner that lost a partition never gets it back under the
+  /// same node id, but node ids of later owners may be lower.
+  struct Place {
+    NodeId holder;  ///< Of whom was heard last.
+    std::set<NodeId> past_holders;
+    std::optional<std::uint64_t> counted;
   };
 
-  std::map<PartitionId, Counted> counted_;
+  /// @return whether `holder` is the owner of whom was heard last, which it is from now on if it
+  /// was not heard of before.
+  static bool TakeHolder(Place& place, NodeId holder);
+
+  std::map<PartitionId, Place> places_;
   std::vector<Grant> grants_;
 };
 
--- a/tests/queue/token_ledger_test.cc
+++ b/tests/queue/token_ledger_test.cc
@@ -9,7 +9,8 @@
 constexpr PartitionId kFirst(0);
 constexpr PartitionId kSecond(1);
 constexpr NodeId kOwner(7);
-constexpr NodeId kLaterOwner(9);
+/// Node ids of later owners may be lower: they registered before.
+constexpr NodeId kLaterOwner(5);
 
 class TokenLedgerTest : public testing::Test {
  protected:
