--- a/src/gateway/router.cc
+++ b/src/gateway/router.cc
@@ -193,6 +193,7 @@
     }
   }
   std::vector<const ReplicaRecord*> homes;
+  homes.reserve(best.size());
   for (const auto& [zone, place] : best) {
     homes.push_back(place.second);
   }
--- a/src/gateway/shared_list_reader.cc
+++ b/src/gateway/shared_list_reader.cc
@@ -181,7 +181,9 @@
   Finish(std::move(reading));
 }
 
-void SharedListReader::Finish(ListReading reading) { std::exchange(done_, nullptr)(reading); }
+void SharedListReader::Finish(ListReading reading) {
+  std::exchange(done_, nullptr)(std::move(reading));
+}
 
 void SharedListReader::Accepted() {
   if (candidate_from_platform_) {
--- a/tests/queue/limited_batches_simulation_test.cc
+++ b/tests/queue/limited_batches_simulation_test.cc
@@ -160,7 +160,8 @@
     for (const auto& [lease, report] : reports_) {
       *requests[report.partition_id()].add_reports() = report;
     }
-    for (auto& [partition, request] : requests) {
+    for (auto& entry : requests) {
+      proto::ReportWorkRequest& request = entry.second;
       request.set_gateway_node_id(kGateway);
       request.set_incarnation(1);
       for (const std::string& store : fleet_.stores) {
