--- a/tests/queue/fleet_world.h
+++ b/tests/queue/fleet_world.h
@@ -63,6 +63,22 @@
     return true;
   }
 
+  /// Calls a machine from outside, as a client, a gateway or an operator's node would.
+  template <typename Response, typename Request>
+  void Call(const std::string& machine, std::string_view method, const Request& request,
+            Duration deadline, std::function<void(Result<Response>)> done) {
+    world.CallPeer(world.machine(machine).endpoint(), method, request.SerializeAsString(), deadline,
+                   [done = std::move(done)](const PeerReply& reply) {
+                     Response response;
+                     if (!reply.status.ok() || !response.ParseFromString(reply.body)) {
+                       done(reply.status);
+                     } else {
+                       done(std::move(response));
+                     }
+                   });
+  }
+  const std::string& AnyStore() { return stores[world.RandomBelow(stores.size())]; }
+
   SimulatedWorld world;
   std::vector<std::string> fronts;
   std::vector<std::string> stores;
--- a/tests/queue/limited_batches_simulation_test.cc
+++ b/tests/queue/limited_batches_simulation_test.cc
@@ -34,17 +34,9 @@
   template <typename Response, typename Request>
   void Call(const std::string& machine, std::string_view method, const Request& request,
             Duration deadline, std::function<void(Result<Response>)> done) {
-    world_.CallPeer(world_.machine(machine).endpoint(), method, request.SerializeAsString(),
-                    deadline, [done](const PeerReply& reply) {
-                      Response response;
-                      if (!reply.status.ok() || !response.ParseFromString(reply.body)) {
-                        done(reply.status);
-                      } else {
-                        done(std::move(response));
-                      }
-                    });
+    fleet_.Call<Response>(machine, method, request, deadline, std::move(done));
   }
-  const std::string& AnyStore() { return fleet_.stores[world_.RandomBelow(fleet_.stores.size())]; }
+  const std::string& AnyStore() { return fleet_.AnyStore(); }
 
   void Configure() {
     proto::SubmitTransactionRequest request;
