Lead nodes whose seeds are no coordinators to the coordinators

Cause: after a turnover of seeds the platform's list may name three fronts without a disk.

Change: a gateway without a coordinator answers such calls by naming the leader it knows (CoordinatorReferral), once it has heard from the group; a node agent beside a coordinator counts that one among its seeds.

Tests: CoordinatorReferralTest (3 cases).

--- a/apps/cloverbankd/gateway_role.cc
+++ b/apps/cloverbankd/gateway_role.cc
@@ -2,6 +2,7 @@
 #include "cloverbankd/node_readiness.h"
 #include "cloverbankd/role.h"
 #include "gateway/gateway_service.h"
+#include "node/coordinator_referral.h"
 #include "platform/adapter.h"
 
 namespace cloverbank {
@@ -36,6 +37,9 @@
           [this, taking = context.taking_callers] { return taking() && service_.Ready(nullptr); },
           context.settings.zone_regions);
     }
+    if (!context.settings.roles.coordinator) {
+      referral_ = std::make_unique<CoordinatorReferral>(context.environment, agent_);
+    }
     agent_.OnConfiguration([this] { TakeLimits(); });
   }
 
@@ -89,6 +93,7 @@
   const Duration linger_;
   Environment& environment_;
   TimePoint linger_until_{};
+  std::unique_ptr<CoordinatorReferral> referral_;
   std::unique_ptr<platform::Adapter> adapter_;  ///< Only if the settings ask for it.
 };
 
--- a/apps/cloverbankd/node_readiness.cc
+++ b/apps/cloverbankd/node_readiness.cc
@@ -9,6 +9,10 @@
   options.zone = settings.zone;
   options.client_endpoint = settings.client;
   options.coordinators = settings.seeds;
+  if (settings.roles.coordinator) {
+    // Seeds may name others by now.
+    options.coordinators.push_back(settings.peer);
+  }
   return options;
 }
 
--- /dev/null
+++ b/src/node/coordinator_referral.cc
@@ -0,0 +1,39 @@
+#include "node/coordinator_referral.h"
+
+#include <array>
+#include <string_view>
+
+namespace cloverbank {
+namespace {
+
+/// What a node or an operator's gateway asks before it has heard from the coordinators.
+constexpr std::array<std::string_view, 5> kMethods = {
+    "coordinator.RegisterServer", "coordinator.GetConfiguration", "coordinator.SubmitTransaction",
+    "coordinator.RetireServer", "coordinator.GetRetirement"};
+
+Status Refer(const NodeAgent& agent) {
+  const bool heard = agent.list_sources().has_value();
+  const std::vector<Endpoint> coordinators = agent.coordinators();
+  if (!heard || coordinators.empty()) {
+    return {StatusCode::kUnavailable, "this process is no coordinator and knows none"};
+  }
+  return {StatusCode::kNotLeader, "this process is no coordinator",
+          coordinators.front().ToString()};
+}
+
+}  // namespace
+
+CoordinatorReferral::CoordinatorReferral(Environment& environment, const NodeAgent& agent) {
+  for (const std::string_view method : kMethods) {
+    environment.RegisterPeerMethod(method, [&agent, alive = std::weak_ptr<bool>(alive_)](
+                                               const PeerRequest&, const PeerReplyCallback& reply) {
+      if (alive.expired()) {
+        reply({Status(StatusCode::kUnavailable, "the process is stopping"), {}});
+      } else {
+        reply({Refer(agent), {}});
+      }
+    });
+  }
+}
+
+}  // namespace cloverbank
--- /dev/null
+++ b/tests/node/coordinator_referral_test.cc
@@ -0,0 +1,94 @@
+// Processes whose seeds name machines that are no coordinators.
+#include "node/coordinator_referral.h"
+
+#include <gtest/gtest.h>
+
+#include "fake_control.h"
+
+namespace cloverbank {
+namespace {
+
+/// A gateway's agent and its answers for the coordinators.
+struct Gateway {
+  std::unique_ptr<NodeAgent> agent;
+  std::unique_ptr<CoordinatorReferral> referral;
+};
+
+class CoordinatorReferralTest : public testing::Test {
+ protected:
+  CoordinatorReferralTest() {
+    for (const char* name : {"c1", "c2", "c3"}) {
+      endpoints_[name] = world_.AddMachine(name, std::string("10.0.1.") + name[1]).endpoint();
+    }
+    for (const auto& [name, endpoint] : endpoints_) {
+      world_.machine(name).SetProgram([this, name = name](Environment& environment, DataFolder&) {
+        return std::make_shared<FakeCoordinator>(environment, name, control_, endpoints_);
+      });
+      world_.machine(name).Start();
+      control_.members.push_back(ToMessage(endpoint));
+    }
+  }
+
+  static proto::Endpoint ToMessage(const Endpoint& endpoint) {
+    proto::Endpoint message;
+    message.set_host(endpoint.host);
+    message.set_port(endpoint.port);
+    return message;
+  }
+
+  void AddGateway(const std::string& name, const std::string& address,
+                  const std::vector<Endpoint>& seeds) {
+    world_.AddMachine(name, address)
+        .SetProgram([this, name, seeds](Environment& environment, DataFolder&) {
+          NodeAgentOptions options;
+          options.role = proto::ROLE_GATEWAY;
+          options.machine = name;
+          options.coordinators = seeds;
+          auto gateway = std::make_shared<Gateway>();
+          gateway->agent = std::make_unique<NodeAgent>(environment, options);
+          gateway->referral = std::make_unique<CoordinatorReferral>(environment, *gateway->agent);
+          gateway->agent->Start();
+          gateways_[name] = gateway.get();
+          return gateway;
+        });
+    world_.machine(name).Start();
+  }
+
+  bool Joins(const std::string& name, Duration limit) {
+    return world_.RunUntil([this, name] { return gateways_[name]->agent->LeaseValid(); }, limit);
+  }
+
+  FakeControl control_;
+  std::map<std::string, Endpoint> endpoints_;
+  std::map<std::string, Gateway*> gateways_;
+  SimulatedWorld world_{9};
+};
+
+// After a turnover of seeds a machine that lost power knew three fronts, none of them a
+// coordinator.
+TEST_F(CoordinatorReferralTest, AMachineWhoseSeedsAreNoCoordinatorsIsLedToThem) {
+  AddGateway("known", "10.0.2.1", {endpoints_["c2"]});
+  ASSERT_TRUE(Joins("known", seconds(3)));
+  AddGateway("new", "10.0.2.2", {world_.machine("known").endpoint()});
+  EXPECT_TRUE(Joins("new", seconds(2)));
+}
+
+TEST_F(CoordinatorReferralTest, OneThatKnowsNoneItselfSendsNobodyAstray) {
+  AddGateway("first", "10.0.2.1", {Endpoint{"10.0.2.2", 7401}});
+  AddGateway("second", "10.0.2.2", {world_.machine("first").endpoint()});
+  EXPECT_FALSE(Joins("first", seconds(3)));
+  AddGateway("known", "10.0.2.3", {endpoints_["c1"]});
+  EXPECT_TRUE(Joins("known", seconds(2)));
+}
+
+TEST_F(CoordinatorReferralTest, WhoeverIsToldOfADeadLeaderFindsTheNextOne) {
+  AddGateway("known", "10.0.2.1", {endpoints_["c2"]});
+  ASSERT_TRUE(Joins("known", seconds(3)));
+  world_.machine("c1").Kill();
+  control_.leader = "c3";
+  AddGateway("new", "10.0.2.2", {world_.machine("known").endpoint()});
+  EXPECT_TRUE(Joins("new", seconds(6)));
+}
+
+}  // namespace
+}  // namespace cloverbank
