Let the leader tell nodes it misses where the coordinators are

Cause: a referral needs a gateway that still knows. After a turnover of seeds and a loss of power everywhere nobody does: the seeds name fronts that have just started too.

Change: the leader keeps where the nodes of its registry were and tells each of them the members, once when it begins to lead and twice a second while it is silent or dead, for a minute (AbsentNodes, node.TakeCoordinators).

--- /dev/null
+++ b/src/coordinator/absent_nodes.h
@@ -0,0 +1,44 @@
+#pragma once
+/// @file
+/// Pure core: which nodes the leader has to tell where the coordinators are. A machine that has
+/// lost power knows only its seeds, which may name no coordinator by then; the leader knows where
+/// each node was. Threads: the owner's event loop only.
+
+#include <compare>
+#include <map>
+#include <set>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "coordinator/control_state.h"
+#include "proto/coordinator.pb.h"
+
+namespace cloverbank {
+
+class AbsentNodes {
+ public:
+  /// Where a node of a role is, or was.
+  struct Place {
+    Endpoint endpoint;
+    proto::Role role = proto::ROLE_UNSPECIFIED;
+    std::strong_ordering operator<=>(const Place&) const = default;
+  };
+
+  /// This member became leader: nodes may have lost the coordinators at any time before.
+  void Reset() { entries_.clear(); }
+  /// @param silent live nodes that were not heard of lately.
+  /// @return those to be told now.
+  std::vector<Place> Due(const ControlState& state, const std::set<NodeId>& silent, TimePoint now);
+
+ private:
+  struct Entry {
+    TimePoint last_present{};
+    TimePoint next{};
+    bool told = false;  ///< Also nodes that seem to be present are told once.
+  };
+
+  std::map<Place, Entry> entries_;
+};
+
+}  // namespace cloverbank
--- a/src/coordinator/leader_duties.cc
+++ b/src/coordinator/leader_duties.cc
@@ -5,6 +5,7 @@
 
 #include "base/logging.h"
 #include "coordinator/proto_endpoint.h"
+#include "runtime/node_methods.h"
 #include "runtime/typed_peer.h"
 
 namespace cloverbank {
@@ -27,6 +28,7 @@
   recoveries_.Reset();
   sweeper_.Reset();
   arrivals_.Reset();
+  absent_nodes_.Reset();
   InitializePartitions();
 }
 
@@ -49,6 +51,7 @@
   GiveOutPartitions(may_assign);
   SteerRecoveries(may_assign);
   SweepBackups();
+  TellAbsentNodes();
 }
 
 void LeaderDuties::BuryTheSilent() {
@@ -196,6 +199,19 @@
   proposer_.ProposeOnce("finish_recovery:" + action.dead.ToString(), command);
 }
 
+void LeaderDuties::TellAbsentNodes() {
+  proto::TakeCoordinatorsRequest request;
+  for (const LogMember& member : context_.log.members()) {
+    *request.add_coordinators() = ToProto(member.endpoint);
+  }
+  for (const AbsentNodes::Place& place :
+       absent_nodes_.Due(context_.state, context_.doubtful, context_.environment.Now())) {
+    CallPeer<proto::TakeCoordinatorsResponse>(
+        context_.environment, place.endpoint, TakeCoordinatorsMethod(place.role), request,
+        context_.options.call_deadline, [](const Result<proto::TakeCoordinatorsResponse>&) {});
+  }
+}
+
 void LeaderDuties::SweepBackups() {
   for (const NodeId backup : sweeper_.Due(context_.state, context_.environment.Now())) {
     const Endpoint endpoint = ToEndpoint(context_.state.servers().Find(backup)->peer_endpoint());
--- a/src/coordinator/leader_duties.h
+++ b/src/coordinator/leader_duties.h
@@ -5,6 +5,7 @@
 
 #include <vector>
 
+#include "coordinator/absent_nodes.h"
 #include "coordinator/backup_sweeper.h"
 #include "coordinator/command_proposer.h"
 #include "coordinator/leader_context.h"
@@ -40,6 +41,7 @@
   void Carry(const ReleaseAction& action);
   void Carry(const ProposeFinishAction& action);
   void SweepBackups();
+  void TellAbsentNodes();
   void TakeReplicaList(NodeId backup, const Endpoint& endpoint,
                        const proto::ListSegmentsResponse& replicas);
 
@@ -48,6 +50,7 @@
   RecoveryManager recoveries_;
   BackupSweeper sweeper_;
   ArrivalGate arrivals_;
+  AbsentNodes absent_nodes_;
 };
 
 }  // namespace cloverbank
--- a/src/node/node_agent.cc
+++ b/src/node/node_agent.cc
@@ -8,6 +8,7 @@
 #include "node/coordinator_directory.h"
 #include "node/leader_call.h"
 #include "node/node_session.h"
+#include "runtime/node_methods.h"
 
 namespace cloverbank {
 namespace {
@@ -64,7 +65,9 @@
   void HeartbeatBesideHeldOne();
   void SendHeartbeat(Duration hold, std::function<void(bool took_configuration)> next);
   bool TakeHeartbeat(const proto::HeartbeatRequest& request, const LeaderReply& reply);
-  void TakeCoordinators(const proto::HeartbeatResponse& response);
+  void TakeCoordinators(const google::protobuf::RepeatedPtrField<proto::Endpoint>& coordinators);
+  /// Lets the leader tell where the coordinators are: seeds may name none.
+  void ServeCoordinators();
   void NoteOutcome(std::string_view what, UpdateOutcome outcome);
   void EndLife(std::string_view reason);
   void Schedule(Duration delay, void (State::*action)());
@@ -217,7 +220,7 @@
     return false;
   }
   const HeartbeatEffects effects = session.TakeHeartbeat(request, reply.sent, response);
-  TakeCoordinators(response);
+  TakeCoordinators(response.coordinators());
   NoteOutcome("configuration", effects.configuration);
   NoteOutcome("fleet", effects.fleet);
   if (effects.place_changed) {
@@ -232,9 +235,23 @@
   return effects.configuration == UpdateOutcome::kTaken;
 }
 
-void NodeAgent::State::TakeCoordinators(const proto::HeartbeatResponse& response) {
+void NodeAgent::State::ServeCoordinators() {
+  ServePeer<proto::TakeCoordinatorsRequest, proto::TakeCoordinatorsResponse>(
+      environment, TakeCoordinatorsMethod(options.role),
+      [this, held = std::weak_ptr<bool>(alive)](
+          const proto::TakeCoordinatorsRequest& request, const std::string&,
+          const std::function<void(Result<proto::TakeCoordinatorsResponse>)>& reply) {
+        if (!held.expired()) {
+          TakeCoordinators(request.coordinators());
+        }
+        reply(proto::TakeCoordinatorsResponse());
+      });
+}
+
+void NodeAgent::State::TakeCoordinators(
+    const google::protobuf::RepeatedPtrField<proto::Endpoint>& coordinators) {
   std::vector<Endpoint> members;
-  for (const proto::Endpoint& member : response.coordinators()) {
+  for (const proto::Endpoint& member : coordinators) {
     members.push_back({member.host(), static_cast<std::uint16_t>(member.port())});
   }
   directory->TakeMembers(std::move(members));
@@ -268,7 +285,9 @@
 }
 
 NodeAgent::NodeAgent(Environment& environment, NodeAgentOptions options)
-    : state_(std::make_unique<State>(environment, std::move(options))) {}
+    : state_(std::make_unique<State>(environment, std::move(options))) {
+  state_->ServeCoordinators();
+}
 
 NodeAgent::~NodeAgent() { state_->environment.CancelTimer(state_->timer); }
 
--- /dev/null
+++ b/src/runtime/node_methods.h
@@ -0,0 +1,16 @@
+#pragma once
+/// @file
+/// Peer methods that every node agent serves, and that the coordinators call.
+
+#include <string>
+
+#include "proto/coordinator.pb.h"
+
+namespace cloverbank {
+
+/// @return the method by which the leader tells the agent of that role where the coordinators are.
+inline std::string TakeCoordinatorsMethod(proto::Role role) {
+  return "node.TakeCoordinators." + std::to_string(static_cast<int>(role));
+}
+
+}  // namespace cloverbank
--- /dev/null
+++ b/tests/coordinator/absent_nodes_test.cc
@@ -0,0 +1,60 @@
+// Which nodes the leader tells where the coordinators are.
+#include "coordinator/absent_nodes.h"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include "control_commands.h"
+
+namespace cloverbank {
+namespace {
+
+using ::testing::IsEmpty;
+using ::testing::SizeIs;
+
+class AbsentNodesTest : public testing::Test {
+ protected:
+  AbsentNodesTest() {
+    gateway_ = control_.Register(proto::ROLE_GATEWAY, "g1", 1);
+    queue_ = control_.Register(proto::ROLE_QUEUE, "q1", 1);
+  }
+  auto Due(const std::set<NodeId>& silent = {}) {
+    return absent_.Due(control_.state, silent, now_);
+  }
+
+  ControlDriver control_;
+  AbsentNodes absent_;
+  NodeId gateway_;
+  NodeId queue_;
+  TimePoint now_{seconds(100)};
+};
+
+TEST_F(AbsentNodesTest, EveryNodeIsToldOnceWhenAMemberBeginsToLead) {
+  EXPECT_THAT(Due(), SizeIs(2));
+  now_ += seconds(2);
+  EXPECT_THAT(Due(), IsEmpty());
+  absent_.Reset();
+  EXPECT_THAT(Due(), SizeIs(2));
+}
+
+TEST_F(AbsentNodesTest, ASilentNodeIsToldAgainAndAgainAlsoOnceItIsDead) {
+  Due();
+  now_ += seconds(2);
+  EXPECT_THAT(Due({gateway_}), SizeIs(1));
+  EXPECT_THAT(Due({gateway_}), IsEmpty()) << "not more often than twice a second";
+  control_.MarkDead(gateway_);
+  now_ += seconds(1);
+  EXPECT_THAT(Due(), SizeIs(1));
+}
+
+TEST_F(AbsentNodesTest, OneThatStaysAwayIsGivenUp) {
+  Due();
+  control_.MarkDead(gateway_);
+  now_ += seconds(61);
+  Due();
+  now_ += seconds(1);
+  EXPECT_THAT(Due(), IsEmpty());
+}
+
+}  // namespace
+}  // namespace cloverbank
--- a/tests/node/coordinator_referral_test.cc
+++ b/tests/node/coordinator_referral_test.cc
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include "fake_control.h"
+#include "runtime/node_methods.h"
 
 namespace cloverbank {
 namespace {
@@ -64,6 +65,19 @@
   SimulatedWorld world_{9};
 };
 
+// All machines lost power, and the seeds name only machines that know no more than they do.
+TEST_F(CoordinatorReferralTest, ANodeThatKnowsNobodyIsToldByTheLeader) {
+  AddGateway("lost", "10.0.2.1", {Endpoint{"10.0.2.9", 7401}});
+  EXPECT_FALSE(Joins("lost", seconds(2)));
+  proto::TakeCoordinatorsRequest request;
+  for (const auto& [name, endpoint] : endpoints_) {
+    *request.add_coordinators() = ToMessage(endpoint);
+  }
+  world_.CallPeer(world_.machine("lost").endpoint(), TakeCoordinatorsMethod(proto::ROLE_GATEWAY),
+                  request.SerializeAsString(), seconds(1), [](const PeerReply&) {});
+  EXPECT_TRUE(Joins("lost", seconds(2)));
+}
+
 // After a turnover of seeds a machine that lost power knew three fronts, none of them a
 // coordinator.
 TEST_F(CoordinatorReferralTest, AMachineWhoseSeedsAreNoCoordinatorsIsLedToThem) {
