--- a/src/coordinator/absent_nodes.h
+++ b/src/coordinator/absent_nodes.h
@@ -22,7 +22,8 @@
   struct Place {
     Endpoint endpoint;
     proto::Role role = proto::ROLE_UNSPECIFIED;
-    std::strong_ordering operator<=>(const Place&) const = default;
+    // NOLINTNEXTLINE(modernize-use-nullptr): as in base/ids.h.
+    auto operator<=>(const Place&) const = default;
   };
 
   /// This member became leader: nodes may have lost the coordinators at any time before.
--- a/src/gateway/replica_pool.cc
+++ b/src/gateway/replica_pool.cc
@@ -392,10 +392,4 @@
   metrics.SetGauge("gateway_cold_share", cold_pacer_.share());
 }
 
-void ReplicaPool::NotifyRoom() {
-  if (on_room_) {
-    on_room_();
-  }
-}
-
 }  // namespace cloverbank
--- a/src/gateway/replica_pool.h
+++ b/src/gateway/replica_pool.h
@@ -108,7 +108,11 @@
   void OfferRoomSoon();
   void EvaluateHealth();
   void PublishMetrics();
-  void NotifyRoom();
+  void NotifyRoom() {
+    if (on_room_) {
+      on_room_();
+    }
+  }
 
   Environment& environment_;
   const ServingRight& right_;
