Log gaps between leases and versions in force by the end of a lease

Change: an agent logs how long it had no lease and how far its configuration was behind; the leader logs a version that is in force although live gateways have not confirmed it. Both are counted.

--- a/src/coordinator/lease_table.cc
+++ b/src/coordinator/lease_table.cc
@@ -40,11 +40,15 @@
   return end;
 }
 
+ConfigurationVersion LeaseTable::Confirmed(NodeId node) const {
+  const auto entry = holders_.find(node);
+  return entry == holders_.end() ? ConfigurationVersion() : entry->second.confirmed;
+}
+
 std::optional<ConfigurationVersion> LeaseTable::LowestVersionInUse(NodeId node,
                                                                    TimePoint now) const {
   const auto entry = holders_.find(node);
-  const ConfigurationVersion confirmed =
-      entry == holders_.end() ? ConfigurationVersion() : entry->second.confirmed;
+  const ConfigurationVersion confirmed = Confirmed(node);
   if (node < first_known_ && now < unknown_until_) {
     return confirmed;
   }
--- a/src/coordinator/lease_table.h
+++ b/src/coordinator/lease_table.h
@@ -35,6 +35,8 @@
   /// @return the lowest configuration version by which `node` may act at `now`; none if it holds no
   /// lease. 0: unknown, a predecessor may have granted it one.
   std::optional<ConfigurationVersion> LowestVersionInUse(NodeId node, TimePoint now) const;
+  /// @return the newest version that `node` confirmed; 0 if none is remembered.
+  ConfigurationVersion Confirmed(NodeId node) const;
   /// Forgets leases that have run out.
   void Expire(TimePoint now);
 
--- a/src/coordinator/transaction_handler.cc
+++ b/src/coordinator/transaction_handler.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/logging.h"
+
 namespace cloverbank {
 namespace {
 
@@ -26,6 +28,18 @@
   return lowest;
 }
 
+std::vector<NodeId> GatewaysWithoutConfirmation(const ControlState& state, const LeaseTable& leases,
+                                                ConfigurationVersion version) {
+  std::vector<NodeId> unconfirmed;
+  for (const proto::Server* gateway : state.servers().Live(proto::ROLE_GATEWAY)) {
+    const NodeId node(gateway->node_id());
+    if (leases.Confirmed(node) < version) {
+      unconfirmed.push_back(node);
+    }
+  }
+  return unconfirmed;
+}
+
 std::vector<NodeId> GatewaysBehind(const ControlState& state, const LeaseTable& leases,
                                    TimePoint now) {
   std::vector<NodeId> behind;
@@ -86,6 +100,7 @@
     const ConfigurationVersion held =
         VersionHeldByAll(context_.state, context_.leases, context_.environment.Now());
     if (held > configuration.in_force_version()) {
+      NoteUnconfirmed(held);
       proto::ControlCommand command;
       command.mutable_mark_in_force()->set_version(held.value());
       command.mutable_mark_in_force()->set_wall_ms(context_.environment.WallMilliseconds());
@@ -95,6 +110,23 @@
   AnswerInForce();
 }
 
+void TransactionHandler::NoteUnconfirmed(ConfigurationVersion version) {
+  if (version <= last_noted_) {
+    return;
+  }
+  last_noted_ = version;
+  const std::vector<NodeId> unconfirmed =
+      GatewaysWithoutConfirmation(context_.state, context_.leases, version);
+  if (unconfirmed.empty()) {
+    return;
+  }
+  context_.environment.metrics().Increment("coordinator_in_force_unconfirmed_total");
+  Log(LogLevel::kWarning, "in_force_by_lease_end",
+      {{"version", version.value()},
+       {"gateways", unconfirmed.size()},
+       {"first", unconfirmed.front().value()}});
+}
+
 void TransactionHandler::AnswerInForce() {
   const ConfigurationStore& configuration = context_.state.configuration();
   const auto ready = [&configuration](const Waiting& waiting) {
--- a/src/coordinator/transaction_handler.h
+++ b/src/coordinator/transaction_handler.h
@@ -23,6 +23,10 @@
 /// @return live gateways that may still act by a version below the current one.
 std::vector<NodeId> GatewaysBehind(const ControlState& state, const LeaseTable& leases,
                                    TimePoint now);
+/// @return live gateways that have not confirmed `version`: where it is in force, their leases have
+/// run out.
+std::vector<NodeId> GatewaysWithoutConfirmation(const ControlState& state, const LeaseTable& leases,
+                                                ConfigurationVersion version);
 
 class TransactionHandler {
  public:
@@ -48,11 +52,14 @@
   void TakeApplied(const proto::TransactionResult& result,
                    const Reply<proto::SubmitTransactionResponse>& reply);
   void AnswerInForce();
+  /// Tells of gateways that a version in force does not wait for; once a version.
+  void NoteUnconfirmed(ConfigurationVersion version);
   void CountRefusal(const proto::TransactionResult& result);
 
   LeaderContext& context_;
   CommandProposer& proposer_;
   std::list<Waiting> waiting_;
+  ConfigurationVersion last_noted_;
 };
 
 }  // namespace cloverbank
--- a/src/node/node_agent.cc
+++ b/src/node/node_agent.cc
@@ -23,6 +23,8 @@
 /// waits for up to one node lease.
 constexpr Duration kCallAttemptDeadline = seconds(5);
 constexpr Duration kCallSilenceLimit = seconds(1);
+/// Shorter times without a lease are only counted.
+constexpr Duration kLeaseGapToLog = milliseconds(500);
 
 /// A deque, since an observer may add another while it runs.
 using Observers = std::deque<std::function<void()>>;
@@ -69,6 +71,8 @@
   /// Lets the leader tell where the coordinators are: seeds may name none.
   void ServeCoordinators();
   void NoteOutcome(std::string_view what, UpdateOutcome outcome);
+  /// Tells that there was no lease for a while, and how far the configuration had fallen behind.
+  void NoteLeaseGap(Duration gap, std::uint64_t version_before);
   void EndLife(std::string_view reason);
   void Schedule(Duration delay, void (State::*action)());
   /// Calls the leader on behalf of this life: the answer is dropped once it has ended.
@@ -219,7 +223,10 @@
     environment.metrics().Increment("node_heartbeat_failed_total", {{"reason", "malformed"}});
     return false;
   }
-  const HeartbeatEffects effects = session.TakeHeartbeat(request, reply.sent, response);
+  const std::uint64_t version_before = session.configuration().version();
+  const HeartbeatEffects effects =
+      session.TakeHeartbeat(request, {reply.sent, environment.Now()}, response);
+  NoteLeaseGap(effects.lease_gap, version_before);
   TakeCoordinators(response.coordinators());
   NoteOutcome("configuration", effects.configuration);
   NoteOutcome("fleet", effects.fleet);
@@ -269,6 +276,23 @@
   }
 }
 
+void NodeAgent::State::NoteLeaseGap(Duration gap, std::uint64_t version_before) {
+  if (gap <= Duration::zero()) {
+    return;
+  }
+  environment.metrics().ObserveSeconds("node_without_lease_seconds",
+                                       std::chrono::duration<double>(gap).count());
+  if (gap < kLeaseGapToLog) {
+    return;
+  }
+  Log(LogLevel::kWarning, "node_was_without_lease",
+      {{"machine", options.machine},
+       {"role", proto::Role_Name(options.role)},
+       {"ms", std::chrono::duration_cast<milliseconds>(gap).count()},
+       {"version_before", version_before},
+       {"version", session.configuration().version()}});
+}
+
 void NodeAgent::State::EndLife(std::string_view reason) {
   if (!session.node_id().valid()) {
     return;
--- a/src/node/node_session.cc
+++ b/src/node/node_session.cc
@@ -70,7 +70,8 @@
   return std::exchange(gateway_place_, place) != place;
 }
 
-HeartbeatEffects NodeSession::TakeHeartbeat(const proto::HeartbeatRequest& request, TimePoint sent,
+HeartbeatEffects NodeSession::TakeHeartbeat(const proto::HeartbeatRequest& request,
+                                            const HeartbeatTimes& times,
                                             const proto::HeartbeatResponse& response) {
   HeartbeatEffects effects;
   for (const std::uint64_t suspect : request.suspected_node_ids()) {
@@ -89,9 +90,14 @@
   list_sources_ = ToEndpoints(response.list_sources());
   const bool same_life = node_id_.valid() && NodeId(request.node_id()) == node_id_;
   if (same_life && effects.configuration != UpdateOutcome::kGap) {
-    const TimePoint end = sent + UsableLease(response.lease_ms());
+    const TimePoint end = times.sent + UsableLease(response.lease_ms());
     effects.lease_extended = end > lease_end_;
     lease_end_ = std::max(lease_end_, end);
+    const bool held_before = last_lease_end_ != TimePoint();
+    if (held_before) {
+      effects.lease_gap = std::max(Duration::zero(), times.answered - last_lease_end_);
+    }
+    last_lease_end_ = std::max(last_lease_end_, end);
   }
   return effects;
 }
--- a/src/node/node_session.h
+++ b/src/node/node_session.h
@@ -26,9 +26,18 @@
   UpdateOutcome configuration = UpdateOutcome::kNothing;
   UpdateOutcome fleet = UpdateOutcome::kNothing;
   bool lease_extended = false;
+  /// How long there had been no lease when this one began; zero if there was one, or never had
+  /// been.
+  Duration lease_gap{};
   bool place_changed = false;
 };
 
+/// When a heartbeat was sent and its answer arrived.
+struct HeartbeatTimes {
+  TimePoint sent;
+  TimePoint answered;
+};
+
 class NodeSession {
  public:
   explicit NodeSession(Incarnation incarnation) : incarnation_(incarnation) {}
@@ -61,7 +70,8 @@
   /// @return the request to send now, to be held by the leader for up to `hold`.
   proto::HeartbeatRequest MakeHeartbeat(Duration hold) const;
   /// Takes the answer to `request`, which was sent at `sent`.
-  HeartbeatEffects TakeHeartbeat(const proto::HeartbeatRequest& request, TimePoint sent,
+  HeartbeatEffects TakeHeartbeat(const proto::HeartbeatRequest& request,
+                                 const HeartbeatTimes& times,
                                  const proto::HeartbeatResponse& response);
 
  private:
@@ -76,6 +86,7 @@
   std::vector<Endpoint> neighbours_;
   std::optional<std::vector<Endpoint>> list_sources_;
   TimePoint lease_end_{};
+  TimePoint last_lease_end_{};  ///< Of any life of this process.
   ConfigurationWatch configuration_;
   FleetWatch fleet_;
   std::set<NodeId> suspects_;
