Let the group of coordinators bear as many losses as it is asked to

Cause: the group had as many voters as seeds, three, whatever may be lost; two of three are no minority. Beside it, several machines could take the place of one silent voter within 150 ms, so groups grew to odd and even sizes by chance. A silent voter has one successor at a time; one that falls silent itself makes room. A learner is promoted only into a place.

--- a/apps/cloverbankd/coordinator_role.cc
+++ b/apps/cloverbankd/coordinator_role.cc
@@ -10,10 +10,14 @@
 /// Heartbeats within one election timeout, so that a lost one starts no election.
 constexpr int kHeartbeatsPerElectionTimeout = 4;
 
+/// A majority is left after `losses` of so many voters.
+std::size_t VotersToBear(std::size_t losses) { return losses == 0 ? 0 : 2 * losses + 1; }
+
 RaftNodeOptions MakeRaftOptions(const RoleContext& context) {
   RaftNodeOptions options;
   options.seeds = context.settings.seeds;
   options.replace_silent_after = context.settings.replace_silent_after;
+  options.wanted_voters = VotersToBear(context.settings.losses_borne);
   options.may_found = context.settings.form_group;
   options.election_timeout = context.settings.election_timeout;
   options.heartbeat_interval = context.settings.election_timeout / kHeartbeatsPerElectionTimeout;
--- a/src/consensus/raft_core.h
+++ b/src/consensus/raft_core.h
@@ -171,9 +171,15 @@
   /// @return the voter that was not heard for the longest time, if long enough to give its place to
   /// a member at another address; else 0.
   std::uint64_t LongestSilent(TimePoint now) const;
+  /// @return when `peer` was last heard; the start of the term or of its membership if never.
+  TimePoint SilentSince(const RaftPeer& peer) const;
+  /// Whether `member` is a learner that may be left out: it was silent for as long as a voter may.
+  bool IsSilentLearner(TimePoint now, const proto::RaftMember& member) const;
+  /// Whether a learner already takes the place of `voter`: a second one would make the group grow.
+  bool HasLiveSuccessor(TimePoint now, std::uint64_t voter) const;
   Status MoveMember(TimePoint now, const proto::RaftMember& member);
   void ProposeConfiguration(TimePoint now, const proto::RaftConfiguration& configuration);
-  void RebuildPeers();
+  void RebuildPeers(TimePoint now);
   void AdvanceMembership(TimePoint now);
   std::optional<proto::RaftConfiguration> NextConfiguration(TimePoint now) const;
   bool HasActiveMajority(TimePoint now, const proto::RaftConfiguration& configuration) const;
--- a/src/consensus/raft_core_election.cc
+++ b/src/consensus/raft_core_election.cc
@@ -78,7 +78,7 @@
   transfer_target_ = 0;
   transfer_sent_ = false;
   peers_.clear();
-  RebuildPeers();
+  RebuildPeers(now);
   proto::RaftEntry entry;
   entry.set_index(log_.last_index() + 1);
   entry.set_term(term());
--- a/src/consensus/raft_core_membership.cc
+++ b/src/consensus/raft_core_membership.cc
@@ -90,7 +90,7 @@
   proto::RaftConfiguration next;
   for (const proto::RaftMember& present : configuration().members()) {
     const bool displaced = SameEndpoint(present, member) || present.member_id() == replaces;
-    if (displaced && present.learner()) {
+    if (present.learner() && (displaced || IsSilentLearner(now, present))) {
       continue;  // Learners do not count: they may come and go along with another change.
     }
     // Whoever had this very address is gone for certain, so it goes before one that is only named.
@@ -116,6 +116,25 @@
   return Status::Ok();
 }
 
+TimePoint RaftCore::SilentSince(const RaftPeer& peer) const {
+  const TimePoint begin = std::max(term_started_, peer.known_since);
+  return std::max(begin, peer.heard_since.value_or(begin));
+}
+
+bool RaftCore::IsSilentLearner(TimePoint now, const proto::RaftMember& member) const {
+  const auto peer = peers_.find(member.member_id());
+  return member.learner() && peer != peers_.end() &&
+         options_.replace_silent_after > Duration::zero() &&
+         now - SilentSince(peer->second) >= options_.replace_silent_after;
+}
+
+bool RaftCore::HasLiveSuccessor(TimePoint now, std::uint64_t voter) const {
+  return std::any_of(peers_.begin(), peers_.end(), [this, now, voter](const auto& entry) {
+    const proto::RaftMember& member = entry.second.member;
+    return member.replaces() == voter && !IsSilentLearner(now, member);
+  });
+}
+
 std::uint64_t RaftCore::LongestSilent(TimePoint now) const {
   if (options_.replace_silent_after <= Duration::zero()) {
     return 0;
@@ -123,8 +142,8 @@
   std::uint64_t longest = 0;
   TimePoint longest_since = now - options_.replace_silent_after;
   for (const auto& [id, peer] : peers_) {
-    const TimePoint since = std::max(term_started_, peer.heard_since.value_or(term_started_));
-    if (!peer.member.learner() && since <= longest_since) {
+    const TimePoint since = SilentSince(peer);
+    if (!peer.member.learner() && since <= longest_since && !HasLiveSuccessor(now, id)) {
       longest = id;
       longest_since = since;
     }
@@ -150,11 +169,11 @@
   entry.set_term(term());
   *entry.mutable_configuration() = configuration;
   AppendToLog(std::move(entry));
-  RebuildPeers();
+  RebuildPeers(now);
   SendNewEntries(now);
 }
 
-void RaftCore::RebuildPeers() {
+void RaftCore::RebuildPeers(TimePoint now) {
   for (auto peer = peers_.begin(); peer != peers_.end();) {
     const bool gone = FindMember(configuration(), peer->first) == nullptr;
     peer = gone ? peers_.erase(peer) : std::next(peer);
@@ -167,6 +186,7 @@
     peer->second.member = member;
     if (added) {
       peer->second.next_index = log_.last_index() + 1;
+      peer->second.known_since = now;
     }
   }
 }
@@ -207,7 +227,7 @@
         (!member.learner() || (promotable && old_is_silent))) {
       return Without(configuration(), replaced->member_id());
     }
-    if (promotable) {
+    if (promotable && (member.replaces() != 0 || VoterCount() < options_.maximum_members)) {
       return WithPromoted(configuration(), member.member_id());
     }
   }
--- a/src/consensus/raft_node.cc
+++ b/src/consensus/raft_node.cc
@@ -1,5 +1,6 @@
 #include "consensus/raft_node.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "base/logging.h"
@@ -28,7 +29,7 @@
   core_options.trailing_entries = options_.trailing_entries;
   core_options.snapshot_chunk_bytes = options_.snapshot_chunk_bytes;
   core_options.maximum_append_entries = options_.maximum_append_entries;
-  core_options.maximum_members = options_.seeds.size();
+  core_options.maximum_members = std::max(options_.wanted_voters, options_.seeds.size());
   core_options.replace_silent_after = options_.replace_silent_after;
   core_options.random_seed = environment_.Random();
   return core_options;
--- a/src/consensus/raft_node.h
+++ b/src/consensus/raft_node.h
@@ -30,6 +30,9 @@
   /// Whether seeds that are all empty may found a new group. False on every start but the first of
   /// the whole system: an empty disk then only ever joins.
   bool may_found = true;
+  /// Voters of a complete group, if more than there are seeds. A group that is to bear n losses at
+  /// once needs 2n + 1.
+  std::size_t wanted_voters = 0;
   /// See `RaftCoreOptions`. If set, seeds say nothing of who is to be replaced: they may lag.
   Duration replace_silent_after{};
   /// Shortest silence of the leader after which another is elected; the longest is twice that.
--- a/src/consensus/raft_peer.h
+++ b/src/consensus/raft_peer.h
@@ -25,6 +25,8 @@
   bool probing = false;
   /// When each unanswered message was sent.
   std::map<std::uint64_t, TimePoint> sent_at;
+  /// When this leader began to count it among the members.
+  TimePoint known_since;
   /// When the latest answered message was sent: the member heard this leader then or later.
   std::optional<TimePoint> heard_since;
   /// The snapshot being sent, and how much of it the member has.
--- a/src/consensus/raft_types.h
+++ b/src/consensus/raft_types.h
@@ -39,7 +39,8 @@
   std::uint64_t trailing_entries = 512;
   /// Proposals are refused while this many entries wait for their commit.
   std::uint64_t maximum_uncommitted_entries = 16384;
-  /// A join that replaces nobody is refused when the group has this many members.
+  /// Voters of a complete group. A join that replaces nobody is refused when there are as many
+  /// members.
   std::size_t maximum_members = 3;
   /// A voter that was not heard for this long gives its place to a joining member at another
   /// address that names nobody to replace. Zero: never.
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -15,6 +15,7 @@
 constexpr NumberBounds kPartitionBounds{1, 4096};
 constexpr NumberBounds kSegmentBounds{64 << 10, 64 << 20};
 constexpr NumberBounds kCopiesBounds{1, 7};
+constexpr NumberBounds kLossesBounds{0, 3};
 constexpr NumberBounds kReplaceBounds{0, 3'600'000};
 constexpr NumberBounds kArrivalBounds{50, 10000};
 constexpr NumberBounds kStopBounds{0, 60000};
@@ -178,6 +179,9 @@
   ReadDuration(reader, "control.arrival_quiet_ms", kArrivalBounds, &settings->arrival_quiet);
   ReadDuration(reader, "control.replace_silent_after_ms", kReplaceBounds,
                &settings->replace_silent_after);
+  if (const auto losses = reader.Number("control.losses_borne", kLossesBounds)) {
+    settings->losses_borne = static_cast<std::uint32_t>(*losses);
+  }
   settings->form_group = reader.Boolean("control.form_group").value_or(true);
   ReadDuration(reader, "control.serve_without_control_ms", kStalenessBounds,
                &settings->serve_without_control);
--- a/tests/consensus/raft_cluster.cc
+++ b/tests/consensus/raft_cluster.cc
@@ -83,7 +83,9 @@
     names_.push_back("m" + std::to_string(member));
     SimulatedMachine& machine =
         world_.AddMachine(names_.back(), "10.0.0." + std::to_string(member + 1));
-    options_.node.seeds.push_back(machine.endpoint());
+    if (options.seeds == 0 || member < options.seeds) {
+      options_.node.seeds.push_back(machine.endpoint());
+    }
   }
   for (std::size_t member = 0; member < options.size; ++member) {
     SetProgram(member);
--- a/tests/consensus/raft_cluster.h
+++ b/tests/consensus/raft_cluster.h
@@ -85,6 +85,7 @@
 
 struct ClusterOptions {
   std::size_t size = 3;
+  std::size_t seeds = 0;  ///< The first so many members; 0 is all.
   std::uint64_t seed = 1;
   std::vector<int> clock_rates = {100};  ///< Percent; taken in turn.
   RaftNodeOptions node = {};
--- a/tests/consensus/raft_core_membership_test.cc
+++ b/tests/consensus/raft_core_membership_test.cc
@@ -40,6 +40,32 @@
   EXPECT_EQ(members, (std::set<std::uint64_t>{1, 2, 14}));
 }
 
+TEST_F(RaftCoreTest, OneSilentVoterHasOneSuccessorAtATime) {
+  options_.replace_silent_after = seconds(2);
+  Restart();
+  Lead();
+  Exchange(Heartbeat(), {2, 3});
+  for (int round = 0; round < 30; ++round) {
+    Exchange(Heartbeat(), {2});  // Member 3 is silent.
+  }
+  ASSERT_TRUE(core_->AdmitMember(now_, Member(14), 0).ok());
+  Exchange(Take(), {2});
+  Exchange(Heartbeat(), {2});
+  EXPECT_EQ(core_->AdmitMember(now_, Member(15), 0).code(), StatusCode::kConflict);
+  for (int round = 0; round < 30; ++round) {
+    Exchange(Heartbeat(), {2});  // And so is its successor.
+  }
+  ASSERT_TRUE(core_->AdmitMember(now_, Member(15), 0).ok());
+  for (int round = 0; round < 4; ++round) {
+    Exchange(Heartbeat(), {2, 15});
+  }
+  std::set<std::uint64_t> members;
+  for (const proto::RaftMember& member : core_->configuration().members()) {
+    members.insert(member.member_id());
+  }
+  EXPECT_EQ(members, (std::set<std::uint64_t>{1, 2, 15}));
+}
+
 TEST_F(RaftCoreTest, WhoeverHadTheVeryAddressGoesBeforeOneThatIsOnlyNamed) {
   Lead();
   ASSERT_TRUE(core_->AdmitMember(now_, Member(13), 2).ok());  // The endpoint of member 3.
--- /dev/null
+++ b/tests/consensus/raft_losses_test.cc
@@ -0,0 +1,128 @@
+// A group that is to bear two losses at once, and again after each repair.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <cstdlib>
+
+#include "consensus/raft_cluster.h"
+
+namespace cloverbank {
+namespace {
+
+constexpr std::size_t kMachines = 8;
+constexpr std::size_t kSeeds = 3;
+constexpr std::size_t kVoters = 5;
+constexpr int kRounds = 6;
+constexpr std::uint64_t kDefaultSeeds = 6;
+
+std::uint64_t SeedCount() {
+  const char* text = std::getenv("CLOVERBANK_SEEDS");
+  return text == nullptr ? kDefaultSeeds : std::strtoull(text, nullptr, 10);
+}
+
+ClusterOptions Options(std::uint64_t seed) {
+  ClusterOptions options;
+  options.size = kMachines;
+  options.seeds = kSeeds;
+  options.seed = seed;
+  options.node.wanted_voters = kVoters;
+  options.node.replace_silent_after = milliseconds(1500);
+  return options;
+}
+
+class LossesRun {
+ public:
+  explicit LossesRun(std::uint64_t seed) : cluster(Options(seed)) { cluster.StartAll(); }
+
+  /// Machines whose members vote, in the leader's configuration.
+  std::vector<std::size_t> Voters() {
+    std::vector<std::size_t> voters;
+    const std::size_t leader = cluster.Leader();
+    if (leader == cluster.size()) {
+      return voters;
+    }
+    for (const LogMember& member : cluster.life(leader)->node.members()) {
+      for (std::size_t at = 0; at < cluster.size(); ++at) {
+        const bool here = cluster.life(at) != nullptr &&
+                          cluster.life(at)->node.core().member_id() == member.member_id;
+        if (here && !member.learner) {
+          voters.push_back(at);
+        }
+      }
+    }
+    return voters;
+  }
+  bool Complete(Duration limit) {
+    return cluster.RunUntil([this] { return Voters().size() == kVoters; }, limit);
+  }
+  bool Acknowledges(Duration limit) {
+    const std::size_t before = cluster.record().acknowledged.size();
+    const TimePoint end = cluster.world().Now() + limit;
+    while (cluster.record().acknowledged.size() == before && cluster.world().Now() < end) {
+      if (const std::size_t leader = cluster.Leader(); leader < cluster.size()) {
+        cluster.Propose(leader);
+      }
+      cluster.RunFor(milliseconds(100));
+    }
+    return cluster.record().acknowledged.size() > before;
+  }
+  /// Two voters, the leader among them every other time.
+  std::vector<std::size_t> DrawTwo(int round) {
+    std::vector<std::size_t> voters = Voters();
+    const std::size_t leader = cluster.Leader();
+    std::vector<std::size_t> drawn;
+    if (round % 2 == 0) {
+      drawn.push_back(leader);
+    }
+    while (drawn.size() < 2) {
+      const std::size_t at = voters[cluster.world().RandomBelow(voters.size())];
+      if (std::find(drawn.begin(), drawn.end(), at) == drawn.end()) {
+        drawn.push_back(at);
+      }
+    }
+    return drawn;
+  }
+
+  RaftCluster cluster;
+};
+
+TEST(RaftLossesTest, TwoVotersThatLoseTheirDisksAtOnceLoseNothingAgainAndAgain) {
+  for (std::uint64_t seed = 1; seed <= SeedCount(); ++seed) {
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    LossesRun run(seed);
+    ASSERT_TRUE(run.Complete(seconds(10)));
+    for (int round = 0; round < kRounds; ++round) {
+      ASSERT_TRUE(run.Acknowledges(seconds(3))) << "round " << round;
+      for (const std::size_t lost : run.DrawTwo(round)) {
+        run.cluster.machine(lost).LoseDisk();
+      }
+      run.cluster.RunFor(milliseconds(300));
+      run.cluster.StartAll();
+      ASSERT_TRUE(run.Acknowledges(seconds(5))) << "round " << round;
+      ASSERT_TRUE(run.Complete(seconds(10))) << "round " << round;
+    }
+    EXPECT_TRUE(run.cluster.record().failures.empty());
+  }
+}
+
+TEST(RaftLossesTest, TwoVotersWithoutPowerHoldNothingUpAndTheirPlacesAreTaken) {
+  for (std::uint64_t seed = 1; seed <= SeedCount(); ++seed) {
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    LossesRun run(seed);
+    ASSERT_TRUE(run.Complete(seconds(10)));
+    for (int round = 0; round < kRounds; ++round) {
+      for (const std::size_t lost : run.DrawTwo(round)) {
+        run.cluster.machine(lost).LosePower();
+      }
+      ASSERT_TRUE(run.Acknowledges(seconds(3))) << "round " << round;
+      ASSERT_TRUE(run.Complete(seconds(12))) << "round " << round;
+      run.cluster.StartAll();
+      run.cluster.RunFor(seconds(2));
+      EXPECT_EQ(run.Voters().size(), kVoters) << "round " << round;
+    }
+    EXPECT_TRUE(run.cluster.record().failures.empty());
+  }
+}
+
+}  // namespace
+}  // namespace cloverbank
--- a/tests/settings/configuration_page_test.cc
+++ b/tests/settings/configuration_page_test.cc
@@ -43,7 +43,7 @@
 
 TEST(ConfigurationPageTest, EveryDocumentedKeyIsKnown) {
   const std::set<std::string> keys = DocumentedKeys();
-  EXPECT_EQ(keys.size(), 34U);
+  EXPECT_EQ(keys.size(), 35U);
   for (const std::string& key : keys) {
     EXPECT_TRUE(IsKnown(key)) << key;
   }
