Send nodes what a change changes, not the operator's whole document

Cause: each update carried the document as the operator sent it, to every role of every node, backups too, so a change cost nodes times routes; nobody there reads it.

Result: AChangeCostsANodeWhatItChangesHoweverLongTheDocument fails on the code before (update of 100 KB where 200 bytes are enough). ADeltaBringsANodeToWhatTheWholeIs now also asserts what is read back at the coordinators and compares a node's copy with the whole but for the source.

--- a/src/consensus/raft_core_follower.cc
+++ b/src/consensus/raft_core_follower.cc
@@ -171,7 +171,15 @@
 
 void RaftCore::CompactLog(std::uint64_t snapshot_index) {
   const std::uint64_t trailing = std::min(snapshot_index, options_.trailing_entries);
-  const std::uint64_t new_base = snapshot_index - trailing;
+  std::uint64_t new_base = snapshot_index;
+  std::size_t bytes = 0;
+  while (new_base > snapshot_index - trailing && new_base > log_.base_index()) {
+    bytes += log_.At(new_base).ByteSizeLong();
+    if (bytes > options_.trailing_bytes) {
+      break;
+    }
+    --new_base;
+  }
   if (new_base > log_.base_index()) {
     log_.CompactTo(new_base);
     WriteWholeLog();
--- a/src/consensus/raft_types.h
+++ b/src/consensus/raft_types.h
@@ -37,6 +37,8 @@
   std::size_t snapshot_chunk_bytes = 256U << 10U;
   /// Entries before a snapshot that stay in the log, so that a slow follower needs no snapshot.
   std::uint64_t trailing_entries = 512;
+  /// The most bytes of them. Memory and disk hold the log whole, and a snapshot rewrites it.
+  std::size_t trailing_bytes = 2U << 20U;
   /// Proposals are refused while this many entries wait for their commit.
   std::uint64_t maximum_uncommitted_entries = 16384;
   /// Voters of a complete group. A join that replaces nobody is refused when there are as many
--- a/src/coordinator/configuration_store.cc
+++ b/src/coordinator/configuration_store.cc
@@ -248,6 +248,9 @@
     whole_update_.emplace();
     whole_update_->set_to_version(version_.value());
     *whole_update_->mutable_full() = Whole();
+    if (objects_.document.ByteSizeLong() > 0) {
+      whole_update_->mutable_full()->mutable_document()->clear_source();
+    }
   }
   return *whole_update_;
 }
@@ -265,7 +268,7 @@
   update.set_label(label_);
   // The size is kept up to date object by object: printing the whole at every version would cost as
   // much as there are tenants.
-  const std::size_t limit = objects_.bytes;
+  const std::size_t limit = objects_.bytes - objects_.document.source().size();
   std::size_t bytes = 0;
   std::set<ConfigurationObjectKey> seen;  // Only the last change of each object counts.
   for (auto record = history_.rbegin(); record != history_.rend(); ++record) {
@@ -278,9 +281,6 @@
       }
       proto::ConfigurationChange* added = update.add_changes();
       *added = change;
-      if (change.has_set_document()) {
-        *added->mutable_set_document() = objects_.document;
-      }
       bytes += added->ByteSizeLong() + kChangeFramingBytes;
       if (bytes >= limit) {
         return std::nullopt;
--- a/src/coordinator/configuration_store.h
+++ b/src/coordinator/configuration_store.h
@@ -54,7 +54,8 @@
   /// @return the whole configuration.
   const proto::RoutingConfiguration& Whole() const;
   /// @return what a node that holds `held` needs: the changes since, or the whole configuration if
-  /// that is smaller or the history does not reach back.
+  /// that is smaller or the history does not reach back. The operator's document stays here: nodes
+  /// act by what was read from it, and its size would be paid at every node for every change.
   const proto::ConfigurationUpdate& UpdateFrom(ConfigurationVersion held) const;
   /// @return the newest `count` history records, oldest first.
   std::vector<proto::HistoryRecord> History(std::size_t count) const;
--- a/src/coordinator/heartbeat_handler.cc
+++ b/src/coordinator/heartbeat_handler.cc
@@ -90,8 +90,7 @@
   if (context_.condemned.contains(node)) {
     return false;  // Its death is being decided: no lease may be granted meanwhile.
   }
-  const bool news = ConfigurationVersion(held.request.configuration_version()) <
-                        context_.state.configuration().version() ||
+  const bool news = NeedsConfiguration(held.request) ||
                     FleetVersion(held.request.fleet_version()) < context_.state.fleet_version();
   if (!news && context_.environment.Now() < held.release) {
     return false;
@@ -100,14 +99,21 @@
   return true;
 }
 
+bool HeartbeatHandler::NeedsConfiguration(const proto::HeartbeatRequest& request) const {
+  const proto::Server* server = context_.state.servers().Find(NodeId(request.node_id()));
+  const bool acts_by_it = server != nullptr && server->role() != proto::ROLE_BACKUP;
+  return acts_by_it && ConfigurationVersion(request.configuration_version()) <
+                           context_.state.configuration().version();
+}
+
 proto::HeartbeatResponse HeartbeatHandler::Grant(const Held& held) {
   const ConfigurationStore& configuration = context_.state.configuration();
   proto::HeartbeatResponse response;
   response.set_lease_ms(static_cast<std::uint32_t>(
       std::chrono::duration_cast<milliseconds>(context_.leases.lease()).count()));
-  const ConfigurationVersion held_version(held.request.configuration_version());
-  if (held_version < configuration.version()) {
-    *response.mutable_configuration() = configuration.UpdateFrom(held_version);
+  if (NeedsConfiguration(held.request)) {
+    *response.mutable_configuration() =
+        configuration.UpdateFrom(ConfigurationVersion(held.request.configuration_version()));
   }
   const FleetVersion held_fleet(held.request.fleet_version());
   if (held_fleet < context_.state.fleet_version()) {
--- a/src/coordinator/heartbeat_handler.h
+++ b/src/coordinator/heartbeat_handler.h
@@ -38,6 +38,8 @@
   /// @return whether it was answered.
   bool AnswerIfDue(Held& held);
   void AddGateways(NodeId node, proto::HeartbeatResponse* response) const;
+  /// Whether the sender acts by a configuration and has told an older one than the current.
+  bool NeedsConfiguration(const proto::HeartbeatRequest& request) const;
   proto::HeartbeatResponse Grant(const Held& held);
 
   LeaderContext& context_;
--- a/tests/coordinator/labelled_configuration_test.cc
+++ b/tests/coordinator/labelled_configuration_test.cc
@@ -123,8 +123,41 @@
       control.state.configuration().UpdateFrom(watch.version());
   EXPECT_FALSE(update.has_full());
   watch.Take(update);
-  EXPECT_EQ(watch.configuration().SerializeAsString(),
-            control.state.configuration().Whole().SerializeAsString());
+  proto::RoutingConfiguration whole = control.state.configuration().Whole();
+  EXPECT_EQ(whole.document().source(), "document 9");
+  whole.mutable_document()->clear_source();  // Read back from the coordinators, not by nodes.
+  EXPECT_EQ(watch.configuration().SerializeAsString(), whole.SerializeAsString());
+}
+
+TEST(LabelledConfiguration, AChangeCostsANodeWhatItChangesHoweverLongTheDocument) {
+  constexpr std::size_t kDocumentBytes = 100'000;
+  constexpr std::size_t kMostBytes = 200;
+  ControlDriver control;
+  std::vector<std::string> prefixes;
+  for (int count = 0; count < 300; ++count) {
+    prefixes.push_back("/p" + std::to_string(count) + "/");
+  }
+  const auto with_document = [](proto::ConfigurationTransaction transaction) {
+    for (proto::ConfigurationChange& change : *transaction.mutable_changes()) {
+      if (change.has_set_document()) {
+        change.mutable_set_document()->set_source(std::string(kDocumentBytes, 'd'));
+        change.mutable_set_document()->mutable_limits()->set_header_bytes(99);
+      }
+    }
+    return transaction;
+  };
+  control.Submit(with_document(Whole("a", 0, 3, prefixes)));
+  ConfigurationWatch watch;
+  const auto& first = control.state.configuration().UpdateFrom(ConfigurationVersion());
+  EXPECT_LT(first.ByteSizeLong(), kDocumentBytes);
+  watch.Take(first);
+  prefixes.back() = "/other/";
+  control.Submit(with_document(Whole("b", 3, 9, prefixes)));
+  const auto& update = control.state.configuration().UpdateFrom(watch.version());
+  EXPECT_LT(update.ByteSizeLong(), kMostBytes);
+  watch.Take(update);
+  EXPECT_EQ(watch.configuration().document().limits().header_bytes(), 99U);
+  EXPECT_EQ(watch.configuration().routes_size(), 300);
 }
 
 }  // namespace
