Do not judge an inquiry after an order in place of the order

What callers saw: a valid patch answered 400, then 400 to every resend. Cause: a gateway that read the configuration before the base of a patch was applied can not merge it and sends a transaction without changes in its place, to learn whether the order is known. If the base was applied before that was judged, the leader judged the empty transaction ("changes is empty"), and kept the refusal under the order's id for ever. Change: such a transaction is marked as an inquiry. It is refused for good only while another label than its base is current; else the node is told to make and send the order after all.

--- a/src/coordinator/configuration_store.cc
+++ b/src/coordinator/configuration_store.cc
@@ -58,6 +58,9 @@
                    {"operation_id \"" + transaction.operation_id() +
                     "\" was used for another transaction; choose a new one"});
   }
+  if (transaction.inquiry() && transaction.expected_label() == label_) {
+    return Refusal(transaction, proto::TRANSACTION_OUTCOME_MAY_BE_SENT, {});
+  }
   proto::TransactionResult result = Judge(transaction);
   if (result.outcome() == proto::TRANSACTION_OUTCOME_APPLIED) {
     Commit(transaction, wall_ms);
--- a/src/coordinator/configuration_store.h
+++ b/src/coordinator/configuration_store.h
@@ -34,7 +34,7 @@
 
   /// Takes the transaction whole or refuses it whole, and records the answer under its operation
   /// id. An operation id met before gets its first answer; one reused for another content is
-  /// refused and the record stays. A dry run changes nothing.
+  /// refused and the record stays. A dry run changes nothing; an inquiry never does.
   proto::TransactionResult Apply(const proto::ConfigurationTransaction& transaction,
                                  std::int64_t wall_ms);
   /// @return the answer the transaction would get now; changes nothing (dry run).
--- a/src/node/operator_orders.cc
+++ b/src/node/operator_orders.cc
@@ -20,6 +20,52 @@
                                                       timeouts_.order, std::move(done));
 }
 
+void OperatorOrders::SubmitOnDocument(std::shared_ptr<const DocumentOrder> order,
+                                      Done<proto::SubmitTransactionResponse> done) {
+  ReadConfiguration(
+      0, [this, alive = std::weak_ptr<bool>(alive_), order = std::move(order),
+          done = std::move(done)](const Result<proto::GetConfigurationResponse>& current) {
+        if (alive.expired()) {
+          return;
+        }
+        if (!current.ok()) {
+          done(current.status());
+          return;
+        }
+        SubmitOn(current->configuration(), order, done);
+      });
+}
+
+void OperatorOrders::SubmitOn(const proto::RoutingConfiguration& current,
+                              const std::shared_ptr<const DocumentOrder>& order,
+                              Done<proto::SubmitTransactionResponse> done) {
+  proto::ConfigurationTransaction transaction;
+  if (current.label() == order->base) {
+    Result<proto::ConfigurationTransaction> made = order->make(current.document().source());
+    if (!made.ok()) {
+      done(made.status());
+      return;
+    }
+    transaction = *std::move(made);
+  } else {
+    transaction.set_inquiry(true);
+  }
+  transaction.set_operation_id(order->operation_id);
+  transaction.set_label(order->label);
+  transaction.set_expected_label(order->base);
+  Submit(std::move(transaction),
+         [this, alive = std::weak_ptr<bool>(alive_), order,
+          done = std::move(done)](Result<proto::SubmitTransactionResponse> result) {
+           const bool again =
+               result.ok() && result->result().outcome() == proto::TRANSACTION_OUTCOME_MAY_BE_SENT;
+           if (again && !alive.expired()) {
+             SubmitOnDocument(order, done);  // The base came between reading and inquiring.
+           } else {
+             done(std::move(result));
+           }
+         });
+}
+
 void OperatorOrders::Retire(const proto::RetireServerRequest& order,
                             Done<proto::RetireServerResponse> done) {
   agent_.CallLeader<proto::RetireServerResponse>("coordinator.RetireServer", order, timeouts_.order,
--- a/src/node/operator_orders.h
+++ b/src/node/operator_orders.h
@@ -5,6 +5,8 @@
 
 #include <cstdint>
 #include <functional>
+#include <memory>
+#include <string>
 
 #include "node/node_agent.h"
 
@@ -17,6 +19,15 @@
   Duration order = seconds(4);
 };
 
+/// An order whose changes are read from the operator's own document of the label it builds on.
+struct DocumentOrder {
+  std::string operation_id;
+  std::uint64_t base = 0;   ///< Label it builds on.
+  std::uint64_t label = 0;  ///< Label it brings.
+  /// Makes the transaction out of the document of `base`; the same one each time it is called.
+  std::function<Result<proto::ConfigurationTransaction>(const std::string& document)> make;
+};
+
 class OperatorOrders {
  public:
   template <typename Response>
@@ -32,12 +43,22 @@
   /// sending the same transaction again.
   void Submit(proto::ConfigurationTransaction transaction,
               Done<proto::SubmitTransactionResponse> done);
+  /// As `Submit`, for an order that only the current document can be read into: reads it, and
+  /// inquires after the order where another label is current. kInvalidArgument: `make` refused.
+  void SubmitOnDocument(std::shared_ptr<const DocumentOrder> order,
+                        Done<proto::SubmitTransactionResponse> done);
   void Retire(const proto::RetireServerRequest& order, Done<proto::RetireServerResponse> done);
   void ReadRetirement(const std::string& machine, Done<proto::GetRetirementResponse> done);
 
  private:
+  void SubmitOn(const proto::RoutingConfiguration& current,
+                const std::shared_ptr<const DocumentOrder>& order,
+                Done<proto::SubmitTransactionResponse> done);
+
   NodeAgent& agent_;
   const OperatorTimeouts timeouts_;
+  /// Answers that come later than this object's end are dropped.
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 }  // namespace cloverbank
--- a/tests/coordinator/labelled_configuration_test.cc
+++ b/tests/coordinator/labelled_configuration_test.cc
@@ -62,6 +62,37 @@
   EXPECT_EQ(restored.state.configuration().label(), 8U);
 }
 
+TEST(LabelledConfiguration, AnInquiryThatItsBaseOvertookRefusesNothing) {
+  ControlDriver control;
+  control.Submit(Whole("a", 0, 3, {"/x/"}));
+  proto::ConfigurationTransaction inquiry;
+  inquiry.set_operation_id("patch");
+  inquiry.set_label(9);
+  inquiry.set_expected_label(5);
+  inquiry.set_inquiry(true);
+  control.Submit(Whole("b", 3, 5, {"/x/"}));  // Applied after the gateway had read label 3.
+  EXPECT_EQ(control.Submit(inquiry).outcome(), proto::TRANSACTION_OUTCOME_MAY_BE_SENT);
+  EXPECT_EQ(control.state.configuration().label(), 5U);
+  EXPECT_EQ(control.Submit(Whole("patch", 5, 9, {"/x/", "/y/"})).outcome(),
+            proto::TRANSACTION_OUTCOME_APPLIED);
+  EXPECT_EQ(control.Submit(inquiry).outcome(), proto::TRANSACTION_OUTCOME_APPLIED);
+}
+
+TEST(LabelledConfiguration, AnInquiryThatIsRefusedIsNeverTakenLater) {
+  ControlDriver control;
+  control.Submit(Whole("a", 0, 3, {"/x/"}));
+  proto::ConfigurationTransaction inquiry;
+  inquiry.set_operation_id("patch");
+  inquiry.set_label(9);
+  inquiry.set_expected_label(5);
+  inquiry.set_inquiry(true);
+  EXPECT_EQ(control.Submit(inquiry).outcome(), proto::TRANSACTION_OUTCOME_VERSION_CONFLICT);
+  control.Submit(Whole("b", 3, 5, {"/x/"}));
+  EXPECT_EQ(control.Submit(Whole("patch", 5, 9, {"/y/"})).outcome(),
+            proto::TRANSACTION_OUTCOME_VERSION_CONFLICT);
+  EXPECT_EQ(control.state.configuration().label(), 5U);
+}
+
 TEST(LabelledConfiguration, InvalidOnesChangeNothing) {
   ControlDriver control;
   control.Submit(Whole("a", 0, 3, {"/x/"}));
--- a/tests/node/fake_control.h
+++ b/tests/node/fake_control.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "proto/coordinator.pb.h"
@@ -34,6 +35,9 @@
   std::vector<proto::SubmitTransactionRequest> transactions;
   std::vector<std::string> retired;
   proto::TransactionResult transaction_result;  ///< Answer to every transaction.
+  /// The operators' own label and document, as read; an inquiry brings `next_label` if it is set.
+  std::uint64_t label = 0;
+  std::uint64_t next_label = 0;
 
   void AddRoute(const std::string& name) {
     proto::ConfigurationChange change;
@@ -82,12 +86,20 @@
         "coordinator.SubmitTransaction", [this](const auto& request) {
           control_.transactions.push_back(request);
           proto::SubmitTransactionResponse response;
+          if (request.transaction().inquiry() && control_.next_label != 0) {
+            control_.label = std::exchange(control_.next_label, 0);
+            response.mutable_result()->set_outcome(proto::TRANSACTION_OUTCOME_MAY_BE_SENT);
+            return Result<proto::SubmitTransactionResponse>(response);
+          }
           *response.mutable_result() = control_.transaction_result;
           return Result<proto::SubmitTransactionResponse>(response);
         });
     Serve<proto::GetConfigurationRequest, proto::GetConfigurationResponse>(
-        "coordinator.GetConfiguration", [](const auto& request) {
+        "coordinator.GetConfiguration", [this](const auto& request) {
           proto::GetConfigurationResponse response;
+          response.mutable_configuration()->set_label(control_.label);
+          response.mutable_configuration()->mutable_document()->set_source(
+              "document " + std::to_string(control_.label));
           response.set_in_force_version(6);
           for (std::uint32_t record = 0; record < request.history(); ++record) {
             response.add_history();
--- /dev/null
+++ b/tests/node/operator_orders_test.cc
@@ -0,0 +1,95 @@
+// Orders that build on the operator's own document.
+#include "node/operator_orders.h"
+
+#include <gtest/gtest.h>
+
+#include <optional>
+
+#include "fake_control.h"
+
+namespace cloverbank {
+namespace {
+
+constexpr std::uint64_t kBase = 7;
+constexpr std::uint64_t kLabel = 9;
+
+struct OrderingNode {
+  OrderingNode(Environment& environment, const NodeAgentOptions& options)
+      : agent(environment, options), orders(agent) {
+    agent.Start();
+  }
+  NodeAgent agent;
+  OperatorOrders orders;
+};
+
+class OperatorOrdersTest : public testing::Test {
+ protected:
+  OperatorOrdersTest() {
+    control_.transaction_result.set_outcome(proto::TRANSACTION_OUTCOME_APPLIED);
+    NodeAgentOptions options;
+    options.role = proto::ROLE_GATEWAY;
+    options.coordinators = AddFakeCoordinators(world_, control_);
+    world_.AddMachine("g", "10.0.0.1")
+        .SetProgram([this, options](Environment& environment, DataFolder&) {
+          auto made = std::make_shared<OrderingNode>(environment, options);
+          node_ = made.get();
+          return made;
+        });
+    world_.machine("g").Start();
+    world_.RunUntil([this] { return node_->agent.LeaseValid(); }, seconds(5));
+  }
+
+  Result<proto::SubmitTransactionResponse> Order() {
+    auto order = std::make_shared<DocumentOrder>();
+    order->operation_id = "patch";
+    order->base = kBase;
+    order->label = kLabel;
+    order->make = [](const std::string& document) -> Result<proto::ConfigurationTransaction> {
+      proto::ConfigurationTransaction transaction;
+      transaction.add_changes()->mutable_set_document()->set_source(document + " patched");
+      return transaction;
+    };
+    std::optional<Result<proto::SubmitTransactionResponse>> answer;
+    node_->orders.SubmitOnDocument(
+        order, [&answer](Result<proto::SubmitTransactionResponse> result) { answer = result; });
+    world_.RunUntil([&answer] { return answer.has_value(); }, seconds(5));
+    return answer.value_or(Status(StatusCode::kInternal, "no answer"));
+  }
+
+  FakeControl control_;
+  OrderingNode* node_ = nullptr;
+  SimulatedWorld world_{5};
+};
+
+TEST_F(OperatorOrdersTest, APatchOnTheCurrentLabelIsMadeOfItsDocument) {
+  control_.label = kBase;
+  ASSERT_TRUE(Order().ok());
+  ASSERT_EQ(control_.transactions.size(), 1U);
+  const auto& sent = control_.transactions[0].transaction();
+  EXPECT_EQ(sent.changes(0).set_document().source(), "document 7 patched");
+  EXPECT_EQ(sent.expected_label(), kBase);
+  EXPECT_EQ(sent.label(), kLabel);
+  EXPECT_FALSE(sent.inquiry());
+}
+
+TEST_F(OperatorOrdersTest, OnAnotherLabelItOnlyInquires) {
+  control_.label = kBase + 1;
+  ASSERT_TRUE(Order().ok());
+  ASSERT_EQ(control_.transactions.size(), 1U);
+  EXPECT_TRUE(control_.transactions[0].transaction().inquiry());
+  EXPECT_EQ(control_.transactions[0].transaction().changes_size(), 0);
+}
+
+TEST_F(OperatorOrdersTest, APatchWhoseBaseArrivesMeanwhileIsMadeAndSentAfterAll) {
+  control_.label = kBase - 2;
+  control_.next_label = kBase;
+  const auto answer = Order();
+  ASSERT_TRUE(answer.ok());
+  EXPECT_EQ(answer->result().outcome(), proto::TRANSACTION_OUTCOME_APPLIED);
+  ASSERT_EQ(control_.transactions.size(), 2U);
+  EXPECT_EQ(control_.transactions[1].transaction().changes(0).set_document().source(),
+            "document 7 patched");
+}
+
+}  // namespace
+}  // namespace cloverbank
