Pace what a joining coordinator is sent, and simulate links of a bounded rate

What callers saw: orders without an acknowledgement for 5 to 8 s, most calls late, dozens of healthy nodes declared dead and registered anew, a few seconds after a coordinator was lost.

--- a/src/consensus/raft_core.h
+++ b/src/consensus/raft_core.h
@@ -158,6 +158,8 @@
   void SendSnapshotChunk(TimePoint now, RaftPeer& peer);
   std::uint64_t NextSequence(TimePoint now, RaftPeer& peer);
   void SendNewEntries(TimePoint now);
+  /// Goes on with what `member` still lacks; a learner waits for the next heartbeat.
+  void SendMore(TimePoint now, std::uint64_t member);
   RaftPeer* AnsweringPeer(TimePoint now, std::uint64_t response_term, std::uint64_t follower_id,
                           std::uint64_t sequence);
   void BackUp(TimePoint now, RaftPeer& peer, std::uint64_t hint);
--- a/src/consensus/raft_core_replication.cc
+++ b/src/consensus/raft_core_replication.cc
@@ -69,8 +69,10 @@
     request.set_previous_log_term(*previous_term);
   }
   if (with_entries) {
-    for (proto::RaftEntry& entry : log_.Slice(peer.next_index, options_.maximum_append_entries,
-                                              options_.maximum_append_bytes)) {
+    const std::size_t limit =
+        peer.member.learner() ? options_.catch_up_bytes : options_.maximum_append_bytes;
+    for (proto::RaftEntry& entry :
+         log_.Slice(peer.next_index, options_.maximum_append_entries, limit)) {
       *request.add_entries() = std::move(entry);
     }
     peer.in_flight = request.sequence();
@@ -96,7 +98,10 @@
   request.set_last_included_term(peer.snapshot->last_included_term());
   *request.mutable_configuration() = peer.snapshot->configuration();
   request.set_offset(peer.snapshot_offset);
-  request.set_data(state.substr(peer.snapshot_offset, options_.snapshot_chunk_bytes));
+  const std::size_t chunk = peer.member.learner()
+                                ? std::min(options_.catch_up_bytes, options_.snapshot_chunk_bytes)
+                                : options_.snapshot_chunk_bytes;
+  request.set_data(state.substr(peer.snapshot_offset, chunk));
   request.set_done(peer.snapshot_offset + request.data().size() == state.size());
   peer.in_flight = request.sequence();
   peer.in_flight_since = now;
@@ -149,8 +154,13 @@
   peer->match_index = std::max(peer->match_index, response.match_index());
   peer->next_index = std::max(peer->next_index, peer->match_index + 1);
   AdvanceCommit(now);
+  SendMore(now, response.follower_id());
+}
+
+void RaftCore::SendMore(TimePoint now, std::uint64_t member) {
   // A changed configuration may have removed the peer.
-  if (const auto found = peers_.find(response.follower_id()); found != peers_.end()) {
+  const auto found = peers_.find(member);
+  if (found != peers_.end() && !found->second.member.learner()) {
     SendTo(now, found->second, false);
   }
 }
@@ -180,9 +190,7 @@
     peer->next_index = peer->match_index + 1;
     AdvanceCommit(now);
   }
-  if (const auto found = peers_.find(response.follower_id()); found != peers_.end()) {
-    SendTo(now, found->second, false);
-  }
+  SendMore(now, response.follower_id());
 }
 
 void RaftCore::HandleCallFailed(std::uint64_t member, std::uint64_t sequence) {
--- a/src/consensus/raft_node.h
+++ b/src/consensus/raft_node.h
@@ -40,7 +40,7 @@
   Duration heartbeat_interval = milliseconds(100);
   /// A snapshot is taken after this many commands or bytes of commands.
   std::uint64_t snapshot_threshold_entries = 10000;
-  std::uint64_t snapshot_threshold_bytes = 8U << 20U;
+  std::uint64_t snapshot_threshold_bytes = 4U << 20U;
   /// Commands before a snapshot that are kept, so that a slow member needs no snapshot.
   std::uint64_t trailing_entries = 512;
   /// Most commands in one message.
--- a/src/consensus/raft_types.h
+++ b/src/consensus/raft_types.h
@@ -35,6 +35,10 @@
   std::size_t maximum_append_entries = 1024;
   std::size_t maximum_append_bytes = 1U << 20U;
   std::size_t snapshot_chunk_bytes = 256U << 10U;
+  /// What a learner that catches up is sent in one heartbeat interval. The rest of the leader's
+  /// link belongs to voters and to the heartbeats of nodes, whose leases must not run out
+  /// meanwhile.
+  std::size_t catch_up_bytes = 128U << 10U;
   /// Entries before a snapshot that stay in the log, so that a slow follower needs no snapshot.
   std::uint64_t trailing_entries = 512;
   /// The most bytes of them. Memory and disk hold the log whole, and a snapshot rewrites it.
--- a/src/simulation/simulated_network.cc
+++ b/src/simulation/simulated_network.cc
@@ -1,5 +1,6 @@
 #include "simulation/simulated_network.h"
 
+#include <algorithm>
 #include <cstdlib>
 #include <utility>
 
@@ -37,23 +38,36 @@
   }
   const auto shared_body = std::make_shared<const std::string>(std::move(body));
   for (int copy = 0; copy < call->copies; ++copy) {
-    Transmit(from_host, to.host, behaviour_.request_loss,
+    Transmit({from_host, to.host, shared_body->size()}, behaviour_.request_loss,
              [this, call, shared_body] { ArriveRequest(call, shared_body); });
   }
 }
 
-void SimulatedNetwork::Transmit(const std::string& from, const std::string& to, double loss,
-                                std::function<void()> arrive) {
-  const bool within_host = from == to;
-  if (!within_host && (random_.Chance(loss) || IsCut(from, to))) {
+TimePoint SimulatedNetwork::PassLink(const Message& message) {
+  const bool within_host = message.from == message.to;
+  if (behaviour_.link_bytes_per_second == 0 || within_host) {
+    return queue_.now();
+  }
+  const double seconds_taken =
+      static_cast<double>(message.bytes) / static_cast<double>(behaviour_.link_bytes_per_second);
+  TimePoint& free = link_free_[message.from];
+  free = std::max(free, queue_.now()) +
+         std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds_taken));
+  return free;
+}
+
+void SimulatedNetwork::Transmit(const Message& message, double loss, std::function<void()> arrive) {
+  const bool within_host = message.from == message.to;
+  if (!within_host && (random_.Chance(loss) || IsCut(message.from, message.to))) {
     return;
   }
   const Duration delay = random_.Between(behaviour_.minimum_delay, behaviour_.maximum_delay);
-  queue_.Schedule(queue_.now() + delay, [this, from, to, arrive = std::move(arrive)] {
-    if (!IsCut(from, to)) {
-      arrive();
-    }
-  });
+  queue_.Schedule(PassLink(message) + delay,
+                  [this, from = message.from, to = message.to, arrive = std::move(arrive)] {
+                    if (!IsCut(from, to)) {
+                      arrive();
+                    }
+                  });
 }
 
 void SimulatedNetwork::ArriveRequest(const CallPointer& call, const Body& body) {
@@ -109,7 +123,8 @@
 }
 
 void SimulatedNetwork::SendToCaller(const CallPointer& call, PeerReply reply) {
-  Transmit(call->to.host, call->from_host, behaviour_.reply_loss, [call, reply = std::move(reply)] {
+  const Message message{call->to.host, call->from_host, reply.body.size()};
+  Transmit(message, behaviour_.reply_loss, [call, reply = std::move(reply)] {
     const auto caller = call->caller.lock();
     if (caller) {
       caller->Deliver([raw = caller.get(), id = call->id, reply] { raw->FinishCall(id, reply); });
--- a/src/simulation/simulated_network.h
+++ b/src/simulation/simulated_network.h
@@ -60,10 +60,17 @@
   bool IsCut(const std::string& from, const std::string& to) const {
     return cuts_.contains({from, to});
   }
+  /// A message of `bytes` between two hosts.
+  struct Message {
+    std::string from;
+    std::string to;
+    std::size_t bytes = 0;
+  };
   /// Runs `arrive` after a delay unless the message is lost or meets a cut, at its start or its
   /// end.
-  void Transmit(const std::string& from, const std::string& to, double loss,
-                std::function<void()> arrive);
+  void Transmit(const Message& message, double loss, std::function<void()> arrive);
+  /// @return when the link of the sender has taken the message, and those before it.
+  TimePoint PassLink(const Message& message);
   void ArriveRequest(const CallPointer& call, const Body& body);
   void Serve(SimulatedProcess& callee, const CallPointer& call, const Body& body,
              std::uint64_t incoming);
@@ -76,6 +83,7 @@
   NetworkBehaviour behaviour_;
   std::map<Endpoint, FindProcess> endpoints_;
   std::set<std::pair<std::string, std::string>> cuts_;
+  std::map<std::string, TimePoint> link_free_;  ///< By host, when its link has sent everything.
 };
 
 }  // namespace cloverbank
--- a/src/simulation/simulated_world.h
+++ b/src/simulation/simulated_world.h
@@ -22,6 +22,8 @@
   double request_loss = 0;         ///< Probability that a request never arrives.
   double reply_loss = 0;           ///< Probability that an answer never arrives.
   double request_duplication = 0;  ///< Probability that a request is carried out twice.
+  /// What a machine's link sends in a second; messages wait for those before them. 0: no bound.
+  std::uint64_t link_bytes_per_second = 0;
 };
 
 /// How disks behave when they are not being lost.
--- a/tests/consensus/raft_core_membership_test.cc
+++ b/tests/consensus/raft_core_membership_test.cc
@@ -121,6 +121,58 @@
   EXPECT_EQ(core_->configuration().members_size(), 4);
 }
 
+TEST_F(RaftCoreTest, ALearnerIsSentOneBoundedMessageAHeartbeat) {
+  constexpr std::size_t kCommandBytes = 30'000;
+  options_.catch_up_bytes = 2 * kCommandBytes + 1'000;
+  Restart();
+  Lead();
+  for (int count = 0; count < 20; ++count) {
+    ASSERT_TRUE(core_->Propose(now_, std::string(kCommandBytes, 'c')).ok());
+    Exchange(Take(), {2, 3});
+  }
+  ASSERT_TRUE(core_->AdmitMember(now_, Member(13), 0).ok());  // The endpoint of member 3.
+  Exchange(Take(), {2});
+  proto::AppendEntriesResponse empty;
+  empty.set_term(core_->term());
+  empty.set_follower_id(13);
+  empty.set_sequence(Find<proto::AppendEntriesRequest>(Heartbeat(), 13).sequence());
+  core_->HandleAppendEntriesResponse(now_, empty);
+  RaftEffects first = Take();
+  for (const RaftMessage& message : first.messages) {
+    if (const auto* append = std::get_if<proto::AppendEntriesRequest>(&message.request)) {
+      Acknowledge(message.member_id, *append);
+    }
+  }
+  Exchange(Take(), {2});
+  std::size_t heartbeats = 0;
+  while (core_->configuration().members_size() == 4 && heartbeats < 100) {
+    ++heartbeats;
+    const RaftEffects sent = Heartbeat();
+    std::size_t bytes = 0;
+    for (const RaftMessage& message : sent.messages) {
+      if (const auto* append = std::get_if<proto::AppendEntriesRequest>(&message.request)) {
+        bytes += message.member_id == 13 ? append->ByteSizeLong() : 0;
+      }
+    }
+    EXPECT_LE(bytes, options_.catch_up_bytes + 1'000);
+    for (const RaftMessage& message : sent.messages) {
+      if (const auto* append = std::get_if<proto::AppendEntriesRequest>(&message.request)) {
+        Acknowledge(message.member_id, *append);
+      }
+    }
+    const RaftEffects after = Take();
+    for (const RaftMessage& message : after.messages) {
+      const auto* append = std::get_if<proto::AppendEntriesRequest>(&message.request);
+      if (append != nullptr && message.member_id == 13) {
+        EXPECT_LT(append->ByteSizeLong(), kCommandBytes) << "sent on before the next heartbeat";
+      }
+    }
+    Exchange(after, {2, 13});
+  }
+  EXPECT_GE(heartbeats, 9U);  // Two commands each; the first message came before.
+  EXPECT_EQ(core_->configuration().members_size(), 3);
+}
+
 TEST_F(RaftCoreTest, LearnerDoesNotCount) {
   Lead();
   ASSERT_TRUE(core_->AdmitMember(now_, Member(13), 0).ok());
