--- a/tests/platform/configuration_document_test.cc
+++ b/tests/platform/configuration_document_test.cc
@@ -2,6 +2,10 @@
 
 #include <gtest/gtest.h>
 
+#include <string>
+#include <utility>
+#include <vector>
+
 namespace cloverbank::platform {
 namespace {
 
@@ -50,6 +54,23 @@
   }
 }
 
+TEST(ConfigurationDocumentTest, NumbersThatWouldBeCutToFitAreRefused) {
+  const std::string whole = kDocument;
+  const std::vector<std::pair<std::string, std::string>> changes = {
+      {R"("version":7)", R"("version":-7)"},
+      {R"("version":7)", R"("version":7.5)"},
+      {R"("version":7)", R"("version":true)"},
+      {R"("weight":10)", R"("weight":-10)"},
+      {R"("weight":10)", R"("weight":4294967306)"},
+      {R"("timeout_ms":6000)", R"("timeout_ms":4294973296)"},
+      {R"("timeout_ms":6000)", R"("timeout_ms":"6000")"}};
+  for (const auto& [from, to] : changes) {
+    std::string broken = whole;
+    broken.replace(broken.find(from), from.size(), to);
+    EXPECT_EQ(ReadDocument(broken, 0).status().code(), StatusCode::kInvalidArgument) << to;
+  }
+}
+
 TEST(ConfigurationDocumentTest, APatchKeepsOrderAndUnknownFields) {
   const auto merged = MergePatch(
       kDocument, R"({"version":9,"upsert":{"routes":[{"name":"r-b","new":1},{"name":"r-d"}]},)"
