Let spare coordinators remember members, so that lost seeds cost no repair

Cause: an empty coordinator asked only its seeds for the group. After all three seed machines were emptied or replaced, the spares found no member, though the group was up. Change: it also asks the members that the last answers named.

--- a/src/consensus/raft_node.h
+++ b/src/consensus/raft_node.h
@@ -133,6 +133,7 @@
   void ScheduleFormation();
   void StartFormationRound();
   void FinishFormationRound(const FormationRound& round);
+  void NoteToldMembers(const FormationRound& answers);
   void AskToJoin(const Endpoint& leader);
 
   Environment& environment_;
@@ -156,6 +157,10 @@
   TimePoint wakeup_at_;
   TimerId formation_timer_ = 0;
   MemberDirectory directory_;
+  /// Members that answers of others named last: seeds may all be gone by the time they are needed.
+  std::set<Endpoint> told_members_;
+  /// The group was complete when this member last asked to join: it asks less often.
+  bool join_refused_ = false;
 
   RaftReplyToken last_token_ = 0;
   /// Gets the reply; null when none will come.
--- a/src/consensus/raft_node_formation.cc
+++ b/src/consensus/raft_node_formation.cc
@@ -136,7 +136,7 @@
 }
 
 void RaftNode::ScheduleFormation() {
-  const bool urgent = !core_->IsMember();
+  const bool urgent = !core_->IsMember() && !join_refused_;
   const Duration interval =
       urgent ? options_.election_timeout : kSlowRoundElectionTimeouts * options_.election_timeout;
   // Spread, so that members do not ask in step.
@@ -155,6 +155,7 @@
 
 void RaftNode::StartFormationRound() {
   std::set<Endpoint> others(options_.seeds.begin(), options_.seeds.end());
+  others.insert(told_members_.begin(), told_members_.end());
   for (const LogMember& member : members()) {
     others.insert(member.endpoint);
   }
@@ -184,7 +185,20 @@
   }
 }
 
+void RaftNode::NoteToldMembers(const FormationRound& answers) {
+  std::set<Endpoint> told;
+  for (const auto& [endpoint, answer] : answers.answers) {
+    for (const proto::RaftMember& member : answer.configuration().members()) {
+      told.insert(ToEndpoint(member.endpoint()));
+    }
+  }
+  if (!told.empty()) {
+    told_members_ = std::move(told);
+  }
+}
+
 void RaftNode::FinishFormationRound(const FormationRound& answers) {
+  NoteToldMembers(answers);
   FormationRound round = answers;
   round.member_id = core_->member_id();
   round.endpoint = environment_.peer_endpoint();
@@ -208,7 +222,11 @@
   *request.mutable_member()->mutable_endpoint() = ToProto(environment_.peer_endpoint());
   CallPeer<proto::JoinResponse>(
       environment_, leader, kJoin, request, 2 * options_.election_timeout,
-      [](const Result<proto::JoinResponse>& response) {
+      [this, alive = std::weak_ptr<bool>(alive_)](const Result<proto::JoinResponse>& response) {
+        if (alive.expired()) {
+          return;
+        }
+        join_refused_ = response.status().code() == StatusCode::kConflict;
         if (!response.ok()) {
           Log(LogLevel::kInfo, "raft_join_refused", {{"reason", response.status().ToString()}});
         }
--- a/tests/consensus/raft_losses_test.cc
+++ b/tests/consensus/raft_losses_test.cc
@@ -114,6 +114,21 @@
   }
 }
 
+TEST(RaftLossesTest, SparesTakeThePlacesOfSeedsThatAreAllGone) {
+  for (const std::uint64_t seed : Seeds()) {
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    LossesRun run(seed);
+    ASSERT_TRUE(run.Complete(seconds(10)));
+    for (std::size_t gone = 0; gone < kSeeds; ++gone) {
+      run.cluster.machine(gone).LosePower();  // And never comes back.
+      run.cluster.RunFor(seconds(8));
+      ASSERT_TRUE(run.Acknowledges(seconds(3))) << "seed machine " << gone;
+      EXPECT_EQ(run.Voters().size(), kVoters) << "seed machine " << gone;
+    }
+    EXPECT_TRUE(run.cluster.record().failures.empty());
+  }
+}
+
 TEST(RaftLossesTest, TwoVotersWithoutPowerHoldNothingUpAndTheirPlacesAreTaken) {
   for (const std::uint64_t seed : Seeds()) {
     SCOPED_TRACE("seed " + std::to_string(seed));
