--- a/tests/consensus/raft_losses_test.cc
+++ b/tests/consensus/raft_losses_test.cc
@@ -2,11 +2,10 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
-#include <cstdlib>
-#include <numeric>
 #include <vector>
 
 #include "consensus/raft_cluster.h"
+#include "support/test_seeds.h"
 
 namespace cloverbank {
 namespace {
@@ -17,18 +16,6 @@
 constexpr int kRounds = 6;
 constexpr std::uint64_t kDefaultSeeds = 6;
 
-/// The seeds to run: CLOVERBANK_SEED alone, or 1 to CLOVERBANK_SEEDS.
-std::vector<std::uint64_t> Seeds() {
-  if (const char* only = std::getenv("CLOVERBANK_SEED")) {
-    return {std::strtoull(only, nullptr, 10)};
-  }
-  const char* text = std::getenv("CLOVERBANK_SEEDS");
-  std::vector<std::uint64_t> seeds(text == nullptr ? kDefaultSeeds
-                                                   : std::strtoull(text, nullptr, 10));
-  std::iota(seeds.begin(), seeds.end(), 1);
-  return seeds;
-}
-
 ClusterOptions Options(std::uint64_t seed) {
   ClusterOptions options;
   options.size = kMachines;
@@ -96,7 +83,7 @@
 };
 
 TEST(RaftLossesTest, TwoVotersThatLoseTheirDisksAtOnceLoseNothingAgainAndAgain) {
-  for (const std::uint64_t seed : Seeds()) {
+  for (const std::uint64_t seed : TestSeeds(kDefaultSeeds)) {
     SCOPED_TRACE("seed " + std::to_string(seed));
     LossesRun run(seed);
     ASSERT_TRUE(run.Complete(seconds(10)));
@@ -115,7 +102,7 @@
 }
 
 TEST(RaftLossesTest, SparesTakeThePlacesOfSeedsThatAreAllGone) {
-  for (const std::uint64_t seed : Seeds()) {
+  for (const std::uint64_t seed : TestSeeds(kDefaultSeeds)) {
     SCOPED_TRACE("seed " + std::to_string(seed));
     LossesRun run(seed);
     ASSERT_TRUE(run.Complete(seconds(10)));
@@ -130,7 +117,7 @@
 }
 
 TEST(RaftLossesTest, TwoVotersWithoutPowerHoldNothingUpAndTheirPlacesAreTaken) {
-  for (const std::uint64_t seed : Seeds()) {
+  for (const std::uint64_t seed : TestSeeds(kDefaultSeeds)) {
     SCOPED_TRACE("seed " + std::to_string(seed));
     LossesRun run(seed);
     ASSERT_TRUE(run.Complete(seconds(10)));
--- a/tests/consensus/raft_simulation_test.cc
+++ b/tests/consensus/raft_simulation_test.cc
@@ -28,9 +28,8 @@
 //   membership changed before an entry of the term  -          MembershipWaitsForAnEntry...
 #include <gtest/gtest.h>
 
-#include <cstdlib>
-
 #include "consensus/raft_cluster.h"
+#include "support/test_seeds.h"
 
 namespace cloverbank {
 namespace {
@@ -38,11 +37,6 @@
 constexpr std::uint64_t kDefaultSchedules = 150;
 constexpr int kFaultsInSchedule = 16;
 
-std::uint64_t NumberFromEnvironment(const char* name, std::uint64_t otherwise) {
-  const char* text = std::getenv(name);  // NOLINT(concurrency-mt-unsafe): set before the tests run.
-  return text == nullptr ? otherwise : std::strtoull(text, nullptr, 10);
-}
-
 /// One run: a group, a client, and a row of faults drawn from the seed.
 class Schedule {
  public:
--- a/tests/coordinator/labelled_configuration_test.cc
+++ b/tests/coordinator/labelled_configuration_test.cc
@@ -164,8 +164,10 @@
   constexpr std::size_t kDocumentBytes = 100'000;
   constexpr std::size_t kMostBytes = 200;
   ControlDriver control;
+  constexpr int kPrefixes = 300;
   std::vector<std::string> prefixes;
-  for (int count = 0; count < 300; ++count) {
+  prefixes.reserve(kPrefixes);
+  for (int count = 0; count < kPrefixes; ++count) {
     prefixes.push_back("/p" + std::to_string(count) + "/");
   }
   const auto with_document = [](proto::ConfigurationTransaction transaction) {
@@ -188,7 +190,7 @@
   EXPECT_LT(update.ByteSizeLong(), kMostBytes);
   watch.Take(update);
   EXPECT_EQ(watch.configuration().document().limits().header_bytes(), 99U);
-  EXPECT_EQ(watch.configuration().routes_size(), 300);
+  EXPECT_EQ(watch.configuration().routes_size(), kPrefixes);
 }
 
 }  // namespace
--- a/tests/node/operator_orders_test.cc
+++ b/tests/node/operator_orders_test.cc
@@ -51,7 +51,8 @@
     };
     std::optional<Result<proto::SubmitTransactionResponse>> answer;
     node_->orders.SubmitOnDocument(
-        order, [&answer](Result<proto::SubmitTransactionResponse> result) { answer = result; });
+        order,
+        [&answer](const Result<proto::SubmitTransactionResponse>& result) { answer = result; });
     world_.RunUntil([&answer] { return answer.has_value(); }, seconds(5));
     return answer.value_or(Status(StatusCode::kInternal, "no answer"));
   }
--- a/tests/queue/durability_simulation_test.cc
+++ b/tests/queue/durability_simulation_test.cc
@@ -3,9 +3,8 @@
 
 #include <gtest/gtest.h>
 
-#include <cstdlib>
-
 #include "queue/batch_workload.h"
+#include "support/test_seeds.h"
 
 namespace cloverbank {
 namespace {
@@ -229,8 +228,7 @@
 /// More seeds for longer trials: CLOVERBANK_SEEDS=200 test_queue --gtest_filter=...
 int SeedCount() {
   constexpr int kDefaultSeeds = 4;
-  const char* text = std::getenv("CLOVERBANK_SEEDS");
-  return text == nullptr ? kDefaultSeeds : std::atoi(text);
+  return static_cast<int>(NumberFromEnvironment("CLOVERBANK_SEEDS", kDefaultSeeds));
 }
 
 INSTANTIATE_TEST_SUITE_P(Seeds, DurabilityTest, testing::Range(1, SeedCount() + 1));
--- a/tests/simulation/configuration_in_force_test.cc
+++ b/tests/simulation/configuration_in_force_test.cc
@@ -2,11 +2,10 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
-#include <cstdlib>
-#include <numeric>
 #include <vector>
 
 #include "configuration_world.h"
+#include "support/test_seeds.h"
 
 namespace cloverbank {
 namespace {
@@ -16,18 +15,6 @@
 /// A leader's silence is noticed, another is elected, and leases that it does not know run out.
 constexpr Duration kLongestWait = seconds(5);
 
-/// The seeds to run: CLOVERBANK_SEED alone, or 1 to CLOVERBANK_SEEDS.
-std::vector<std::uint64_t> Seeds() {
-  if (const char* only = std::getenv("CLOVERBANK_SEED")) {
-    return {std::strtoull(only, nullptr, 10)};
-  }
-  const char* text = std::getenv("CLOVERBANK_SEEDS");
-  std::vector<std::uint64_t> seeds(text == nullptr ? kDefaultSeeds
-                                                   : std::strtoull(text, nullptr, 10));
-  std::iota(seeds.begin(), seeds.end(), 1);
-  return seeds;
-}
-
 /// The place of a lost voter is taken.
 constexpr Duration kLongestRepair = seconds(6);
 
@@ -38,7 +25,7 @@
 }
 
 TEST(ConfigurationInForce, WhileAFrozenLeadersPlaceIsTaken) {
-  for (const std::uint64_t seed : Seeds()) {
+  for (const std::uint64_t seed : TestSeeds(kDefaultSeeds)) {
     SCOPED_TRACE("seed " + std::to_string(seed));
     ConfigurationWorldOptions options;
     options.seed = seed;
@@ -66,7 +53,7 @@
     ASSERT_TRUE(fleet_.RunUntilWhole(kLongestRepair));
     const std::vector<std::string> voters = fleet_.Voters();
     const std::string leader = fleet_.Leader();
-    const std::string other = voters[fleet_.world().RandomBelow(voters.size())];
+    const std::string& other = voters[fleet_.world().RandomBelow(voters.size())];
     Strike(leader);
     if (other != leader) {
       Strike(other);
@@ -118,7 +105,7 @@
 };
 
 TEST(ConfigurationInForce, WhileTwoCoordinatorsAreLostAgainAndAgain) {
-  for (const std::uint64_t seed : Seeds()) {
+  for (const std::uint64_t seed : TestSeeds(kDefaultSeeds)) {
     SCOPED_TRACE("seed " + std::to_string(seed));
     ConfigurationWorldOptions options;
     options.seed = seed;
