Take any number of losses that a platform may ask to bear

Cause: control.losses_borne was bounded by 3; the deploy file fills it from what a platform says, and a fourth would have kept every coordinator from starting. Change: up to 20. Result: TakesTheLossesThatAPlatformMayAskFor fails at 20 on the code before.

--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -15,7 +15,7 @@
 constexpr NumberBounds kPartitionBounds{1, 4096};
 constexpr NumberBounds kSegmentBounds{64 << 10, 64 << 20};
 constexpr NumberBounds kCopiesBounds{1, 7};
-constexpr NumberBounds kLossesBounds{0, 3};
+constexpr NumberBounds kLossesBounds{0, 20};
 constexpr NumberBounds kReplaceBounds{0, 3'600'000};
 constexpr NumberBounds kArrivalBounds{50, 10000};
 constexpr NumberBounds kStopBounds{0, 60000};
--- a/tests/settings/settings_test.cc
+++ b/tests/settings/settings_test.cc
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <string>
 
 namespace cloverbank {
 namespace {
@@ -45,6 +46,17 @@
   EXPECT_EQ(settings->copies, 3U);
 }
 
+TEST(SettingsTest, TakesTheLossesThatAPlatformMayAskFor) {
+  for (const std::uint32_t losses : {0U, 2U, 20U}) {
+    const SettingsOverride flag{"control.losses_borne", std::to_string(losses)};
+    const auto settings = ParseSettings(kGood, "x.toml", {flag}, nullptr);
+    ASSERT_TRUE(settings.ok()) << settings.status().ToString();
+    EXPECT_EQ(settings->losses_borne, losses);
+  }
+  EXPECT_NE(FindKey(ProblemsOf(kGood, {{"control.losses_borne", "21"}}), "control.losses_borne"),
+            nullptr);
+}
+
 TEST(SettingsTest, NamesEveryMistakeWithItsLine) {
   const auto problems = ProblemsOf(R"([node]
 name = "store-1"
