Make the inquiry of two tests in one place

Cause: two new tests of inquiries built the same transaction line by line. Change: one function; what is asserted is the same. Result: the eight tests of labelled configurations pass.

--- a/tests/coordinator/labelled_configuration_test.cc
+++ b/tests/coordinator/labelled_configuration_test.cc
@@ -62,14 +62,20 @@
   EXPECT_EQ(restored.state.configuration().label(), 8U);
 }
 
-TEST(LabelledConfiguration, AnInquiryThatItsBaseOvertookRefusesNothing) {
-  ControlDriver control;
-  control.Submit(Whole("a", 0, 3, {"/x/"}));
+/// Asks after the order "patch", which brings label 9 on top of 5.
+proto::ConfigurationTransaction InquiryAfterPatch() {
   proto::ConfigurationTransaction inquiry;
   inquiry.set_operation_id("patch");
   inquiry.set_label(9);
   inquiry.set_expected_label(5);
   inquiry.set_inquiry(true);
+  return inquiry;
+}
+
+TEST(LabelledConfiguration, AnInquiryThatItsBaseOvertookRefusesNothing) {
+  ControlDriver control;
+  control.Submit(Whole("a", 0, 3, {"/x/"}));
+  const proto::ConfigurationTransaction inquiry = InquiryAfterPatch();
   control.Submit(Whole("b", 3, 5, {"/x/"}));  // Applied after the gateway had read label 3.
   EXPECT_EQ(control.Submit(inquiry).outcome(), proto::TRANSACTION_OUTCOME_MAY_BE_SENT);
   EXPECT_EQ(control.state.configuration().label(), 5U);
@@ -81,11 +87,7 @@
 TEST(LabelledConfiguration, AnInquiryThatIsRefusedIsNeverTakenLater) {
   ControlDriver control;
   control.Submit(Whole("a", 0, 3, {"/x/"}));
-  proto::ConfigurationTransaction inquiry;
-  inquiry.set_operation_id("patch");
-  inquiry.set_label(9);
-  inquiry.set_expected_label(5);
-  inquiry.set_inquiry(true);
+  const proto::ConfigurationTransaction inquiry = InquiryAfterPatch();
   EXPECT_EQ(control.Submit(inquiry).outcome(), proto::TRANSACTION_OUTCOME_VERSION_CONFLICT);
   control.Submit(Whole("b", 3, 5, {"/x/"}));
   EXPECT_EQ(control.Submit(Whole("patch", 5, 9, {"/y/"})).outcome(),
