Name the cause of every late answer in the metrics and the log

Cause: neither told whether a stream was late by its first event or by a pause, nor which batches were accepted late, refused or finished after they were due. Change: AnswerTiming judges each answer by its route's targets; late answers, submissions and results are counted by cause and logged at info.

--- /dev/null
+++ b/src/gateway/answer_timing.cc
@@ -0,0 +1,44 @@
+#include "gateway/answer_timing.h"
+
+namespace cloverbank {
+
+std::string_view LatenessName(Lateness lateness) {
+  switch (lateness) {
+    case Lateness::kNone:
+      return "none";
+    case Lateness::kFirstPiece:
+      return "first_piece";
+    case Lateness::kPause:
+      return "pause";
+    case Lateness::kWholeAnswer:
+      return "whole_answer";
+  }
+  return "none";
+}
+
+void AnswerTiming::OnEvent(TimePoint now) {
+  if (events_ == 0) {
+    first_after_ = now - started_;
+  } else if (now - last_event_ > longest_pause_) {
+    longest_pause_ = now - last_event_;
+    longest_pause_from_ = last_event_ - started_;
+  }
+  last_event_ = now;
+  ++events_;
+}
+
+void AnswerTiming::OnWhole(TimePoint now) {
+  whole_ = true;
+  first_after_ = now - started_;
+}
+
+Lateness AnswerTiming::lateness() const {
+  const bool has_target = targets_.target > Duration::zero();
+  if (has_target && first_after_ > targets_.target) {
+    return whole_ ? Lateness::kWholeAnswer : Lateness::kFirstPiece;
+  }
+  const bool has_pause = targets_.longest_pause > Duration::zero();
+  return has_pause && longest_pause_ > targets_.longest_pause ? Lateness::kPause : Lateness::kNone;
+}
+
+}  // namespace cloverbank
--- a/src/gateway/batch_service.cc
+++ b/src/gateway/batch_service.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "base/logging.h"
 #include "gateway/batch_owner_call.h"
 #include "node/batch_partitions.h"
 
@@ -15,6 +16,33 @@
 /// Cursor of a list of results; see queue/list_cursor.h.
 std::string CursorAt(std::uint64_t position) { return "p" + std::to_string(position); }
 
+/// What a route promises of a submission, and its size.
+struct SubmissionTiming {
+  std::string route;
+  Duration target{};  ///< Until it is accepted; zero is no promise.
+  int items = 0;
+  std::size_t bytes = 0;
+};
+
+/// Counts and logs a submission that was accepted late or not accepted.
+void NoteSubmission(Environment& environment, const SubmissionTiming& timing, Duration taken,
+                    const Status& status) {
+  const bool late = timing.target > Duration::zero() && taken > timing.target;
+  if (status.ok() && !late) {
+    return;
+  }
+  const std::string outcome(status.ok() ? "late" : StatusCodeName(status.code()));
+  environment.metrics().Increment("gateway_submissions_late_or_refused_total",
+                                  {{"route", timing.route}, {"outcome", outcome}});
+  Log(LogLevel::kInfo, "submission_late_or_refused",
+      {{"route", timing.route},
+       {"outcome", outcome},
+       {"taken_ms", std::chrono::duration_cast<milliseconds>(taken).count()},
+       {"items", timing.items},
+       {"bytes", timing.bytes},
+       {"detail", status.message()}});
+}
+
 BatchResults ToResults(std::uint64_t position, proto::ResultList list) {
   BatchResults results;
   results.total = list.total();
@@ -88,7 +116,11 @@
   }
   CallOwner<proto::SubmitBatchResponse>(
       "queue.SubmitBatch", request, kChangeDeadline,
-      [done = std::move(done)](Result<proto::SubmitBatchResponse> result) {
+      [this, sent = environment_.Now(), name = route.name(), target = route.target_ms(),
+       items = request.batch().items_size(), bytes = request.ByteSizeLong(),
+       done = std::move(done)](Result<proto::SubmitBatchResponse> result) {
+        NoteSubmission(environment_, SubmissionTiming{name, milliseconds(target), items, bytes},
+                       environment_.Now() - sent, result.status());
         if (result.ok()) {
           done(std::move(*result->mutable_status()));
         } else {
--- a/src/gateway/forward_attempt.cc
+++ b/src/gateway/forward_attempt.cc
@@ -31,6 +31,7 @@
                                                          AttemptRequest request,
                                                          ExchangeEvents events) {
   ForgetFailure();
+  last_replica_ = request.use.id;
   return std::make_shared<ForwardAttempt>(context, std::move(request), shared_from_this(),
                                           std::move(events));
 }
--- a/src/gateway/forward_exchange.h
+++ b/src/gateway/forward_exchange.h
@@ -39,9 +39,10 @@
   std::string prefix_key;
   PromptShape prompt;
   proto::ForwardedRequest request;
-  bool streamed = false;   ///< A successful answer is a stream of events.
-  Duration target{};       ///< Of its route: when the answer should have begun.
-  bool resumable = false;  ///< A broken stream may go on at another replica.
+  bool streamed = false;     ///< A successful answer is a stream of events.
+  Duration target{};         ///< Of its route: when the answer should have begun.
+  Duration longest_pause{};  ///< Of its route: between two events of a stream.
+  bool resumable = false;    ///< A broken stream may go on at another replica.
   /// The caller can not be told a replica's own failure: it becomes the end of the attempt.
   bool judge_failures = false;
   /// Failures of replicas, by their own word, after which it is not tried further; 0 is no bound.
@@ -68,6 +69,8 @@
   const ForwardCall& call() const { return call_; }
   const ReplicaHeaderNames& names() const { return names_; }
   ForwardSink& sink() { return sink_; }
+  /// Replica of the newest attempt; empty before the first one.
+  const std::string& last_replica() const { return last_replica_; }
   /// Whether events are with the caller already.
   bool started() const { return started_; }
   std::optional<std::uint64_t> last_event() const { return last_event_; }
@@ -91,6 +94,7 @@
   const ReplicaHeaderNames& names_;
   ForwardSink& sink_;
   bool started_ = false;
+  std::string last_replica_;
   std::optional<std::uint64_t> last_event_;
   std::optional<HttpResponse> failure_;
   std::uint32_t failures_;
--- a/src/gateway/forwarding_service.cc
+++ b/src/gateway/forwarding_service.cc
@@ -132,6 +132,7 @@
   forward.streamed = route->streamed();
   forward.resumable = route->resumable();
   forward.target = milliseconds(route->target_ms());
+  forward.longest_pause = milliseconds(route->pause_target_ms());
   const std::uint64_t number = next_call_++;
   auto live = std::make_shared<LiveForward>(
       context_, responder, [this, number, name = route->name()] { OnCallOver(number, name); });
--- a/src/gateway/live_forward.cc
+++ b/src/gateway/live_forward.cc
@@ -4,6 +4,7 @@
 #include <cstdio>
 #include <utility>
 
+#include "base/logging.h"
 #include "gateway/http_json.h"
 #include "net/http_status.h"
 
@@ -20,6 +21,10 @@
          status == kHttpTooManyRequests || status == kHttpUnavailable;
 }
 
+std::int64_t ToMilliseconds(Duration duration) {
+  return std::chrono::duration_cast<milliseconds>(duration).count();
+}
+
 std::string FormatSeconds(std::uint32_t wait_ms) {
   std::array<char, 32> text{};
   const int length =
@@ -54,6 +59,7 @@
 void LiveForward::Start(CallSpec spec, ForwardCall call, const ReplicaHeaderNames& names) {
   started_at_ = context_.attempt.environment.Now();
   route_ = spec.route;
+  timing_.emplace(AnswerTargets{call.target, call.longest_pause}, started_at_);
   exchange_ = std::make_shared<ForwardExchange>(std::move(call), names, *this);
   spec.exchange = exchange_;
   const std::weak_ptr<LiveForward> weak = weak_from_this();
@@ -73,6 +79,7 @@
 
 void LiveForward::OnWhole(HttpResponse response) {
   answered_ = true;
+  timing_->OnWhole(context_.attempt.environment.Now());
   responder_->Send(std::move(response));
 }
 
@@ -85,6 +92,7 @@
 }
 
 void LiveForward::OnEvent(StreamEvent event, std::function<void()> more) {
+  timing_->OnEvent(context_.attempt.environment.Now());
   // The replica is read on only when the caller's socket has taken the event.
   responder_->WritePiece(std::move(event.bytes),
                          [weak = weak_from_this(), more = std::move(more)](bool alive) {
@@ -140,6 +148,28 @@
   metrics.Increment("gateway_calls_total", {{"route", route_}, {"outcome", outcome}});
   metrics.ObserveSeconds("gateway_call_seconds", std::chrono::duration<double>(time).count(),
                          {{"route", route_}});
+  NoteLateness();
+}
+
+void LiveForward::NoteLateness() {
+  const Lateness lateness = timing_->lateness();
+  if (lateness == Lateness::kNone) {
+    return;
+  }
+  const std::string cause(LatenessName(lateness));
+  context_.attempt.environment.metrics().Increment("gateway_answers_late_total",
+                                                   {{"route", route_}, {"cause", cause}});
+  Log(LogLevel::kInfo, "answer_late",
+      {{"route", route_},
+       {"call_id", exchange_->call_id()},
+       {"cause", cause},
+       {"target_ms", ToMilliseconds(exchange_->call().target)},
+       {"first_ms", ToMilliseconds(timing_->first_after())},
+       {"longest_pause_ms", ToMilliseconds(timing_->longest_pause())},
+       {"pause_from_ms", ToMilliseconds(timing_->longest_pause_from())},
+       {"events", timing_->events()},
+       {"prompt_tokens", exchange_->call().prompt.prompt_tokens},
+       {"replica", exchange_->last_replica()}});
 }
 
 void LiveForward::Over() {
--- a/src/gateway/live_forward.h
+++ b/src/gateway/live_forward.h
@@ -5,7 +5,9 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
+#include "gateway/answer_timing.h"
 #include "gateway/call_runner.h"
 #include "gateway/forward_exchange.h"
 #include "net/http_types.h"
@@ -34,6 +36,8 @@
   void AnswerFailure(const CallResult& result);
   void OnCallerGone();
   void Count(const std::string& outcome);
+  /// Counts and logs an answer that came late, with what made it so.
+  void NoteLateness();
   void Over();
 
   CallContext context_;
@@ -46,6 +50,7 @@
   bool stream_started_ = false;
   bool caller_gone_ = false;
   TimePoint started_at_;
+  std::optional<AnswerTiming> timing_;  ///< From the start on.
 };
 
 }  // namespace cloverbank
--- a/src/queue/work_dispatcher.cc
+++ b/src/queue/work_dispatcher.cc
@@ -18,13 +18,18 @@
   OnConfiguration();
 }
 
-std::string WorkDispatcher::BackendOf(const std::string& route_name) const {
+const proto::Route* WorkDispatcher::FindRoute(const std::string& name) const {
   for (const proto::Route& route : agent_.configuration().routes()) {
-    if (route.name() == route_name) {
-      return route.backend();
+    if (route.name() == name) {
+      return &route;
     }
   }
-  return "";
+  return nullptr;
+}
+
+std::string WorkDispatcher::BackendOf(const std::string& route_name) const {
+  const proto::Route* route = FindRoute(route_name);
+  return route == nullptr ? "" : route->backend();
 }
 
 std::shared_ptr<OwnedPartition> WorkDispatcher::FindPartition(PartitionId partition) const {
--- a/src/queue/work_dispatcher.h
+++ b/src/queue/work_dispatcher.h
@@ -88,6 +88,8 @@
   using PendingReportPtr = std::shared_ptr<PendingReport>;
 
   // Batches (work_dispatcher.cc).
+  /// @return the route of that name in the configuration held, or nullptr.
+  const proto::Route* FindRoute(const std::string& name) const;
   std::string BackendOf(const std::string& route) const;
   void Enqueue(OwnedPartition& partition, const StoredBatch& batch);
   void Dequeue(const BatchKey& key);
@@ -122,6 +124,8 @@
   void TakeResults(PartitionId partition, const std::vector<WorkItemKey>& items,
                    const Status& status);
   static void Answer(const PendingReportPtr& pending);
+  /// Counts and logs a result that is held later than its batch was due.
+  void NoteLateResult(const StoredBatch& batch) const;
   proto::LogEntry MakeFinished(const WorkItemKey& item, proto::ItemOutcome outcome) const;
   void EndSilentLeases();
   void LogUnknown();
--- a/src/queue/work_results.cc
+++ b/src/queue/work_results.cc
@@ -164,6 +164,9 @@
     unknown_due_.erase(item);
     failed_runs_.erase(item);
     const StoredBatch* batch = FindBatch(item);
+    if (batch != nullptr) {
+      NoteLateResult(*batch);
+    }
     if (batch != nullptr && batch->AllFinished()) {
       Dequeue({partition, item.batch_id});
       unsettled_.erase({partition, item.batch_id});
@@ -171,6 +174,25 @@
   }
 }
 
+void WorkDispatcher::NoteLateResult(const StoredBatch& batch) const {
+  const proto::Route* route = FindRoute(batch.accepted.route());
+  if (route == nullptr || route->batch_target_ms() == 0 || batch.cancelled) {
+    return;
+  }
+  const std::int64_t taken = environment_.WallMilliseconds() - batch.accepted.accepted_at_ms();
+  if (taken <= route->batch_target_ms()) {
+    return;
+  }
+  environment_.metrics().Increment("queue_results_late_total", {{"route", route->name()}});
+  Log(LogLevel::kInfo, "result_late",
+      {{"route", route->name()},
+       {"batch", batch.accepted.batch_id()},
+       {"taken_ms", taken},
+       {"target_ms", route->batch_target_ms()},
+       {"open_items", batch.open_items()},
+       {"waiting_items", queue_.waiting_count()}});
+}
+
 void WorkDispatcher::EndSilentLeases() {
   for (const WorkLease& lease : leases_.EndSilent(environment_.Now())) {
     const StoredBatch* batch = FindBatch(lease.item);
--- /dev/null
+++ b/tests/gateway/answer_timing_test.cc
@@ -0,0 +1,51 @@
+#include "gateway/answer_timing.h"
+
+#include <gtest/gtest.h>
+
+namespace cloverbank {
+namespace {
+
+const TimePoint kStart{seconds(100)};
+const AnswerTargets kTargets{milliseconds(300), milliseconds(200)};
+
+TEST(AnswerTimingTest, AStreamWithinBothTargetsIsInTime) {
+  AnswerTiming timing(kTargets, kStart);
+  timing.OnEvent(kStart + milliseconds(300));
+  timing.OnEvent(kStart + milliseconds(500));
+  EXPECT_EQ(timing.lateness(), Lateness::kNone);
+  EXPECT_EQ(timing.first_after(), milliseconds(300));
+  EXPECT_EQ(timing.events(), 2U);
+}
+
+TEST(AnswerTimingTest, NamesTheLongestPauseAndWhenItBegan) {
+  AnswerTiming timing(kTargets, kStart);
+  timing.OnEvent(kStart + milliseconds(100));
+  timing.OnEvent(kStart + milliseconds(301));
+  timing.OnEvent(kStart + milliseconds(400));
+  EXPECT_EQ(timing.lateness(), Lateness::kPause);
+  EXPECT_EQ(timing.longest_pause(), milliseconds(201));
+  EXPECT_EQ(timing.longest_pause_from(), milliseconds(100));
+}
+
+TEST(AnswerTimingTest, ALateFirstEventComesBeforeALatePause) {
+  AnswerTiming timing(kTargets, kStart);
+  timing.OnEvent(kStart + milliseconds(301));
+  timing.OnEvent(kStart + milliseconds(900));
+  EXPECT_EQ(timing.lateness(), Lateness::kFirstPiece);
+}
+
+TEST(AnswerTimingTest, AnAnswerInOnePieceIsLateAsAWhole) {
+  AnswerTiming timing(kTargets, kStart);
+  timing.OnWhole(kStart + milliseconds(301));
+  EXPECT_EQ(timing.lateness(), Lateness::kWholeAnswer);
+}
+
+TEST(AnswerTimingTest, WithoutTargetsNothingIsLate) {
+  AnswerTiming timing(AnswerTargets{}, kStart);
+  timing.OnEvent(kStart + seconds(5));
+  timing.OnEvent(kStart + seconds(50));
+  EXPECT_EQ(timing.lateness(), Lateness::kNone);
+}
+
+}  // namespace
+}  // namespace cloverbank
