Learn how fast replicas read from a high quantile of recent answers

Change: the 2/3 quantile of the last 16 answers to prompts of 1,000 tokens and more; replicas that have not answered yet count as their back end's others. Tests: an answer behind a backlog and a short one still tell nothing; a replica without answers now takes its peers' rate, another back end's stays apart, and delayed answers among good ones do not lower the rate.

--- a/src/gateway/prefill_load.cc
+++ b/src/gateway/prefill_load.cc
@@ -8,6 +8,8 @@
 
 constexpr double kLeastTokensPerMs = 10;
 constexpr double kMostTokensPerMs = 2000;
+/// An answer that waited for other prompts for a larger part of its latency tells no rate.
+constexpr int kLeastLatencyOverBacklog = 4;
 
 double ToMilliseconds(Duration duration) {
   return std::chrono::duration<double, std::milli>(duration).count();
@@ -31,10 +33,18 @@
   return std::chrono::duration_cast<Duration>(replica.delay * std::exp2(-half_lives));
 }
 
+void PrefillLoad::Watch(const std::string& replica, const std::string& backend) {
+  replicas_[replica].backend = backend;
+}
+
 double PrefillLoad::tokens_per_ms(std::string_view replica) const {
   const auto found = replicas_.find(replica);
-  const bool learned = found != replicas_.end() && found->second.tokens_per_ms > 0;
-  return learned ? found->second.tokens_per_ms : options_.first_tokens_per_ms;
+  if (found != replicas_.end() && found->second.rate.known()) {
+    return found->second.rate.tokens_per_ms();
+  }
+  const auto peers = rates_.find(found == replicas_.end() ? "" : found->second.backend);
+  const bool known = peers != rates_.end() && peers->second.known();
+  return known ? peers->second.tokens_per_ms() : options_.first_tokens_per_ms;
 }
 
 std::uint32_t PrefillLoad::TokensToRead(std::string_view replica, const PromptShape& shape,
@@ -85,15 +95,19 @@
   entry.delay = std::chrono::duration_cast<Duration>(past * (1 - options_.delay_weight) +
                                                      late * options_.delay_weight);
   entry.delay_at = now;
-  const Duration reading = latency - options_.fixed_latency;
-  if (tokens < options_.learn_from_tokens || backlog > Duration::zero() ||
-      reading <= Duration::zero()) {
+  if (backlog * kLeastLatencyOverBacklog <= latency) {
+    LearnRate(entry, tokens, latency - options_.fixed_latency - backlog);
+  }
+}
+
+void PrefillLoad::LearnRate(Replica& replica, std::uint32_t tokens, Duration reading) {
+  if (tokens < options_.learn_from_tokens || reading <= Duration::zero()) {
     return;
   }
   const double seen =
       std::clamp(tokens / ToMilliseconds(reading), kLeastTokensPerMs, kMostTokensPerMs);
-  const double rate = tokens_per_ms(replica);
-  entry.tokens_per_ms = rate + options_.learning_weight * (seen - rate);
+  replica.rate.Add(seen);
+  rates_[replica.backend].Add(seen);
 }
 
 }  // namespace cloverbank
--- a/src/gateway/prefill_load.h
+++ b/src/gateway/prefill_load.h
@@ -17,6 +17,7 @@
 #include <unordered_map>
 
 #include "base/time.h"
+#include "gateway/reading_rate.h"
 
 namespace cloverbank {
 
@@ -30,10 +31,9 @@
 
 struct PrefillOptions {
   double first_tokens_per_ms = 180;           ///< Until answers show it.
-  std::uint32_t learn_from_tokens = 4000;     ///< Shorter prompts say little of the rate.
+  std::uint32_t learn_from_tokens = 1000;     ///< Shorter prompts say little of the rate.
   Duration fixed_latency = milliseconds(12);  ///< Of a first token, whatever the prompt.
   std::size_t keys_per_replica = 128;
-  double learning_weight = 0.2;  ///< Of the newest answer.
   /// How much of an answer's unexpected delay counts against its replica, and how fast that fades:
   /// prompts of gateways that this one does not hear of, and slow replicas, show in nothing else.
   double delay_weight = 0.5;
@@ -44,6 +44,10 @@
  public:
   explicit PrefillLoad(PrefillOptions options) : options_(options) {}
 
+  /// Takes up a replica, or notes the back end of a known one: until its own answers show its rate,
+  /// it counts as being as fast as the others of its back end.
+  void Watch(const std::string& replica, const std::string& backend);
+
   /// @return how long the replica is busy with prompts that came before, as far as is known, and
   /// what its last answers were late beyond that.
   Duration Backlog(std::string_view replica, TimePoint now) const;
@@ -66,18 +70,21 @@
  private:
   struct Replica {
     TimePoint busy_until{};
-    double tokens_per_ms = 0;  ///< 0 until learned.
-    Duration delay{};          ///< Unexpected, as of `delay_at`.
+    std::string backend;
+    ReadingRate rate;
+    Duration delay{};  ///< Unexpected, as of `delay_at`.
     TimePoint delay_at{};
     std::list<std::uint64_t> recent;  ///< Keys, the one used last first.
     std::unordered_map<std::uint64_t, std::list<std::uint64_t>::iterator> places;
   };
 
+  void LearnRate(Replica& replica, std::uint32_t tokens, Duration reading);
   void Remember(Replica& replica, std::uint64_t key);
   Duration DelayOf(const Replica& replica, TimePoint now) const;
 
   PrefillOptions options_;
   std::map<std::string, Replica, std::less<>> replicas_;
+  std::map<std::string, ReadingRate> rates_;  ///< Of all replicas of a back end together.
 };
 
 }  // namespace cloverbank
--- a/src/gateway/replica_pool.cc
+++ b/src/gateway/replica_pool.cc
@@ -243,6 +243,9 @@
        {"cold", change->cold.size()},
        {"stopped", change->stopped.size()},
        {"removed", change->removed.size()}});
+  for (const auto& [id, record] : directory_.records()) {
+    prefill_.Watch(id, record.backend);
+  }
   TakeColdTimes();
   RefreshActive(change->cold);
   return Status::Ok();
--- a/tests/gateway/prefill_load_test.cc
+++ b/tests/gateway/prefill_load_test.cc
@@ -45,16 +45,46 @@
   EXPECT_EQ(load_.TokensToRead("r", {100, 50, 3}, false), 50U);
 }
 
-TEST_F(PrefillLoadTest, LearnsEachReplicasRateFromLongPromptsWithoutABacklog) {
+TEST_F(PrefillLoadTest, LearnsEachReplicasRateFromAnswersThatDidNotWaitForOtherPrompts) {
   const Duration fixed = Options().fixed_latency;
+  load_.Watch("slow", "model");
+  load_.Watch("fast", "model");
   for (int sample = 0; sample < 40; ++sample) {
     load_.OnFirstByte("slow", 8'000, Duration::zero(), fixed + milliseconds(160), now_);
+    load_.OnFirstByte("fast", 8'000, Duration::zero(), fixed + milliseconds(40), now_);
   }
   EXPECT_NEAR(load_.tokens_per_ms("slow"), 50, 1);
-  EXPECT_EQ(load_.tokens_per_ms("other"), 100);
-  load_.OnFirstByte("other", 8'000, milliseconds(10), fixed + milliseconds(160), now_);
-  load_.OnFirstByte("other", 100, Duration::zero(), fixed + milliseconds(160), now_);
-  EXPECT_EQ(load_.tokens_per_ms("other"), 100);
+  EXPECT_NEAR(load_.tokens_per_ms("fast"), 200, 1);
+}
+
+TEST_F(PrefillLoadTest, AReplicaThatHasNotAnsweredYetCountsAsFastAsOthersOfItsBackEnd) {
+  const Duration fixed = Options().fixed_latency;
+  load_.Watch("known", "model");
+  load_.Watch("new", "model");
+  load_.Watch("foreign", "other-model");
+  for (int sample = 0; sample < 40; ++sample) {
+    load_.OnFirstByte("known", 8'000, Duration::zero(), fixed + milliseconds(160), now_);
+  }
+  EXPECT_NEAR(load_.tokens_per_ms("new"), 50, 1);
+  EXPECT_EQ(load_.tokens_per_ms("foreign"), 100);
+}
+
+TEST_F(PrefillLoadTest, AnswersAfterOtherPromptsAndOfShortPromptsTellNoRate) {
+  const Duration fixed = Options().fixed_latency;
+  for (int sample = 0; sample < 40; ++sample) {
+    load_.OnFirstByte("r", 8'000, milliseconds(100), fixed + milliseconds(160), now_);
+    load_.OnFirstByte("r", 100, Duration::zero(), fixed + milliseconds(160), now_);
+  }
+  EXPECT_EQ(load_.tokens_per_ms("r"), 100);
+}
+
+TEST_F(PrefillLoadTest, AnswersThatWaitedForPromptsOfOthersDoNotMakeAReplicaSlow) {
+  const Duration fixed = Options().fixed_latency;
+  for (int sample = 0; sample < 60; ++sample) {
+    const Duration unknown = sample % 2 == 0 ? milliseconds(300) : Duration::zero();
+    load_.OnFirstByte("r", 8'000, Duration::zero(), fixed + milliseconds(160) + unknown, now_);
+  }
+  EXPECT_NEAR(load_.tokens_per_ms("r"), 50, 1);
 }
 
 TEST_F(PrefillLoadTest, AnAnswerThatWasLateBeyondWhatIsKnownCountsForAWhile) {
