Let batches wait for room within their route's limit

Change: a submission may wait half of its route's target. The keeper tells from the rate at which tokens are finished (DrainRate) whether room will come in time and refuses at once if not. Tests: waits and gets in, refused when its wait is over, one that never fits does not wait, many that wait stay within the limit.

--- a/src/gateway/batch_service.cc
+++ b/src/gateway/batch_service.cc
@@ -11,6 +11,8 @@
 
 constexpr Duration kReadDeadline = milliseconds(900);
 constexpr Duration kChangeDeadline = milliseconds(2500);
+/// Part of the time within which a submission should be accepted that it may wait for room.
+constexpr double kWaitShareOfTarget = 0.5;
 constexpr std::uint32_t kLargestPage = 1000;
 
 /// Cursor of a list of results; see queue/list_cursor.h.
@@ -105,6 +107,7 @@
   proto::SubmitBatchRequest request;
   request.set_partition_id(PartitionOf(submission.host, submission.batch_id));
   request.set_idempotent(true);
+  request.set_wait_ms(static_cast<std::uint32_t>(route.target_ms() * kWaitShareOfTarget));
   proto::SubmitBatch& batch = *request.mutable_batch();
   batch.set_tenant(submission.host);
   batch.set_route(route.name());
--- a/src/queue/batch_intake.cc
+++ b/src/queue/batch_intake.cc
@@ -142,7 +142,7 @@
 
 void BatchIntake::LogWithinLimit(const SubmissionPtr& submission) {
   reserve_tokens_(
-      submission->partition->id(), submission->batch, submission->tokens,
+      submission->partition->id(), submission->batch, submission->reservation,
       [weak = weak_from_this(), submission](const Status& status) {
         const auto self = weak.lock();
         if (self == nullptr) {
@@ -154,7 +154,8 @@
         } else {
           submission->tokens_reserved = true;
           submission->partition->ReserveTokens(submission->accepted.tenant(),
-                                               submission->accepted.route(), submission->tokens);
+                                               submission->accepted.route(),
+                                               submission->reservation.tokens);
           self->LogNext(submission);
         }
       });
@@ -175,7 +176,8 @@
   accepted.set_item_count(static_cast<std::uint64_t>(submission->batch.items_size()));
   accepted.set_request_checksum(checksum);
   accepted.set_idempotent(request.idempotent());
-  submission->tokens = TokensOf(submission->batch);
+  submission->reservation.tokens = TokensOf(submission->batch);
+  submission->reservation.longest_wait = milliseconds(request.wait_ms());
   partition->ReserveItems(accepted.tenant(), accepted.item_count());
   return submission;
 }
@@ -237,7 +239,7 @@
   const proto::BatchAccepted& accepted = submission->accepted;
   partition.ReleaseItems(accepted.tenant(), accepted.item_count());
   if (submission->tokens_reserved) {
-    partition.ReleaseTokens(accepted.tenant(), accepted.route(), submission->tokens);
+    partition.ReleaseTokens(accepted.tenant(), accepted.route(), submission->reservation.tokens);
   }
   const auto waiting =
       under_way_.find({partition.id(), accepted.tenant(), accepted.idempotency_key()});
--- a/src/queue/batch_intake.h
+++ b/src/queue/batch_intake.h
@@ -17,6 +17,7 @@
 #include "node/node_agent.h"
 #include "proto/batch.pb.h"
 #include "queue/owned_partition.h"
+#include "queue/token_reserver.h"
 #include "runtime/environment.h"
 
 namespace cloverbank {
@@ -27,8 +28,9 @@
   using Accepted = std::function<void(OwnedPartition&, const StoredBatch&)>;
 
   /// Asks whether a batch's tokens may be open; `done` gets what `TokenReserver::Reserve` says.
-  using ReserveTokens = std::function<void(PartitionId partition, const proto::SubmitBatch& batch,
-                                           std::uint64_t tokens, std::function<void(Status)> done)>;
+  using ReserveTokens =
+      std::function<void(PartitionId partition, const proto::SubmitBatch& batch,
+                         const TokenReservation& reservation, std::function<void(Status)> done)>;
 
   /// @param on_accepted runs when a new batch is held and applied, before its submission is
   /// answered.
@@ -48,7 +50,7 @@
     std::shared_ptr<OwnedPartition> partition;
     proto::SubmitBatch batch;
     proto::BatchAccepted accepted;
-    std::uint64_t tokens = 0;      ///< Of all its items.
+    TokenReservation reservation;
     bool tokens_reserved = false;  ///< They count as open at the partition.
     int next_item = 0;
     std::vector<Reply> replies;
--- /dev/null
+++ b/src/queue/drain_rate.cc
@@ -0,0 +1,38 @@
+#include "queue/drain_rate.h"
+
+#include <algorithm>
+
+namespace cloverbank {
+namespace {
+
+/// Counts further apart tell nothing of how fast it goes now.
+constexpr Duration kLongestInterval = seconds(1);
+constexpr double kNewestWeight = 0.3;
+
+}  // namespace
+
+void DrainRate::Note(std::uint64_t open, std::uint64_t granted, TimePoint now) {
+  const Duration interval = now - counted_at_;
+  if (open_ && interval > kLongestInterval) {
+    tokens_per_second_ = 0;
+  } else if (open_ && interval > Duration::zero()) {
+    const std::uint64_t before = *open_ + granted;
+    const std::uint64_t finished = before - std::min(before, open);
+    const double seen =
+        static_cast<double>(finished) / std::chrono::duration<double>(interval).count();
+    const double weight = tokens_per_second_ > 0 ? kNewestWeight : 1;
+    tokens_per_second_ += weight * (seen - tokens_per_second_);
+  }
+  open_ = open;
+  counted_at_ = now;
+}
+
+std::optional<Duration> DrainRate::TimeFor(std::uint64_t tokens) const {
+  if (tokens_per_second_ <= 0) {
+    return std::nullopt;
+  }
+  const std::chrono::duration<double> time(static_cast<double>(tokens) / tokens_per_second_);
+  return std::chrono::duration_cast<Duration>(time);
+}
+
+}  // namespace cloverbank
--- a/src/queue/queue_life.cc
+++ b/src/queue/queue_life.cc
@@ -34,9 +34,9 @@
       reserver_(std::make_shared<TokenReserver>(environment, agent, keeper_)),
       intake_(std::make_shared<BatchIntake>(
           environment, agent, log_,
-          [this](PartitionId partition, const proto::SubmitBatch& batch, std::uint64_t tokens,
-                 std::function<void(Status)> done) {
-            reserver_->Reserve(partition, batch, tokens, std::move(done));
+          [this](PartitionId partition, const proto::SubmitBatch& batch,
+                 const TokenReservation& reservation, std::function<void(Status)> done) {
+            reserver_->Reserve(partition, batch, reservation, std::move(done));
           },
           [this](OwnedPartition& partition, const StoredBatch& batch) {
             dispatcher_->AddBatch(partition, batch);
--- a/src/queue/token_keeper.cc
+++ b/src/queue/token_keeper.cc
@@ -1,5 +1,8 @@
 #include "queue/token_keeper.h"
 
+#include <algorithm>
+#include <optional>
+#include <utility>
 #include <vector>
 
 #include "runtime/typed_peer.h"
@@ -31,6 +34,7 @@
   }
   limit.ledger.AddGrant({PartitionId(request.holder_partition_id()),
                          NodeId(request.holder_node_id()), request.sequence(), request.tokens()});
+  limit.granted += request.tokens();
   return true;
 }
 
@@ -49,17 +53,43 @@
     reply(proto::ReserveTokensResponse());
     return;
   }
-  const bool fresh = environment_.Now() - limit->counted_at <= kCountAge;
-  if (Complete(*limit) && fresh && !limit->counting) {
+  const TimePoint now = environment_.Now();
+  const bool fresh = Complete(*limit) && now - limit->counted_at <= kCountAge;
+  if (fresh && !limit->counting && !MayWait(*limit, request)) {
     reply(OverLimit(request, limit->ledger.UpperBound()));
     return;
   }
-  limit->waiting.push_back({request, std::move(reply), environment_.Now() + kLongestWait});
-  if (!limit->counting) {
+  limit->waiting.push_back(
+      {request, std::move(reply), now + kLongestWait, now + milliseconds(request.wait_ms())});
+  if (fresh) {
+    CountSoon(key, limit);
+  } else if (!limit->counting) {
     BeginCount(key, limit);
   }
 }
 
+bool TokenKeeper::MayWait(const Limit& limit, const proto::ReserveTokensRequest& request) {
+  if (request.wait_ms() == 0 || request.tokens() > request.limit()) {
+    return false;
+  }
+  std::uint64_t needed = limit.ledger.UpperBound() + request.tokens();
+  for (const Waiting& before : limit.waiting) {
+    needed += before.request.tokens();
+  }
+  const std::uint64_t too_many = needed - std::min(needed, request.limit());
+  const std::optional<Duration> time = limit.drain_rate.TimeFor(too_many);
+  return !time || *time <= milliseconds(request.wait_ms());
+}
+
+void TokenKeeper::CountSoon(const Key& key, const LimitPtr& limit) {
+  environment_.ScheduleAfter(kCountAge, [weak = weak_from_this(), key, limit] {
+    const auto self = weak.lock();
+    if (self != nullptr && !limit->counting && !limit->waiting.empty()) {
+      self->BeginCount(key, limit);
+    }
+  });
+}
+
 void TokenKeeper::BeginCount(const Key& key, const LimitPtr& limit) {
   std::map<NodeId, proto::CountOpenTokensRequest> questions;
   for (const auto& [id, partition] : agent_.fleet().partitions) {
@@ -111,6 +141,8 @@
   }
   limit->counting = false;
   limit->counted_at = limit->count_began;
+  limit->drain_rate.Note(limit->ledger.UpperBound(), std::exchange(limit->granted, 0),
+                         environment_.Now());
   SettleWaiting(key, limit);
 }
 
@@ -118,10 +150,12 @@
   const bool complete = Complete(*limit);
   std::list<Waiting> still_waiting;
   for (Waiting& waiting : std::exchange(limit->waiting, {})) {
-    if (complete) {
-      const bool granted = Grant(*limit, waiting.request);
-      waiting.reply(granted ? Result<proto::ReserveTokensResponse>(proto::ReserveTokensResponse())
-                            : OverLimit(waiting.request, limit->ledger.UpperBound()));
+    if (complete && Grant(*limit, waiting.request)) {
+      waiting.reply(proto::ReserveTokensResponse());
+    } else if (complete && environment_.Now() < waiting.wait_until) {
+      still_waiting.push_back(std::move(waiting));
+    } else if (complete) {
+      waiting.reply(OverLimit(waiting.request, limit->ledger.UpperBound()));
     } else if (environment_.Now() >= waiting.deadline) {
       waiting.reply(Status(StatusCode::kUnavailable, "not all partitions can be counted now"));
     } else {
@@ -132,12 +166,7 @@
   if (limit->waiting.empty()) {
     return;
   }
-  environment_.ScheduleAfter(kCountAge, [weak = weak_from_this(), key, limit] {
-    const auto self = weak.lock();
-    if (self != nullptr && !limit->counting && !limit->waiting.empty()) {
-      self->BeginCount(key, limit);
-    }
-  });
+  CountSoon(key, limit);
 }
 
 void TokenKeeper::Drop(PartitionId partition) {
--- a/src/queue/token_keeper.h
+++ b/src/queue/token_keeper.h
@@ -5,7 +5,9 @@
 /// Nothing of it is durable: a new keeper counts at all partitions before its first grant.
 ///
 /// A grant needs no count while the upper bound leaves room. Otherwise all owners are asked, at
-/// most once in a short while. Threads: the owner's event loop only. Made by `std::make_shared`.
+/// most once in a short while. A request may wait for room if it is likely to come in time, as far
+/// as the rate at which tokens are finished tells. Threads: the owner's event loop only. Made by
+/// `std::make_shared`.
 
 #include <cstdint>
 #include <functional>
@@ -18,6 +20,7 @@
 #include "base/ids.h"
 #include "node/node_agent.h"
 #include "proto/batch.pb.h"
+#include "queue/drain_rate.h"
 #include "queue/token_ledger.h"
 #include "runtime/environment.h"
 
@@ -43,12 +46,15 @@
   struct Waiting {
     proto::ReserveTokensRequest request;
     Reply reply;
-    TimePoint deadline{};
+    TimePoint deadline{};    ///< Until it can be told what is open.
+    TimePoint wait_until{};  ///< Until there is room.
   };
   struct Limit {
     PartitionId partition;  ///< The keeper's.
     TokenLedger ledger;
-    std::list<Waiting> waiting;
+    std::list<Waiting> waiting;  ///< In order of arrival.
+    DrainRate drain_rate;
+    std::uint64_t granted = 0;  ///< Since the last count.
     bool counting = false;
     int awaited = 0;  ///< Owners that have not answered the count under way.
     TimePoint count_began{};
@@ -58,6 +64,9 @@
 
   static bool Grant(Limit& limit, const proto::ReserveTokensRequest& request);
   bool Complete(const Limit& limit) const;
+  /// Whether room for the request is likely to come before it gives up waiting.
+  static bool MayWait(const Limit& limit, const proto::ReserveTokensRequest& request);
+  void CountSoon(const Key& key, const LimitPtr& limit);
   void BeginCount(const Key& key, const LimitPtr& limit);
   void TakeCounts(const Key& key, const LimitPtr& limit,
                   const Result<proto::CountOpenTokensResponse>& counts);
--- a/src/queue/token_reserver.cc
+++ b/src/queue/token_reserver.cc
@@ -23,7 +23,7 @@
     : environment_(environment), agent_(agent), own_keeper_(std::move(own_keeper)) {}
 
 void TokenReserver::Reserve(PartitionId partition, const proto::SubmitBatch& batch,
-                            std::uint64_t tokens, Done done) {
+                            const TokenReservation& reservation, Done done) {
   const PartitionId keeper = PartitionOfTenant(batch.tenant(), agent_.partition_count());
   const proto::Server* server = agent_.fleet().OwnerOf(keeper);
   if (server == nullptr) {
@@ -37,7 +37,9 @@
   request.set_tenant(batch.tenant());
   request.set_route(batch.route());
   request.set_limit(batch.open_token_limit());
-  request.set_tokens(tokens);
+  request.set_tokens(reservation.tokens);
+  request.set_wait_ms(static_cast<std::uint32_t>(
+      std::chrono::duration_cast<milliseconds>(reservation.longest_wait).count()));
   request.set_holder_partition_id(partition.value());
   request.set_holder_node_id(agent_.node_id().value());
   request.set_sequence(sequence);
--- a/src/queue/token_reserver.h
+++ b/src/queue/token_reserver.h
@@ -17,6 +17,12 @@
 
 namespace cloverbank {
 
+/// What a batch needs of its route's limit.
+struct TokenReservation {
+  std::uint64_t tokens = 0;  ///< Of all its items.
+  Duration longest_wait{};   ///< For room.
+};
+
 class TokenReserver : public std::enable_shared_from_this<TokenReserver> {
  public:
   using Done = std::function<void(Status)>;
@@ -27,8 +33,8 @@
 
   /// `done` gets OK, kResourceExhausted, or kConflict with `kKeeperAwayDetail`. If OK, the tokens
   /// must count as open at `partition` before `done` returns.
-  void Reserve(PartitionId partition, const proto::SubmitBatch& batch, std::uint64_t tokens,
-               Done done);
+  void Reserve(PartitionId partition, const proto::SubmitBatch& batch,
+               const TokenReservation& reservation, Done done);
   /// All requests with a lower sequence are over.
   std::uint64_t settled_below() const { return pending_.empty() ? next_ : *pending_.begin(); }
 
--- a/tests/queue/token_limit_test.cc
+++ b/tests/queue/token_limit_test.cc
@@ -1,6 +1,10 @@
 // The limit of a route's open tokens over partitions of several queue nodes.
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <map>
+#include <string>
+
 #include "node/batch_partitions.h"
 #include "queue/queue_world.h"
 
@@ -41,6 +45,22 @@
     }
     return request;
   }
+  /// Submits a batch that may wait for room, without waiting for its answer.
+  void SubmitWaiting(std::uint64_t partition, const std::string& key, int items, Duration wait) {
+    proto::SubmitBatchRequest request = MakeBatch(partition, key, items, kLimit);
+    request.set_wait_ms(
+        static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(wait).count()));
+    world_.world.CallPeer(world_.world.machine(Name(partition)).endpoint(), "queue.SubmitBatch",
+                          request.SerializeAsString(), seconds(5),
+                          [this, key](const PeerReply& reply) {
+                            answers_[key] = {reply.status.code(), world_.world.Now()};
+                          });
+  }
+  struct Answer {
+    StatusCode code = StatusCode::kOk;
+    TimePoint at;
+  };
+
   void FinishAll(std::uint64_t partition) {
     for (const proto::WorkGrant& grant : world_.Acquire(Name(partition), 100)) {
       EXPECT_TRUE(world_.Finish(Name(partition), grant).ok());
@@ -48,6 +68,7 @@
   }
 
   QueueWorld world_;
+  std::map<std::string, Answer> answers_;
 };
 
 TEST_F(TokenLimitTest, HoldsOverAllPartitionsTogether) {
@@ -105,6 +126,54 @@
   EXPECT_TRUE(Submit(0, "other", 4).ok()) << "its tokens count once";
 }
 
+TEST_F(TokenLimitTest, ABatchWaitsForRoomThatComesInTime) {
+  EXPECT_TRUE(Submit(1, "a", 10).ok());
+  SubmitWaiting(2, "b", 5, milliseconds(600));
+  world_.world.RunFor(milliseconds(200));
+  EXPECT_FALSE(answers_.contains("b"));
+  FinishAll(1);
+  world_.world.RunFor(milliseconds(300));
+  ASSERT_TRUE(answers_.contains("b"));
+  EXPECT_EQ(answers_["b"].code, StatusCode::kOk);
+}
+
+TEST_F(TokenLimitTest, ABatchIsRefusedWhenItsWaitForRoomIsOver) {
+  EXPECT_TRUE(Submit(1, "a", 10).ok());
+  const TimePoint sent = world_.world.Now();
+  SubmitWaiting(2, "b", 5, milliseconds(300));
+  world_.world.RunFor(seconds(1));
+  ASSERT_TRUE(answers_.contains("b"));
+  EXPECT_EQ(answers_["b"].code, StatusCode::kResourceExhausted);
+  EXPECT_GE(answers_["b"].at - sent, milliseconds(300));
+  EXPECT_LE(answers_["b"].at - sent, milliseconds(450));
+}
+
+TEST_F(TokenLimitTest, ABatchThatNeverFitsDoesNotWait) {
+  EXPECT_TRUE(Submit(1, "a", 10).ok());
+  EXPECT_EQ(Submit(2, "counted", 5).status().code(), StatusCode::kResourceExhausted);
+  const TimePoint sent = world_.world.Now();
+  SubmitWaiting(2, "b", 11, milliseconds(300));
+  world_.world.RunFor(seconds(1));
+  ASSERT_TRUE(answers_.contains("b"));
+  EXPECT_EQ(answers_["b"].code, StatusCode::kResourceExhausted);
+  EXPECT_LE(answers_["b"].at - sent, milliseconds(50));
+}
+
+TEST_F(TokenLimitTest, ManyThatWaitStayWithinTheLimitAndAllAreAnswered) {
+  EXPECT_TRUE(Submit(1, "a", 10).ok());
+  for (std::uint64_t batch = 0; batch < 12; ++batch) {
+    SubmitWaiting(batch % kPartitions, "w" + std::to_string(batch), 2, milliseconds(600));
+  }
+  world_.world.RunFor(milliseconds(100));
+  FinishAll(1);
+  world_.world.RunFor(seconds(2));
+  ASSERT_EQ(answers_.size(), 12U);
+  const auto accepted = std::count_if(answers_.begin(), answers_.end(), [](const auto& answer) {
+    return answer.second.code == StatusCode::kOk;
+  });
+  EXPECT_EQ(accepted, 5);
+}
+
 TEST_F(TokenLimitTest, ANewKeeperCountsBeforeItGrants) {
   EXPECT_TRUE(Submit((Keeper() + 1) % kPartitions, "a", 8).ok());
   const std::uint64_t heir = (Keeper() + 2) % kPartitions;
