Tell reading speed by length of prompt, and learn the fixed part of a latency

Long prompts are read at a lower rate than short ones, since attention grows with the square of the length. Change: the fixed part is a low quantile of what short prompts show; four classes of length have a rate each, of the replica or of its back end.

--- a/src/gateway/prefill_load.cc
+++ b/src/gateway/prefill_load.cc
@@ -37,14 +37,32 @@
   replicas_[replica].backend = backend;
 }
 
-double PrefillLoad::tokens_per_ms(std::string_view replica) const {
+const PrefillLoad::BackendSpeed* PrefillLoad::FindBackend(std::string_view replica) const {
   const auto found = replicas_.find(replica);
-  if (found != replicas_.end() && found->second.rate.known()) {
-    return found->second.rate.tokens_per_ms();
+  const auto backend = backends_.find(found == replicas_.end() ? "" : found->second.backend);
+  return backend == backends_.end() ? nullptr : &backend->second;
+}
+
+double PrefillLoad::TokensPerMs(std::string_view replica, std::uint32_t tokens) const {
+  const auto found = replicas_.find(replica);
+  std::optional<double> rate;
+  if (found != replicas_.end()) {
+    rate = found->second.speed.TokensPerMs(tokens);
+  }
+  const BackendSpeed* backend = FindBackend(replica);
+  if (!rate && backend != nullptr) {
+    rate = backend->speed.TokensPerMs(tokens);
+  }
+  return rate.value_or(options_.first_tokens_per_ms);
+}
+
+Duration PrefillLoad::FixedLatency(std::string_view replica) const {
+  const BackendSpeed* backend = FindBackend(replica);
+  if (backend == nullptr || !backend->fixed_latency_ms.value()) {
+    return options_.first_fixed_latency;
   }
-  const auto peers = rates_.find(found == replicas_.end() ? "" : found->second.backend);
-  const bool known = peers != rates_.end() && peers->second.known();
-  return known ? peers->second.tokens_per_ms() : options_.first_tokens_per_ms;
+  const std::chrono::duration<double, std::milli> fixed(*backend->fixed_latency_ms.value());
+  return std::chrono::duration_cast<Duration>(fixed);
 }
 
 std::uint32_t PrefillLoad::TokensToRead(std::string_view replica, const PromptShape& shape,
@@ -59,7 +77,7 @@
 }
 
 Duration PrefillLoad::TimeFor(std::string_view replica, std::uint32_t tokens) const {
-  const std::chrono::duration<double, std::milli> time(tokens / tokens_per_ms(replica));
+  const std::chrono::duration<double, std::milli> time(tokens / TokensPerMs(replica, tokens));
   return std::chrono::duration_cast<Duration>(time);
 }
 
@@ -89,25 +107,33 @@
 void PrefillLoad::OnFirstByte(const std::string& replica, std::uint32_t tokens, Duration backlog,
                               Duration latency, TimePoint now) {
   Replica& entry = replicas_[replica];
-  const Duration expected = backlog + TimeFor(replica, tokens) + options_.fixed_latency;
+  const Duration expected = backlog + TimeFor(replica, tokens) + FixedLatency(replica);
   const Duration late = std::max(Duration::zero(), latency - expected);
   const Duration past = DelayOf(entry, now);
   entry.delay = std::chrono::duration_cast<Duration>(past * (1 - options_.delay_weight) +
                                                      late * options_.delay_weight);
   entry.delay_at = now;
   if (backlog * kLeastLatencyOverBacklog <= latency) {
-    LearnRate(entry, tokens, latency - options_.fixed_latency - backlog);
+    Learn(replica, tokens, latency - backlog);
   }
 }
 
-void PrefillLoad::LearnRate(Replica& replica, std::uint32_t tokens, Duration reading) {
-  if (tokens < options_.learn_from_tokens || reading <= Duration::zero()) {
+void PrefillLoad::Learn(const std::string& replica, std::uint32_t tokens, Duration latency) {
+  Replica& entry = replicas_[replica];
+  BackendSpeed& backend = backends_[entry.backend];
+  if (tokens < options_.learn_from_tokens) {
+    const Duration fixed = std::max(Duration::zero(), latency - TimeFor(replica, tokens));
+    backend.fixed_latency_ms.Add(ToMilliseconds(fixed));
+    return;
+  }
+  const Duration reading = latency - FixedLatency(replica);
+  if (reading <= Duration::zero()) {
     return;
   }
   const double seen =
       std::clamp(tokens / ToMilliseconds(reading), kLeastTokensPerMs, kMostTokensPerMs);
-  replica.rate.Add(seen);
-  rates_[replica.backend].Add(seen);
+  entry.speed.Add(tokens, seen);
+  backend.speed.Add(tokens, seen);
 }
 
 }  // namespace cloverbank
--- a/src/gateway/prefill_load.h
+++ b/src/gateway/prefill_load.h
@@ -17,7 +17,7 @@
 #include <unordered_map>
 
 #include "base/time.h"
-#include "gateway/reading_rate.h"
+#include "gateway/reading_speed.h"
 
 namespace cloverbank {
 
@@ -30,9 +30,10 @@
 };
 
 struct PrefillOptions {
-  double first_tokens_per_ms = 180;           ///< Until answers show it.
-  std::uint32_t learn_from_tokens = 1000;     ///< Shorter prompts say little of the rate.
-  Duration fixed_latency = milliseconds(12);  ///< Of a first token, whatever the prompt.
+  double first_tokens_per_ms = 180;        ///< Until answers show it.
+  std::uint32_t learn_from_tokens = 1000;  ///< Shorter prompts say little of the rate.
+  /// Of a first token, whatever the prompt: until answers show it.
+  Duration first_fixed_latency = milliseconds(12);
   std::size_t keys_per_replica = 128;
   /// How much of an answer's unexpected delay counts against its replica, and how fast that fades:
   /// prompts of gateways that this one does not hear of, and slow replicas, show in nothing else.
@@ -65,26 +66,35 @@
                    Duration latency, TimePoint now);
   void Remove(const std::string& replica) { replicas_.erase(replica); }
 
-  double tokens_per_ms(std::string_view replica) const;
+  /// @return the rate at which the replica reads prompts of that length.
+  double TokensPerMs(std::string_view replica, std::uint32_t tokens) const;
+  /// @return the part of the latency of a first token that is the same for all prompts.
+  Duration FixedLatency(std::string_view replica) const;
 
  private:
   struct Replica {
     TimePoint busy_until{};
     std::string backend;
-    ReadingRate rate;
+    ReadingSpeed speed;
     Duration delay{};  ///< Unexpected, as of `delay_at`.
     TimePoint delay_at{};
     std::list<std::uint64_t> recent;  ///< Keys, the one used last first.
     std::unordered_map<std::uint64_t, std::list<std::uint64_t>::iterator> places;
   };
+  /// What is known of the replicas of a back end together.
+  struct BackendSpeed {
+    ReadingSpeed speed;
+    RecentQuantile fixed_latency_ms{1};
+  };
 
-  void LearnRate(Replica& replica, std::uint32_t tokens, Duration reading);
+  const BackendSpeed* FindBackend(std::string_view replica) const;
+  void Learn(const std::string& replica, std::uint32_t tokens, Duration latency);
   void Remember(Replica& replica, std::uint64_t key);
   Duration DelayOf(const Replica& replica, TimePoint now) const;
 
   PrefillOptions options_;
   std::map<std::string, Replica, std::less<>> replicas_;
-  std::map<std::string, ReadingRate> rates_;  ///< Of all replicas of a back end together.
+  std::map<std::string, BackendSpeed> backends_;
 };
 
 }  // namespace cloverbank
--- a/src/gateway/reading_speed.cc
+++ b/src/gateway/reading_speed.cc
@@ -1,25 +1,39 @@
-#include "gateway/reading_rate.h"
-
-#include <algorithm>
+#include "gateway/reading_speed.h"
 
 namespace cloverbank {
 namespace {
 
-constexpr std::size_t kQuantileNumerator = 2;
-constexpr std::size_t kQuantileDenominator = 3;
+/// Longest prompt of the first class; each further class reaches four times as far.
+constexpr std::uint32_t kShortest = 4'000;
+constexpr std::uint32_t kGrowth = 4;
 
 }  // namespace
 
-void ReadingRate::Add(double tokens_per_ms) {
-  samples_.at(count_ % kMostSamples) = tokens_per_ms;
-  ++count_;
-  std::array<double, kMostSamples> sorted = samples_;
-  const std::size_t held = std::min(count_, kMostSamples);
-  const std::size_t place = (held - 1) * kQuantileNumerator / kQuantileDenominator;
-  const auto end = sorted.begin() + static_cast<std::ptrdiff_t>(held);
-  const auto nth = sorted.begin() + static_cast<std::ptrdiff_t>(place);
-  std::nth_element(sorted.begin(), nth, end);
-  quantile_ = *nth;
+std::size_t ReadingSpeed::ClassOf(std::uint32_t tokens) {
+  std::size_t found = 0;
+  std::uint64_t longest = kShortest;
+  while (found + 1 < kClasses && tokens > longest) {
+    ++found;
+    longest *= kGrowth;
+  }
+  return found;
+}
+
+void ReadingSpeed::Add(std::uint32_t tokens, double tokens_per_ms) {
+  rates_.at(ClassOf(tokens)).Add(tokens_per_ms);
+}
+
+std::optional<double> ReadingSpeed::TokensPerMs(std::uint32_t tokens) const {
+  const std::size_t own = ClassOf(tokens);
+  for (std::size_t distance = 0; distance < kClasses; ++distance) {
+    if (own >= distance && rates_.at(own - distance).value()) {
+      return rates_.at(own - distance).value();
+    }
+    if (own + distance < kClasses && rates_.at(own + distance).value()) {
+      return rates_.at(own + distance).value();
+    }
+  }
+  return std::nullopt;
 }
 
 }  // namespace cloverbank
--- a/src/gateway/reading_speed.h
+++ b/src/gateway/reading_speed.h
@@ -1,31 +1,32 @@
 #pragma once
 /// @file
-/// How fast a model replica reads prompts, told from the times of first answers. Prompts of others
+/// How fast model replicas read prompts, told from the times of first answers. Prompts of others
 /// that were read before make an answer late and never early, so the rate is a high quantile of
-/// what was seen lately, not its mean. Pure.
+/// what was seen lately. Long prompts are read at a lower rate than short ones (attention grows
+/// with the square of the length), so each class of lengths has a rate of its own. Pure.
 
 #include <array>
-#include <cstddef>
+#include <cstdint>
+#include <optional>
+
+#include "gateway/recent_quantile.h"
 
 namespace cloverbank {
 
-class ReadingRate {
+class ReadingSpeed {
  public:
-  /// Fewer samples than this tell no rate.
-  static constexpr std::size_t kLeastSamples = 4;
-
-  /// An answer began after a prompt was read at `tokens_per_ms`, or faster than that.
-  void Add(double tokens_per_ms);
-  bool known() const { return count_ >= kLeastSamples; }
-  /// @return tokens a millisecond; 0 while it is not known.
-  double tokens_per_ms() const { return known() ? quantile_ : 0; }
+  /// An answer began after a prompt of that length was read at that rate, or faster.
+  void Add(std::uint32_t tokens, double tokens_per_ms);
+  /// @return the rate at which prompts of that length are read, or of the nearest length that is
+  /// known; nothing while none is.
+  std::optional<double> TokensPerMs(std::uint32_t tokens) const;
 
  private:
-  static constexpr std::size_t kMostSamples = 16;
+  static constexpr std::size_t kClasses = 4;
+  static std::size_t ClassOf(std::uint32_t tokens);
 
-  std::array<double, kMostSamples> samples_{};  ///< The newest ones, in a ring.
-  std::size_t count_ = 0;                       ///< Of all samples ever added.
-  double quantile_ = 0;
+  std::array<RecentQuantile, kClasses> rates_{RecentQuantile(2), RecentQuantile(2),
+                                              RecentQuantile(2), RecentQuantile(2)};
 };
 
 }  // namespace cloverbank
--- a/tests/gateway/prefill_load_test.cc
+++ b/tests/gateway/prefill_load_test.cc
@@ -46,45 +46,58 @@
 }
 
 TEST_F(PrefillLoadTest, LearnsEachReplicasRateFromAnswersThatDidNotWaitForOtherPrompts) {
-  const Duration fixed = Options().fixed_latency;
+  const Duration fixed = Options().first_fixed_latency;
   load_.Watch("slow", "model");
   load_.Watch("fast", "model");
   for (int sample = 0; sample < 40; ++sample) {
     load_.OnFirstByte("slow", 8'000, Duration::zero(), fixed + milliseconds(160), now_);
     load_.OnFirstByte("fast", 8'000, Duration::zero(), fixed + milliseconds(40), now_);
   }
-  EXPECT_NEAR(load_.tokens_per_ms("slow"), 50, 1);
-  EXPECT_NEAR(load_.tokens_per_ms("fast"), 200, 1);
+  EXPECT_NEAR(load_.TokensPerMs("slow", 8'000), 50, 1);
+  EXPECT_NEAR(load_.TokensPerMs("fast", 8'000), 200, 1);
 }
 
 TEST_F(PrefillLoadTest, AReplicaThatHasNotAnsweredYetCountsAsFastAsOthersOfItsBackEnd) {
-  const Duration fixed = Options().fixed_latency;
+  const Duration fixed = Options().first_fixed_latency;
   load_.Watch("known", "model");
   load_.Watch("new", "model");
   load_.Watch("foreign", "other-model");
   for (int sample = 0; sample < 40; ++sample) {
     load_.OnFirstByte("known", 8'000, Duration::zero(), fixed + milliseconds(160), now_);
   }
-  EXPECT_NEAR(load_.tokens_per_ms("new"), 50, 1);
-  EXPECT_EQ(load_.tokens_per_ms("foreign"), 100);
+  EXPECT_NEAR(load_.TokensPerMs("new", 8'000), 50, 1);
+  EXPECT_EQ(load_.TokensPerMs("foreign", 8'000), 100);
 }
 
 TEST_F(PrefillLoadTest, AnswersAfterOtherPromptsAndOfShortPromptsTellNoRate) {
-  const Duration fixed = Options().fixed_latency;
+  const Duration fixed = Options().first_fixed_latency;
   for (int sample = 0; sample < 40; ++sample) {
     load_.OnFirstByte("r", 8'000, milliseconds(100), fixed + milliseconds(160), now_);
     load_.OnFirstByte("r", 100, Duration::zero(), fixed + milliseconds(160), now_);
   }
-  EXPECT_EQ(load_.tokens_per_ms("r"), 100);
+  EXPECT_EQ(load_.TokensPerMs("r", 8'000), 100);
 }
 
 TEST_F(PrefillLoadTest, AnswersThatWaitedForPromptsOfOthersDoNotMakeAReplicaSlow) {
-  const Duration fixed = Options().fixed_latency;
+  const Duration fixed = Options().first_fixed_latency;
   for (int sample = 0; sample < 60; ++sample) {
     const Duration unknown = sample % 2 == 0 ? milliseconds(300) : Duration::zero();
     load_.OnFirstByte("r", 8'000, Duration::zero(), fixed + milliseconds(160) + unknown, now_);
   }
-  EXPECT_NEAR(load_.tokens_per_ms("r"), 50, 1);
+  EXPECT_NEAR(load_.TokensPerMs("r", 8'000), 50, 1);
+}
+
+TEST_F(PrefillLoadTest, LearnsWhatAFirstTokenTakesWhateverThePrompt) {
+  for (const Duration fixed : {milliseconds(2), milliseconds(30)}) {
+    for (int sample = 0; sample < 40; ++sample) {
+      load_.OnFirstByte("r", 200, Duration::zero(), fixed + milliseconds(4), now_);
+      load_.OnFirstByte("r", 8'000, Duration::zero(), fixed + milliseconds(160), now_);
+    }
+    const auto known = std::chrono::duration<double, std::milli>(load_.FixedLatency("r"));
+    const auto expected = std::chrono::duration<double, std::milli>(fixed);
+    EXPECT_NEAR(known.count(), expected.count(), 0.5);
+    EXPECT_NEAR(load_.TokensPerMs("r", 8'000), 50, 1);
+  }
 }
 
 TEST_F(PrefillLoadTest, AnAnswerThatWasLateBeyondWhatIsKnownCountsForAWhile) {
--- a/tests/gateway/reading_speed_test.cc
+++ b/tests/gateway/reading_speed_test.cc
@@ -1,48 +1,74 @@
-#include "gateway/reading_rate.h"
+#include "gateway/reading_speed.h"
 
 #include <gtest/gtest.h>
 
 namespace cloverbank {
 namespace {
 
-TEST(ReadingRateTest, IsNotKnownFromAFewSamples) {
-  ReadingRate rate;
-  for (std::size_t sample = 1; sample < ReadingRate::kLeastSamples; ++sample) {
-    rate.Add(100);
-    EXPECT_FALSE(rate.known());
-    EXPECT_EQ(rate.tokens_per_ms(), 0);
+constexpr std::uint32_t kShort = 1'500;
+constexpr std::uint32_t kLong = 30'000;
+
+TEST(RecentQuantileTest, IsNotKnownFromAFewSamples) {
+  RecentQuantile quantile(2);
+  for (std::size_t sample = 1; sample < RecentQuantile::kLeastSamples; ++sample) {
+    quantile.Add(100);
+    EXPECT_FALSE(quantile.value().has_value());
   }
-  rate.Add(100);
-  EXPECT_TRUE(rate.known());
-  EXPECT_EQ(rate.tokens_per_ms(), 100);
+  quantile.Add(100);
+  EXPECT_EQ(quantile.value(), 100);
 }
 
-TEST(ReadingRateTest, SlowAnswersAmongFastOnesHardlyCount) {
-  ReadingRate rate;
+TEST(RecentQuantileTest, TheLowOneAndTheHighOneLieApart) {
+  RecentQuantile low(1);
+  RecentQuantile high(2);
+  for (int sample = 1; sample <= 16; ++sample) {
+    low.Add(sample);
+    high.Add(sample);
+  }
+  EXPECT_EQ(low.value(), 6);
+  EXPECT_EQ(high.value(), 11);
+}
+
+TEST(ReadingSpeedTest, SlowAnswersAmongFastOnesHardlyCount) {
+  ReadingSpeed speed;
   for (int sample = 0; sample < 30; ++sample) {
-    rate.Add(sample % 2 == 0 ? 100 : 5);
+    speed.Add(kShort, sample % 2 == 0 ? 100 : 5);
   }
-  EXPECT_EQ(rate.tokens_per_ms(), 100);
+  EXPECT_EQ(speed.TokensPerMs(kShort), 100);
 }
 
-TEST(ReadingRateTest, OneAnswerFasterThanTheOthersDoesNotSetTheRate) {
-  ReadingRate rate;
+TEST(ReadingSpeedTest, OneAnswerFasterThanTheOthersDoesNotSetTheRate) {
+  ReadingSpeed speed;
   for (int sample = 0; sample < 15; ++sample) {
-    rate.Add(100);
+    speed.Add(kShort, 100);
+  }
+  speed.Add(kShort, 1000);
+  EXPECT_EQ(speed.TokensPerMs(kShort), 100);
+}
+
+TEST(ReadingSpeedTest, FollowsAReplicaThatBecameSlower) {
+  ReadingSpeed speed;
+  for (int sample = 0; sample < 16; ++sample) {
+    speed.Add(kShort, 100);
+  }
+  for (int sample = 0; sample < 16; ++sample) {
+    speed.Add(kShort, 40);
   }
-  rate.Add(1000);
-  EXPECT_EQ(rate.tokens_per_ms(), 100);
+  EXPECT_EQ(speed.TokensPerMs(kShort), 40);
 }
 
-TEST(ReadingRateTest, FollowsAReplicaThatBecameSlower) {
-  ReadingRate rate;
+TEST(ReadingSpeedTest, LongPromptsHaveARateOfTheirOwn) {
+  ReadingSpeed speed;
+  EXPECT_FALSE(speed.TokensPerMs(kShort).has_value());
   for (int sample = 0; sample < 16; ++sample) {
-    rate.Add(100);
+    speed.Add(kShort, 160);
   }
+  EXPECT_EQ(speed.TokensPerMs(kLong), 160) << "the nearest length that is known";
   for (int sample = 0; sample < 16; ++sample) {
-    rate.Add(40);
+    speed.Add(kLong, 90);
   }
-  EXPECT_EQ(rate.tokens_per_ms(), 40);
+  EXPECT_EQ(speed.TokensPerMs(kLong), 90);
+  EXPECT_EQ(speed.TokensPerMs(kShort), 160);
 }
 
 }  // namespace
