Keep replicas for long prompts only where long prompts come

Change: replicas are kept for long prompts for 10 s after one went to the back end, and are then avoided by 60 ms: what a gateway knows of backlogs has grown, and 18 ms no longer kept short prompts away.

--- a/src/gateway/prefill_load.cc
+++ b/src/gateway/prefill_load.cc
@@ -56,6 +56,12 @@
   return rate.value_or(options_.first_tokens_per_ms);
 }
 
+bool PrefillLoad::ExpectsLongPrompts(std::string_view replica, TimePoint now) const {
+  const BackendSpeed* backend = FindBackend(replica);
+  return backend != nullptr && backend->last_long_prompt &&
+         now - *backend->last_long_prompt <= options_.long_prompts_expected;
+}
+
 Duration PrefillLoad::FixedLatency(std::string_view replica) const {
   const BackendSpeed* backend = FindBackend(replica);
   if (backend == nullptr || !backend->fixed_latency_ms.value()) {
@@ -85,6 +91,9 @@
                           TimePoint now) {
   Replica& entry = replicas_[replica];
   entry.busy_until = std::max(entry.busy_until, now) + TimeFor(replica, tokens);
+  if (IsLong(tokens)) {
+    backends_[entry.backend].last_long_prompt = now;
+  }
   if (key != 0) {
     Remember(entry, key);
   }
--- a/src/gateway/prefill_load.h
+++ b/src/gateway/prefill_load.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <list>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -35,6 +36,11 @@
   /// Of a first token, whatever the prompt: until answers show it.
   Duration first_fixed_latency = milliseconds(12);
   std::size_t keys_per_replica = 128;
+  /// Prompts of at least that many tokens are long: they stop for a while what is generated beside
+  /// them.
+  std::uint32_t long_prompt_tokens = 20'000;
+  /// How long after the last one long prompts are expected.
+  Duration long_prompts_expected = seconds(10);
   /// How much of an answer's unexpected delay counts against its replica, and how fast that fades:
   /// prompts of gateways that this one does not hear of, and slow replicas, show in nothing else.
   double delay_weight = 0.5;
@@ -66,6 +72,10 @@
                    Duration latency, TimePoint now);
   void Remove(const std::string& replica) { replicas_.erase(replica); }
 
+  bool IsLong(std::uint32_t tokens) const { return tokens >= options_.long_prompt_tokens; }
+  /// Whether a long prompt went to a replica of the same back end lately.
+  bool ExpectsLongPrompts(std::string_view replica, TimePoint now) const;
+
   /// @return the rate at which the replica reads prompts of that length.
   double TokensPerMs(std::string_view replica, std::uint32_t tokens) const;
   /// @return the part of the latency of a first token that is the same for all prompts.
@@ -85,6 +95,7 @@
   struct BackendSpeed {
     ReadingSpeed speed;
     RecentQuantile fixed_latency_ms{1};
+    std::optional<TimePoint> last_long_prompt;
   };
 
   const BackendSpeed* FindBackend(std::string_view replica) const;
--- a/src/gateway/router.cc
+++ b/src/gateway/router.cc
@@ -209,10 +209,10 @@
   cost += replica.zone == options_.zone ? Duration::zero() : options_.other_zone_cost;
   cost += candidate.last_resort ? kLastResortCost : Duration::zero();
   const bool for_long_ones = directory_.TakesLongPrompts(replica);
-  if (query.prompt.prompt_tokens >= options_.long_prompt_tokens) {
+  if (prefill_->IsLong(query.prompt.prompt_tokens)) {
     cost += for_long_ones ? Duration::zero() : options_.long_elsewhere_cost;
-  } else {
-    cost += for_long_ones ? options_.short_beside_long_cost : Duration::zero();
+  } else if (for_long_ones && prefill_->ExpectsLongPrompts(replica.id, now)) {
+    cost += options_.short_beside_long_cost;
   }
   return cost;
 }
--- a/src/gateway/router.h
+++ b/src/gateway/router.h
@@ -40,11 +40,10 @@
   Duration other_zone_cost = milliseconds(30);
   /// The same for each of this gateway's calls at a replica.
   Duration running_call_cost = std::chrono::microseconds(400);
-  /// Prompts of at least that many tokens go to some replicas of a zone, which the others avoid: a
-  /// long prompt stops what is generated beside it. Each side's cost of leaving its place.
-  std::uint32_t long_prompt_tokens = 20'000;
+  /// Where long prompts are expected they go to some replicas of a zone, which the others avoid.
+  /// Each side's cost of leaving its place.
   Duration long_elsewhere_cost = milliseconds(80);
-  Duration short_beside_long_cost = milliseconds(18);
+  Duration short_beside_long_cost = milliseconds(60);
   /// Prompts ahead of a batch item, above which it is not started there.
   Duration batch_backlog = milliseconds(10);
 };
