Count delays of up to 10 ms as no sign of a busy replica

Cause: now that the fixed latency is learned as a low quantile, two answers in three seem a few milliseconds late; such noise of the way and of processor time outweighed the saving of a kept prefix. Change: a tolerance of 10 ms.

--- a/src/gateway/prefill_load.cc
+++ b/src/gateway/prefill_load.cc
@@ -116,7 +116,8 @@
 void PrefillLoad::OnFirstByte(const std::string& replica, std::uint32_t tokens, Duration backlog,
                               Duration latency, TimePoint now) {
   Replica& entry = replicas_[replica];
-  const Duration expected = backlog + TimeFor(replica, tokens) + FixedLatency(replica);
+  const Duration expected =
+      backlog + TimeFor(replica, tokens) + FixedLatency(replica) + options_.delay_tolerance;
   const Duration late = std::max(Duration::zero(), latency - expected);
   const Duration past = DelayOf(entry, now);
   entry.delay = std::chrono::duration_cast<Duration>(past * (1 - options_.delay_weight) +
--- a/src/gateway/prefill_load.h
+++ b/src/gateway/prefill_load.h
@@ -45,6 +45,8 @@
   /// prompts of gateways that this one does not hear of, and slow replicas, show in nothing else.
   double delay_weight = 0.5;
   Duration delay_half_life = milliseconds(400);
+  /// Delays up to this are noise of the way and of processor time, and say nothing of a replica.
+  Duration delay_tolerance = milliseconds(10);
 };
 
 class PrefillLoad {
--- a/tests/gateway/prefill_load_test.cc
+++ b/tests/gateway/prefill_load_test.cc
@@ -100,8 +100,30 @@
   }
 }
 
+TEST_F(PrefillLoadTest, LongPromptsAreExpectedForAWhileAfterOneWentToTheBackEnd) {
+  load_.Watch("r", "model");
+  load_.Watch("peer", "model");
+  load_.Watch("foreign", "other-model");
+  load_.OnStart("r", 1'000, 0, now_);
+  EXPECT_FALSE(load_.ExpectsLongPrompts("r", now_));
+  load_.OnStart("r", 30'000, 0, now_);
+  EXPECT_TRUE(load_.ExpectsLongPrompts("r", now_));
+  EXPECT_TRUE(load_.ExpectsLongPrompts("peer", now_));
+  EXPECT_FALSE(load_.ExpectsLongPrompts("foreign", now_));
+  const Duration expected = Options().long_prompts_expected;
+  EXPECT_TRUE(load_.ExpectsLongPrompts("peer", now_ + expected));
+  EXPECT_FALSE(load_.ExpectsLongPrompts("peer", now_ + expected + milliseconds(1)));
+}
+
+TEST_F(PrefillLoadTest, ADelayWithinTheToleranceIsNoSign) {
+  const Duration expected = milliseconds(1) + Options().first_fixed_latency;
+  load_.OnFirstByte("r", 100, Duration::zero(), expected + Options().delay_tolerance, now_);
+  EXPECT_EQ(load_.Backlog("r", now_), Duration::zero());
+}
+
 TEST_F(PrefillLoadTest, AnAnswerThatWasLateBeyondWhatIsKnownCountsForAWhile) {
-  load_.OnFirstByte("r", 100, Duration::zero(), milliseconds(213), now_);
+  load_.OnFirstByte("r", 100, Duration::zero(), milliseconds(213) + Options().delay_tolerance,
+                    now_);
   const Duration at_once = load_.Backlog("r", now_);
   EXPECT_EQ(at_once, milliseconds(100));
   const Duration later = load_.Backlog("r", now_ + Options().delay_half_life);
