Rather send prompts to replicas that were given little to read lately

Change: what a replica was given to read fades with a half life of 300 ms, and a fifth of it counts as a cost. Tests: the fading, and the choice by backlog, by recent reading and by places kept for long prompts, which had no test.

--- a/src/gateway/prefill_load.cc
+++ b/src/gateway/prefill_load.cc
@@ -27,6 +27,17 @@
   return known + DelayOf(entry, now);
 }
 
+Duration PrefillLoad::Lately(std::string_view replica, TimePoint now) const {
+  const auto found = replicas_.find(replica);
+  return found == replicas_.end() ? Duration::zero() : LatelyOf(found->second, now);
+}
+
+Duration PrefillLoad::LatelyOf(const Replica& replica, TimePoint now) const {
+  const double half_lives = std::chrono::duration<double>(now - replica.lately_at) /
+                            std::chrono::duration<double>(options_.lately_half_life);
+  return std::chrono::duration_cast<Duration>(replica.lately * std::exp2(-half_lives));
+}
+
 Duration PrefillLoad::DelayOf(const Replica& replica, TimePoint now) const {
   const double half_lives = std::chrono::duration<double>(now - replica.delay_at) /
                             std::chrono::duration<double>(options_.delay_half_life);
@@ -90,7 +101,10 @@
 void PrefillLoad::OnStart(const std::string& replica, std::uint32_t tokens, std::uint64_t key,
                           TimePoint now) {
   Replica& entry = replicas_[replica];
-  entry.busy_until = std::max(entry.busy_until, now) + TimeFor(replica, tokens);
+  const Duration reading = TimeFor(replica, tokens);
+  entry.busy_until = std::max(entry.busy_until, now) + reading;
+  entry.lately = LatelyOf(entry, now) + reading;
+  entry.lately_at = now;
   if (IsLong(tokens)) {
     backends_[entry.backend].last_long_prompt = now;
   }
--- a/src/gateway/prefill_load.h
+++ b/src/gateway/prefill_load.h
@@ -45,6 +45,8 @@
   /// prompts of gateways that this one does not hear of, and slow replicas, show in nothing else.
   double delay_weight = 0.5;
   Duration delay_half_life = milliseconds(400);
+  /// How fast what a replica was given to read fades, see `Lately`.
+  Duration lately_half_life = milliseconds(300);
   /// Delays up to this are noise of the way and of processor time, and say nothing of a replica.
   Duration delay_tolerance = milliseconds(10);
 };
@@ -60,6 +62,9 @@
   /// @return how long the replica is busy with prompts that came before, as far as is known, and
   /// what its last answers were late beyond that.
   Duration Backlog(std::string_view replica, TimePoint now) const;
+  /// @return how long what the replica was given lately takes to read, fading with time: where much
+  /// was read, answers are being generated, which further prompts would stop.
+  Duration Lately(std::string_view replica, TimePoint now) const;
   /// @return tokens that it would have to read. @param home whether calls of this key go there when
   /// nothing speaks against it, so that its shared part is probably kept there.
   std::uint32_t TokensToRead(std::string_view replica, const PromptShape& shape, bool home) const;
@@ -88,6 +93,8 @@
     TimePoint busy_until{};
     std::string backend;
     ReadingSpeed speed;
+    Duration lately{};  ///< Reading begun, decayed, as of `lately_at`.
+    TimePoint lately_at{};
     Duration delay{};  ///< Unexpected, as of `delay_at`.
     TimePoint delay_at{};
     std::list<std::uint64_t> recent;  ///< Keys, the one used last first.
@@ -104,6 +111,7 @@
   void Learn(const std::string& replica, std::uint32_t tokens, Duration latency);
   void Remember(Replica& replica, std::uint64_t key);
   Duration DelayOf(const Replica& replica, TimePoint now) const;
+  Duration LatelyOf(const Replica& replica, TimePoint now) const;
 
   PrefillOptions options_;
   std::map<std::string, Replica, std::less<>> replicas_;
--- a/src/gateway/router.cc
+++ b/src/gateway/router.cc
@@ -206,6 +206,8 @@
   const std::uint32_t tokens = prefill_->TokensToRead(replica.id, query.prompt, home);
   Duration cost = prefill_->Backlog(replica.id, now) + prefill_->TimeFor(replica.id, tokens);
   cost += candidate.load * options_.running_call_cost;
+  cost += std::chrono::duration_cast<Duration>(prefill_->Lately(replica.id, now) *
+                                               options_.lately_weight);
   cost += replica.zone == options_.zone ? Duration::zero() : options_.other_zone_cost;
   cost += candidate.last_resort ? kLastResortCost : Duration::zero();
   const bool for_long_ones = directory_.TakesLongPrompts(replica);
--- a/src/gateway/router.h
+++ b/src/gateway/router.h
@@ -40,6 +40,8 @@
   Duration other_zone_cost = milliseconds(30);
   /// The same for each of this gateway's calls at a replica.
   Duration running_call_cost = std::chrono::microseconds(400);
+  /// Part of what a replica was given to read lately that counts as a cost of its own.
+  double lately_weight = 0.2;
   /// Where long prompts are expected they go to some replicas of a zone, which the others avoid.
   /// Each side's cost of leaving its place.
   Duration long_elsewhere_cost = milliseconds(80);
--- a/tests/gateway/prefill_load_test.cc
+++ b/tests/gateway/prefill_load_test.cc
@@ -115,6 +115,15 @@
   EXPECT_FALSE(load_.ExpectsLongPrompts("peer", now_ + expected + milliseconds(1)));
 }
 
+TEST_F(PrefillLoadTest, WhatAReplicaWasGivenToReadLatelyFades) {
+  load_.OnStart("r", 10'000, 0, now_);
+  EXPECT_EQ(load_.Lately("r", now_), milliseconds(100));
+  EXPECT_EQ(load_.Lately("r", now_ + Options().lately_half_life), milliseconds(50));
+  load_.OnStart("r", 10'000, 0, now_ + Options().lately_half_life);
+  EXPECT_EQ(load_.Lately("r", now_ + Options().lately_half_life), milliseconds(150));
+  EXPECT_EQ(load_.Lately("other", now_), Duration::zero());
+}
+
 TEST_F(PrefillLoadTest, ADelayWithinTheToleranceIsNoSign) {
   const Duration expected = milliseconds(1) + Options().first_fixed_latency;
   load_.OnFirstByte("r", 100, Duration::zero(), expected + Options().delay_tolerance, now_);
--- a/tests/gateway/router_test.cc
+++ b/tests/gateway/router_test.cc
@@ -295,5 +295,76 @@
   EXPECT_EQ(apply().removed, x);
 }
 
+/// Choice by what replicas have to read, three replicas in one zone.
+class PromptRoutingTest : public RouterTest {
+ protected:
+  PromptRoutingTest() {
+    for (const char* id : {"r1", "r2", "r3"}) {
+      Add(id, "a");
+      prefill_.Watch(id, "model");
+    }
+    Load();
+  }
+  std::string ChooseFor(std::uint32_t tokens) {
+    Router router(options_, directory_, health_, loads_, nullptr, &prefill_);
+    RoutingQuery query;
+    query.configuration = &configuration_;
+    query.route = &route_;
+    query.prompt.prompt_tokens = tokens;
+    query.tie_breaker = random_();
+    const RoutingChoice choice = router.Choose(query, now_);
+    return choice.replica == nullptr ? "" : choice.replica->id;
+  }
+  std::set<std::string> ChosenFor(std::uint32_t tokens) {
+    std::set<std::string> chosen;
+    for (int draw = 0; draw < 100; ++draw) {
+      chosen.insert(ChooseFor(tokens));
+    }
+    return chosen;
+  }
+  std::set<std::string> KeptForLongPrompts() {
+    std::set<std::string> kept;
+    for (const auto& [id, record] : directory_.records()) {
+      if (directory_.TakesLongPrompts(record)) {
+        kept.insert(id);
+      }
+    }
+    return kept;
+  }
+
+  PrefillLoad prefill_{PrefillOptions()};
+};
+
+TEST_F(PromptRoutingTest, APromptGoesWhereItIsReadSoonest) {
+  prefill_.OnStart("r1", 9'000, 0, now_);
+  prefill_.OnStart("r2", 18'000, 0, now_);
+  EXPECT_EQ(ChosenFor(1'000), std::set<std::string>{"r3"});
+}
+
+TEST_F(PromptRoutingTest, AmongIdleReplicasTheOneThatReadLeastLatelyIsTaken) {
+  prefill_.OnStart("r1", 9'000, 0, now_);
+  prefill_.OnStart("r2", 1'800, 0, now_);
+  prefill_.OnStart("r3", 9'000, 0, now_);
+  now_ += milliseconds(60);  // Everything is read by now.
+  EXPECT_EQ(ChosenFor(1'000), std::set<std::string>{"r2"});
+}
+
+TEST_F(PromptRoutingTest, NoReplicaIsKeptForLongPromptsWhereNoneCome) {
+  EXPECT_EQ(ChosenFor(1'000).size(), 3U);
+}
+
+TEST_F(PromptRoutingTest, ShortPromptsKeepAwayFromWhereLongOnesGo) {
+  const std::set<std::string> kept = KeptForLongPrompts();
+  ASSERT_FALSE(kept.empty());
+  prefill_.OnStart(*kept.begin(), 30'000, 0, now_);
+  now_ += seconds(5);  // It is read by now.
+  for (const std::string& chosen : ChosenFor(1'000)) {
+    EXPECT_FALSE(kept.contains(chosen)) << chosen;
+  }
+  for (const std::string& chosen : ChosenFor(30'000)) {
+    EXPECT_TRUE(kept.contains(chosen)) << chosen;
+  }
+}
+
 }  // namespace
 }  // namespace cloverbank
