--- a/src/gateway/router.cc
+++ b/src/gateway/router.cc
@@ -15,7 +15,6 @@
 constexpr std::uint32_t kElsewhereRank = 4;   // After own zone and region, busy or not.
 constexpr std::uint32_t kLastResortRank = 5;  // Added to the rank of a suspect.
 constexpr Duration kLastResortCost = seconds(10);
-/// Affinity key of all long prompts together.
 
 template <typename List>
 auto FindByName(const List& list, std::string_view name) -> decltype(&*list.begin()) {
