--- a/src/queue/queue_life.cc
+++ b/src/queue/queue_life.cc
@@ -183,6 +183,9 @@
   proto::CountOpenTokensResponse response;
   response.set_holder_node_id(agent_.node_id().value());
   response.set_settled_below(reserver_->settled_below());
+  for (const std::uint64_t sequence : reserver_->pending()) {
+    response.add_pending(sequence);
+  }
   for (const std::uint64_t id : request.partition_ids()) {
     const auto partition = Answerable(id);
     if (partition.ok()) {
--- a/src/queue/token_keeper.cc
+++ b/src/queue/token_keeper.cc
@@ -133,7 +133,8 @@
   if (counts.ok()) {
     for (const proto::OpenTokens& count : counts->counts()) {
       limit->ledger.TakeCount({PartitionId(count.partition_id()), NodeId(counts->holder_node_id()),
-                               count.tokens(), counts->settled_below()});
+                               count.tokens(), counts->settled_below(),
+                               {counts->pending().begin(), counts->pending().end()}});
     }
   }
   if (--limit->awaited > 0) {
--- a/src/queue/token_ledger.cc
+++ b/src/queue/token_ledger.cc
@@ -15,6 +15,12 @@
   return true;
 }
 
+bool TokenLedger::Count::Settles(const Grant& grant) const {
+  // What an earlier owner logged is in the partition that the present one recovered.
+  return grant.holder != holder ||
+         (grant.sequence < settled_below && !pending.contains(grant.sequence));
+}
+
 void TokenLedger::AddGrant(const Grant& grant) {
   TakeHolder(places_[grant.partition], grant.holder);
   grants_.push_back(grant);
@@ -26,10 +32,8 @@
     return;
   }
   place.counted = count.tokens;
-  // What an earlier owner logged is in the partition that the present one recovered.
   std::erase_if(grants_, [&count](const Grant& grant) {
-    const bool settled = grant.holder != count.holder || grant.sequence < count.settled_below;
-    return grant.partition == count.partition && settled;
+    return grant.partition == count.partition && count.Settles(grant);
   });
 }
 
--- a/src/queue/token_ledger.h
+++ b/src/queue/token_ledger.h
@@ -6,7 +6,9 @@
 ///
 /// Invariant: `UpperBound()` is never below the truth once every partition was counted. Open tokens
 /// become more only by a grant, and a grant is forgotten only when a count has come that includes
-/// it or tells that nothing came of it.
+/// it or tells that nothing came of it. With each such count it is forgotten, whatever other
+/// requests of its holder are still under way: so the bound is above the truth by no more than what
+/// was granted or finished since the counts.
 
 #include <cstdint>
 #include <map>
@@ -27,13 +29,16 @@
     std::uint64_t sequence = 0;
     std::uint64_t tokens = 0;
   };
-  /// What the owner of a partition counted there. Its requests below `settled_below` are in the
-  /// count, if anything came of them.
+  /// What the owner of a partition counted there. Its requests below `settled_below` that are not
+  /// `pending` are in the count, if anything came of them.
   struct Count {
     PartitionId partition;
     NodeId holder;
     std::uint64_t tokens = 0;
     std::uint64_t settled_below = 0;
+    std::set<std::uint64_t> pending;
+
+    bool Settles(const Grant& grant) const;
   };
 
   void AddGrant(const Grant& grant);
--- a/src/queue/token_reserver.h
+++ b/src/queue/token_reserver.h
@@ -35,8 +35,9 @@
   /// must count as open at `partition` before `done` returns.
   void Reserve(PartitionId partition, const proto::SubmitBatch& batch,
                const TokenReservation& reservation, Done done);
-  /// All requests with a lower sequence are over.
-  std::uint64_t settled_below() const { return pending_.empty() ? next_ : *pending_.begin(); }
+  /// All requests with a lower sequence are over, but for those of `pending`.
+  std::uint64_t settled_below() const { return next_; }
+  const std::set<std::uint64_t>& pending() const { return pending_; }
 
  private:
   void Finish(std::uint64_t sequence, const Done& done,
