--- a/src/queue/queue_life.cc
+++ b/src/queue/queue_life.cc
@@ -31,7 +31,12 @@
                                             [this](const proto::CountOpenTokensRequest& request) {
                                               return CountOwnTokens(request);
                                             })),
-      reserver_(std::make_shared<TokenReserver>(environment, agent, keeper_)),
+      reserver_(std::make_shared<TokenReserver>(
+          environment, agent, keeper_,
+          [this](PartitionId partition, const std::string& tenant, const std::string& route) {
+            const auto owned = partitions_.find(partition);
+            return owned == partitions_.end() ? 0 : owned->second->OpenTokens(tenant, route);
+          })),
       intake_(std::make_shared<BatchIntake>(
           environment, agent, log_,
           [this](PartitionId partition, const proto::SubmitBatch& batch,
@@ -142,6 +147,7 @@
   partitions_.at(id)->Deactivate();
   dispatcher_->RemovePartition(id);
   keeper_->Drop(id);
+  reserver_->Drop(id);
   partitions_.erase(id);
 }
 
@@ -179,11 +185,11 @@
 }
 
 proto::CountOpenTokensResponse QueueLife::CountOwnTokens(
-    const proto::CountOpenTokensRequest& request) const {
+    const proto::CountOpenTokensRequest& request) {
   proto::CountOpenTokensResponse response;
   response.set_holder_node_id(agent_.node_id().value());
   response.set_settled_below(reserver_->settled_below());
-  for (const std::uint64_t sequence : reserver_->pending()) {
+  for (const std::uint64_t sequence : reserver_->PendingRequests()) {
     response.add_pending(sequence);
   }
   for (const std::uint64_t id : request.partition_ids()) {
@@ -192,6 +198,7 @@
       proto::OpenTokens& count = *response.add_counts();
       count.set_partition_id(id);
       count.set_tokens((*partition)->OpenTokens(request.tenant(), request.route()));
+      reserver_->NoteCounted(PartitionId(id), request.tenant(), request.route(), count.tokens());
     }
   }
   return response;
--- a/src/queue/queue_life.h
+++ b/src/queue/queue_life.h
@@ -81,7 +81,7 @@
   void DropRecoveries(PartitionId partition, NodeId except);
   void Activate(PartitionId partition);
   void Deactivate(PartitionId partition);
-  proto::CountOpenTokensResponse CountOwnTokens(const proto::CountOpenTokensRequest& request) const;
+  proto::CountOpenTokensResponse CountOwnTokens(const proto::CountOpenTokensRequest& request);
   std::vector<proto::LogEntry> Marks() const;
   void Tick();
   void SweepFinished();
--- /dev/null
+++ b/src/queue/token_allowance.cc
@@ -0,0 +1,23 @@
+#include "queue/token_allowance.h"
+
+#include <algorithm>
+
+namespace cloverbank {
+
+void TokenAllowance::NoteGranted(std::uint64_t tokens) {
+  if (allowed_) {
+    *allowed_ += tokens;
+  }
+}
+
+std::uint64_t TokenAllowance::Spare(std::uint64_t open) const {
+  const std::uint64_t allowed = allowed_.value_or(0);
+  return allowed - std::min(allowed, open);
+}
+
+void TokenAllowances::Drop(PartitionId partition) {
+  std::erase_if(allowances_,
+                [partition](const auto& entry) { return std::get<0>(entry.first) == partition; });
+}
+
+}  // namespace cloverbank
--- /dev/null
+++ b/src/queue/token_allowance.h
@@ -0,0 +1,47 @@
+#pragma once
+/// @file
+/// What the keeper of a route's limit believes to be open in one partition, as the partition's
+/// owner knows it. Up to that the owner may take batches while the keeper gives no answer. Pure.
+///
+/// Invariant: the allowance is never above the keeper's belief. Both begin with the same count and
+/// grow by the same grants; a grant or count that only one side knows of leaves the owner's side
+/// lower. A keeper that is gone grants nothing more, and a new one counts first. So whatever is
+/// taken within allowances stays within the limit.
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <tuple>
+
+#include "base/ids.h"
+
+namespace cloverbank {
+
+class TokenAllowance {
+ public:
+  /// The owner tells the keeper that so many tokens are open.
+  void NoteCounted(std::uint64_t open) { allowed_ = open; }
+  /// The keeper granted so many more, those that it lent included.
+  void NoteGranted(std::uint64_t tokens);
+  /// @return what may be taken beside `open` tokens; 0 before the first count.
+  std::uint64_t Spare(std::uint64_t open) const;
+
+ private:
+  std::optional<std::uint64_t> allowed_;
+};
+
+/// The allowances of all routes at a queue node's partitions.
+class TokenAllowances {
+ public:
+  using Key = std::tuple<PartitionId, std::string, std::string>;  ///< Partition, tenant, route.
+
+  TokenAllowance& operator[](const Key& key) { return allowances_[key]; }
+  /// The partition has another owner now.
+  void Drop(PartitionId partition);
+
+ private:
+  std::map<Key, TokenAllowance> allowances_;
+};
+
+}  // namespace cloverbank
--- a/src/queue/token_keeper.cc
+++ b/src/queue/token_keeper.cc
@@ -13,6 +13,8 @@
 constexpr Duration kCountDeadline = milliseconds(300);
 /// A count that began within this time is not repeated.
 constexpr Duration kCountAge = milliseconds(100);
+/// While less than this part of a limit is open, the rest of the part is lent to the owners.
+constexpr std::uint64_t kLendablePart = 2;
 /// How long a request waits until all partitions can be counted.
 constexpr Duration kLongestWait = milliseconds(1200);
 
@@ -28,16 +30,28 @@
 TokenKeeper::TokenKeeper(Environment& environment, NodeAgent& agent, CountOwn count_own)
     : environment_(environment), agent_(agent), count_own_(std::move(count_own)) {}
 
-bool TokenKeeper::Grant(Limit& limit, const proto::ReserveTokensRequest& request) {
-  if (limit.ledger.UpperBound() + request.tokens() > request.limit()) {
+bool TokenKeeper::Grant(Limit& limit, const proto::ReserveTokensRequest& request,
+                        std::uint64_t lent) {
+  const std::uint64_t tokens = request.tokens() + lent;
+  if (limit.ledger.UpperBound() + tokens > request.limit()) {
     return false;
   }
   limit.ledger.AddGrant({PartitionId(request.holder_partition_id()),
-                         NodeId(request.holder_node_id()), request.sequence(), request.tokens()});
+                         NodeId(request.holder_node_id()), request.sequence(), tokens});
   limit.granted += request.tokens();
+  limit.lent = limit.lent || lent > 0;
   return true;
 }
 
+std::uint64_t TokenKeeper::ToLend(const Limit& limit,
+                                  const proto::ReserveTokensRequest& request) const {
+  const std::uint64_t taken = limit.ledger.UpperBound() + request.tokens();
+  const std::uint64_t lendable = request.limit() / kLendablePart;
+  const std::uint64_t left = lendable - std::min(lendable, taken);
+  const std::uint64_t share = limit.waiting.empty() ? left / agent_.partition_count() : 0;
+  return share - std::min(share, request.spare());
+}
+
 bool TokenKeeper::Complete(const Limit& limit) const {
   return limit.ledger.Complete(agent_.partition_count());
 }
@@ -49,12 +63,14 @@
     limit = std::make_shared<Limit>();
     limit->partition = PartitionId(request.partition_id());
   }
-  if (Complete(*limit) && Grant(*limit, request)) {
-    reply(proto::ReserveTokensResponse());
+  proto::ReserveTokensResponse response;
+  response.set_lent(ToLend(*limit, request));
+  if (Complete(*limit) && Grant(*limit, request, response.lent())) {
+    reply(std::move(response));
     return;
   }
   const TimePoint now = environment_.Now();
-  const bool fresh = Complete(*limit) && now - limit->counted_at <= kCountAge;
+  const bool fresh = Complete(*limit) && !limit->lent && now - limit->counted_at <= kCountAge;
   if (fresh && !limit->counting && !MayWait(*limit, request)) {
     reply(OverLimit(request, limit->ledger.UpperBound()));
     return;
@@ -98,6 +114,7 @@
     }
   }
   limit->counting = true;
+  limit->lent = false;
   limit->count_began = environment_.Now();
   limit->awaited = static_cast<int>(questions.size()) + 1;
   environment_.metrics().Increment("queue_token_counts_total");
@@ -132,8 +149,10 @@
                              const Result<proto::CountOpenTokensResponse>& counts) {
   if (counts.ok()) {
     for (const proto::OpenTokens& count : counts->counts()) {
-      limit->ledger.TakeCount({PartitionId(count.partition_id()), NodeId(counts->holder_node_id()),
-                               count.tokens(), counts->settled_below(),
+      limit->ledger.TakeCount({PartitionId(count.partition_id()),
+                               NodeId(counts->holder_node_id()),
+                               count.tokens(),
+                               counts->settled_below(),
                                {counts->pending().begin(), counts->pending().end()}});
     }
   }
@@ -153,7 +172,7 @@
   std::list<Waiting> still_waiting;
   for (Waiting& waiting : std::exchange(limit->waiting, {})) {
     const TimePoint give_up_at = complete ? waiting.wait_until : waiting.deadline;
-    if (complete && Grant(*limit, waiting.request)) {
+    if (complete && Grant(*limit, waiting.request, /*lent=*/0)) {
       waiting.reply(proto::ReserveTokensResponse());
     } else if (now < give_up_at) {
       still_waiting.push_back(std::move(waiting));
--- a/src/queue/token_keeper.h
+++ b/src/queue/token_keeper.h
@@ -55,6 +55,7 @@
     std::list<Waiting> waiting;  ///< In order of arrival.
     DrainRate drain_rate;
     std::uint64_t granted = 0;  ///< Since the last count.
+    bool lent = false;          ///< Since the last count began; a new one takes it back.
     bool counting = false;
     int awaited = 0;  ///< Owners that have not answered the count under way.
     TimePoint count_began{};
@@ -62,7 +63,9 @@
   };
   using LimitPtr = std::shared_ptr<Limit>;
 
-  static bool Grant(Limit& limit, const proto::ReserveTokensRequest& request);
+  static bool Grant(Limit& limit, const proto::ReserveTokensRequest& request, std::uint64_t lent);
+  /// @return what the holder should get beside what it asks for; nothing while others wait.
+  std::uint64_t ToLend(const Limit& limit, const proto::ReserveTokensRequest& request) const;
   bool Complete(const Limit& limit) const;
   /// Whether room for the request is likely to come before it gives up waiting.
   static bool MayWait(const Limit& limit, const proto::ReserveTokensRequest& request);
--- a/src/queue/token_reserver.cc
+++ b/src/queue/token_reserver.cc
@@ -10,6 +10,9 @@
 
 /// Longer than a keeper waits for its counts.
 constexpr Duration kDeadline = milliseconds(1600);
+/// A keeper that is silent for so long, beyond what it may let a batch wait, may be gone.
+constexpr Duration kKeeperPatience = milliseconds(300);
+constexpr Duration kWatchInterval = milliseconds(100);
 
 Status KeeperAway(const std::string& why) {
   return {StatusCode::kConflict, "the keeper of the route's limit gave no answer: " + why,
@@ -19,36 +22,59 @@
 }  // namespace
 
 TokenReserver::TokenReserver(Environment& environment, NodeAgent& agent,
-                             std::shared_ptr<TokenKeeper> own_keeper)
-    : environment_(environment), agent_(agent), own_keeper_(std::move(own_keeper)) {}
+                             std::shared_ptr<TokenKeeper> own_keeper, CountOpen count_open)
+    : environment_(environment),
+      agent_(agent),
+      own_keeper_(std::move(own_keeper)),
+      count_open_(std::move(count_open)) {}
 
 void TokenReserver::Reserve(PartitionId partition, const proto::SubmitBatch& batch,
                             const TokenReservation& reservation, Done done) {
-  const PartitionId keeper = PartitionOfTenant(batch.tenant(), agent_.partition_count());
-  const proto::Server* server = agent_.fleet().OwnerOf(keeper);
-  if (server == nullptr) {
-    done(KeeperAway("its partition has no owner now"));
-    return;
-  }
   const std::uint64_t sequence = next_++;
-  pending_.insert(sequence);
+  Pending& pending = pending_[sequence];
+  pending = {{partition, batch.tenant(), batch.route()},
+             reservation.tokens,
+             std::make_shared<Done>(std::move(done))};
+  const proto::ReserveTokensRequest request =
+      MakeRequest(sequence, pending, reservation, batch.open_token_limit());
+  WatchKeeper(sequence, reservation.longest_wait + kKeeperPatience);
+  Ask(request);
+}
+
+proto::ReserveTokensRequest TokenReserver::MakeRequest(std::uint64_t sequence,
+                                                       const Pending& pending,
+                                                       const TokenReservation& reservation,
+                                                       std::uint64_t limit) {
+  const auto& [partition, tenant, route] = pending.key;
   proto::ReserveTokensRequest request;
-  request.set_partition_id(keeper.value());
-  request.set_tenant(batch.tenant());
-  request.set_route(batch.route());
-  request.set_limit(batch.open_token_limit());
-  request.set_tokens(reservation.tokens);
+  request.set_partition_id(PartitionOfTenant(tenant, agent_.partition_count()).value());
+  request.set_tenant(tenant);
+  request.set_route(route);
+  request.set_limit(limit);
+  request.set_tokens(pending.tokens);
   request.set_wait_ms(static_cast<std::uint32_t>(
       std::chrono::duration_cast<milliseconds>(reservation.longest_wait).count()));
   request.set_holder_partition_id(partition.value());
   request.set_holder_node_id(agent_.node_id().value());
   request.set_sequence(sequence);
-  const auto finish = [weak = weak_from_this(), sequence,
-                       done = std::move(done)](const Result<proto::ReserveTokensResponse>& answer) {
+  request.set_spare(Spare(pending.key));
+  return request;
+}
+
+void TokenReserver::Ask(const proto::ReserveTokensRequest& request) {
+  const proto::Server* server = agent_.fleet().OwnerOf(PartitionId(request.partition_id()));
+  if (server == nullptr) {
+    TakeAnswer(request.sequence(),
+               Status(StatusCode::kUnavailable, "its partition has no owner now"));
+    return;
+  }
+  const auto finish = [weak = weak_from_this(), sequence = request.sequence(),
+                       done = pending_.at(request.sequence()).done](
+                          const Result<proto::ReserveTokensResponse>& answer) {
     if (const auto self = weak.lock()) {
-      self->Finish(sequence, done, answer);
+      self->TakeAnswer(sequence, answer);
     } else {
-      done(KeeperAway("this queue node's life ended"));
+      CallOnce(*done, KeeperAway("this queue node's life ended"));
     }
   };
   if (NodeId(server->node_id()) == agent_.node_id()) {
@@ -61,11 +87,67 @@
       "queue.ReserveTokens", request, kDeadline, finish);
 }
 
-void TokenReserver::Finish(std::uint64_t sequence, const Done& done,
-                           const Result<proto::ReserveTokensResponse>& answer) {
-  const bool over_limit = !answer.ok() && answer.status().code() == StatusCode::kResourceExhausted;
-  done(answer.ok() || over_limit ? answer.status() : KeeperAway(answer.status().ToString()));
+void TokenReserver::TakeAnswer(std::uint64_t sequence,
+                               const Result<proto::ReserveTokensResponse>& answer) {
+  const auto found = pending_.find(sequence);
+  if (found == pending_.end()) {
+    return;  // Taken within the allowance meanwhile.
+  }
+  if (answer.ok()) {
+    allowances_[found->second.key].NoteGranted(found->second.tokens + answer->lent());
+    Finish(sequence, Status::Ok());
+  } else if (answer.status().code() == StatusCode::kResourceExhausted) {
+    Finish(sequence, answer.status());
+  } else {
+    Finish(sequence,
+           Allowed(found->second) ? Status::Ok() : KeeperAway(answer.status().ToString()));
+  }
+}
+
+void TokenReserver::WatchKeeper(std::uint64_t sequence, Duration patience) {
+  environment_.ScheduleAfter(patience, [weak = weak_from_this(), sequence] {
+    const auto self = weak.lock();
+    const bool pending = self != nullptr && self->pending_.contains(sequence);
+    if (!pending) {
+      return;
+    }
+    if (self->Allowed(self->pending_.at(sequence))) {
+      self->Finish(sequence, Status::Ok());
+    } else {
+      self->WatchKeeper(sequence, kWatchInterval);
+    }
+  });
+}
+
+std::uint64_t TokenReserver::Spare(const TokenAllowances::Key& key) {
+  const auto& [partition, tenant, route] = key;
+  return allowances_[key].Spare(count_open_(partition, tenant, route));
+}
+
+void TokenReserver::NoteCounted(PartitionId partition, const std::string& tenant,
+                                const std::string& route, std::uint64_t open) {
+  allowances_[{partition, tenant, route}].NoteCounted(open);
+}
+
+std::vector<std::uint64_t> TokenReserver::PendingRequests() const {
+  std::vector<std::uint64_t> sequences;
+  for (const auto& [sequence, pending] : pending_) {
+    sequences.push_back(sequence);
+  }
+  return sequences;
+}
+
+void TokenReserver::Finish(std::uint64_t sequence, const Status& status) {
+  // It stays pending until its tokens count as open, so that no count between the two misses it.
+  const std::shared_ptr<Done> done = pending_.at(sequence).done;
+  CallOnce(*done, status);
   pending_.erase(sequence);
 }
 
+void TokenReserver::CallOnce(Done& done, const Status& status) {
+  if (const Done call = std::exchange(done, nullptr)) {
+    call(status);
+  }
+}
+
 }  // namespace cloverbank
--- a/src/queue/token_reserver.h
+++ b/src/queue/token_reserver.h
@@ -1,17 +1,20 @@
 #pragma once
 /// @file
-/// Asks the keeper of a route's limit for room before a batch is taken (`TokenKeeper`).
+/// Asks the keeper of a route's limit for room before a batch is taken (`TokenKeeper`). While the
+/// keeper gives no answer, batches are taken within the partition's own allowance.
 /// Threads: the owner's event loop only. Made by `std::make_shared`.
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
-#include <set>
 #include <string>
+#include <vector>
 
 #include "base/ids.h"
 #include "node/node_agent.h"
 #include "proto/batch.pb.h"
+#include "queue/token_allowance.h"
 #include "queue/token_keeper.h"
 #include "runtime/environment.h"
 
@@ -26,28 +29,52 @@
 class TokenReserver : public std::enable_shared_from_this<TokenReserver> {
  public:
   using Done = std::function<void(Status)>;
+  /// @return the tokens open in one of this node's partitions.
+  using CountOpen = std::function<std::uint64_t(PartitionId partition, const std::string& tenant,
+                                                const std::string& route)>;
 
   /// @param own_keeper answers where this node is the keeper itself.
-  TokenReserver(Environment& environment, NodeAgent& agent,
-                std::shared_ptr<TokenKeeper> own_keeper);
+  TokenReserver(Environment& environment, NodeAgent& agent, std::shared_ptr<TokenKeeper> own_keeper,
+                CountOpen count_open);
 
   /// `done` gets OK, kResourceExhausted, or kConflict with `kKeeperAwayDetail`. If OK, the tokens
   /// must count as open at `partition` before `done` returns.
   void Reserve(PartitionId partition, const proto::SubmitBatch& batch,
                const TokenReservation& reservation, Done done);
-  /// All requests with a lower sequence are over, but for those of `pending`.
+  /// A keeper is told that so many tokens are open.
+  void NoteCounted(PartitionId partition, const std::string& tenant, const std::string& route,
+                   std::uint64_t open);
+  /// The partition has another owner now.
+  void Drop(PartitionId partition) { allowances_.Drop(partition); }
+  /// All requests with a lower sequence are over, but for those of `PendingRequests`.
   std::uint64_t settled_below() const { return next_; }
-  const std::set<std::uint64_t>& pending() const { return pending_; }
+  std::vector<std::uint64_t> PendingRequests() const;
 
  private:
-  void Finish(std::uint64_t sequence, const Done& done,
-              const Result<proto::ReserveTokensResponse>& answer);
+  struct Pending {
+    TokenAllowances::Key key;
+    std::uint64_t tokens = 0;
+    std::shared_ptr<Done> done;  ///< Empty once it was called.
+  };
+
+  proto::ReserveTokensRequest MakeRequest(std::uint64_t sequence, const Pending& pending,
+                                          const TokenReservation& reservation, std::uint64_t limit);
+  void Ask(const proto::ReserveTokensRequest& request);
+  void TakeAnswer(std::uint64_t sequence, const Result<proto::ReserveTokensResponse>& answer);
+  /// Takes the batch within the allowance as soon as that has room, while no answer comes.
+  void WatchKeeper(std::uint64_t sequence, Duration patience);
+  std::uint64_t Spare(const TokenAllowances::Key& key);
+  bool Allowed(const Pending& pending) { return pending.tokens <= Spare(pending.key); }
+  void Finish(std::uint64_t sequence, const Status& status);
+  static void CallOnce(Done& done, const Status& status);
 
   Environment& environment_;
   NodeAgent& agent_;
   std::shared_ptr<TokenKeeper> own_keeper_;
+  CountOpen count_open_;
+  TokenAllowances allowances_;
   std::uint64_t next_ = 1;
-  std::set<std::uint64_t> pending_;
+  std::map<std::uint64_t, Pending> pending_;
 };
 
 }  // namespace cloverbank
--- /dev/null
+++ b/tests/queue/token_allowance_test.cc
@@ -0,0 +1,125 @@
+// What an owner may take without its keeper, against a keeper's belief.
+#include "queue/token_allowance.h"
+
+#include <gtest/gtest.h>
+
+#include <random>
+#include <vector>
+
+#include "queue/token_ledger.h"
+#include "support/test_seeds.h"
+
+namespace cloverbank {
+namespace {
+
+TEST(TokenAllowanceTest, NothingIsSpareBeforeTheFirstCount) {
+  TokenAllowance allowance;
+  allowance.NoteGranted(50);
+  EXPECT_EQ(allowance.Spare(0), 0U);
+}
+
+TEST(TokenAllowanceTest, WhatWasFinishedOrLentSinceTheCountIsSpare) {
+  TokenAllowance allowance;
+  allowance.NoteCounted(100);
+  EXPECT_EQ(allowance.Spare(100), 0U);
+  EXPECT_EQ(allowance.Spare(70), 30U);
+  allowance.NoteGranted(25);
+  EXPECT_EQ(allowance.Spare(100), 25U);
+  EXPECT_EQ(allowance.Spare(130), 0U);
+}
+
+TEST(TokenAllowanceTest, ACountTakesBackWhatWasLent) {
+  TokenAllowance allowance;
+  allowance.NoteCounted(0);
+  allowance.NoteGranted(40);
+  allowance.NoteCounted(10);
+  EXPECT_EQ(allowance.Spare(10), 0U);
+}
+
+TEST(TokenAllowanceTest, APartitionThatIsGivenUpLosesItsAllowances) {
+  TokenAllowances allowances;
+  allowances[{PartitionId(1), "studio", "audit"}].NoteCounted(10);
+  allowances[{PartitionId(2), "studio", "audit"}].NoteCounted(10);
+  allowances.Drop(PartitionId(1));
+  EXPECT_EQ((allowances[{PartitionId(1), "studio", "audit"}].Spare(0)), 0U);
+  EXPECT_EQ((allowances[{PartitionId(2), "studio", "audit"}].Spare(0)), 10U);
+}
+
+/// An owner and a keeper between which answers get lost or come late. Whatever is taken within the
+/// allowance, the keeper's bound never falls below what is open.
+class Exchange {
+ public:
+  explicit Exchange(std::uint64_t seed) : random_(seed) { Count(); }
+
+  void Step() {
+    switch (random_() % 5) {
+      case 0:
+        return Count();
+      case 1:
+        return Grant();
+      case 2:
+        return DeliverOne();
+      case 3:
+        open_ -= std::min<std::uint64_t>(open_, random_() % 50);
+        return;
+      default:
+        const std::uint64_t spare = allowance_.Spare(open_);
+        open_ += spare == 0 ? 0 : random_() % (spare + 1);
+    }
+  }
+  std::uint64_t open() const { return open_; }
+  std::uint64_t bound() const { return ledger_.UpperBound(); }
+
+ private:
+  struct OnItsWay {
+    std::uint64_t sequence;
+    std::uint64_t tokens;
+    std::uint64_t lent;
+  };
+  void Count() {
+    allowance_.NoteCounted(open_);
+    std::set<std::uint64_t> pending;
+    for (const OnItsWay& answer : answers_) {
+      pending.insert(answer.sequence);
+    }
+    if (random_() % 4 != 0) {  // Else the answer gets lost.
+      ledger_.TakeCount({PartitionId(0), NodeId(1), open_, next_, pending});
+    }
+  }
+  void Grant() {
+    const OnItsWay answer{next_++, random_() % 100, random_() % 30};
+    ledger_.AddGrant({PartitionId(0), NodeId(1), answer.sequence, answer.tokens + answer.lent});
+    answers_.push_back(answer);
+  }
+  void DeliverOne() {
+    if (answers_.empty()) {
+      return;
+    }
+    const auto chosen = answers_.begin() + static_cast<std::ptrdiff_t>(random_() % answers_.size());
+    if (random_() % 4 != 0) {  // Else the request was given up before.
+      allowance_.NoteGranted(chosen->tokens + chosen->lent);
+      open_ += chosen->tokens;
+    }
+    answers_.erase(chosen);
+  }
+
+  std::mt19937_64 random_;
+  TokenLedger ledger_;
+  TokenAllowance allowance_;
+  std::uint64_t open_ = 0;
+  std::uint64_t next_ = 1;
+  std::vector<OnItsWay> answers_;
+};
+
+TEST(TokenAllowanceTest, TheKeepersBoundIsNeverBelowWhatIsOpen) {
+  for (const std::uint64_t seed : TestSeeds(20)) {
+    Exchange exchange(seed);
+    for (int step = 0; step < 2000; ++step) {
+      exchange.Step();
+      ASSERT_GE(exchange.bound(), exchange.open()) << "seed " << seed << ", step " << step;
+    }
+  }
+}
+
+}  // namespace
+}  // namespace cloverbank
--- a/tests/queue/token_ledger_test.cc
+++ b/tests/queue/token_ledger_test.cc
@@ -30,7 +30,8 @@
 TEST_F(TokenLedgerTest, AGrantCountsUntilACountIncludesIt) {
   ledger_.AddGrant({kFirst, kOwner, 4, 30});
   EXPECT_EQ(ledger_.UpperBound(), 180U);
-  ledger_.TakeCount({kFirst, kOwner, 100, 4, {}});  // The answer to request 4 has not arrived there.
+  ledger_.TakeCount(
+      {kFirst, kOwner, 100, 4, {}});  // The answer to request 4 has not arrived there.
   EXPECT_EQ(ledger_.UpperBound(), 180U);
   ledger_.TakeCount({kFirst, kOwner, 130, 5, {}});
   EXPECT_EQ(ledger_.UpperBound(), 180U);
--- a/tests/queue/token_limit_test.cc
+++ b/tests/queue/token_limit_test.cc
@@ -198,6 +198,46 @@
       StatusCode::kNotFound);
 }
 
+TEST_F(TokenLimitTest, WhatWasLentIsTakenWhileTheKeeperIsGone) {
+  const std::uint64_t other = (Keeper() + 1) % kPartitions;
+  EXPECT_TRUE(Submit(other, "counted", 1).ok());
+  EXPECT_TRUE(Submit(other, "a", 1).ok());
+  world_.world.machine(Name(Keeper())).Kill();
+  EXPECT_TRUE(Submit(other, "b", 1).ok());
+  const auto beyond = Submit(other, "c", 1);
+  EXPECT_EQ(beyond.status().detail(), kKeeperAwayDetail) << "more than was lent";
+}
+
+TEST_F(TokenLimitTest, WhatIsFinishedMakesRoomInItsPartitionWhileTheKeeperIsGone) {
+  const std::uint64_t other = (Keeper() + 1) % kPartitions;
+  EXPECT_TRUE(Submit(other, "a", 10).ok());
+  EXPECT_EQ(Submit(other, "b", 5).status().code(), StatusCode::kResourceExhausted);
+  world_.world.machine(Name(Keeper())).Kill();
+  EXPECT_FALSE(Submit(other, "b", 5).ok());
+  FinishAll(other);
+  EXPECT_TRUE(Submit(other, "b", 5).ok());
+  EXPECT_FALSE(Submit(other, "c", 6).ok());
+}
+
+TEST_F(TokenLimitTest, WhatOwnersTakeWithoutAKeeperStaysWithinTheLimitForTheNextOne) {
+  const std::uint64_t other = (Keeper() + 1) % kPartitions;
+  const std::uint64_t heir = (Keeper() + 2) % kPartitions;
+  std::uint64_t accepted = Submit(other, "a", 1).ok() ? 1 : 0;
+  accepted += Submit(heir, "b", 1).ok() ? 1 : 0;
+  world_.world.machine(Name(Keeper())).Kill();
+  for (int batch = 0; batch < 12; ++batch) {
+    accepted += Submit(other, "o" + std::to_string(batch), 1).ok() ? 1 : 0;
+    accepted += Submit(heir, "h" + std::to_string(batch), 1).ok() ? 1 : 0;
+  }
+  EXPECT_GT(accepted, 2U);
+  world_.FailOver(Name(Keeper()), Name(heir), Keeper());
+  world_.world.RunFor(seconds(3));
+  for (int batch = 0; batch < 12; ++batch) {
+    accepted += Submit(heir, "n" + std::to_string(batch), 1).ok() ? 1 : 0;
+  }
+  EXPECT_EQ(accepted * kItemTokens, kLimit);
+}
+
 TEST_F(TokenLimitTest, ARouteWithoutALimitNeedsNoKeeper) {
   const std::uint64_t other = (Keeper() + 1) % kPartitions;
   world_.world.machine(Name(Keeper())).Kill();
