--- a/src/gateway/batch_api.cc
+++ b/src/gateway/batch_api.cc
@@ -8,6 +8,7 @@
 #include "gateway/http_json.h"
 #include "gateway/http_query.h"
 #include "node/batch_partitions.h"
+#include "node/room_refusal.h"
 
 namespace cloverbank {
 namespace {
@@ -15,7 +16,7 @@
 constexpr Duration kReadDeadline = seconds(5);
 /// Long enough to ride through most recoveries of a queue node.
 constexpr Duration kChangeDeadline = seconds(10);
-constexpr std::uint32_t kRetryAfterMs = 1000;
+constexpr Duration kRetryAfter = seconds(1);
 constexpr LimitRange kPageLimit = {.standard = 100, .largest = 1000};
 constexpr std::size_t kBatchIdSegment = 2;  // /v1/batches/{id}
 
@@ -82,7 +83,9 @@
   error.set_message(refused ? status.message() : status.message() + "; " + advice);
   error.set_executed(refused ? proto::EXECUTED_NO : proto::EXECUTED_UNKNOWN);
   if (http_status == 429 || http_status >= 500) {
-    error.set_retry_after_ms(kRetryAfterMs);
+    const Duration wait = ComeAfter(status).value_or(kRetryAfter);
+    error.set_retry_after_ms(
+        static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(wait).count()));
   }
   SendError(responder, http_status, error);
 }
--- a/src/queue/drain_rate.cc
+++ b/src/queue/drain_rate.cc
@@ -11,13 +11,13 @@
 
 }  // namespace
 
-void DrainRate::Note(std::uint64_t open, std::uint64_t granted, TimePoint now) {
+std::uint64_t DrainRate::Note(std::uint64_t open, std::uint64_t granted, TimePoint now) {
   const Duration interval = now - counted_at_;
+  const std::uint64_t before = open_.value_or(0) + granted;
+  const std::uint64_t finished = open_ ? before - std::min(before, open) : 0;
   if (open_ && interval > kLongestInterval) {
     tokens_per_second_ = 0;
   } else if (open_ && interval > Duration::zero()) {
-    const std::uint64_t before = *open_ + granted;
-    const std::uint64_t finished = before - std::min(before, open);
     const double seen =
         static_cast<double>(finished) / std::chrono::duration<double>(interval).count();
     const double weight = tokens_per_second_ > 0 ? kNewestWeight : 1;
@@ -25,6 +25,7 @@
   }
   open_ = open;
   counted_at_ = now;
+  return finished;
 }
 
 std::optional<Duration> DrainRate::TimeFor(std::uint64_t tokens) const {
--- /dev/null
+++ b/src/queue/room_line.h
@@ -0,0 +1,57 @@
+#pragma once
+/// @file
+/// The order in which submissions get the room that frees within a limit: that of their first
+/// attempts. A batch that was refused keeps its place for the short time within which its client
+/// comes again. Room that was free when it was refused is anybody's: only what frees since then is
+/// kept for the line, and a bounded part of that for those that are away, since some of them never
+/// come again. Pure.
+
+#include <cstdint>
+#include <list>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+#include "base/time.h"
+
+namespace cloverbank {
+
+class RoomLine {
+ public:
+  /// The batch is there to be taken: it stands at the end, or where it has stood before.
+  void Enter(const std::string& batch, std::uint64_t tokens);
+  /// The batch was refused for now; its place is kept until then.
+  void KeepUntil(const std::string& batch, TimePoint until);
+  /// The batch was taken, or will not come again.
+  void Leave(const std::string& batch);
+  /// So many tokens were finished: their room is kept for the line, as far as it wants it.
+  void NoteFreed(std::uint64_t tokens);
+  /// Gives up the places of those that did not come in time.
+  void DropOverdue(TimePoint now);
+
+  /// @return the tokens of all batches before this one; of all there are if it has no place.
+  std::uint64_t TokensBefore(const std::string& batch) const;
+  /// @return how much of the room that those before the batch want is kept for them.
+  /// @param most_for_away bound of what is kept for those that are away, but for the first of them.
+  std::uint64_t KeptBefore(const std::string& batch, std::uint64_t most_for_away) const;
+  /// @return a number that rises along the line; the largest there is for a batch without a place.
+  std::uint64_t PositionOf(const std::string& batch) const;
+
+ private:
+  struct Place {
+    std::string batch;
+    std::uint64_t tokens = 0;
+    std::uint64_t position = 0;
+    std::optional<TimePoint> kept_until;  ///< While its client is away.
+  };
+
+  void Remove(std::list<Place>::iterator place);
+
+  std::list<Place> places_;
+  std::unordered_map<std::string, std::list<Place>::iterator> by_batch_;
+  std::uint64_t last_position_ = 0;
+  std::uint64_t wanted_ = 0;  ///< Tokens of all places.
+  std::uint64_t kept_ = 0;    ///< At most `wanted_`.
+};
+
+}  // namespace cloverbank
--- a/src/queue/token_keeper.cc
+++ b/src/queue/token_keeper.cc
@@ -5,6 +5,7 @@
 #include <utility>
 #include <vector>
 
+#include "node/room_refusal.h"
 #include "runtime/typed_peer.h"
 
 namespace cloverbank {
@@ -18,11 +19,20 @@
 /// How long a request waits until all partitions can be counted.
 constexpr Duration kLongestWait = milliseconds(1200);
 
-Status OverLimit(const proto::ReserveTokensRequest& request, std::uint64_t open) {
-  return {StatusCode::kResourceExhausted,
-          "route " + request.route() + " has " + std::to_string(open) +
-              " tokens waiting and may have " + std::to_string(request.limit()) +
-              "; submit again when some are finished"};
+/// Bounds of what a refused batch is told to wait.
+constexpr Duration kSoonestReturn = milliseconds(200);
+constexpr Duration kLatestReturn = seconds(1);
+/// This part of a limit is kept at the most for refused batches until they come again.
+constexpr std::uint64_t kKeptForAwayPart = 16;
+/// Clients come somewhat later than they are told.
+constexpr Duration kReturnMargin = milliseconds(500);
+
+/// @return what names a batch in the line: requests without a name are all different.
+std::string PlaceOf(const proto::ReserveTokensRequest& request) {
+  if (!request.batch().empty()) {
+    return request.batch();
+  }
+  return std::to_string(request.holder_node_id()) + "/" + std::to_string(request.sequence());
 }
 
 }  // namespace
@@ -33,9 +43,12 @@
 bool TokenKeeper::Grant(Limit& limit, const proto::ReserveTokensRequest& request,
                         std::uint64_t lent) {
   const std::uint64_t tokens = request.tokens() + lent;
-  if (limit.ledger.UpperBound() + tokens > request.limit()) {
+  const std::uint64_t kept =
+      limit.line.KeptBefore(PlaceOf(request), request.limit() / kKeptForAwayPart);
+  if (limit.ledger.UpperBound() + kept + tokens > request.limit()) {
     return false;
   }
+  limit.line.Leave(PlaceOf(request));
   limit.ledger.AddGrant({PartitionId(request.holder_partition_id()),
                          NodeId(request.holder_node_id()), request.sequence(), tokens});
   limit.granted += request.tokens();
@@ -63,16 +76,20 @@
     limit = std::make_shared<Limit>();
     limit->partition = PartitionId(request.partition_id());
   }
+  const TimePoint now = environment_.Now();
+  limit->line.DropOverdue(now);
+  if (request.tokens() <= request.limit()) {
+    limit->line.Enter(PlaceOf(request), request.tokens());
+  }
   proto::ReserveTokensResponse response;
   response.set_lent(ToLend(*limit, request));
   if (Complete(*limit) && Grant(*limit, request, response.lent())) {
     reply(std::move(response));
     return;
   }
-  const TimePoint now = environment_.Now();
   const bool fresh = Complete(*limit) && !limit->lent && now - limit->counted_at <= kCountAge;
   if (fresh && !limit->counting && !MayWait(*limit, request)) {
-    reply(OverLimit(request, limit->ledger.UpperBound()));
+    Refuse(*limit, request, reply);
     return;
   }
   limit->waiting.push_back(
@@ -88,15 +105,29 @@
   if (request.wait_ms() == 0 || request.tokens() > request.limit()) {
     return false;
   }
-  std::uint64_t needed = limit.ledger.UpperBound() + request.tokens();
-  for (const Waiting& before : limit.waiting) {
-    needed += before.request.tokens();
-  }
-  const std::uint64_t too_many = needed - std::min(needed, request.limit());
-  const std::optional<Duration> time = limit.drain_rate.TimeFor(too_many);
+  const std::optional<Duration> time = limit.drain_rate.TimeFor(Missing(limit, request));
   return !time || *time <= milliseconds(request.wait_ms());
 }
 
+std::uint64_t TokenKeeper::Missing(const Limit& limit, const proto::ReserveTokensRequest& request) {
+  const std::uint64_t before = limit.line.TokensBefore(PlaceOf(request));
+  const std::uint64_t needed = limit.ledger.UpperBound() + before + request.tokens();
+  return needed - std::min(needed, request.limit());
+}
+
+void TokenKeeper::Refuse(Limit& limit, const proto::ReserveTokensRequest& request,
+                         const Reply& reply) {
+  const std::uint64_t open = limit.ledger.UpperBound();
+  const Duration expected =
+      limit.drain_rate.TimeFor(Missing(limit, request)).value_or(kLatestReturn);
+  const Duration wait = std::clamp(expected, kSoonestReturn, kLatestReturn);
+  limit.line.KeepUntil(PlaceOf(request), environment_.Now() + wait + kReturnMargin);
+  reply(RefuseForRoom("route " + request.route() + " has " + std::to_string(open) +
+                          " tokens waiting and may have " + std::to_string(request.limit()) +
+                          "; submit again when some are finished",
+                      wait));
+}
+
 void TokenKeeper::CountSoon(const Key& key, const LimitPtr& limit) {
   environment_.ScheduleAfter(kCountAge, [weak = weak_from_this(), key, limit] {
     const auto self = weak.lock();
@@ -161,8 +192,9 @@
   }
   limit->counting = false;
   limit->counted_at = limit->count_began;
-  limit->drain_rate.Note(limit->ledger.UpperBound(), std::exchange(limit->granted, 0),
-                         environment_.Now());
+  const std::uint64_t finished = limit->drain_rate.Note(
+      limit->ledger.UpperBound(), std::exchange(limit->granted, 0), environment_.Now());
+  limit->line.NoteFreed(finished);
   SettleWaiting(key, limit);
 }
 
@@ -170,6 +202,10 @@
   const bool complete = Complete(*limit);
   const TimePoint now = environment_.Now();
   std::list<Waiting> still_waiting;
+  limit->line.DropOverdue(now);
+  limit->waiting.sort([&line = limit->line](const Waiting& one, const Waiting& other) {
+    return line.PositionOf(PlaceOf(one.request)) < line.PositionOf(PlaceOf(other.request));
+  });
   for (Waiting& waiting : std::exchange(limit->waiting, {})) {
     const TimePoint give_up_at = complete ? waiting.wait_until : waiting.deadline;
     if (complete && Grant(*limit, waiting.request, /*lent=*/0)) {
@@ -177,8 +213,9 @@
     } else if (now < give_up_at) {
       still_waiting.push_back(std::move(waiting));
     } else if (complete) {
-      waiting.reply(OverLimit(waiting.request, limit->ledger.UpperBound()));
+      Refuse(*limit, waiting.request, waiting.reply);
     } else {
+      limit->line.Leave(PlaceOf(waiting.request));
       waiting.reply(Status(StatusCode::kUnavailable, "not all partitions can be counted now"));
     }
   }
--- a/src/queue/token_keeper.h
+++ b/src/queue/token_keeper.h
@@ -6,8 +6,9 @@
 ///
 /// A grant needs no count while the upper bound leaves room. Otherwise all owners are asked, at
 /// most once in a short while. A request may wait for room if it is likely to come in time, as far
-/// as the rate at which tokens are finished tells. Threads: the owner's event loop only. Made by
-/// `std::make_shared`.
+/// as the rate at which tokens are finished tells. Room is given in the order of first attempts:
+/// a batch that was refused is told when to come again and keeps its place until then.
+/// Threads: the owner's event loop only. Made by `std::make_shared`.
 
 #include <cstdint>
 #include <functional>
@@ -21,6 +22,7 @@
 #include "node/node_agent.h"
 #include "proto/batch.pb.h"
 #include "queue/drain_rate.h"
+#include "queue/room_line.h"
 #include "queue/token_ledger.h"
 #include "runtime/environment.h"
 
@@ -52,7 +54,8 @@
   struct Limit {
     PartitionId partition;  ///< The keeper's.
     TokenLedger ledger;
-    std::list<Waiting> waiting;  ///< In order of arrival.
+    std::list<Waiting> waiting;
+    RoomLine line;  ///< Of those that wait, and of the refused that may come again.
     DrainRate drain_rate;
     std::uint64_t granted = 0;  ///< Since the last count.
     bool lent = false;          ///< Since the last count began; a new one takes it back.
@@ -63,7 +66,11 @@
   };
   using LimitPtr = std::shared_ptr<Limit>;
 
+  /// Grants if there is room for the request and for all that stand before it.
   static bool Grant(Limit& limit, const proto::ReserveTokensRequest& request, std::uint64_t lent);
+  /// @return how many tokens must be finished first.
+  static std::uint64_t Missing(const Limit& limit, const proto::ReserveTokensRequest& request);
+  void Refuse(Limit& limit, const proto::ReserveTokensRequest& request, const Reply& reply);
   /// @return what the holder should get beside what it asks for; nothing while others wait.
   std::uint64_t ToLend(const Limit& limit, const proto::ReserveTokensRequest& request) const;
   bool Complete(const Limit& limit) const;
--- a/src/queue/token_reserver.cc
+++ b/src/queue/token_reserver.cc
@@ -32,7 +32,9 @@
                             const TokenReservation& reservation, Done done) {
   const std::uint64_t sequence = next_++;
   Pending& pending = pending_[sequence];
+  const std::string& name = batch.batch_id().empty() ? batch.idempotency_key() : batch.batch_id();
   pending = {{partition, batch.tenant(), batch.route()},
+             name,
              reservation.tokens,
              std::make_shared<Done>(std::move(done))};
   const proto::ReserveTokensRequest request =
@@ -57,6 +59,7 @@
   request.set_holder_partition_id(partition.value());
   request.set_holder_node_id(agent_.node_id().value());
   request.set_sequence(sequence);
+  request.set_batch(pending.batch);
   request.set_spare(Spare(pending.key));
   return request;
 }
--- a/src/queue/token_reserver.h
+++ b/src/queue/token_reserver.h
@@ -53,6 +53,7 @@
  private:
   struct Pending {
     TokenAllowances::Key key;
+    std::string batch;  ///< As its client names it; empty if it does not.
     std::uint64_t tokens = 0;
     std::shared_ptr<Done> done;  ///< Empty once it was called.
   };
--- a/tests/queue/token_limit_test.cc
+++ b/tests/queue/token_limit_test.cc
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "node/batch_partitions.h"
+#include "node/room_refusal.h"
 #include "queue/queue_world.h"
 
 namespace cloverbank {
@@ -175,6 +176,41 @@
   EXPECT_EQ(accepted, 5);
 }
 
+TEST_F(TokenLimitTest, ABatchThatComesAgainIsTakenBeforeNewcomers) {
+  EXPECT_TRUE(Submit(1, "a", 5).ok());
+  EXPECT_TRUE(Submit(2, "b", 5).ok());
+  const auto refused = Submit(0, "returns", 5);
+  ASSERT_EQ(refused.status().code(), StatusCode::kResourceExhausted);
+  ASSERT_TRUE(ComeAfter(refused.status()).has_value());
+  FinishAll(1);
+  world_.world.RunFor(milliseconds(200));
+  EXPECT_EQ(Submit(2, "newcomer", 1).status().code(), StatusCode::kResourceExhausted);
+  world_.world.RunFor(*ComeAfter(refused.status()) - milliseconds(200));
+  EXPECT_TRUE(Submit(0, "returns", 5).ok());
+}
+
+TEST_F(TokenLimitTest, TheRoomOfABatchThatDoesNotComeAgainIsGivenToOthers) {
+  EXPECT_TRUE(Submit(1, "a", 5).ok());
+  EXPECT_TRUE(Submit(2, "b", 5).ok());
+  const auto refused = Submit(0, "gone", 5);
+  ASSERT_TRUE(ComeAfter(refused.status()).has_value());
+  FinishAll(1);
+  world_.world.RunFor(*ComeAfter(refused.status()) + seconds(1));
+  EXPECT_TRUE(Submit(2, "newcomer", 5).ok());
+}
+
+TEST_F(TokenLimitTest, SmallNewcomersDoNotKeepALargeBatchOut) {
+  EXPECT_TRUE(Submit(1, "a", 4).ok());
+  EXPECT_TRUE(Submit(2, "b", 6).ok());
+  EXPECT_FALSE(Submit(0, "large", 9).ok());
+  FinishAll(1);
+  world_.world.RunFor(milliseconds(200));
+  EXPECT_FALSE(Submit(1, "small", 1).ok()) << "what frees is kept for the one that came first";
+  FinishAll(2);
+  world_.world.RunFor(milliseconds(200));
+  EXPECT_TRUE(Submit(0, "large", 9).ok());
+}
+
 TEST_F(TokenLimitTest, ANewKeeperCountsBeforeItGrants) {
   EXPECT_TRUE(Submit((Keeper() + 1) % kPartitions, "a", 8).ok());
   const std::uint64_t heir = (Keeper() + 2) % kPartitions;
