--- a/tests/scripts/worth_test.py
+++ b/tests/scripts/worth_test.py
@@ -13,6 +13,7 @@
 classes = [
   { name = "chat", kind = "stream", aim_ms = 300, worth = 2, late_worth = 1.0 },
   { name = "notes", kind = "batch", aim_ms = 600, worth = 4, late_worth = 1.0 },
+  { name = "read", aim_ms = 120, worth = 1, late_worth = 0.3 },
 ]
 """
 LOG = """ 1.0 edge-1 info answer_late route=r cause=pause target_ms=300 first_ms=10
@@ -27,6 +28,7 @@
     """A day of two classes that owe 200 each: one lost a fifth of it, the other 0.06."""
     chat = {"name": "chat", "n": 100, "not_owed": 0, "late": 20, "refused": 5, "failed": 5}
     notes = {"name": "notes", "n": 60, "not_owed": 10, "late": 4, "refused": 0, "failed": 0}
+    read = {"name": "read", "n": 0, "not_owed": 0, "late": 0, "refused": 0, "failed": 0}
     whole = (200 * 0.8 + 200 * 0.94) / 400
     price = 0.02
     window = {"n": 10, "refused": 0, "failed": 0}
@@ -34,7 +36,8 @@
         "G": 0.9 * whole + 0.1 * windows - price,
         "parts": [["whole day", 0.9, whole], ["worst windows", 0.1, windows]],
         "prices": [["machine-seconds", 5.0, price]],
-        "classes": [chat | {"worth": 0.8}, notes | {"worth": 0.94}],
+        "classes": [chat | {"worth": 0.8}, notes | {"worth": 0.94},
+                    read | {"worth": 1.0}],
         "windows": [window | {"name": "0", "late": 1, "worth": 0.9},
                     window | {"name": "2", "late": 5, "worth": 0.4}],
         "events": [{"at_s": 2, "to_s": 3, "kind": "burst", "what": ""}],
@@ -71,6 +74,9 @@
         self.assertAlmostEqual(sum(rows.values()), total, places=3)
         self.assertNotIn(("not explained", ""), rows)
 
+    def test_a_class_without_a_kind_is_one_of_plain_calls(self):
+        self.assertNotIn("read", {name for _, name in self.causes()})
+
     def test_without_a_log_late_answers_are_one_row(self):
         rows = self.causes()
         # 20 late answers lose 1 each of 400 owed, and the whole day weighs 0.9.
