--- a/src/consensus/raft_core.cc
+++ b/src/consensus/raft_core.cc
@@ -30,13 +30,32 @@
   if (now < next_wakeup_) {
     return;
   }
-  if (role_ == RaftRole::kLeader) {
+  if (!writable_) {
+    WaitUntilWritable(now);
+  } else if (role_ == RaftRole::kLeader) {
     LeaderTick(now);
   } else {
     StartPreVote(now);
   }
 }
 
+void RaftCore::SetWritable(TimePoint now, bool writable) {
+  writable_ = writable;
+  const bool leads = role_ == RaftRole::kLeader;
+  if (!writable && leads && !TransferLeadership(now).ok()) {
+    BecomeFollower(now, term(), 0);
+  }
+}
+
+void RaftCore::WaitUntilWritable(TimePoint now) {
+  if (role_ == RaftRole::kLeader && transfer_target_ != 0) {
+    LeaderTick(now);
+    return;
+  }
+  BecomeFollower(now, term(), 0);
+  ResetElectionTimer(now, options_.minimum_election_timeout, options_.maximum_election_timeout);
+}
+
 void RaftCore::HandlePersisted(TimePoint now, RaftWriteId write) {
   persisted_write_ = std::max(persisted_write_, write);
   while (!unsynced_writes_.empty() && unsynced_writes_.front().first <= persisted_write_) {
--- a/src/consensus/raft_core.h
+++ b/src/consensus/raft_core.h
@@ -46,6 +46,9 @@
 
   /// Does what has fallen due. To be called at `NextWakeup` or later.
   void Tick(TimePoint now);
+  /// Says whether writes get to the disk now. A member whose writes wait hands leadership over or
+  /// gives it up, stands for no election, and answers nothing that depends on those writes.
+  void SetWritable(TimePoint now, bool writable);
   TimePoint NextWakeup() const { return next_wakeup_; }
   /// @return what the inputs since the last call ask for.
   RaftEffects TakeEffects() { return std::exchange(effects_, {}); }
@@ -116,6 +119,7 @@
 
  private:
   // raft_core.cc: terms, timers, writes.
+  void WaitUntilWritable(TimePoint now);
   void BecomeFollower(TimePoint now, std::uint64_t new_term, std::uint64_t leader_id);
   void HeardLeader(TimePoint now);
   void ResetElectionTimer(TimePoint now, Duration minimum, Duration maximum);
@@ -225,6 +229,7 @@
   TimePoint term_started_;
   std::uint64_t last_sequence_ = 0;
   /// Who is to take over; 0 if nobody.
+  bool writable_ = true;
   std::uint64_t transfer_target_ = 0;
   bool transfer_sent_ = false;
   TimePoint transfer_deadline_;
--- a/src/consensus/raft_core_transfer.cc
+++ b/src/consensus/raft_core_transfer.cc
@@ -59,7 +59,7 @@
 
 void RaftCore::HandleTimeoutNow(TimePoint now, const proto::TimeoutNowRequest& request) {
   const bool from_leader = request.term() == term() && request.leader_id() == leader_id_;
-  if (role_ == RaftRole::kFollower && from_leader && IsVoter(member_id())) {
+  if (role_ == RaftRole::kFollower && from_leader && writable_ && IsVoter(member_id())) {
     leader_id_ = 0;
     StartElection(now, true);
   } else {
--- a/src/consensus/raft_node.cc
+++ b/src/consensus/raft_node.cc
@@ -6,19 +6,27 @@
 #include "base/logging.h"
 
 namespace cloverbank {
+namespace {
+
+/// Between tries of a write for which the disk had no room.
+constexpr Duration kDiskFullRetryInterval = milliseconds(200);
+
+}  // namespace
 
 RaftNode::RaftNode(Environment& environment, DataFolder& folder, StateMachine& state_machine,
                    RaftNodeOptions options)
     : environment_(environment),
       storage_(
           folder, [this](RaftWriteId write) { OnPersisted(write); },
-          [this](const Status& status) { Stop(status); }),
+          [this](const Status& status) { Stop(status); },
+          [this](const Status& status) { OnDiskFull(status); }),
       state_machine_(state_machine),
       options_(std::move(options)) {}
 
 RaftNode::~RaftNode() {
   environment_.CancelTimer(wakeup_timer_);
   environment_.CancelTimer(formation_timer_);
+  environment_.CancelTimer(retry_timer_);
 }
 
 RaftCoreOptions RaftNode::CoreOptions() {
@@ -140,10 +148,33 @@
     return;
   }
   identity_durable_ = true;
+  OnDiskHasRoom();
   core_->HandlePersisted(environment_.Now(), write);
   Drain();
 }
 
+void RaftNode::OnDiskFull(const Status& status) {
+  if (stopped_) {
+    return;
+  }
+  retry_timer_ = environment_.ScheduleAfter(kDiskFullRetryInterval, [this] { storage_.Retry(); });
+  if (std::exchange(disk_full_, true)) {
+    return;
+  }
+  Log(LogLevel::kWarning, "raft_disk_full", {{"reason", status.ToString()}});
+  environment_.metrics().SetGauge("raft_disk_full", 1);
+  core_->SetWritable(environment_.Now(), false);
+  Drain();
+}
+
+void RaftNode::OnDiskHasRoom() {
+  if (std::exchange(disk_full_, false)) {
+    Log(LogLevel::kInfo, "raft_disk_has_room", {});
+    environment_.metrics().SetGauge("raft_disk_full", 0);
+    core_->SetWritable(environment_.Now(), true);
+  }
+}
+
 void RaftNode::Drain() {
   if (draining_ || stopped_) {
     return;  // Called from a callback below: the loop further up takes the effects.
@@ -289,6 +320,7 @@
   environment_.metrics().Increment("raft_fatal_total", {{"reason", StatusCodeName(status.code())}});
   environment_.CancelTimer(wakeup_timer_);
   environment_.CancelTimer(formation_timer_);
+  environment_.CancelTimer(retry_timer_);
   auto waiting = std::exchange(waiting_replies_, {});
   for (auto& [token, reply] : waiting) {
     reply(nullptr);
--- a/src/consensus/raft_node.h
+++ b/src/consensus/raft_node.h
@@ -48,7 +48,8 @@
   /// Size of one message of a snapshot.
   std::size_t snapshot_chunk_bytes = 256U << 10U;
   /// Runs once when the member can not go on (a failed sync, damaged state). The node then answers
-  /// nobody and leads nothing; the process should end.
+  /// nobody and leads nothing; the process should end. A full disk is no such case: the member
+  /// leads nothing and votes for nobody until there is room.
   std::function<void(const Status&)> on_fatal;
 };
 
@@ -104,6 +105,8 @@
   void NotifyLeadership();
   void ArmTimer();
   void OnPersisted(RaftWriteId write);
+  void OnDiskFull(const Status& status);
+  void OnDiskHasRoom();
   void Stop(const Status& status);
 
   // raft_node_peers.cc
@@ -142,6 +145,8 @@
   const RaftNodeOptions options_;
   std::unique_ptr<RaftCore> core_;
   bool identity_durable_ = false;
+  bool disk_full_ = false;
+  TimerId retry_timer_ = 0;  ///< Of a write that waits for room on the disk.
   bool stopped_ = false;
   bool draining_ = false;
 
--- a/src/consensus/raft_storage.cc
+++ b/src/consensus/raft_storage.cc
@@ -59,8 +59,11 @@
 }  // namespace
 
 RaftStorage::RaftStorage(DataFolder& folder, std::function<void(RaftWriteId)> on_persisted,
-                         std::function<void(Status)> on_failed)
-    : folder_(folder), on_persisted_(std::move(on_persisted)), on_failed_(std::move(on_failed)) {}
+                         std::function<void(Status)> on_failed, std::function<void(Status)> on_full)
+    : folder_(folder),
+      on_persisted_(std::move(on_persisted)),
+      on_failed_(std::move(on_failed)),
+      on_full_(std::move(on_full)) {}
 
 Result<RaftDurableState> RaftStorage::Load() {
   RaftDurableState state;
@@ -213,7 +216,7 @@
     return;
   }
   folder_.Replace(kMetadataFile, EncodeRecord(current_.metadata->SerializeAsString(), kRecordSeed),
-                  Then(&RaftStorage::WriteSnapshot));
+                  Then(&RaftStorage::WriteMetadata, &RaftStorage::WriteSnapshot));
 }
 
 void RaftStorage::WriteSnapshot() {
@@ -222,14 +225,16 @@
     return;
   }
   folder_.Replace(kSnapshotFile, EncodeRecord(current_.snapshot->SerializeAsString(), kRecordSeed),
-                  Then(&RaftStorage::WriteLog));
+                  Then(&RaftStorage::WriteSnapshot, &RaftStorage::WriteLog));
 }
 
 void RaftStorage::WriteLog() {
   if (current_.replaces_log) {
-    folder_.Replace(kLogFile, SerializeLogRecord(current_), Then(&RaftStorage::Finish));
+    folder_.Replace(kLogFile, SerializeLogRecord(current_),
+                    Then(&RaftStorage::WriteLog, &RaftStorage::Finish));
   } else if (!current_.entries.empty()) {
-    folder_.Append(kLogFile, SerializeLogRecord(current_), Then(&RaftStorage::Finish));
+    folder_.Append(kLogFile, SerializeLogRecord(current_),
+                   Then(&RaftStorage::WriteLog, &RaftStorage::Finish));
   } else {
     Finish();
   }
@@ -243,18 +248,33 @@
   on_persisted_(finished);
 }
 
-DataFolder::Done RaftStorage::Then(void (RaftStorage::*next)()) {
-  return [this, next, alive = std::weak_ptr<bool>(alive_)](Status status) {
+DataFolder::Done RaftStorage::Then(Step step, Step next) {
+  return [this, step, next, alive = std::weak_ptr<bool>(alive_)](Status status) {
     if (alive.expired() || failed_) {
       return;
     }
     if (status.ok()) {
       (this->*next)();
-      return;
+    } else {
+      TakeFailure(step, std::move(status));
     }
-    failed_ = true;
-    on_failed_(std::move(status));
   };
 }
 
+void RaftStorage::TakeFailure(Step step, Status status) {
+  if (status.code() == StatusCode::kResourceExhausted) {
+    waiting_step_ = step;
+    on_full_(std::move(status));
+    return;
+  }
+  failed_ = true;
+  on_failed_(std::move(status));
+}
+
+void RaftStorage::Retry() {
+  if (const Step step = std::exchange(waiting_step_, nullptr)) {
+    (this->*step)();
+  }
+}
+
 }  // namespace cloverbank
--- a/src/consensus/raft_storage.h
+++ b/src/consensus/raft_storage.h
@@ -15,6 +15,9 @@
 ///  does not
 ///    contain the snapshot's last entry is dropped at load.
 ///
+/// A write for which the disk has no room leaves nothing behind. It waits, with all that comes
+/// after it, and is carried out anew by `Retry`.
+///
 /// Threads: the owner's event loop only.
 
 #include <deque>
@@ -33,8 +36,9 @@
   /// @param on_persisted gets the number of the last write that is synced, writes before it
   /// included.
   /// @param on_failed gets the first failure; nothing is written after it.
+  /// @param on_full a write found the disk full, at each try. Called from the folder's completions.
   RaftStorage(DataFolder& folder, std::function<void(RaftWriteId)> on_persisted,
-              std::function<void(Status)> on_failed);
+              std::function<void(Status)> on_failed, std::function<void(Status)> on_full);
 
   /// @return what the disk holds; `metadata.member_id()` is 0 on an empty disk. kCorrupt if synced
   /// bytes are damaged or missing: the member has to start again with an empty disk, under a new
@@ -43,8 +47,12 @@
   /// Queues `write`. Nothing reaches the disk before `Start`.
   void Write(RaftWrite write);
   void Start();
+  /// Tries the write again that found the disk full, if there is one.
+  void Retry();
 
  private:
+  using Step = void (RaftStorage::*)();
+
   Result<std::string> ReadIfPresent(const std::string& name);
   Status LoadRecord(const std::string& name, google::protobuf::MessageLite& message, bool& present);
   Status LoadLog(RaftDurableState& state);
@@ -56,16 +64,20 @@
   void WriteLog();
   void Finish();
   /// @return a callback that goes on with `next` unless the write failed or this object is gone.
-  DataFolder::Done Then(void (RaftStorage::*next)());
+  /// @param step that of the write, which is repeated if the disk is full.
+  DataFolder::Done Then(Step step, Step next);
+  void TakeFailure(Step step, Status status);
 
   DataFolder& folder_;
   std::function<void(RaftWriteId)> on_persisted_;
   std::function<void(Status)> on_failed_;
+  std::function<void(Status)> on_full_;
   std::deque<RaftWrite> queue_;
   RaftWrite current_;
   bool started_ = false;
   bool busy_ = false;
   bool failed_ = false;
+  Step waiting_step_ = nullptr;  ///< For room on the disk.
   bool log_needs_rewrite_ = false;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/tests/consensus/raft_storage_test.cc
+++ b/tests/consensus/raft_storage_test.cc
@@ -81,13 +81,18 @@
   StorageLife(DataFolder& folder, RaftWriteId& persisted)
       : storage(
             folder, [&persisted](RaftWriteId write) { persisted = std::max(persisted, write); },
-            [](const Status& status) { ADD_FAILURE() << status.ToString(); }) {
+            [](const Status& status) { ADD_FAILURE() << status.ToString(); },
+            [this](const Status& status) {
+              EXPECT_EQ(status.code(), StatusCode::kResourceExhausted);
+              ++found_full;
+            }) {
     const Result<RaftDurableState> state = storage.Load();
     log = state.ok() ? Describe(*state) : state.status().ToString();
     last_index = state.ok() ? state->base_index + state->entries.size() : 0;
     term = state.ok() ? state->metadata.current_term() : 0;
   }
   RaftStorage storage;
+  int found_full = 0;
   std::string log;
   std::uint64_t term = 0;
   std::uint64_t last_index = 0;
@@ -138,5 +143,40 @@
   }
 }
 
+TEST(RaftStorageTest, WritesThatFindTheDiskFullAreCarriedOutOnceThereIsRoom) {
+  for (std::size_t full_from = 0; full_from < Script().size(); ++full_from) {
+    SimulatedWorld world(full_from + 1);
+    SimulatedMachine& machine = world.AddMachine("m", "10.0.0.1");
+    RaftWriteId persisted = 0;
+    std::shared_ptr<StorageLife> life;
+    machine.SetProgram([&](Environment&, DataFolder& folder) {
+      life = std::make_shared<StorageLife>(folder, persisted);
+      return life;
+    });
+    machine.Start();
+    life->storage.Start();
+    for (const RaftWrite& write : Script()) {
+      if (write.id == full_from + 1) {
+        world.RunFor(milliseconds(50));
+        machine.SetDiskLimit(1);
+      }
+      life->storage.Write(write);
+    }
+    world.RunFor(milliseconds(50));
+    life->storage.Retry();
+    world.RunFor(milliseconds(50));
+    // The last two writes need no more room than what they replace.
+    EXPECT_EQ(persisted < Script().size(), full_from < 7) << "full from write " << full_from;
+    machine.SetDiskLimit(1U << 20U);
+    while (life->found_full > 0 && persisted < Script().size()) {
+      life->storage.Retry();
+      world.RunFor(milliseconds(50));
+    }
+    machine.LosePower();
+    machine.Start();
+    EXPECT_EQ(life->log, kLogs.back()) << "full from write " << full_from;
+  }
+}
+
 }  // namespace
 }  // namespace cloverbank
--- a/tests/queue/durability_simulation_test.cc
+++ b/tests/queue/durability_simulation_test.cc
@@ -174,6 +174,33 @@
   Conclude(10);
 }
 
+TEST_P(DurabilityTest, DisksFillAndHaveRoomAgain) {
+  constexpr std::uint64_t kFull = 1;
+  constexpr std::uint64_t kAmple = 1ULL << 40U;
+  constexpr int kRounds = 4;
+  for (int round = 0; round < kRounds; ++round) {
+    for (const std::string& name : {RandomOf(fleet.stores), RandomOf(fleet.fronts)}) {
+      Machine(name).SetDiskLimit(kFull);
+    }
+    if (round == kRounds - 1) {
+      for (const std::string& name : fleet.stores) {
+        Machine(name).SetDiskLimit(kFull);  // No new batch can be held anywhere.
+      }
+    }
+    fleet.world.RunFor(seconds(3) + RandomTime(3000));
+    for (const std::vector<std::string>* machines : {&fleet.stores, &fleet.fronts}) {
+      for (const std::string& name : *machines) {
+        Machine(name).SetDiskLimit(kAmple);
+        EXPECT_TRUE(Machine(name).running()) << name << " ended of a full disk";
+      }
+    }
+    fleet.world.RunFor(seconds(2) + RandomTime(2000));
+  }
+  const TimePoint with_room = fleet.world.Now();
+  EXPECT_TRUE(fleet.world.RunUntil([&] { return workload.ServedSince(with_room); }, seconds(10)));
+  Conclude(20);
+}
+
 TEST_P(DurabilityTest, RandomKillsFreezesAndCuts) {
   fleet.world.network().request_loss = 0.003;
   fleet.world.network().reply_loss = 0.003;
