--- a/src/coordinator/heartbeat_handler.cc
+++ b/src/coordinator/heartbeat_handler.cc
@@ -1,6 +1,8 @@
 #include "coordinator/heartbeat_handler.h"
 
 #include <algorithm>
+#include <set>
+#include <string_view>
 #include <utility>
 
 #include "coordinator/partition_assigner.h"
@@ -11,7 +13,7 @@
 
 /// Gateways of its zone that a gateway is told of.
 constexpr std::size_t kMostNeighbours = 32;
-/// Gateways of its zone that a gateway may ask for the list of replicas.
+/// Gateways that a gateway may ask for the list of replicas.
 constexpr std::size_t kMostListSources = 3;
 
 Status Fenced(std::uint64_t node_id, const std::string& reason) {
@@ -132,7 +134,8 @@
   if (self == nullptr) {
     return;
   }
-  std::vector<const proto::Server*> zone = context_.state.servers().Live(proto::ROLE_GATEWAY);
+  const std::vector<const proto::Server*> all = context_.state.servers().Live(proto::ROLE_GATEWAY);
+  std::vector<const proto::Server*> zone = all;
   std::erase_if(zone, [self](const proto::Server* other) { return other->zone() != self->zone(); });
   const auto own =
       static_cast<std::size_t>(std::find(zone.begin(), zone.end(), self) - zone.begin());
@@ -146,6 +149,25 @@
   for (std::size_t place = 0; place < std::min(kMostListSources, own); ++place) {
     *response->add_list_sources() = zone[place]->peer_endpoint();
   }
+  if (own == 0) {
+    AddRemoteListSources(all, *self, response);
+  }
+}
+
+void HeartbeatHandler::AddRemoteListSources(const std::vector<const proto::Server*>& gateways,
+                                            const proto::Server& self,
+                                            proto::HeartbeatResponse* response) {
+  std::set<std::string_view> zones;
+  for (const proto::Server* gateway : gateways) {
+    const bool enough =
+        static_cast<std::size_t>(response->remote_list_sources_size()) >= kMostListSources;
+    if (gateway == &self || enough) {
+      return;
+    }
+    if (zones.insert(gateway->zone()).second) {
+      *response->add_remote_list_sources() = gateway->peer_endpoint();
+    }
+  }
 }
 
 void HeartbeatHandler::Review() {
--- a/src/coordinator/heartbeat_handler.h
+++ b/src/coordinator/heartbeat_handler.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <list>
+#include <vector>
 
 #include "base/status.h"
 #include "coordinator/leader_context.h"
@@ -38,6 +39,9 @@
   /// @return whether it was answered.
   bool AnswerIfDue(Held& held);
   void AddGateways(NodeId node, proto::HeartbeatResponse* response) const;
+  /// Names the first gateways of the zones that come before `self`, itself the first of its zone.
+  static void AddRemoteListSources(const std::vector<const proto::Server*>& gateways,
+                                   const proto::Server& self, proto::HeartbeatResponse* response);
   /// Whether the sender acts by a configuration and has told an older one than the current.
   bool NeedsConfiguration(const proto::HeartbeatRequest& request) const;
   proto::HeartbeatResponse Grant(const Held& held);
--- a/src/gateway/shared_list_reader.cc
+++ b/src/gateway/shared_list_reader.cc
@@ -12,6 +12,9 @@
 constexpr std::string_view kMethod = "gateway.GetReplicaList";
 /// How long a call waits at a source for its next reading.
 constexpr Duration kHold = milliseconds(1100);
+/// The same at a source of another zone: one that is lost must be noticed while the gateways of the
+/// own zone still wait.
+constexpr Duration kRemoteHold = milliseconds(500);
 /// The same for the first list: a source may have started at the same time.
 constexpr Duration kFirstHold = milliseconds(300);
 /// What a call may take beside that.
@@ -85,9 +88,9 @@
   timer_ = environment_.ScheduleAfter(kFirstWaitStep, [this] { WaitForSources(); });
 }
 
-std::optional<Endpoint> SharedListReader::NextSource() const {
-  for (const Endpoint& source : sources_().value_or(std::vector<Endpoint>())) {
-    const auto passed_over = passed_over_until_.find(source);
+std::optional<ListSource> SharedListReader::NextSource() const {
+  for (const ListSource& source : sources_().value_or(std::vector<ListSource>())) {
+    const auto passed_over = passed_over_until_.find(source.endpoint);
     if (passed_over == passed_over_until_.end() || environment_.Now() >= passed_over->second) {
       return source;
     }
@@ -95,14 +98,25 @@
   return std::nullopt;
 }
 
+Duration SharedListReader::HoldAt(const ListSource& source) const {
+  if (id_ == 0) {
+    return kFirstHold;
+  }
+  if (!awaits_) {
+    return Duration::zero();
+  }
+  return source.in_zone ? kHold : kRemoteHold;
+}
+
 void SharedListReader::AskSource() {
-  asked_ = NextSource();
-  if (!asked_.has_value()) {
+  const std::optional<ListSource> source = NextSource();
+  if (!source.has_value()) {
     ReadPlatform();
     return;
   }
+  asked_ = source->endpoint;
   awaits_ = id_ != 0 && environment_.Now() - read_at_ <= kOldestAwaited;
-  const Duration hold = awaits_ ? kHold : (id_ == 0 ? kFirstHold : Duration::zero());
+  const Duration hold = HoldAt(*source);
   proto::GetReplicaListRequest request;
   request.set_known_id(id_);
   request.set_hold_ms(ToMilliseconds(hold));
--- a/src/gateway/shared_list_reader.h
+++ b/src/gateway/shared_list_reader.h
@@ -1,11 +1,12 @@
 #pragma once
 /// @file
-/// Reads the list of replicas from another gateway of the zone where the coordinators name one, and
-/// from the platform otherwise, and hands what was read on to gateways that ask. The platform then
-/// gets one call a zone in place of one a gateway.
+/// Reads the list of replicas from another gateway where the coordinators name one, and from the
+/// platform otherwise, and hands what was read on to gateways that ask. A zone's first gateway asks
+/// first ones of other zones, the others ask within their zone: so the platform gets one call in
+/// place of one a gateway, and a list crosses each zone's border once.
 ///
-/// The coordinators name a gateway's sources in an order that all gateways of the zone agree on,
-/// and only such that precede it, so that no two ask each other for longer than a heartbeat. A
+/// The coordinators name a gateway's sources in an order that all gateways agree on, and only such
+/// that precede it, so that no two ask each other for longer than a heartbeat. A
 /// source that fails is passed over for a while; a gateway whose sources all fail reads the
 /// platform itself, whatever control does. Threads: the owner's event loop only.
 
@@ -19,6 +20,7 @@
 #include <vector>
 
 #include "gateway/replica_list_reader.h"
+#include "node/list_source.h"
 #include "proto/gateway.pb.h"
 #include "runtime/environment.h"
 
@@ -28,7 +30,7 @@
  public:
   /// @return the gateways to ask, the first one first; nothing while the coordinators have not
   /// told.
-  using Sources = std::function<std::optional<std::vector<Endpoint>>()>;
+  using Sources = std::function<std::optional<std::vector<ListSource>>()>;
 
   SharedListReader(Environment& environment, Sources sources,
                    std::unique_ptr<ReplicaListReader> platform);
@@ -53,7 +55,9 @@
 
   void WaitForSources();
   void AskSource();
-  std::optional<Endpoint> NextSource() const;
+  std::optional<ListSource> NextSource() const;
+  /// @return how long the call may wait at the source for its next reading.
+  Duration HoldAt(const ListSource& source) const;
   void OnAnswer(TimePoint sent, const Result<proto::GetReplicaListResponse>& answer);
   void TakeAnswer(TimePoint sent, const proto::GetReplicaListResponse& answer);
   void ReadPlatform();
--- a/src/node/node_agent.cc
+++ b/src/node/node_agent.cc
@@ -332,7 +332,7 @@
 
 const std::vector<Endpoint>& NodeAgent::neighbours() const { return state_->session.neighbours(); }
 
-const std::optional<std::vector<Endpoint>>& NodeAgent::list_sources() const {
+const std::optional<std::vector<ListSource>>& NodeAgent::list_sources() const {
   return state_->session.list_sources();
 }
 
--- a/src/node/node_agent.h
+++ b/src/node/node_agent.h
@@ -18,6 +18,7 @@
 #include <string_view>
 #include <vector>
 
+#include "node/list_source.h"
 #include "proto/configuration.pb.h"
 #include "proto/coordinator.pb.h"
 #include "runtime/environment.h"
@@ -74,9 +75,9 @@
   GatewayPlace gateway_place() const;
   /// @return peer endpoints of other gateways in this zone, a bounded number of them.
   const std::vector<Endpoint>& neighbours() const;
-  /// @return peer endpoints of gateways of this zone to ask for the list of replicas, in order;
-  /// nothing before the first heartbeat was answered.
-  const std::optional<std::vector<Endpoint>>& list_sources() const;
+  /// @return the gateways to ask for the list of replicas, in order; nothing before the first
+  /// heartbeat was answered.
+  const std::optional<std::vector<ListSource>>& list_sources() const;
   /// Whether this node still holds the right to act: registered, not fenced, lease not run out.
   bool LeaseValid() const;
   /// @return when the lease runs out; a past time if there is none.
--- a/src/node/node_session.cc
+++ b/src/node/node_session.cc
@@ -15,6 +15,17 @@
   return endpoints;
 }
 
+std::vector<ListSource> ToListSources(const proto::HeartbeatResponse& response) {
+  std::vector<ListSource> sources;
+  for (const Endpoint& endpoint : ToEndpoints(response.list_sources())) {
+    sources.push_back({endpoint, /*in_zone=*/true});
+  }
+  for (const Endpoint& endpoint : ToEndpoints(response.remote_list_sources())) {
+    sources.push_back({endpoint, /*in_zone=*/false});
+  }
+  return sources;
+}
+
 /// The holder's clock may run slower than the giver's: it gives up this share of each lease.
 constexpr int kClockDriftDivisor = 100;
 
@@ -87,7 +98,7 @@
   }
   effects.place_changed = TakePlace(response);
   neighbours_ = ToEndpoints(response.neighbours());
-  list_sources_ = ToEndpoints(response.list_sources());
+  list_sources_ = ToListSources(response);
   const bool same_life = node_id_.valid() && NodeId(request.node_id()) == node_id_;
   if (same_life && effects.configuration != UpdateOutcome::kGap) {
     const TimePoint end = times.sent + UsableLease(response.lease_ms());
--- a/src/node/node_session.h
+++ b/src/node/node_session.h
@@ -17,6 +17,7 @@
 #include "base/time.h"
 #include "node/configuration_watch.h"
 #include "node/fleet_watch.h"
+#include "node/list_source.h"
 #include "proto/coordinator.pb.h"
 
 namespace cloverbank {
@@ -50,7 +51,7 @@
   GatewayPlace gateway_place() const { return gateway_place_; }
   const std::vector<Endpoint>& neighbours() const { return neighbours_; }
   /// Nothing before the first heartbeat was answered.
-  const std::optional<std::vector<Endpoint>>& list_sources() const { return list_sources_; }
+  const std::optional<std::vector<ListSource>>& list_sources() const { return list_sources_; }
   TimePoint lease_end() const { return lease_end_; }
   bool LeaseValid(TimePoint now) const { return node_id_.valid() && now < lease_end_; }
   const proto::RoutingConfiguration& configuration() const {
@@ -84,7 +85,7 @@
   std::uint32_t partition_count_ = 0;
   GatewayPlace gateway_place_;
   std::vector<Endpoint> neighbours_;
-  std::optional<std::vector<Endpoint>> list_sources_;
+  std::optional<std::vector<ListSource>> list_sources_;
   TimePoint lease_end_{};
   TimePoint last_lease_end_{};  ///< Of any life of this process.
   ConfigurationWatch configuration_;
--- a/tests/coordinator/coordinator_fixture.h
+++ b/tests/coordinator/coordinator_fixture.h
@@ -47,15 +47,15 @@
   }
 
   /// Starts a machine with one role.
-  SimulatedMachine& Add(proto::Role role, const std::string& name) {
+  SimulatedMachine& Add(proto::Role role, const std::string& name, const std::string& zone = "") {
     SimulatedMachine& machine = world.AddMachine(name, "10.0.2." + std::to_string(++hosts));
     TestDisk* disk = nullptr;
     if (role == proto::ROLE_BACKUP) {
       disk = &disks[name];
       disk->id = "disk of " + name;
     }
-    machine.SetProgram([this, role, name, disk](Environment& environment, DataFolder&) {
-      auto node = std::make_shared<TestNode>(environment, role, name, coordinators, disk);
+    machine.SetProgram([this, role, name, disk, zone](Environment& environment, DataFolder&) {
+      auto node = std::make_shared<TestNode>(environment, role, name, coordinators, disk, zone);
       nodes[name] = node.get();
       return Watch(std::move(node), &nodes, name);
     });
--- a/tests/coordinator/coordinator_service_test.cc
+++ b/tests/coordinator/coordinator_service_test.cc
@@ -44,6 +44,29 @@
   }
 }
 
+TEST_F(CoordinatorServiceTest, FirstGatewaysOfZonesAreToldOfThoseOfOtherZonesBeforeThem) {
+  int number = 0;
+  for (const char* zone : {"a", "b", "a", "c", "d", "b", "e"}) {
+    Add(proto::ROLE_GATEWAY, "g" + std::to_string(++number), zone);
+    world.RunFor(milliseconds(300));
+  }
+  world.RunFor(seconds(2));
+  const auto remote = [this](const std::string& name) {
+    std::vector<std::string> sources;
+    for (const proto::Endpoint& source : nodes[name]->remote_list_sources) {
+      sources.push_back(source.host());
+    }
+    return sources;
+  };
+  const std::vector<std::string> firsts = {nodes["g1"]->host(), nodes["g2"]->host(),
+                                           nodes["g4"]->host()};
+  EXPECT_EQ(remote("g1"), std::vector<std::string>());
+  EXPECT_EQ(remote("g2"), std::vector(firsts.begin(), firsts.begin() + 1));
+  EXPECT_EQ(remote("g3"), std::vector<std::string>()) << "it asks within its zone";
+  EXPECT_EQ(remote("g4"), std::vector(firsts.begin(), firsts.begin() + 2));
+  EXPECT_EQ(remote("g7"), firsts) << "a bounded number";
+}
+
 TEST_F(CoordinatorServiceTest, AcknowledgedWithinARoundTripWhenAllConfirm) {
   Add(proto::ROLE_GATEWAY, "g1");
   Add(proto::ROLE_GATEWAY, "g2");
--- a/tests/coordinator/test_node.h
+++ b/tests/coordinator/test_node.h
@@ -24,12 +24,13 @@
 class TestNode {
  public:
   TestNode(Environment& environment, proto::Role role, std::string machine,
-           std::vector<Endpoint> coordinators, TestDisk* disk)
+           std::vector<Endpoint> coordinators, TestDisk* disk, std::string zone = "")
       : environment_(environment),
         role_(role),
         machine_(std::move(machine)),
         coordinators_(std::move(coordinators)),
         disk_(disk),
+        zone_(std::move(zone)),
         incarnation_(environment.Random()) {
     if (role == proto::ROLE_BACKUP) {
       ServeBackup();
@@ -48,9 +49,10 @@
   std::uint64_t configuration_version = 0;
   std::uint64_t fleet_version = 0;
   std::vector<proto::Endpoint> list_sources;  ///< Of a gateway, as last told.
-  bool confirms = true;                       ///< Whether heartbeats tell the newest version held.
-  bool finishes = true;                       ///< Queue nodes: whether replays get done.
-  int fenced = 0;                             ///< How often the id was refused as dead.
+  std::vector<proto::Endpoint> remote_list_sources;
+  bool confirms = true;  ///< Whether heartbeats tell the newest version held.
+  bool finishes = true;  ///< Queue nodes: whether replays get done.
+  int fenced = 0;        ///< How often the id was refused as dead.
 
  private:
   /// Calls the coordinators one after the other until one answers as leader.
@@ -71,6 +73,7 @@
     proto::Server& server = *request.mutable_server();
     server.set_role(role_);
     server.set_machine(machine_);
+    server.set_zone(zone_);
     server.set_incarnation(incarnation_);
     server.mutable_peer_endpoint()->set_host(environment_.peer_endpoint().host);
     server.mutable_peer_endpoint()->set_port(environment_.peer_endpoint().port);
@@ -123,6 +126,8 @@
       fleet_version = std::max<std::uint64_t>(fleet_version, response.fleet().to_version());
     }
     list_sources.assign(response.list_sources().begin(), response.list_sources().end());
+    remote_list_sources.assign(response.remote_list_sources().begin(),
+                               response.remote_list_sources().end());
     lease_end = std::max(lease_end, sent + milliseconds(response.lease_ms()));
   }
 
@@ -167,6 +172,7 @@
   std::string machine_;
   std::vector<Endpoint> coordinators_;
   TestDisk* disk_;
+  const std::string zone_;
   std::uint64_t incarnation_;
   std::uint64_t previous_ = 0;
   std::size_t at_ = 0;
--- a/tests/gateway/shared_list_reader_test.cc
+++ b/tests/gateway/shared_list_reader_test.cc
@@ -66,7 +66,7 @@
   int known_replicas = 0;
   int lists = 0;
   ReplicaListPoller* poller = nullptr;
-  std::optional<std::vector<Endpoint>> sources;
+  std::optional<std::vector<ListSource>> sources;
 };
 
 class GatewayProgram {
@@ -108,9 +108,9 @@
       const std::string name = Name(number);
       SimulatedMachine& machine = world_.AddMachine(name, "10.0.1." + std::to_string(number + 1));
       Gateway& gateway = gateways_[name];
-      gateway.sources = std::vector<Endpoint>();
+      gateway.sources = std::vector<ListSource>();
       for (int before = 0; before < std::min(number, 3); ++before) {
-        gateway.sources->push_back(world_.machine(Name(before)).endpoint());
+        gateway.sources->push_back({world_.machine(Name(before)).endpoint()});
       }
       machine.SetProgram([this, name, &gateway](Environment& environment, DataFolder&) {
         return std::make_shared<GatewayProgram>(environment, name, platform_, gateway);
@@ -249,12 +249,66 @@
 
 // The coordinators' word may be older at one gateway than at another.
 TEST_F(SharedListReaderTest, TwoThatAskEachOtherGoToThePlatform) {
-  gateways_["g0"].sources = {world_.machine("g1").endpoint()};
+  gateways_["g0"].sources = {{world_.machine("g1").endpoint()}};
   StartAll();
   world_.RunFor(seconds(1));
   EXPECT_TRUE(AllKnow(1));
   EXPECT_TRUE(RunFresh(seconds(5)));
 }
 
+/// g0 is the first of one zone; g1 the first of another, whose others are g2 to g4.
+class SharedListOverZonesTest : public SharedListReaderTest {
+ protected:
+  SharedListOverZonesTest() {
+    gateways_["g1"].sources = {{world_.machine("g0").endpoint(), /*in_zone=*/false}};
+    for (int number = 2; number < kGateways; ++number) {
+      std::vector<ListSource>& sources = *gateways_[Name(number)].sources;
+      sources.erase(sources.begin());
+    }
+    StartAll();
+    world_.RunFor(seconds(3));
+  }
+};
+
+TEST_F(SharedListOverZonesTest, OneGatewayOfTheFleetReadsThePlatform) {
+  const int before = Reads();
+  EXPECT_TRUE(RunFresh(seconds(10)));
+  EXPECT_LE(Reads() - before, 11);
+  platform_.replicas = 2;
+  world_.RunFor(milliseconds(1100));
+  EXPECT_TRUE(AllKnow(2));
+}
+
+TEST_F(SharedListOverZonesTest, ASourceOfAnotherZoneThatFreezesCostsOneReaderAZone) {
+  stopped_ = "g0";
+  world_.machine("g0").Freeze();
+  platform_.replicas = 4;
+  const int before = Reads();
+  EXPECT_TRUE(RunFresh(milliseconds(2500)));
+  EXPECT_TRUE(AllKnow(4));
+  EXPECT_TRUE(RunFresh(seconds(7)));
+  EXPECT_LE(Reads() - before, 12) << "the others go on asking g1";
+}
+
+TEST_F(SharedListOverZonesTest, ZonesThatAreCutOffFromEachOtherHaveAReaderEach) {
+  world_.Cut("g0", "g1");
+  world_.Cut("g1", "g0");
+  platform_.replicas = 3;
+  EXPECT_TRUE(RunFresh(seconds(3)));
+  EXPECT_TRUE(AllKnow(3));
+  world_.HealAll();
+  world_.RunFor(seconds(12));
+  const int before = Reads();
+  EXPECT_TRUE(RunFresh(seconds(10)));
+  EXPECT_LE(Reads() - before, 11);
+}
+
+TEST_F(SharedListOverZonesTest, PacketsThatPassOneWayOnlyCostNobodyItsFreshness) {
+  world_.Cut("g0", "g1");
+  platform_.replicas = 3;
+  EXPECT_TRUE(RunFresh(seconds(3)));
+  EXPECT_TRUE(AllKnow(3));
+}
+
 }  // namespace
 }  // namespace cloverbank
