--- a/src/gateway/call_exchange.h
+++ b/src/gateway/call_exchange.h
@@ -14,7 +14,7 @@
 #include <string>
 
 #include "gateway/call_attempt.h"
-#include "gateway/prefill_load.h"
+#include "replicas/prefill_load.h"
 
 namespace cloverbank {
 
--- a/src/gateway/gateway_options.h
+++ b/src/gateway/gateway_options.h
@@ -3,23 +3,18 @@
 /// Every bound of the data plane, with its default.
 
 #include <cstddef>
-#include <functional>
-#include <memory>
 #include <string>
 
-#include "base/ids.h"
 #include "base/time.h"
 #include "gateway/admission_control.h"
 #include "gateway/idempotency_cache.h"
-#include "gateway/prefill_load.h"
-#include "gateway/replica_health.h"
 #include "gateway/retry_policy.h"
+#include "replicas/prefill_load.h"
+#include "replicas/replica_health.h"
+#include "replicas/replica_options.h"
 
 namespace cloverbank {
 
-class HttpClient;
-class ReplicaListReader;
-
 /// Names of the headers that gateways and replicas add to what is passed on. Which ones a platform
 /// uses is told by its adapter.
 struct ReplicaHeaderNames {
@@ -30,33 +25,6 @@
   std::string resume_after = "X-Resume-After";            ///< Go on after this event.
 };
 
-/// How the platform's list is read.
-struct ReplicaListOptions {
-  Endpoint endpoint;
-  std::string path = "/replicas";
-  Duration interval = milliseconds(500);
-  Duration deadline = milliseconds(450);
-  /// A list last asked for longer ago is not acted on: the process was frozen meanwhile.
-  Duration stale_after = seconds(2);
-  /// Makes what reads the list; empty reads it as `GET path`.
-  std::function<std::unique_ptr<ReplicaListReader>(HttpClient&)> make_reader = {};
-  /// Whether the gateways of a zone read the list from one of them.
-  bool shared = false;
-};
-
-/// How replicas are probed.
-struct ProbeOptions {
-  /// Whether replicas are probed at all. If not, the list and the calls themselves tell who is
-  /// well.
-  bool enabled = true;
-  std::string path = "/health";
-  Duration interval = seconds(1);               ///< Of one replica, while few are known.
-  Duration eager_interval = milliseconds(150);  ///< Of one that is in slow start.
-  Duration deadline = milliseconds(700);
-  Duration least_gap =
-      milliseconds(20);  ///< Between two probes of this gateway, whatever their number.
-};
-
 /// How cold replicas and batch work are shared with other gateways.
 struct SharingOptions {
   /// A gateway begins with a cold replica at a random time up to this after its first good probe.
--- a/src/gateway/gateway_service.cc
+++ b/src/gateway/gateway_service.cc
@@ -10,12 +10,12 @@
 #include "gateway/forwarding_service.h"
 #include "gateway/live_call_handler.h"
 #include "gateway/operator_api.h"
-#include "gateway/prefill_gossip.h"
 #include "gateway/replica_backend_caller.h"
 #include "gateway/replica_pool.h"
 #include "gateway/serving_right.h"
-#include "gateway/shared_list_reader.h"
 #include "gateway/status_api.h"
+#include "replicas/prefill_gossip.h"
+#include "replicas/shared_list_reader.h"
 
 namespace cloverbank {
 namespace {
--- a/src/gateway/replica_pool.h
+++ b/src/gateway/replica_pool.h
@@ -10,17 +10,17 @@
 #include <string>
 #include <vector>
 
-#include "gateway/cold_pacing.h"
 #include "gateway/gateway_options.h"
-#include "gateway/replica_directory.h"
-#include "gateway/replica_health.h"
-#include "gateway/replica_list_poller.h"
-#include "gateway/replica_load.h"
-#include "gateway/replica_prober.h"
 #include "gateway/router.h"
 #include "gateway/serving_right.h"
-#include "gateway/share_pacer.h"
 #include "net/http_types.h"
+#include "replicas/cold_pacing.h"
+#include "replicas/replica_directory.h"
+#include "replicas/replica_health.h"
+#include "replicas/replica_list_poller.h"
+#include "replicas/replica_load.h"
+#include "replicas/replica_prober.h"
+#include "replicas/share_pacer.h"
 #include "runtime/environment.h"
 
 namespace cloverbank {
--- a/src/gateway/router.h
+++ b/src/gateway/router.h
@@ -15,13 +15,13 @@
 #include <vector>
 
 #include "base/time.h"
-#include "gateway/cold_pacing.h"
-#include "gateway/gateway_share.h"
-#include "gateway/prefill_load.h"
-#include "gateway/replica_directory.h"
-#include "gateway/replica_health.h"
-#include "gateway/replica_load.h"
 #include "proto/configuration.pb.h"
+#include "replicas/cold_pacing.h"
+#include "replicas/gateway_share.h"
+#include "replicas/prefill_load.h"
+#include "replicas/replica_directory.h"
+#include "replicas/replica_health.h"
+#include "replicas/replica_load.h"
 
 namespace cloverbank {
 
--- a/src/gateway/cold_pacing.cc
+++ b/src/replicas/cold_pacing.cc
@@ -1,4 +1,4 @@
-#include "gateway/cold_pacing.h"
+#include "replicas/cold_pacing.h"
 
 #include <algorithm>
 
--- a/src/gateway/gateway_share.cc
+++ b/src/replicas/gateway_share.cc
@@ -1,4 +1,4 @@
-#include "gateway/gateway_share.h"
+#include "replicas/gateway_share.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/gateway/json_list_reader.cc
+++ b/src/replicas/json_list_reader.cc
@@ -1,8 +1,8 @@
 #include <utility>
 
-#include "gateway/replica_list_reader.h"
 #include "json/json.h"
 #include "net/http_status.h"
+#include "replicas/replica_list_reader.h"
 
 namespace cloverbank {
 namespace {
--- a/src/gateway/prefill_gossip.cc
+++ b/src/replicas/prefill_gossip.cc
@@ -1,4 +1,4 @@
-#include "gateway/prefill_gossip.h"
+#include "replicas/prefill_gossip.h"
 
 #include <utility>
 
--- a/src/gateway/prefill_load.cc
+++ b/src/replicas/prefill_load.cc
@@ -1,4 +1,4 @@
-#include "gateway/prefill_load.h"
+#include "replicas/prefill_load.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/gateway/prefill_load.h
+++ b/src/replicas/prefill_load.h
@@ -18,7 +18,7 @@
 #include <unordered_map>
 
 #include "base/time.h"
-#include "gateway/reading_speed.h"
+#include "replicas/reading_speed.h"
 
 namespace cloverbank {
 
--- a/src/gateway/reading_speed.h
+++ b/src/replicas/reading_speed.h
@@ -9,7 +9,7 @@
 #include <cstdint>
 #include <optional>
 
-#include "gateway/recent_quantile.h"
+#include "replicas/recent_quantile.h"
 
 namespace cloverbank {
 
--- a/src/gateway/recent_quantile.cc
+++ b/src/replicas/recent_quantile.cc
@@ -1,4 +1,4 @@
-#include "gateway/recent_quantile.h"
+#include "replicas/recent_quantile.h"
 
 #include <algorithm>
 
--- a/src/gateway/replica_directory.cc
+++ b/src/replicas/replica_directory.cc
@@ -1,4 +1,4 @@
-#include "gateway/replica_directory.h"
+#include "replicas/replica_directory.h"
 
 #include <algorithm>
 #include <functional>
--- a/src/gateway/replica_health.cc
+++ b/src/replicas/replica_health.cc
@@ -1,4 +1,4 @@
-#include "gateway/replica_health.h"
+#include "replicas/replica_health.h"
 
 #include <algorithm>
 
--- a/src/gateway/replica_list_poller.cc
+++ b/src/replicas/replica_list_poller.cc
@@ -1,4 +1,4 @@
-#include "gateway/replica_list_poller.h"
+#include "replicas/replica_list_poller.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/gateway/replica_list_poller.h
+++ b/src/replicas/replica_list_poller.h
@@ -9,10 +9,10 @@
 #include <memory>
 #include <string>
 
-#include "gateway/gateway_options.h"
-#include "gateway/replica_list_reader.h"
 #include "net/http_types.h"
 #include "proto/live.pb.h"
+#include "replicas/replica_list_reader.h"
+#include "replicas/replica_options.h"
 #include "runtime/environment.h"
 
 namespace cloverbank {
--- a/src/gateway/replica_list_reader.h
+++ b/src/replicas/replica_list_reader.h
@@ -10,9 +10,9 @@
 #include <string>
 
 #include "base/time.h"
-#include "gateway/gateway_options.h"
 #include "net/http_types.h"
 #include "proto/live.pb.h"
+#include "replicas/replica_options.h"
 
 namespace cloverbank {
 
--- a/src/gateway/replica_load.cc
+++ b/src/replicas/replica_load.cc
@@ -1,4 +1,4 @@
-#include "gateway/replica_load.h"
+#include "replicas/replica_load.h"
 
 #include <algorithm>
 #include <array>
--- a/src/gateway/replica_prober.cc
+++ b/src/replicas/replica_prober.cc
@@ -1,4 +1,4 @@
-#include "gateway/replica_prober.h"
+#include "replicas/replica_prober.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/gateway/replica_prober.h
+++ b/src/replicas/replica_prober.h
@@ -11,8 +11,8 @@
 #include <string>
 #include <vector>
 
-#include "gateway/gateway_options.h"
 #include "net/http_types.h"
+#include "replicas/replica_options.h"
 #include "runtime/environment.h"
 
 namespace cloverbank {
--- a/src/gateway/share_pacer.cc
+++ b/src/replicas/share_pacer.cc
@@ -1,4 +1,4 @@
-#include "gateway/share_pacer.h"
+#include "replicas/share_pacer.h"
 
 #include <algorithm>
 
--- a/src/gateway/shared_list_reader.cc
+++ b/src/replicas/shared_list_reader.cc
@@ -1,4 +1,4 @@
-#include "gateway/shared_list_reader.h"
+#include "replicas/shared_list_reader.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/gateway/shared_list_reader.h
+++ b/src/replicas/shared_list_reader.h
@@ -19,9 +19,9 @@
 #include <string>
 #include <vector>
 
-#include "gateway/replica_list_reader.h"
 #include "node/list_source.h"
 #include "proto/gateway.pb.h"
+#include "replicas/replica_list_reader.h"
 #include "runtime/environment.h"
 
 namespace cloverbank {
--- a/tests/gateway/gateway_harness.h
+++ b/tests/gateway/gateway_harness.h
@@ -8,13 +8,13 @@
 #include <string>
 #include <vector>
 
-#include "fake_http.h"
 #include "gateway/call_queue.h"
 #include "gateway/http_json.h"
 #include "gateway/live_call_handler.h"
 #include "gateway/replica_backend_caller.h"
 #include "gateway/replica_pool.h"
 #include "json/json.h"
+#include "replicas/fake_http.h"
 #include "simulation/simulated_world.h"
 
 namespace cloverbank {
--- a/tests/gateway/gateway_service_test.cc
+++ b/tests/gateway/gateway_service_test.cc
@@ -3,8 +3,8 @@
 #include <gtest/gtest.h>
 
 #include "../node/fake_control.h"
-#include "fake_http.h"
 #include "gateway/http_json.h"
+#include "replicas/fake_http.h"
 
 namespace cloverbank {
 namespace {
--- a/tests/gateway/router_test.cc
+++ b/tests/gateway/router_test.cc
@@ -5,7 +5,7 @@
 #include <random>
 #include <set>
 
-#include "gateway/share_pacer.h"
+#include "replicas/share_pacer.h"
 
 namespace cloverbank {
 namespace {
--- a/tests/gateway/gateway_share_test.cc
+++ b/tests/replicas/gateway_share_test.cc
@@ -1,5 +1,5 @@
 // Shares of a replica's room, and cold replicas under all gateways together.
-#include "gateway/gateway_share.h"
+#include "replicas/gateway_share.h"
 
 #include <gtest/gtest.h>
 
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "gateway/cold_pacing.h"
+#include "replicas/cold_pacing.h"
 
 namespace cloverbank {
 namespace {
--- a/tests/gateway/prefill_gossip_test.cc
+++ b/tests/replicas/prefill_gossip_test.cc
@@ -1,5 +1,5 @@
 // Gateways of one zone that tell each other of the prompts they send.
-#include "gateway/prefill_gossip.h"
+#include "replicas/prefill_gossip.h"
 
 #include <gtest/gtest.h>
 
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-#include "gateway/prefill_load.h"
+#include "replicas/prefill_load.h"
 #include "simulation/simulated_world.h"
 
 namespace cloverbank {
--- a/tests/gateway/reading_speed_test.cc
+++ b/tests/replicas/reading_speed_test.cc
@@ -1,4 +1,4 @@
-#include "gateway/reading_speed.h"
+#include "replicas/reading_speed.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/gateway/replica_prober_test.cc
+++ b/tests/replicas/replica_prober_test.cc
@@ -1,4 +1,4 @@
-#include "gateway/replica_prober.h"
+#include "replicas/replica_prober.h"
 
 #include <gtest/gtest.h>
 
@@ -6,7 +6,7 @@
 #include <memory>
 #include <optional>
 
-#include "gateway/fake_http.h"
+#include "replicas/fake_http.h"
 #include "simulation/simulated_world.h"
 
 namespace cloverbank {
--- a/tests/gateway/shared_list_reader_test.cc
+++ b/tests/replicas/shared_list_reader_test.cc
@@ -1,5 +1,5 @@
 // Gateways of one zone that read the list of replicas from one of them.
-#include "gateway/shared_list_reader.h"
+#include "replicas/shared_list_reader.h"
 
 #include <gtest/gtest.h>
 
@@ -9,8 +9,8 @@
 #include <string>
 #include <vector>
 
-#include "gateway/fake_http.h"
-#include "gateway/replica_list_poller.h"
+#include "replicas/fake_http.h"
+#include "replicas/replica_list_poller.h"
 #include "simulation/simulated_world.h"
 
 namespace cloverbank {
