--- a/src/gateway/forward_attempt.cc
+++ b/src/gateway/forward_attempt.cc
@@ -5,7 +5,7 @@
 
 #include "base/logging.h"
 #include "gateway/backend_caller.h"
-#include "gateway/http_headers.h"
+#include "net/http_headers.h"
 #include "net/http_status.h"
 
 namespace cloverbank {
--- a/src/gateway/forwarding_service.cc
+++ b/src/gateway/forwarding_service.cc
@@ -4,8 +4,8 @@
 #include <utility>
 
 #include "gateway/live_forward.h"
-#include "gateway/route_match.h"
 #include "net/http_status.h"
+#include "routing/route_match.h"
 
 namespace cloverbank {
 namespace {
--- a/src/gateway/replica_pool.cc
+++ b/src/gateway/replica_pool.cc
@@ -5,7 +5,7 @@
 #include <utility>
 
 #include "base/logging.h"
-#include "gateway/route_match.h"
+#include "routing/route_match.h"
 
 namespace cloverbank {
 namespace {
--- a/src/gateway/replica_pool.h
+++ b/src/gateway/replica_pool.h
@@ -11,7 +11,6 @@
 #include <vector>
 
 #include "gateway/gateway_options.h"
-#include "gateway/router.h"
 #include "gateway/serving_right.h"
 #include "net/http_types.h"
 #include "replicas/cold_pacing.h"
@@ -21,6 +20,7 @@
 #include "replicas/replica_load.h"
 #include "replicas/replica_prober.h"
 #include "replicas/share_pacer.h"
+#include "routing/router.h"
 #include "runtime/environment.h"
 
 namespace cloverbank {
--- a/src/gateway/http_headers.cc
+++ b/src/net/http_headers.cc
@@ -1,4 +1,4 @@
-#include "gateway/http_headers.h"
+#include "net/http_headers.h"
 
 #include <algorithm>
 #include <array>
--- a/src/gateway/route_match.cc
+++ b/src/routing/route_match.cc
@@ -1,8 +1,8 @@
-#include "gateway/route_match.h"
+#include "routing/route_match.h"
 
 #include <algorithm>
 
-#include "gateway/http_headers.h"
+#include "net/http_headers.h"
 
 namespace cloverbank {
 const proto::Route* MatchRoute(const proto::RoutingConfiguration& configuration,
--- a/src/gateway/router.cc
+++ b/src/routing/router.cc
@@ -1,4 +1,4 @@
-#include "gateway/router.h"
+#include "routing/router.h"
 
 #include <algorithm>
 #include <cmath>
--- a/tests/gateway/event_stream_test.cc
+++ b/tests/gateway/event_stream_test.cc
@@ -2,8 +2,8 @@
 
 #include <gtest/gtest.h>
 
-#include "gateway/http_headers.h"
-#include "gateway/route_match.h"
+#include "net/http_headers.h"
+#include "routing/route_match.h"
 
 namespace cloverbank {
 namespace {
