--- a/src/replicas/shared_list_reader.cc
+++ b/src/replicas/shared_list_reader.cc
@@ -15,8 +15,10 @@
 /// The same at a source of another zone: one that is lost must be noticed while the gateways of the
 /// own zone still wait.
 constexpr Duration kRemoteHold = milliseconds(500);
-/// The same for the first list: a source may have started at the same time.
-constexpr Duration kFirstHold = milliseconds(300);
+/// The same for the first list: a source may have started at the same time, and one of the own zone
+/// may itself wait for one of another.
+constexpr Duration kFirstHold = milliseconds(600);
+constexpr Duration kFirstRemoteHold = milliseconds(300);
 /// What a call may take beside that.
 constexpr Duration kRoundTrip = milliseconds(250);
 /// A list that was read longer ago is not taken from a source.
@@ -27,8 +29,9 @@
 constexpr Duration kOldestAwaited = milliseconds(600);
 /// How long a source that failed is passed over.
 constexpr Duration kPassOver = seconds(10);
-/// A gateway that has just started waits this long for the coordinators to name its sources.
-constexpr Duration kFirstWait = milliseconds(250);
+/// A gateway that has just started waits this long for the coordinators to name its sources. Before
+/// their word it has no configuration either, and serves nothing.
+constexpr Duration kFirstWait = seconds(5);
 constexpr Duration kFirstWaitStep = milliseconds(50);
 
 std::uint64_t IdOf(proto::ReplicaList list) {
@@ -100,7 +103,7 @@
 
 Duration SharedListReader::HoldAt(const ListSource& source) const {
   if (id_ == 0) {
-    return kFirstHold;
+    return source.in_zone ? kFirstHold : kFirstRemoteHold;
   }
   if (!awaits_) {
     return Duration::zero();
