--- a/src/gateway/batch_worker.cc
+++ b/src/gateway/batch_worker.cc
@@ -234,6 +234,7 @@
   }
   request.set_hold_ms(ToMilliseconds(offer.hold));
   request.set_configuration_version(agent_.configuration().version());
+  request.set_zone(agent_.zone());
   const TimePoint sent = environment_.Now();
   CallPeer<proto::AcquireWorkResponse>(
       environment_, PeerEndpointOf(server), "queue.AcquireWork", request,
--- a/src/node/node_agent.cc
+++ b/src/node/node_agent.cc
@@ -326,6 +326,8 @@
 
 Incarnation NodeAgent::incarnation() const { return state_->session.incarnation(); }
 
+const std::string& NodeAgent::zone() const { return state_->options.zone; }
+
 std::uint32_t NodeAgent::partition_count() const { return state_->session.partition_count(); }
 
 GatewayPlace NodeAgent::gateway_place() const { return state_->session.gateway_place(); }
--- a/src/node/node_agent.h
+++ b/src/node/node_agent.h
@@ -69,6 +69,7 @@
   /// @return the id of this life; invalid until registered, and again after `OnFenced`.
   NodeId node_id() const;
   Incarnation incarnation() const;
+  const std::string& zone() const;
   std::uint32_t partition_count() const;
   /// @return where this gateway stands among those of its zone: shares of what all of them may take
   /// are divided by it.
--- a/src/queue/work_dispatcher.h
+++ b/src/queue/work_dispatcher.h
@@ -102,6 +102,13 @@
 
   // Grants (work_grants.cc).
   void ServeHeld();
+  /// Answers some of the questions that were held for long, so that their gateways ask again.
+  void WakeHeld();
+  /// Answers such questions of the own zone, or of others, until their room reaches `wanted`.
+  std::size_t WakeZone(bool own, std::size_t room, std::size_t wanted);
+  bool IsFresh(const HeldAcquire& held) const;
+  /// @return the slots of the request for which items wait.
+  std::size_t UsableRoom(const proto::AcquireWorkRequest& request) const;
   void ExpireHeld(std::list<HeldAcquire>::iterator held);
   /// @return the items taken for the request, leased.
   std::vector<WorkItemKey> TakeItems(const proto::AcquireWorkRequest& request,
@@ -142,6 +149,8 @@
   std::set<BatchKey> unsettled_;
   std::set<BatchKey> settling_;
   std::list<HeldAcquire> held_;
+  TimePoint next_wake_{};  ///< Before, those that were woken last are waited for.
+  bool wake_scheduled_ = false;
   /// Failed runs of items that came back. Not logged: a new owner counts anew.
   std::map<WorkItemKey, std::uint32_t> failed_runs_;
   std::set<WorkItemKey> unknown_due_;  ///< To be finished as unknown.
--- a/src/queue/work_grants.cc
+++ b/src/queue/work_grants.cc
@@ -1,5 +1,7 @@
 // Grants: which items a gateway that asks for work is given, and when.
 
+#include <algorithm>
+
 #include "queue/work_dispatcher.h"
 
 namespace cloverbank {
@@ -12,6 +14,11 @@
 /// A held question older than this is answered empty instead of with work, so that its gateway asks
 /// again: it may be gone, and what is granted to nobody ends as unknown if it must not repeat.
 constexpr Duration kFreshQuestion = milliseconds(20);
+/// So many times the room that waiting items need is woken at once: some gateways are gone, and
+/// some have used their room meanwhile.
+constexpr std::size_t kWakeFactor = 2;
+/// For those that were woken to ask again.
+constexpr Duration kWakeInterval = milliseconds(10);
 
 }  // namespace
 
@@ -47,9 +54,7 @@
   }
   for (auto held = held_.begin(); held != held_.end() && queue_.waiting_count() > 0;) {
     const auto next = std::next(held);
-    if (environment_.Now() - held->arrived > kFreshQuestion) {
-      environment_.CancelTimer(held->timer);
-      ExpireHeld(held);
+    if (!IsFresh(*held)) {
       held = next;
       continue;
     }
@@ -65,6 +70,54 @@
     }
     held = next;
   }
+  WakeHeld();
+}
+
+bool WorkDispatcher::IsFresh(const HeldAcquire& held) const {
+  return environment_.Now() - held.arrived <= kFreshQuestion;
+}
+
+void WorkDispatcher::WakeHeld() {
+  const TimePoint now = environment_.Now();
+  if (queue_.waiting_count() == 0 || held_.empty() || wake_scheduled_) {
+    return;
+  }
+  if (now >= next_wake_) {
+    const std::size_t wanted = kWakeFactor * queue_.waiting_count();
+    const std::size_t near = WakeZone(/*own=*/true, 0, wanted);
+    WakeZone(/*own=*/false, near, wanted);
+    next_wake_ = now + kWakeInterval;
+  }
+  wake_scheduled_ = true;
+  environment_.ScheduleAfter(next_wake_ - now, [weak = weak_from_this()] {
+    if (const auto self = weak.lock()) {
+      self->wake_scheduled_ = false;
+      self->ServeHeld();
+    }
+  });
+}
+
+std::size_t WorkDispatcher::UsableRoom(const proto::AcquireWorkRequest& request) const {
+  std::size_t slots = 0;
+  for (const proto::WorkRoom& room : request.room()) {
+    slots += queue_.HasWaiting(room.backend()) ? room.slots() : 0;
+  }
+  return slots;
+}
+
+std::size_t WorkDispatcher::WakeZone(bool own, std::size_t room, std::size_t wanted) {
+  for (auto held = held_.begin(); held != held_.end() && room < wanted;) {
+    const auto next = std::next(held);
+    const std::size_t usable = UsableRoom(held->request);
+    const bool in_zone = held->request.zone() == agent_.zone();
+    if (!IsFresh(*held) && in_zone == own && usable > 0) {
+      room += usable;
+      environment_.CancelTimer(held->timer);
+      ExpireHeld(held);
+    }
+    held = next;
+  }
+  return room;
 }
 
 std::vector<WorkItemKey> WorkDispatcher::TakeItems(const proto::AcquireWorkRequest& request,
--- /dev/null
+++ b/tests/queue/held_questions_test.cc
@@ -0,0 +1,88 @@
+// Gateways whose questions for work are held, and which of them are woken when work comes.
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "queue/queue_world.h"
+
+namespace cloverbank {
+namespace {
+
+/// Many gateways, each of which asks again as soon as it was answered.
+class HeldQuestionsTest : public testing::Test {
+ protected:
+  HeldQuestionsTest() : world(21) {
+    world.AddQueue("q1");
+    world.Own("q1");
+  }
+
+  static constexpr int kGateways = 60;
+  static constexpr std::uint32_t kSlots = 2;
+
+  void AskAll(const std::string& backend = "model") {
+    for (int gateway = 0; gateway < kGateways; ++gateway) {
+      // A third of them are in the queue node's zone.
+      Ask(gateway, gateway % 3 == 0 ? "zone-b1" : "zone-b2", backend);
+    }
+    world.world.RunFor(seconds(1));
+    asked_ = 0;
+  }
+  void Ask(int gateway, const std::string& zone, const std::string& backend) {
+    ++asked_;
+    proto::AcquireWorkRequest request;
+    request.set_gateway_node_id(static_cast<std::uint64_t>(1000 + gateway));
+    request.set_zone(zone);
+    request.add_room()->set_backend(backend);
+    request.mutable_room(0)->set_slots(kSlots);
+    request.set_hold_ms(4000);
+    world.world.CallPeer(world.world.machine("q1").endpoint(), "queue.AcquireWork",
+                         request.SerializeAsString(), seconds(5),
+                         [this, gateway, zone, backend](const PeerReply& reply) {
+                           proto::AcquireWorkResponse response;
+                           ASSERT_TRUE(response.ParseFromString(reply.body));
+                           granted_ += response.grants_size();
+                           granted_in_zone_ += zone == "zone-b1" ? response.grants_size() : 0;
+                           if (response.grants_size() == 0) {
+                             Ask(gateway, zone, backend);
+                           }
+                         });
+  }
+
+  QueueWorld world;
+  int asked_ = 0;  ///< Questions since all were held.
+  int granted_ = 0;
+  int granted_in_zone_ = 0;
+};
+
+TEST_F(HeldQuestionsTest, ABatchWakesAsManyGatewaysAsHaveRoomForIt) {
+  AskAll();
+  world.Accept("q1", "key", 6);
+  world.world.RunFor(milliseconds(100));
+  EXPECT_EQ(granted_, 6);
+  EXPECT_LE(asked_, 12) << "twice the room of 6 items, not all 60 gateways";
+}
+
+TEST_F(HeldQuestionsTest, GatewaysOfTheOwnZoneAreWokenFirst) {
+  AskAll();
+  world.Accept("q1", "key", 10);
+  world.world.RunFor(milliseconds(100));
+  EXPECT_EQ(granted_, 10);
+  EXPECT_EQ(granted_in_zone_, 10);
+}
+
+TEST_F(HeldQuestionsTest, ALargeBatchReachesAllThatHaveRoom) {
+  AskAll();
+  world.Accept("q1", "key", 2 * kGateways * static_cast<int>(kSlots));
+  world.world.RunFor(milliseconds(300));
+  EXPECT_EQ(granted_, kGateways * static_cast<int>(kSlots));
+}
+
+TEST_F(HeldQuestionsTest, GatewaysWithRoomForOtherBackEndsAreLeftAlone) {
+  AskAll("other");
+  world.Accept("q1", "key", 6);
+  world.world.RunFor(seconds(1));
+  EXPECT_EQ(asked_, 0);
+}
+
+}  // namespace
+}  // namespace cloverbank
