--- a/apps/cloverbankd/daemon.cc
+++ b/apps/cloverbankd/daemon.cc
@@ -14,22 +14,14 @@
 constexpr Duration kDrainPollInterval = milliseconds(20);
 constexpr int kFailureExitCode = 1;
 
-HttpClientOptions MakeClientOptions(const Settings& settings) {
-  HttpClientOptions options;
-  options.local_address = settings.peer.host;
-  options.maximum_body_bytes = kMaximumPeerBodyBytes;
-  return options;
-}
-
 std::unique_ptr<BeastHttpServer> MakeFrontServer(EventLoop& loop, const Settings& settings,
                                                  const Endpoint& listen, Metrics& metrics,
                                                  const FaultInjector& faults) {
   if (!listen.valid()) {
     return nullptr;
   }
-  HttpServerOptions options = ClientServerOptions(settings);
-  options.listen = listen;
-  return std::make_unique<BeastHttpServer>(loop, options, metrics, &faults);
+  return std::make_unique<BeastHttpServer>(loop, FrontServerOptions(settings, listen), metrics,
+                                           &faults);
 }
 
 }  // namespace
@@ -37,7 +29,7 @@
 Daemon::Daemon(Settings settings, DaemonOptions options)
     : settings_(std::move(settings)),
       options_(std::move(options)),
-      client_(std::make_unique<BeastHttpClient>(loop_, MakeClientOptions(settings_), &faults_)),
+      client_(std::make_unique<BeastHttpClient>(loop_, OutgoingCallOptions(settings_), &faults_)),
       client_server_(std::make_unique<BeastHttpServer>(loop_, ClientServerOptions(settings_),
                                                        metrics_, &faults_)),
       peer_server_(std::make_unique<BeastHttpServer>(loop_, PeerServerOptions(settings_), metrics_,
--- a/apps/cloverbankd/server_options.cc
+++ b/apps/cloverbankd/server_options.cc
@@ -9,16 +9,23 @@
 
 constexpr std::uint64_t kMaximumClientBodyBytes = 16ULL << 20U;
 constexpr std::size_t kWantedConnections = 4096;
-/// Each server may take this part of the process's file descriptors; the rest is left to outgoing
-/// connections and files.
-constexpr std::size_t kDescriptorShare = 4;
+/// Peers close connections that they did not use for 15 s. What is idle for longer belongs to one
+/// that is gone or can not be heard.
+constexpr Duration kPeerIdleTimeout = seconds(20);
+/// Parts of the process's file descriptors that each use may take at most. With one server for
+/// callers, one for peers and three lesser ones, a sixteenth is left to files and to calls under
+/// way beside those that peers answer.
+constexpr std::size_t kCallersPart = 4;
+constexpr std::size_t kPeersPart = 4;
+constexpr std::size_t kLesserServerPart = 16;
+constexpr std::size_t kIdleOutgoingPart = 8;
 
-std::size_t MaximumConnections() {
+std::size_t DescriptorsOver(std::size_t part) {
   rlimit limit{};
   if (getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur == RLIM_INFINITY) {
     return kWantedConnections;
   }
-  return std::min<std::size_t>(kWantedConnections, limit.rlim_cur / kDescriptorShare);
+  return std::min<std::size_t>(kWantedConnections, limit.rlim_cur / part);
 }
 
 }  // namespace
@@ -26,16 +33,35 @@
 HttpServerOptions ClientServerOptions(const Settings& settings) {
   HttpServerOptions options;
   options.listen = settings.client;
-  options.maximum_connections = MaximumConnections();
+  // Where there are front interfaces, this one is for operators and tools only.
+  const bool for_callers = !settings.front_calls.valid();
+  options.maximum_connections = DescriptorsOver(for_callers ? kCallersPart : kLesserServerPart);
   options.maximum_body_bytes = kMaximumClientBodyBytes;
   return options;
 }
 
+HttpServerOptions FrontServerOptions(const Settings& settings, const Endpoint& listen) {
+  HttpServerOptions options = ClientServerOptions(settings);
+  options.listen = listen;
+  const bool for_callers = listen == settings.front_calls;
+  options.maximum_connections = DescriptorsOver(for_callers ? kCallersPart : kLesserServerPart);
+  return options;
+}
+
 HttpServerOptions PeerServerOptions(const Settings& settings) {
   HttpServerOptions options;
   options.listen = settings.peer;
-  options.maximum_connections = MaximumConnections();
+  options.maximum_connections = DescriptorsOver(kPeersPart);
+  options.idle_timeout = kPeerIdleTimeout;
+  options.maximum_body_bytes = kMaximumPeerBodyBytes;
+  return options;
+}
+
+HttpClientOptions OutgoingCallOptions(const Settings& settings) {
+  HttpClientOptions options;
+  options.local_address = settings.peer.host;
   options.maximum_body_bytes = kMaximumPeerBodyBytes;
+  options.maximum_idle = DescriptorsOver(kIdleOutgoingPart);
   return options;
 }
 
--- a/apps/cloverbankd/server_options.h
+++ b/apps/cloverbankd/server_options.h
@@ -1,7 +1,8 @@
 #pragma once
 /// @file
-/// Bounds of the daemon's two servers.
+/// Bounds of the daemon's servers and of its outgoing calls.
 
+#include "net/beast_http_client.h"
 #include "net/beast_http_server.h"
 #include "settings/settings.h"
 
@@ -11,6 +12,9 @@
 inline constexpr std::uint64_t kMaximumPeerBodyBytes = 96ULL << 20U;
 
 HttpServerOptions ClientServerOptions(const Settings& settings);
+/// Of the front interface at `listen`.
+HttpServerOptions FrontServerOptions(const Settings& settings, const Endpoint& listen);
 HttpServerOptions PeerServerOptions(const Settings& settings);
+HttpClientOptions OutgoingCallOptions(const Settings& settings);
 
 }  // namespace cloverbank
--- a/src/net/beast_http_client.h
+++ b/src/net/beast_http_client.h
@@ -27,6 +27,7 @@
   /// Idle connections older than this are closed. Keep it below the servers' idle timeout.
   Duration idle_timeout = seconds(15);
   std::size_t maximum_idle_per_endpoint = 64;
+  std::size_t maximum_idle = 1024;  ///< Of all endpoints; further ones are closed after their call.
   std::uint32_t maximum_header_bytes = 64U << 10U;
   /// Of whole answers; streamed ones are unbounded. A larger one ends as kUnknown.
   std::uint64_t maximum_body_bytes = 64ULL << 20U;
--- a/src/net/beast_http_server.cc
+++ b/src/net/beast_http_server.cc
@@ -88,6 +88,11 @@
       return;  // The caller has left already.
     }
     const std::size_t limit = shared->options.maximum_connections;
+    if (shared->connections.size() >= limit && !shared->idle.empty()) {
+      // Callers that are gone leave their connections behind: the longest idle one makes room.
+      shared->metrics.Increment("http_server_idle_connections_closed_total", {});
+      shared->idle.front()->Close();
+    }
     const std::size_t open = shared->connections.size();
     if (open >= limit + kMaximumRefusalsInProgress) {
       shared->metrics.Increment("http_server_refusals_total", {{"reason", "connection_flood"}});
--- a/src/net/connection_pool.cc
+++ b/src/net/connection_pool.cc
@@ -40,11 +40,14 @@
 }
 
 void ConnectionPool::Put(const Endpoint& endpoint, std::unique_ptr<ClientConnection> connection) {
+  if (size() >= maximum_idle_) {
+    return;
+  }
   auto& connections = idle_[endpoint];
   connection->idle_since = EventLoop::Now();
   connection->reused = true;
   connections.push_back(std::move(connection));
-  if (connections.size() > maximum_idle_) {
+  if (connections.size() > maximum_idle_per_endpoint_) {
     connections.pop_front();
   }
 }
--- a/src/net/connection_pool.h
+++ b/src/net/connection_pool.h
@@ -24,8 +24,11 @@
 
 class ConnectionPool {
  public:
-  ConnectionPool(Duration idle_timeout, std::size_t maximum_idle)
-      : idle_timeout_(idle_timeout), maximum_idle_(maximum_idle) {}
+  ConnectionPool(Duration idle_timeout, std::size_t maximum_idle_per_endpoint,
+                 std::size_t maximum_idle)
+      : idle_timeout_(idle_timeout),
+        maximum_idle_per_endpoint_(maximum_idle_per_endpoint),
+        maximum_idle_(maximum_idle) {}
 
   /// @return the connection to `endpoint` used last that the peer has not closed, or nullptr.
   std::unique_ptr<ClientConnection> Take(const Endpoint& endpoint);
@@ -39,6 +42,7 @@
 
  private:
   Duration idle_timeout_;
+  std::size_t maximum_idle_per_endpoint_;
   std::size_t maximum_idle_;
   std::unordered_map<Endpoint, std::deque<std::unique_ptr<ClientConnection>>> idle_;
 };
@@ -49,7 +53,7 @@
       : loop(loop_),
         options(std::move(options_)),
         faults(faults_),
-        pool(options.idle_timeout, options.maximum_idle_per_endpoint) {}
+        pool(options.idle_timeout, options.maximum_idle_per_endpoint, options.maximum_idle) {}
   ~HttpClientShared() { loop.CancelTimer(sweep_timer); }
   HttpClientShared(const HttpClientShared&) = delete;
   HttpClientShared& operator=(const HttpClientShared&) = delete;
--- a/src/net/server_connection.cc
+++ b/src/net/server_connection.cc
@@ -89,7 +89,14 @@
   // While answering: these are bytes of the next request. They wait, and the watch ends.
 }
 
+void ServerConnection::LeaveIdle() {
+  if (idle_place_) {
+    shared_->idle.erase(*std::exchange(idle_place_, std::nullopt));
+  }
+}
+
 void ServerConnection::ReadHead() {
+  LeaveIdle();
   state_ = State::kReading;
   parser_.emplace();
   parser_->header_limit(shared_->options.maximum_header_bytes);
@@ -251,6 +258,7 @@
   const bool answering = state_ == State::kAnswering;
   const auto self = shared_from_this();
   state_ = State::kClosed;
+  LeaveIdle();
   DisarmTimer();
   error_code ignored;
   socket_.close(ignored);
--- a/src/net/server_connection.h
+++ b/src/net/server_connection.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <list>
 #include <memory>
 #include <optional>
 #include <string>
@@ -43,6 +44,7 @@
   RouteTable routes;
   HttpHandler other;  ///< For requests that no route matches; may be empty.
   std::unordered_set<ServerConnection*> connections;
+  std::list<ServerConnection*> idle;  ///< Those between requests, the longest idle one first.
   std::size_t calls_in_progress = 0;
   bool draining = false;            ///< Every answer now ends its connection; none are accepted.
   bool ending_connections = false;  ///< Every answer now ends its connection.
@@ -104,6 +106,7 @@
   void OnWritten(const boost::system::error_code& error);
   void FinishAnswer();
   void BecomeIdle();
+  void LeaveIdle();
   void Linger();
   void FailPendingWrites();
   void ArmTimer(Duration timeout);
@@ -113,6 +116,7 @@
   boost::asio::ip::tcp::socket socket_;
   std::string peer_address_;
   State state_ = State::kIdle;
+  std::optional<std::list<ServerConnection*>::iterator> idle_place_;
   boost::beast::flat_buffer buffer_;
   std::optional<Parser> parser_;
   bool watching_ = false;  ///< A read is pending in `WatchForBytes`.
--- a/src/net/server_connection_answer.cc
+++ b/src/net/server_connection_answer.cc
@@ -184,6 +184,7 @@
     ReadHead();
     return;
   }
+  idle_place_ = shared_->idle.insert(shared_->idle.end(), this);
   ArmTimer(shared_->options.idle_timeout);
   if (!watching_) {
     WatchForBytes();
--- a/src/storage/posix_file.cc
+++ b/src/storage/posix_file.cc
@@ -33,7 +33,8 @@
   StatusCode code = StatusCode::kIoError;
   if (error == ENOENT) {
     code = StatusCode::kNotFound;
-  } else if (error == ENOSPC || error == EDQUOT || error == EFBIG) {
+  } else if (error == ENOSPC || error == EDQUOT || error == EFBIG || error == EMFILE ||
+             error == ENFILE) {
     code = StatusCode::kResourceExhausted;
   }
   const std::string cause = std::error_code(error, std::generic_category()).message();
--- a/tests/net/http_limits_test.cc
+++ b/tests/net/http_limits_test.cc
@@ -5,7 +5,10 @@
 namespace {
 
 using ResponderPointer = std::shared_ptr<HttpResponder>;
-using HttpLimitsTest = NetFixture;
+class HttpLimitsTest : public NetFixture {
+ protected:
+  ResponderPointer kept_;  ///< Of a request that is not answered.
+};
 
 TEST_F(HttpLimitsTest, RefusesOversizedHeadersAndBodies) {
   Restart({.maximum_header_bytes = 1024, .maximum_body_bytes = 1000});
@@ -21,12 +24,47 @@
 
 TEST_F(HttpLimitsTest, RefusesConnectionsBeyondTheLimit) {
   Restart({.maximum_connections = 1});
+  server_->Handle("GET", "/slow", [this](const HttpRequest&, const ResponderPointer& responder) {
+    kept_ = responder;
+    loop_.Stop();
+  });
   const auto first = RawConnect(server_->endpoint());
+  first->Send("GET /slow HTTP/1.1\r\nHost: x\r\n\r\n");
+  RunUntilStopped();
   const HttpOutcome refused = CallAndWait(server_->endpoint(), Get("/"));
   EXPECT_EQ(refused.response.status, 503);
   EXPECT_EQ(FindHeader(refused.response.headers, "Retry-After"), "1");
 }
 
+TEST_F(HttpLimitsTest, AtTheLimitTheLongestIdleConnectionMakesRoom) {
+  Restart({.maximum_connections = 2});
+  server_->Handle("GET", "/", [](const HttpRequest&, const ResponderPointer& responder) {
+    responder->Send({200, {}, "served"});
+  });
+  const auto left_behind = RawConnect(server_->endpoint());
+  const auto used_since = RawConnect(server_->endpoint());
+  used_since->Send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  EXPECT_EQ(CallAndWait(server_->endpoint(), Get("/")).response.status, 200);
+  std::thread reader([&] {
+    EXPECT_NE(used_since->ReadUntil("served"), "");
+    EXPECT_EQ(left_behind->ReadUntil(""), "") << "closed without a byte";
+    loop_.Stop();
+  });
+  RunUntilStopped();
+  reader.join();
+}
+
+TEST_F(HttpLimitsTest, NoMoreIdleConnectionsAreKeptThanAllowed) {
+  server_->Handle("GET", "/", [](const HttpRequest&, const ResponderPointer& responder) {
+    responder->Send({200, {}, ""});
+  });
+  HttpClientOptions options;
+  options.maximum_idle = 0;
+  client_ = std::make_unique<BeastHttpClient>(loop_, options, nullptr);
+  EXPECT_EQ(CallAndWait(server_->endpoint(), Get("/")).response.status, 200);
+  EXPECT_EQ(client_->idle_connections(), 0U);
+}
+
 TEST_F(HttpLimitsTest, ClosesAConnectionThatSendsItsHeadersTooSlowly) {
   Restart({.header_timeout = milliseconds(50)});
   const auto slow = RawConnect(server_->endpoint());
