--- a/tests/consensus/raft_storage_test.cc
+++ b/tests/consensus/raft_storage_test.cc
@@ -98,6 +98,23 @@
   std::uint64_t last_index = 0;
 };
 
+/// One machine whose storage has been started.
+struct StorageWorld {
+  explicit StorageWorld(std::uint64_t seed) : world(seed) {
+    machine.SetProgram([this](Environment&, DataFolder& folder) {
+      life = std::make_shared<StorageLife>(folder, persisted);
+      return life;
+    });
+    machine.Start();
+    life->storage.Start();
+  }
+
+  SimulatedWorld world;
+  SimulatedMachine& machine = world.AddMachine("m", "10.0.0.1");
+  RaftWriteId persisted = 0;
+  std::shared_ptr<StorageLife> life;
+};
+
 /// What is written after a torn tail must not be hidden behind it.
 void CheckThatTheNextWriteLasts(SimulatedWorld& world, SimulatedMachine& machine,
                                 const std::shared_ptr<StorageLife>& life) {
@@ -115,16 +132,8 @@
 
 TEST(RaftStorageTest, PowerLossAtAnyMomentLeavesTheStateOfOneOfTheWrites) {
   for (std::uint64_t moment = 0; moment < 300; ++moment) {
-    SimulatedWorld world(moment + 1);
-    SimulatedMachine& machine = world.AddMachine("m", "10.0.0.1");
-    RaftWriteId persisted = 0;
-    std::shared_ptr<StorageLife> life;
-    machine.SetProgram([&](Environment&, DataFolder& folder) {
-      life = std::make_shared<StorageLife>(folder, persisted);
-      return life;
-    });
-    machine.Start();
-    life->storage.Start();
+    StorageWorld storage_world(moment + 1);
+    auto& [world, machine, persisted, life] = storage_world;
     for (const RaftWrite& write : Script()) {
       life->storage.Write(write);
       world.RunFor(milliseconds(moment % 3 == 0 ? 0 : world.RandomBelow(12)));
@@ -145,16 +154,8 @@
 
 TEST(RaftStorageTest, WritesThatFindTheDiskFullAreCarriedOutOnceThereIsRoom) {
   for (std::size_t full_from = 0; full_from < Script().size(); ++full_from) {
-    SimulatedWorld world(full_from + 1);
-    SimulatedMachine& machine = world.AddMachine("m", "10.0.0.1");
-    RaftWriteId persisted = 0;
-    std::shared_ptr<StorageLife> life;
-    machine.SetProgram([&](Environment&, DataFolder& folder) {
-      life = std::make_shared<StorageLife>(folder, persisted);
-      return life;
-    });
-    machine.Start();
-    life->storage.Start();
+    StorageWorld storage_world(full_from + 1);
+    auto& [world, machine, persisted, life] = storage_world;
     for (const RaftWrite& write : Script()) {
       if (write.id == full_from + 1) {
         world.RunFor(milliseconds(50));
--- a/tests/scripts/check_evidence_test.py
+++ b/tests/scripts/check_evidence_test.py
@@ -1,20 +1,11 @@
 #!/usr/bin/env python3
 """Tests of scripts/check-evidence on small pages and entries of its own."""
-import importlib.machinery
-import importlib.util
 import json
 import pathlib
 import tempfile
 import unittest
 
-SCRIPT = pathlib.Path(__file__).resolve().parent.parent.parent / "scripts/check-evidence"
-
-
-def load_script():
-    loader = importlib.machinery.SourceFileLoader("check_evidence", str(SCRIPT))
-    module = importlib.util.module_from_spec(importlib.util.spec_from_loader("check_evidence", loader))
-    loader.exec_module(module)
-    return module
+from load_script import load_script
 
 
 ENDED = {"ok": True, "error": None, "days": [{"name": "mix-1", "rules": {}}]}
@@ -35,7 +26,7 @@
 
     def problems(self, page):
         (self.root / "docs/page.md").write_text(page)
-        return load_script().check(self.root)
+        return load_script("check-evidence").check(self.root)
 
     def test_an_ended_entry_carries_its_claim(self):
         self.assertEqual(self.problems("A hunt of 8 days: 0 broken (journal aaaaaaaa).\n"), [])
--- a/tests/scripts/check_packages_test.py
+++ b/tests/scripts/check_packages_test.py
@@ -1,19 +1,10 @@
 #!/usr/bin/env python3
 """Tests of scripts/check-packages on small records of its own."""
-import importlib.machinery
-import importlib.util
 import pathlib
 import tempfile
 import unittest
 
-SCRIPT = pathlib.Path(__file__).resolve().parent.parent.parent / "scripts/check-packages"
-
-
-def load_script():
-    loader = importlib.machinery.SourceFileLoader("check_packages", str(SCRIPT))
-    module = importlib.util.module_from_spec(importlib.util.spec_from_loader("check_packages", loader))
-    loader.exec_module(module)
-    return module
+from load_script import load_script
 
 
 # Name -> (depends, provides, essential).
@@ -29,7 +20,7 @@
 
 class CheckPackagesTest(unittest.TestCase):
     def setUp(self):
-        self.script = load_script()
+        self.script = load_script("check-packages")
 
     def test_names_lose_versions_and_architectures(self):
         names = self.script.package_names("libc6 (>= 2.3), python3:any | python, ")
