--- a/src/queue/room_line.cc
+++ b/src/queue/room_line.cc
@@ -45,20 +45,15 @@
 
 void RoomLine::NoteFreed(std::uint64_t tokens) { kept_ += std::min(tokens, wanted_ - kept_); }
 
-std::uint64_t RoomLine::KeptBefore(const std::string& batch, std::uint64_t most_for_away) const {
+std::uint64_t RoomLine::KeptBefore(const std::string& batch) const {
   std::uint64_t present = 0;
-  std::uint64_t away = 0;
   for (const Place& place : places_) {
     if (place.batch == batch) {
       break;
     }
-    if (!place.kept_until) {
-      present += place.tokens;
-    } else if (away == 0 || away + place.tokens <= most_for_away) {
-      away += place.tokens;
-    }
+    present += place.kept_until ? 0 : place.tokens;
   }
-  return std::min(kept_, present + away);
+  return std::min(kept_, present);
 }
 
 void RoomLine::DropOverdue(TimePoint now) {
--- a/src/queue/room_line.h
+++ b/src/queue/room_line.h
@@ -2,9 +2,9 @@
 /// @file
 /// The order in which submissions get the room that frees within a limit: that of their first
 /// attempts. A batch that was refused keeps its place for the short time within which its client
-/// comes again. Room that was free when it was refused is anybody's: only what frees since then is
-/// kept for the line, and a bounded part of that for those that are away, since some of them never
-/// come again. Pure.
+/// comes again, but room is kept only for those that are there: who is away may never come again,
+/// and newcomers could have used the room in time. Room that was free when a batch was refused is
+/// anybody's: only what frees since then is kept for the line. Pure.
 
 #include <cstdint>
 #include <list>
@@ -32,8 +32,7 @@
   /// @return the tokens of all batches before this one; of all there are if it has no place.
   std::uint64_t TokensBefore(const std::string& batch) const;
   /// @return how much of the room that those before the batch want is kept for them.
-  /// @param most_for_away bound of what is kept for those that are away, but for the first of them.
-  std::uint64_t KeptBefore(const std::string& batch, std::uint64_t most_for_away) const;
+  std::uint64_t KeptBefore(const std::string& batch) const;
   /// @return a number that rises along the line; the largest there is for a batch without a place.
   std::uint64_t PositionOf(const std::string& batch) const;
 
--- a/src/queue/token_keeper.cc
+++ b/src/queue/token_keeper.cc
@@ -22,8 +22,6 @@
 /// Bounds of what a refused batch is told to wait.
 constexpr Duration kSoonestReturn = milliseconds(200);
 constexpr Duration kLatestReturn = seconds(1);
-/// This part of a limit is kept at the most for refused batches until they come again.
-constexpr std::uint64_t kKeptForAwayPart = 16;
 /// Clients come somewhat later than they are told.
 constexpr Duration kReturnMargin = milliseconds(500);
 
@@ -43,8 +41,7 @@
 bool TokenKeeper::Grant(Limit& limit, const proto::ReserveTokensRequest& request,
                         std::uint64_t lent) {
   const std::uint64_t tokens = request.tokens() + lent;
-  const std::uint64_t kept =
-      limit.line.KeptBefore(PlaceOf(request), request.limit() / kKeptForAwayPart);
+  const std::uint64_t kept = limit.line.KeptBefore(PlaceOf(request));
   if (limit.ledger.UpperBound() + kept + tokens > request.limit()) {
     return false;
   }
