--- a/src/coordinator/recovery_manager.cc
+++ b/src/coordinator/recovery_manager.cc
@@ -16,6 +16,11 @@
   std::erase_if(proposed_, [&state](const auto& entry) {
     return state.partitions().UnassignedOf(entry.first).empty();
   });
+  const auto room = [](std::size_t most, std::size_t under_way) {
+    return most - std::min(most, under_way);
+  };
+  room_for_readings_ = room(options_.most_readings, CountUnderWay(&Progress::readings));
+  room_for_releases_ = room(options_.most_releases, CountUnderWay(&Progress::releases));
   std::vector<RecoveryAction> actions;
   for (const auto& [dead, recovery] : recoveries) {
     StepOne(state, recovery, facts, &actions);
@@ -42,17 +47,28 @@
   SendReplays(state, recovery, facts.now, &progress, actions);
 }
 
-bool RecoveryManager::Begin(TimePoint now, Call* call) const {
-  if (call->in_flight || call->done || now < call->next) {
+std::size_t RecoveryManager::CountUnderWay(Calls Progress::*kind) const {
+  std::size_t count = 0;
+  for (const auto& [dead, progress] : progress_) {
+    const Calls& calls = progress.*kind;
+    count += static_cast<std::size_t>(std::count_if(
+        calls.begin(), calls.end(), [](const auto& entry) { return entry.second.in_flight; }));
+  }
+  return count;
+}
+
+bool RecoveryManager::Begin(TimePoint now, Call* call, std::size_t* room) const {
+  if (call->in_flight || call->done || now < call->next || *room == 0) {
     return false;
   }
+  --*room;
   call->in_flight = true;
   call->next = now + options_.collect_interval;
   return true;
 }
 
 void RecoveryManager::Read(const ControlState& state, NodeId dead, TimePoint now,
-                           Progress* progress, std::vector<RecoveryAction>* actions) const {
+                           Progress* progress, std::vector<RecoveryAction>* actions) {
   // A backup that restarted has another node id and is asked again; one that died is not counted
   // on.
   const auto gone = [&state](const auto& entry) {
@@ -63,7 +79,7 @@
   }
   for (const proto::Server* backup : state.servers().Live(proto::ROLE_BACKUP)) {
     const NodeId id(backup->node_id());
-    if (Begin(now, &progress->readings[id])) {
+    if (Begin(now, &progress->readings[id], &room_for_readings_)) {
       actions->push_back(StartReadingAction{dead, id, ToEndpoint(backup->peer_endpoint())});
     }
   }
@@ -141,13 +157,13 @@
 }
 
 void RecoveryManager::Release(const ControlState& state, NodeId dead, TimePoint now,
-                              Progress* progress, std::vector<RecoveryAction>* actions) const {
+                              Progress* progress, std::vector<RecoveryAction>* actions) {
   bool all_done = true;
   for (const proto::Server* backup : state.servers().Live(proto::ROLE_BACKUP)) {
     const NodeId id(backup->node_id());
     Call& call = progress->releases[id];
     all_done = all_done && call.done;
-    if (Begin(now, &call)) {
+    if (Begin(now, &call, &room_for_releases_)) {
       actions->push_back(ReleaseAction{dead, id, ToEndpoint(backup->peer_endpoint())});
     }
   }
--- a/src/coordinator/recovery_manager.h
+++ b/src/coordinator/recovery_manager.h
@@ -53,6 +53,10 @@
 struct RecoveryOptions {
   Duration collect_interval = milliseconds(300);  ///< Between tries at a backup.
   Duration replay_interval = milliseconds(500);   ///< Between repeats of RecoverPartitions.
+  /// Calls of each kind under way at a time. After a loss of everything each queue node's earlier
+  /// life is released at each backup, and recoveries must not wait behind that.
+  std::size_t most_readings = 256;
+  std::size_t most_releases = 64;
 };
 
 /// What `Step` needs to know besides the replicated state.
@@ -105,7 +109,7 @@
   void StepOne(const ControlState& state, const proto::Recovery& recovery,
                const RecoveryFacts& facts, std::vector<RecoveryAction>* actions);
   void Read(const ControlState& state, NodeId dead, TimePoint now, Progress* progress,
-            std::vector<RecoveryAction>* actions) const;
+            std::vector<RecoveryAction>* actions);
   void Assemble(const ControlState& state, NodeId dead, Progress* progress) const;
   void ProposeReplay(const ControlState& state, NodeId dead, const RecoveryFacts& facts,
                      std::vector<RecoveryAction>* actions);
@@ -114,11 +118,16 @@
   void SendReplays(const ControlState& state, const proto::Recovery& recovery, TimePoint now,
                    Progress* progress, std::vector<RecoveryAction>* actions) const;
   void Release(const ControlState& state, NodeId dead, TimePoint now, Progress* progress,
-               std::vector<RecoveryAction>* actions) const;
-  /// @return whether the call is due now; marks it as under way.
-  bool Begin(TimePoint now, Call* call) const;
+               std::vector<RecoveryAction>* actions);
+  using Calls = std::map<NodeId, Call>;  // By backup.
+  /// @return how many calls of a kind are under way.
+  std::size_t CountUnderWay(Calls Progress::*kind) const;
+  /// @return whether the call is due now and `room` is left; marks it as under way.
+  bool Begin(TimePoint now, Call* call, std::size_t* room) const;
 
   RecoveryOptions options_;
+  std::size_t room_for_readings_ = 0;  // In the present step.
+  std::size_t room_for_releases_ = 0;
   std::map<NodeId, Progress> progress_;      // By dead node.
   std::map<NodeId, PlannedLoads> proposed_;  // Replays not in the state yet, by dead node.
 };
--- /dev/null
+++ b/tests/coordinator/large_recovery_test.cc
@@ -0,0 +1,89 @@
+// Recoveries after a loss of every queue node of a large fleet.
+#include <gtest/gtest.h>
+
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "control_commands.h"
+#include "coordinator/recovery_manager.h"
+
+namespace cloverbank {
+namespace {
+
+/// Every queue node and backup of a large fleet restarts at once.
+class LargeRecoveryTest : public testing::Test {
+ protected:
+  static constexpr std::size_t kNodes = 90;
+  static constexpr std::size_t kOwners = 4;  ///< One for each partition.
+
+  LargeRecoveryTest() {
+    std::vector<NodeId> earlier;
+    for (std::size_t node = 0; node < kNodes; ++node) {
+      backups_.push_back(fleet_.Register(proto::ROLE_BACKUP, "s" + std::to_string(node), node + 1));
+      earlier.push_back(fleet_.Register(proto::ROLE_QUEUE, "s" + std::to_string(node), 100));
+      fleet_.CommitHead(earlier.back(), 1, 1, {backups_.front()});
+      if (node >= kNodes - kOwners) {
+        fleet_.Assign(earlier.back(), {node - (kNodes - kOwners)});
+      }
+    }
+    for (const NodeId node : earlier) {
+      fleet_.MarkDead(node);
+    }
+  }
+  /// @return the readings and releases to be called now.
+  std::pair<std::size_t, std::size_t> Step(int step) {
+    std::pair<std::size_t, std::size_t> counts;
+    const TimePoint now = TimePoint(seconds(100)) + step * milliseconds(50);
+    for (const RecoveryAction& action : manager_.Step(fleet_.state, {now, false, {}})) {
+      if (const auto* reading = std::get_if<StartReadingAction>(&action)) {
+        ++counts.first;
+        readings_.push_back(*reading);
+      } else if (const auto* release = std::get_if<ReleaseAction>(&action)) {
+        ++counts.second;
+        releases_.push_back(*release);
+      }
+    }
+    return counts;
+  }
+  void AnswerAll() {
+    for (const StartReadingAction& action : std::exchange(readings_, {})) {
+      manager_.OnReadingData(action.dead, action.backup, proto::StartReadingDataResponse());
+    }
+    for (const ReleaseAction& action : std::exchange(releases_, {})) {
+      manager_.OnReleased(action.dead, action.backup, Status::Ok());
+    }
+  }
+
+  ControlDriver fleet_;
+  std::vector<NodeId> backups_;
+  RecoveryManager manager_{RecoveryOptions()};
+  std::vector<StartReadingAction> readings_;
+  std::vector<ReleaseAction> releases_;
+};
+
+TEST_F(LargeRecoveryTest, CallsUnderWayAreBoundedAndReadingsDoNotWaitForReleases) {
+  const RecoveryOptions options;
+  EXPECT_EQ(Step(0), std::pair(options.most_readings, options.most_releases));
+  EXPECT_EQ(Step(1), std::pair(std::size_t{0}, std::size_t{0})) << "none has been answered";
+  std::size_t readings = options.most_readings;
+  int steps = 1;
+  for (; readings < kOwners * kNodes && steps < 10; ++steps) {
+    AnswerAll();
+    readings += Step(steps + 1).first;
+  }
+  EXPECT_EQ(readings, kOwners * kNodes);
+  EXPECT_LE(steps, 2);
+}
+
+TEST_F(LargeRecoveryTest, AllIsReleasedInTheEnd) {
+  std::size_t released = 0;
+  for (int step = 0; step < 200; ++step) {
+    released += Step(step).second;
+    AnswerAll();
+  }
+  EXPECT_EQ(released, (kNodes - kOwners) * kNodes);
+}
+
+}  // namespace
+}  // namespace cloverbank
