--- a/tests/queue/held_questions_test.cc
+++ b/tests/queue/held_questions_test.cc
@@ -18,6 +18,7 @@
 
   static constexpr int kGateways = 60;
   static constexpr std::uint32_t kSlots = 2;
+  static constexpr std::uint64_t kFirstGatewayId = 1000;
 
   void AskAll(const std::string& backend = "model") {
     for (int gateway = 0; gateway < kGateways; ++gateway) {
@@ -30,7 +31,7 @@
   void Ask(int gateway, const std::string& zone, const std::string& backend) {
     ++asked_;
     proto::AcquireWorkRequest request;
-    request.set_gateway_node_id(static_cast<std::uint64_t>(1000 + gateway));
+    request.set_gateway_node_id(kFirstGatewayId + static_cast<std::uint64_t>(gateway));
     request.set_zone(zone);
     request.add_room()->set_backend(backend);
     request.mutable_room(0)->set_slots(kSlots);
