Log and count what shows whether a response belongs to its call

Change: events attempt_failed, response_unusual (a warning if the response echoes another call's id) and pooled_connection_replaced, the counter gateway_unusual_responses_total by origin, refusal and connection; HttpCall says whether its connection had carried other requests. No decision changes.

--- a/src/calls/call_runner.cc
+++ b/src/calls/call_runner.cc
@@ -247,6 +247,15 @@
       "gateway_attempt_failures_total",
       {{"reason", result.error.code()},
        {"next", decision.action == RetryAction::kFinish ? "finish" : "retry"}});
+  Log(LogLevel::kInfo, "attempt_failed",
+      {{"call_id", call_id()},
+       {"replica", attempted_.empty() ? "" : attempted_.back()},
+       {"attempts", retry_.attempts()},
+       {"end", AttemptEndName(result.end)},
+       {"reason", result.error.code()},
+       {"error", result.error.message()},
+       {"repeatable", repeatable ? "yes" : "no"},
+       {"next", decision.action == RetryAction::kFinish ? "finish" : "retry"}});
   RetryOrFinish(result, decision);
 }
 
--- a/src/calls/forward_attempt.cc
+++ b/src/calls/forward_attempt.cc
@@ -182,6 +182,10 @@
   not_run_ = status == kHttpMisdirected ||
              (IsRefusalStatus(status) && !FindHeader(headers, names.not_run).empty());
   const std::string_view echoed = FindHeader(headers, names.call_id);
+  const ResponseOrigin origin = FindResponseOrigin(echoed, exchange_->call_id());
+  if (not_run_ || origin != ResponseOrigin::kThisCall) {
+    RecordUnusualHead(origin, echoed);
+  }
   if (!not_run_ && echoed != exchange_->call_id()) {
     AbortResponse(ResponseFault::kOtherCall);
     return;
@@ -193,6 +197,25 @@
   }
 }
 
+void ForwardAttempt::RecordUnusualHead(ResponseOrigin origin, std::string_view echoed) {
+  const std::string_view name = ResponseOriginName(origin);
+  const std::string_view refusal = not_run_ ? "yes" : "no";
+  const std::string_view connection =
+      call_ != nullptr && call_->connection_reused() ? "reused" : "new";
+  context_.environment.metrics().Increment(
+      "gateway_unusual_responses_total",
+      {{"origin", name}, {"refusal", refusal}, {"connection", connection}});
+  const bool foreign = origin == ResponseOrigin::kOtherCall;
+  Log(foreign ? LogLevel::kWarning : LogLevel::kInfo, "response_unusual",
+      {{"call_id", exchange_->call_id()},
+       {"replica", request_.use.id},
+       {"status", status_},
+       {"origin", name},
+       {"echoed", echoed},
+       {"refusal", refusal},
+       {"connection", connection}});
+}
+
 void ForwardAttempt::OnBytes(const std::string& bytes, std::function<void()> more) {
   if (session_.done()) {
     return;
--- a/src/calls/forward_attempt.h
+++ b/src/calls/forward_attempt.h
@@ -12,6 +12,7 @@
 
 #include "calls/attempt_session.h"
 #include "calls/forward_exchange.h"
+#include "calls/response_origin.h"
 
 namespace cloverbank {
 
@@ -53,6 +54,8 @@
   /// call is retried at another one.
   void CheckResponseTimeout();
   void OnHead(int status, const HttpHeaders& headers);
+  /// Counts and logs a response that is a refusal or that does not echo this call's id.
+  void RecordUnusualHead(ResponseOrigin origin, std::string_view echoed);
   void OnBytes(const std::string& bytes, std::function<void()> more);
   void OnEnd(HttpOutcome outcome);
   /// Processes buffered input. Not re-entrant: `more` may be called from within `OnEvent`.
--- /dev/null
+++ b/src/calls/response_origin.h
@@ -0,0 +1,24 @@
+#pragma once
+/// @file
+/// Decides whether a response that was received for a call is a response to that call. A replica
+/// may send a late second response to an earlier request on a kept connection, where the response
+/// to the next request is due; the call id that each response echoes shows which request it is
+/// about. Pure.
+
+#include <cstdint>
+#include <string_view>
+
+namespace cloverbank {
+
+enum class ResponseOrigin : std::uint8_t {
+  kThisCall,      ///< The response echoes the id of the call.
+  kOtherCall,     ///< The response echoes another id.
+  kUnidentified,  ///< The response echoes no id.
+};
+
+/// @param echoed the call id in the response; empty if it has none.
+ResponseOrigin FindResponseOrigin(std::string_view echoed, std::string_view call_id);
+/// @return the stable snake_case name, for metrics and logs.
+std::string_view ResponseOriginName(ResponseOrigin origin);
+
+}  // namespace cloverbank
--- a/src/calls/retry_policy.cc
+++ b/src/calls/retry_policy.cc
@@ -10,6 +10,22 @@
 
 }  // namespace
 
+std::string_view AttemptEndName(AttemptEnd end) {
+  switch (end) {
+    case AttemptEnd::kComplete:
+      return "complete";
+    case AttemptEnd::kNotRun:
+      return "not_run";
+    case AttemptEnd::kRejected:
+      return "rejected";
+    case AttemptEnd::kUnknown:
+      return "unknown";
+    case AttemptEnd::kFailed:
+      return "failed";
+  }
+  return "unknown";
+}
+
 void RetryBudget::OnFirstAttempt() {
   tokens_ = std::min(maximum_tokens_, tokens_ + tokens_per_call_);
 }
--- a/src/calls/retry_policy.h
+++ b/src/calls/retry_policy.h
@@ -7,6 +7,7 @@
 /// replica refused it before running it.
 
 #include <cstdint>
+#include <string_view>
 
 #include "base/time.h"
 #include "proto/live.pb.h"
@@ -22,6 +23,9 @@
   kFailed,    ///< The replica reported that the call ran and failed.
 };
 
+/// @return the stable snake_case name, for logs.
+std::string_view AttemptEndName(AttemptEnd end);
+
 struct RetryOptions {
   /// Attempts, whatever their end, before the call waits in the queue; also the limit of attempts
   /// that may have run.
--- a/src/net/client_call.cc
+++ b/src/net/client_call.cc
@@ -11,6 +11,7 @@
 #include <limits>
 #include <utility>
 
+#include "base/logging.h"
 #include "net/beast_message.h"
 #include "net/url.h"
 
@@ -176,6 +177,7 @@
     return;
   }
   may_have_sent_ = true;
+  connection_reused_ = connection_->reused;
   if (shared_->IsBlocked(to_)) {
     return;  // Fault injection blocked the peer after `Begin`.
   }
@@ -199,7 +201,10 @@
   }
   may_have_sent_ = false;
   if (connection_->reused) {
-    Connect();  // The peer closed the connection while it was idle in the pool.
+    // The peer closed the connection while it was idle in the pool.
+    Log(LogLevel::kInfo, "pooled_connection_replaced",
+        {{"peer", to_.ToString()}, {"error", error.message()}});
+    Connect();
   } else {
     Finish(HttpOutcomeKind::kNotSent, "write failed: " + error.message());
   }
--- a/src/net/client_call.h
+++ b/src/net/client_call.h
@@ -36,6 +36,7 @@
   /// before the request is written.
   void Start();
   void Cancel() override;
+  bool connection_reused() const override { return connection_reused_; }
 
  private:
   using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
@@ -73,6 +74,7 @@
   std::optional<Parser> parser_;
   std::vector<char> chunk_;
   int status_ = 0;
+  bool connection_reused_ = false;     ///< Of the connection that the request was written to last.
   bool may_have_sent_ = false;         ///< A byte of the request may have left this process.
   bool waiting_for_receiver_ = false;  ///< `on_bytes` ran and its `more` was not called yet.
   TimerId deadline_timer_ = 0;
--- a/src/net/http_types.h
+++ b/src/net/http_types.h
@@ -117,6 +117,9 @@
   virtual ~HttpCall() = default;
   /// Closes the connection; no further callback runs.
   virtual void Cancel() = 0;
+  /// Whether the request was written to a connection that had carried other requests before. False
+  /// until the request is written.
+  virtual bool connection_reused() const = 0;
 };
 
 /// Makes outgoing calls from the process's own address. A connection whose call did not end with a
--- a/tests/replicas/fake_http.h
+++ b/tests/replicas/fake_http.h
@@ -26,6 +26,7 @@
     cancelled = true;
     Close();
   }
+  bool connection_reused() const override { return reused; }
   void Answer(HttpResponse response) {
     Head(response.status, response.headers);
     if (!over_ && callbacks.on_end == nullptr) {
@@ -60,6 +61,7 @@
   HttpStreamCallbacks callbacks;          ///< Of a streamed call.
   std::function<void(HttpOutcome)> done;  ///< Of a call that is not streamed.
   bool cancelled = false;
+  bool reused = false;  ///< Whether the connection had carried other requests.
 
  private:
   void Deliver() {
