--- a/tests/gateway/forwarding_test.cc
+++ b/tests/gateway/forwarding_test.cc
@@ -72,6 +72,44 @@
   EXPECT_NE(unmarked->status, 429);
 }
 
+TEST_F(ForwardingTest, RefusalOfAnotherCallDoesNotPermitASecondRun) {
+  const auto client = harness.Forward("/once/x", "c1");
+  harness.received_calls[0]->reused = true;
+  harness.Respond(0, {503, {{"X-Call-Id", "c0"}, {"X-Not-Run", "1"}}, ""});
+  harness.world.RunFor(seconds(1));
+  EXPECT_EQ(harness.received_calls.size(), 1U);
+  EXPECT_EQ(client->status, 504);
+  EXPECT_TRUE(harness.received_calls[0]->cancelled);
+}
+
+TEST_F(ForwardingTest, MisdirectionOfAnotherCallDoesNotPermitASecondRun) {
+  const auto client = harness.Forward("/once/x", "c1");
+  harness.received_calls[0]->reused = true;
+  harness.Respond(0, {421, {{"X-Call-Id", "c0"}}, ""});
+  harness.world.RunFor(seconds(1));
+  EXPECT_EQ(harness.received_calls.size(), 1U);
+  EXPECT_EQ(client->status, 504);
+}
+
+TEST_F(ForwardingTest, RefusalWithoutIdOnAReusedConnectionDoesNotPermitASecondRun) {
+  const auto client = harness.Forward("/once/x", "c1");
+  harness.received_calls[0]->reused = true;
+  harness.Respond(0, {503, {{"X-Not-Run", "1"}}, ""});
+  harness.world.RunFor(seconds(1));
+  EXPECT_EQ(harness.received_calls.size(), 1U);
+  EXPECT_EQ(client->status, 504);
+}
+
+TEST_F(ForwardingTest, RefusalWithTheIdOfTheCallPermitsAnotherReplica) {
+  const auto client = harness.Forward("/once/x", "c1");
+  harness.received_calls[0]->reused = true;
+  harness.Respond(0, {503, {{"X-Call-Id", "c1"}, {"X-Not-Run", "1"}}, ""});
+  harness.world.RunFor(milliseconds(20));
+  ASSERT_EQ(harness.received_calls.size(), 2U);
+  harness.Respond(1, {200, ForwardHarness::EchoHeaders("c1"), ForwardHarness::Event(0)});
+  EXPECT_EQ(client->status, 200);
+}
+
 TEST_F(ForwardingTest, DoesNotRetryAfterBytesWereSent) {
   const auto client = harness.Forward("/once/x", "c1");
   harness.received_calls[0]->End(HttpOutcomeKind::kUnknown, "reset");
