Take a refusal as "not run" only if it is about this call

Cause: ForwardAttempt::OnHead looked at the status and the not-run mark before it looked at the echoed call id, and skipped the id if the response was a refusal. A late second refusal of an earlier call on a kept connection so permitted a second send. Class of fault: a negative answer used as permission to send again without proof that it is about this request. Change: a refusal counts if it echoes this call's id, or none on a connection that has carried nothing else. Every other one ends the attempt as unknown and closes the connection.

--- a/src/calls/forward_attempt.cc
+++ b/src/calls/forward_attempt.cc
@@ -44,6 +44,8 @@
       return "silent";
     case ResponseFault::kOtherCall:
       return "other_call";
+    case ResponseFault::kUnidentified:
+      return "unidentified";
     case ResponseFault::kTooLarge:
       return "too_large";
     case ResponseFault::kEventTooLarge:
@@ -179,17 +181,18 @@
   status_ = status;
   headers_ = headers;
   const ReplicaHeaderNames& names = exchange_->names();
-  not_run_ = status == kHttpMisdirected ||
-             (IsRefusalStatus(status) && !FindHeader(headers, names.not_run).empty());
+  const bool refused = status == kHttpMisdirected ||
+                       (IsRefusalStatus(status) && !FindHeader(headers, names.not_run).empty());
   const std::string_view echoed = FindHeader(headers, names.call_id);
   const ResponseOrigin origin = FindResponseOrigin(echoed, exchange_->call_id());
-  if (not_run_ || origin != ResponseOrigin::kThisCall) {
-    RecordUnusualHead(origin, echoed);
+  if (refused || origin != ResponseOrigin::kThisCall) {
+    RecordUnusualHead(origin, echoed, refused);
   }
-  if (!not_run_ && echoed != exchange_->call_id()) {
-    AbortResponse(ResponseFault::kOtherCall);
+  if (const std::optional<ResponseFault> fault = FindOriginFault(origin, refused)) {
+    AbortResponse(*fault);
     return;
   }
+  not_run_ = refused;
   context_.pool.OnResponseHead(request_.use, headers, session_.Elapsed());
   if (!not_run_) {
     const bool events = exchange_->call().streamed && IsSuccess(status);
@@ -197,11 +200,22 @@
   }
 }
 
-void ForwardAttempt::RecordUnusualHead(ResponseOrigin origin, std::string_view echoed) {
+std::optional<ResponseFault> ForwardAttempt::FindOriginFault(ResponseOrigin origin,
+                                                             bool refused) const {
+  const bool is_own = refused ? ProvesNotRun(origin, call_->connection_reused())
+                              : origin == ResponseOrigin::kThisCall;
+  if (is_own) {
+    return std::nullopt;
+  }
+  const bool unidentified = refused && origin == ResponseOrigin::kUnidentified;
+  return unidentified ? ResponseFault::kUnidentified : ResponseFault::kOtherCall;
+}
+
+void ForwardAttempt::RecordUnusualHead(ResponseOrigin origin, std::string_view echoed,
+                                       bool refused) {
   const std::string_view name = ResponseOriginName(origin);
-  const std::string_view refusal = not_run_ ? "yes" : "no";
-  const std::string_view connection =
-      call_ != nullptr && call_->connection_reused() ? "reused" : "new";
+  const std::string_view refusal = refused ? "yes" : "no";
+  const std::string_view connection = call_->connection_reused() ? "reused" : "new";
   context_.environment.metrics().Increment(
       "gateway_unusual_responses_total",
       {{"origin", name}, {"refusal", refusal}, {"connection", connection}});
@@ -388,7 +402,7 @@
       {{"call_id", exchange_->call_id()}, {"replica", request_.use.id}, {"fault", name}});
   FinishWith(AttemptEnd::kUnknown, "response_broken",
              "the replica's response is not a complete response to this call: " + std::string(name),
-             CallOutcome::kFailed);
+             fault == ResponseFault::kUnidentified ? CallOutcome::kRefused : CallOutcome::kFailed);
 }
 
 void ForwardAttempt::FinishWith(AttemptEnd end, const std::string& code, const std::string& message,
--- a/src/calls/forward_attempt.h
+++ b/src/calls/forward_attempt.h
@@ -21,6 +21,7 @@
   /// The replica has not responded to any call of this gateway for too long, or was restarted.
   kNoResponse,
   kOtherCall,      ///< The response has another call id, or none.
+  kUnidentified,  ///< A refusal without a call id, which may be about an earlier call.
   kTooLarge,       ///< A body that is not streamed exceeds the limit.
   kEventTooLarge,  ///< An event exceeds the limit.
   kGap,            ///< An event of the stream does not follow the last event that was forwarded.
@@ -54,8 +55,10 @@
   /// call is retried at another one.
   void CheckResponseTimeout();
   void OnHead(int status, const HttpHeaders& headers);
+  /// @return why a response of this origin is not a response to this call; nothing if it is one.
+  std::optional<ResponseFault> FindOriginFault(ResponseOrigin origin, bool refused) const;
   /// Counts and logs a response that is a refusal or that does not echo this call's id.
-  void RecordUnusualHead(ResponseOrigin origin, std::string_view echoed);
+  void RecordUnusualHead(ResponseOrigin origin, std::string_view echoed, bool refused);
   void OnBytes(const std::string& bytes, std::function<void()> more);
   void OnEnd(HttpOutcome outcome);
   /// Processes buffered input. Not re-entrant: `more` may be called from within `OnEvent`.
--- a/src/calls/response_origin.cc
+++ b/src/calls/response_origin.cc
@@ -9,6 +9,11 @@
   return echoed == call_id ? ResponseOrigin::kThisCall : ResponseOrigin::kOtherCall;
 }
 
+bool ProvesNotRun(ResponseOrigin origin, bool connection_reused) {
+  return origin == ResponseOrigin::kThisCall ||
+         (origin == ResponseOrigin::kUnidentified && !connection_reused);
+}
+
 std::string_view ResponseOriginName(ResponseOrigin origin) {
   switch (origin) {
     case ResponseOrigin::kThisCall:
--- a/src/calls/response_origin.h
+++ b/src/calls/response_origin.h
@@ -18,6 +18,9 @@
 
 /// @param echoed the call id in the response; empty if it has none.
 ResponseOrigin FindResponseOrigin(std::string_view echoed, std::string_view call_id);
+/// Whether a refusal of this origin proves that the call did not run. A new connection has carried
+/// no other request, so a refusal without an id can only be about this call.
+bool ProvesNotRun(ResponseOrigin origin, bool connection_reused);
 /// @return the stable snake_case name, for metrics and logs.
 std::string_view ResponseOriginName(ResponseOrigin origin);
 
