Return to a replica that refused a call on a new connection

Cause: a call that every replica refused waits and is sent to the same replica again, on the same pooled connection. A late second copy of the first refusal, which has the same id, then permits a third send while the replica runs the second one. The id identifies the request, not the attempt. Change: CallRunner knows the replicas that it has sent the call to; a later attempt at one of them asks for a new connection (HttpRequest::new_connection), which can not bring responses to an earlier attempt. ReturnsToAReplicaThatRefusedTheCallOnANewConnection and ANewConnectionIsNotTakenFromThePool are new.

--- a/src/calls/call_attempt.cc
+++ b/src/calls/call_attempt.cc
@@ -90,6 +90,7 @@
   http.headers.emplace_back("X-Deadline-Ms",
                             std::to_string(std::max<std::int64_t>(1, milliseconds_left)));
   http.body = ToJson(request.body);
+  http.new_connection = request.new_connection;
   return http;
 }
 
--- a/src/calls/call_attempt.h
+++ b/src/calls/call_attempt.h
@@ -25,6 +25,9 @@
   std::string backend;  ///< Name of the model or service.
   proto::BackendKind kind = proto::BACKEND_KIND_UNSPECIFIED;
   TimePoint deadline;
+  /// Whether to send on a new connection. A connection that carried an earlier attempt of the same
+  /// call may still bring a second response to that attempt, whose call id is the same.
+  bool new_connection = false;
   /// Whether the call could be retried at another replica if this attempt timed out now; empty
   /// means never.
   std::function<bool()> can_retry_elsewhere;
--- a/src/calls/call_runner.cc
+++ b/src/calls/call_runner.cc
@@ -140,11 +140,12 @@
 }
 
 void CallRunner::Send(const ReplicaRecord& replica, const proto::Route& route) {
+  AttemptRequest request = MakeAttemptRequest(replica, route);
+  request.new_connection = !sent_to_.insert(replica.id).second;
   attempted_.push_back(replica.id);
   route_idempotent_ = route.idempotent();
   retry_.OnAttempt();
-  attempt_ = spec_.exchange->NewAttempt(context_.attempt, MakeAttemptRequest(replica, route),
-                                        MakeExchangeEvents());
+  attempt_ = spec_.exchange->NewAttempt(context_.attempt, std::move(request), MakeExchangeEvents());
   attempt_->Start();
 }
 
--- a/src/calls/call_runner.h
+++ b/src/calls/call_runner.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -124,6 +125,8 @@
   const std::uint64_t split_random_;
   /// Ids of the replicas used since the last wait; excluded from the next choice.
   std::vector<std::string> attempted_;
+  /// Ids of all replicas that the call was sent to.
+  std::set<std::string> sent_to_;
   std::shared_ptr<CallAttempt> attempt_;
   WaitId wait_id_ = 0;
   TimerId timer_ = 0;
--- a/src/calls/forward_attempt.cc
+++ b/src/calls/forward_attempt.cc
@@ -98,6 +98,7 @@
   }
   http.body = forwarded.body();
   http.accept_unframed = true;
+  http.new_connection = request_.new_connection;
   http.connect_timeout = context_.options.replica_connect_timeout;
   return http;
 }
--- a/src/net/client_call.cc
+++ b/src/net/client_call.cc
@@ -83,6 +83,7 @@
       limits_(limits),
       can_send_(std::move(request.can_send)),
       accept_close_delimited_(request.accept_unframed),
+      new_connection_(request.new_connection),
       connect_timeout_(request.connect_timeout > Duration::zero()
                            ? request.connect_timeout
                            : shared_->options.connect_timeout),
@@ -120,7 +121,7 @@
     may_have_sent_ = true;  // Behave as if the bytes were lost in the network.
     return;
   }
-  connection_ = shared_->pool.Take(to_);
+  connection_ = new_connection_ ? nullptr : shared_->pool.Take(to_);
   if (connection_) {
     Write();
   } else {
--- a/src/net/client_call.h
+++ b/src/net/client_call.h
@@ -66,6 +66,7 @@
   boost::beast::http::request<boost::beast::http::string_body> request_;
   std::function<bool()> can_send_;
   bool accept_close_delimited_ = false;
+  bool new_connection_ = false;
   Duration connect_timeout_;
   /// Null once the call has ended.
   std::shared_ptr<HttpStreamCallbacks> callbacks_;
--- a/src/net/http_types.h
+++ b/src/net/http_types.h
@@ -42,6 +42,8 @@
   /// Outgoing calls: whether to accept a close-delimited response (neither Content-Length nor
   /// chunked). If the connection is reset, the call is still kUnknown.
   bool accept_unframed = false;
+  /// Outgoing calls: whether to open a connection for this call instead of using a pooled one.
+  bool new_connection = false;
   /// Outgoing calls: longest wait for the connection; zero uses the client's default.
   Duration connect_timeout{};
 };
--- a/tests/gateway/forwarding_test.cc
+++ b/tests/gateway/forwarding_test.cc
@@ -110,6 +110,19 @@
   EXPECT_EQ(client->status, 200);
 }
 
+TEST_F(ForwardingTest, ReturnsToAReplicaThatRefusedTheCallOnANewConnection) {
+  const auto client = harness.Forward("/once/x", "c1");
+  std::map<std::string, int> sends;
+  for (std::size_t index = 0; index < 6; ++index) {
+    ASSERT_GT(harness.received_calls.size(), index);
+    const int earlier = sends[harness.receiving_replicas[index]]++;
+    EXPECT_EQ(harness.received_calls[index]->request.new_connection, earlier > 0) << index;
+    harness.Respond(index, {503, {{"X-Call-Id", "c1"}, {"X-Not-Run", "1"}}, ""});
+    harness.world.RunFor(milliseconds(600));
+  }
+  EXPECT_GT(sends["r1"], 1);
+}
+
 TEST_F(ForwardingTest, DoesNotRetryAfterBytesWereSent) {
   const auto client = harness.Forward("/once/x", "c1");
   harness.received_calls[0]->End(HttpOutcomeKind::kUnknown, "reset");
--- a/tests/net/http_call_test.cc
+++ b/tests/net/http_call_test.cc
@@ -58,6 +58,17 @@
   }
 }
 
+TEST_F(HttpCallTest, ANewConnectionIsNotTakenFromThePool) {
+  server_->Handle("GET", "/", [](const HttpRequest&, const ResponderPointer& responder) {
+    responder->Send({200, {}, "ok"});
+  });
+  EXPECT_EQ(CallAndWait(server_->endpoint(), Get("/")).response.body, "ok");
+  HttpRequest request = Get("/");
+  request.new_connection = true;
+  EXPECT_EQ(CallAndWait(server_->endpoint(), request).response.body, "ok");
+  EXPECT_EQ(client_->idle_connection_count(), 2U);
+}
+
 TEST_F(HttpCallTest, UnansweredCallDoesNotBlockOtherCalls) {
   HoldCalls();
   server_->Handle("GET", "/quick", [&](const HttpRequest&, const ResponderPointer& responder) {
