--- a/src/calls/forward_attempt.cc
+++ b/src/calls/forward_attempt.cc
@@ -190,6 +190,9 @@
     RecordUnusualHead(origin, echoed, refused);
   }
   if (const std::optional<ResponseFault> fault = FindOriginFault(origin, refused)) {
+    if (*fault == ResponseFault::kUnidentified) {
+      context_.pool.OnUnidentifiedRefusal(request_.use);
+    }
     AbortResponse(*fault);
     return;
   }
--- a/src/calls/replica_pool.cc
+++ b/src/calls/replica_pool.cc
@@ -189,6 +189,12 @@
   }
 }
 
+void ReplicaPool::OnUnidentifiedRefusal(const ReplicaUse& use) {
+  if (omits_call_ids_.insert(use.id).second) {
+    Log(LogLevel::kWarning, "replica_omits_call_ids", {{"replica", use.id}});
+  }
+}
+
 Status ReplicaPool::OnList(const proto::ReplicaList& list) {
   Result<DirectoryChange> change = directory_.Apply(list);
   if (!change.ok()) {
@@ -200,6 +206,7 @@
   }
   for (const std::string& id : change->removed) {
     prefill_.Remove(id);
+    omits_call_ids_.erase(id);
     RemoveLoadIfUnused(id);
   }
   Log(LogLevel::kInfo, "replica_list_changed",
--- a/src/calls/replica_pool.h
+++ b/src/calls/replica_pool.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -81,6 +82,13 @@
   /// Bytes of a response were received.
   void OnBytesReceived(const ReplicaUse& use);
 
+  /// A refusal without a call id was received on a connection that had carried other requests, so
+  /// it shows nothing about the call. From now on each call to this replica needs a connection of
+  /// its own.
+  void OnUnidentifiedRefusal(const ReplicaUse& use);
+  /// Whether calls to the replica need connections of their own.
+  bool NeedsNewConnections(const std::string& id) const { return omits_call_ids_.contains(id); }
+
   /// Sets this gateway's part of the call rates of warming replicas and of the batch capacity.
   void SetQuota(const GatewayQuota& quota);
 
@@ -140,6 +148,7 @@
   ReplicaProber prober_;
   CapacityAllowances allowances_;
   ActiveReplicas active_;
+  std::set<std::string> omits_call_ids_;  ///< Replicas whose refusals have no call id.
   std::function<void()> capacity_observer_;
   PromptObserver prompt_observer_;
   TimerId evaluation_timer_ = 0;
--- a/tests/gateway/forwarding_test.cc
+++ b/tests/gateway/forwarding_test.cc
@@ -110,6 +110,23 @@
   EXPECT_EQ(client->status, 200);
 }
 
+TEST_F(ForwardingTest, UsesNewConnectionsToAReplicaWhoseRefusalsHaveNoId) {
+  const auto first = harness.Forward("/once/x", "c1");
+  harness.received_calls[0]->reused = true;
+  harness.Respond(0, {503, {{"X-Not-Run", "1"}}, ""});
+  const std::string omitting = harness.receiving_replicas[0];
+  int to_omitting = 0;
+  for (int number = 0; number < 20; ++number) {
+    (void)harness.Forward("/once/x", "next" + std::to_string(number));
+  }
+  for (std::size_t index = 1; index < harness.received_calls.size(); ++index) {
+    const bool is_omitting = harness.receiving_replicas[index] == omitting;
+    EXPECT_EQ(harness.received_calls[index]->request.new_connection, is_omitting);
+    to_omitting += is_omitting ? 1 : 0;
+  }
+  EXPECT_GT(to_omitting, 0);
+}
+
 TEST_F(ForwardingTest, ReturnsToAReplicaThatRefusedTheCallOnANewConnection) {
   const auto client = harness.Forward("/once/x", "c1");
   std::map<std::string, int> sends;
