Apply the check of refusals to the calls of the JSON interface

Cause: ClassifyErrorResponse read 429, 503 and 4xx as "not run" with no regard to the call that they were about. Change: the response's id (header X-Call-Id, or call_id of the error body) has to be this call's, or the connection has to be new; otherwise the call may have run. A refusal without id marks the replica as for forwarded calls. Emulated replicas echo the id in their refusals. Left: ServiceAttempt reads a complete response, so a foreign one leaves its connection in the pool; later calls on it fail, and do not run twice.

--- a/apps/emulator/emulated_replica.cc
+++ b/apps/emulator/emulated_replica.cc
@@ -100,7 +100,9 @@
                              const std::string& call_id, const std::string& reason) {
   witness_.Record("refused", description_.id, call_id, reason);
   if (!dark_) {
-    responder->Send({http_status, LoadHeader(), reason});
+    HttpHeaders headers = LoadHeader();
+    headers.emplace_back("X-Call-Id", call_id);
+    responder->Send({http_status, std::move(headers), reason});
   }
 }
 
--- a/src/calls/attempt_session.cc
+++ b/src/calls/attempt_session.cc
@@ -31,4 +31,13 @@
   return ClassifyIncompleteResponse(outcome, context, context_.options);
 }
 
+FailureClassification AttemptSession::ClassifyError(const ErrorResponse& response,
+                                                    std::string_view call_id) const {
+  FailureClassification classification = ClassifyErrorResponse(response, call_id);
+  if (classification.unidentified_refusal) {
+    context_.pool.OnUnidentifiedRefusal(request_.use);
+  }
+  return classification;
+}
+
 }  // namespace cloverbank
--- a/src/calls/attempt_session.h
+++ b/src/calls/attempt_session.h
@@ -41,6 +41,9 @@
   /// Classifies a call that ended without a complete response.
   /// @param head_received whether the replica had begun to respond.
   FailureClassification ClassifyIncomplete(const HttpOutcome& outcome, bool head_received) const;
+  /// Classifies an error response, and reports a refusal without a call id to the pool.
+  FailureClassification ClassifyError(const ErrorResponse& response,
+                                      std::string_view call_id) const;
 
  private:
   const AttemptContext& context_;
--- a/src/calls/call_attempt.cc
+++ b/src/calls/call_attempt.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "calls/http_json.h"
+#include "calls/response_origin.h"
 #include "json/json.h"
 #include "net/http_status.h"
 
@@ -19,13 +20,11 @@
   return error;
 }
 
-}  // namespace
-
-FailureClassification ClassifyErrorResponse(int status, const std::string& body) {
-  proto::ErrorBody parsed;
-  const bool readable = FromJson(body, &parsed, UnknownFields::kIgnore).ok() && parsed.has_error();
-  const proto::Executed reported = parsed.error().executed();
-  const std::string details = readable ? ": " + parsed.error().message() : "";
+/// Classifies an error response by its status and, unless it is nullptr, by its error body.
+FailureClassification ClassifyByStatus(int status, const proto::CallError* error) {
+  const proto::Executed reported =
+      error != nullptr ? error->executed() : proto::EXECUTED_UNSPECIFIED;
+  const std::string details = error != nullptr ? ": " + error->message() : "";
   const std::string message =
       "the replica responded with status " + std::to_string(status) + details;
   const bool ran = reported == proto::EXECUTED_YES || reported == proto::EXECUTED_UNKNOWN;
@@ -53,6 +52,27 @@
   return classification;
 }
 
+}  // namespace
+
+FailureClassification ClassifyErrorResponse(const ErrorResponse& response,
+                                            std::string_view call_id) {
+  proto::ErrorBody parsed;
+  const bool readable =
+      FromJson(response.body, &parsed, UnknownFields::kIgnore).ok() && parsed.has_error();
+  FailureClassification classification =
+      ClassifyByStatus(response.status, readable ? &parsed.error() : nullptr);
+  const std::string& echoed =
+      response.echoed_id.empty() ? parsed.error().call_id() : response.echoed_id;
+  const ResponseOrigin origin = FindResponseOrigin(echoed, call_id);
+  const AttemptEnd end = classification.result.end;
+  const bool claims_not_run = end == AttemptEnd::kNotRun || end == AttemptEnd::kRejected;
+  if (claims_not_run && !ProvesNotRun(origin, response.connection_reused)) {
+    classification.result.end = AttemptEnd::kUnknown;
+    classification.unidentified_refusal = origin == ResponseOrigin::kUnidentified;
+  }
+  return classification;
+}
+
 FailureClassification ClassifyIncompleteResponse(const HttpOutcome& outcome,
                                                  const IncompleteResponseContext& context,
                                                  const CallOptions& options) {
@@ -86,7 +106,7 @@
   http.method = "POST";
   http.path = std::string(path);
   http.headers.emplace_back("Content-Type", "application/json");
-  http.headers.emplace_back("X-Call-Id", request.body.call_id());
+  http.headers.emplace_back(kCallIdHeader, request.body.call_id());
   http.headers.emplace_back("X-Deadline-Ms",
                             std::to_string(std::max<std::int64_t>(1, milliseconds_left)));
   http.body = ToJson(request.body);
--- a/src/calls/call_attempt.h
+++ b/src/calls/call_attempt.h
@@ -8,6 +8,8 @@
 
 #include <functional>
 #include <memory>
+#include <string>
+#include <string_view>
 
 #include "calls/gateway_options.h"
 #include "calls/replica_pool.h"
@@ -93,11 +95,26 @@
 struct FailureClassification {
   JsonAttemptResult result;
   CallOutcome health = CallOutcome::kFailed;
+  /// A refusal without a call id, which may be about an earlier call of the connection.
+  bool unidentified_refusal = false;
 };
 
-/// Classifies a complete response whose status is not 200. The status, and `executed` of the error
-/// body if that is readable, decide whether the call may have run.
-FailureClassification ClassifyErrorResponse(int status, const std::string& body);
+/// Header in which calls of the JSON interface carry their id and replicas echo it.
+inline constexpr std::string_view kCallIdHeader = "X-Call-Id";
+
+/// A complete response whose status is not 200, and what shows which call it is about.
+struct ErrorResponse {
+  int status = 0;
+  std::string echoed_id;  ///< Of `kCallIdHeader`; empty: the error body may have it.
+  std::string body;
+  bool connection_reused = false;  ///< As `HttpCall::connection_reused`.
+};
+
+/// Classifies an error response. The status, and `executed` of the error body if that is readable,
+/// decide whether the call may have run. A response that is not proven to be about the call
+/// `call_id` shows nothing: the call may have run.
+FailureClassification ClassifyErrorResponse(const ErrorResponse& response,
+                                            std::string_view call_id);
 /// What is known of a call that ended without a complete response.
 struct IncompleteResponseContext {
   bool send_denied = false;    ///< `can_send` returned false: nothing was sent.
--- a/src/calls/forward_attempt.h
+++ b/src/calls/forward_attempt.h
@@ -21,7 +21,7 @@
   /// The replica has not responded to any call of this gateway for too long, or was restarted.
   kNoResponse,
   kOtherCall,      ///< The response has another call id, or none.
-  kUnidentified,  ///< A refusal without a call id, which may be about an earlier call.
+  kUnidentified,   ///< A refusal without a call id, which may be about an earlier call.
   kTooLarge,       ///< A body that is not streamed exceeds the limit.
   kEventTooLarge,  ///< An event exceeds the limit.
   kGap,            ///< An event of the stream does not follow the last event that was forwarded.
--- a/src/calls/service_attempt.cc
+++ b/src/calls/service_attempt.cc
@@ -58,7 +58,10 @@
     }
     context_.pool.OnResponseHead(request_.use, outcome.response.headers, session_.Elapsed());
     if (outcome.response.status != kHttpOk) {
-      Finish(ClassifyErrorResponse(outcome.response.status, outcome.response.body));
+      const std::string_view echoed = FindHeader(outcome.response.headers, kCallIdHeader);
+      Finish(session_.ClassifyError({outcome.response.status, std::string(echoed),
+                                     outcome.response.body, call_->connection_reused()},
+                                    request_.body.call_id()));
       return;
     }
     Finish(ParseResponse(outcome.response.body));
--- a/src/calls/stream_attempt.cc
+++ b/src/calls/stream_attempt.cc
@@ -72,6 +72,7 @@
       return;
     }
     status_ = status;
+    echoed_id_ = FindHeader(headers, kCallIdHeader);
     context_.pool.OnResponseHead(request_.use, headers, session_.Elapsed());
   }
 
@@ -192,7 +193,8 @@
       return;
     }
     if (status_ != kHttpOk) {
-      const FailureClassification classification = ClassifyErrorResponse(status_, error_body_);
+      const FailureClassification classification = session_.ClassifyError(
+          {status_, echoed_id_, error_body_, call_->connection_reused()}, request_.body.call_id());
       Finish(classification.result, classification.health);
       return;
     }
@@ -268,6 +270,7 @@
   LineReader lines_;
   std::shared_ptr<HttpCall> call_;
   int status_ = 0;                      ///< 0 until the head was received.
+  std::string echoed_id_;               ///< The call id in the head; empty if it has none.
   std::string error_body_;              ///< Start of the body of an error response.
   std::function<void()> read_more_;     ///< Requests more of the body, if that is due.
   std::optional<HttpOutcome> outcome_;  ///< Set when the HTTP call has ended.
--- a/tests/gateway/live_call_test.cc
+++ b/tests/gateway/live_call_test.cc
@@ -107,6 +107,24 @@
   EXPECT_EQ(first.received.size(), 1U);
 }
 
+TEST_F(LiveCallTest, RefusalOfAnotherCallDoesNotPermitASecondRun) {
+  FakeReplica& first = harness.AddReplica("m1", "a", 4);
+  first.mode = Mode::kScripted;
+  harness.AddReplica("m2", "b", 4).mode = Mode::kScripted;
+  harness.StartWarm();
+  const std::vector<HttpHeaders> responses = {{{"X-Call-Id", "another"}}, {}};
+  for (std::size_t index = 0; index < responses.size(); ++index) {
+    const auto client = harness.Call("once");
+    harness.world.RunFor(milliseconds(10));
+    ASSERT_EQ(first.exchanges.size(), index + 1);
+    first.exchanges[index]->reused = true;
+    first.exchanges[index]->Answer({503, responses[index], ""});
+    harness.world.RunFor(seconds(1));
+    EXPECT_EQ(Received(), index + 1);
+    EXPECT_EQ(client->status, 504);
+  }
+}
+
 TEST_F(LiveCallTest, SendsNothingAfterReportingNotRun) {
   FakeReplica& only = harness.AddReplica("m1", "a", 1);
   only.mode = Mode::kRefuse;
