Let the replicas of the simulated fleet send refusals a second time

Change: GatewayHarness::second_responses lets a replica bring the refusal of its previous call as the response to the next one on a kept connection; its refusals echo the call id.

--- a/tests/gateway/data_plane_faults_test.cc
+++ b/tests/gateway/data_plane_faults_test.cc
@@ -27,6 +27,7 @@
 
   DataPlaneFaultsTest() {
     harness_.options.sharing = SharingOptions();
+    harness_.second_responses = true;
     harness_.AddRoute("ask", proto::BACKEND_KIND_MODEL, true);
     harness_.AddRoute("once", proto::BACKEND_KIND_MODEL, false);
     harness_.AddRoute("serve", proto::BACKEND_KIND_SERVICE, true);
--- a/tests/gateway/gateway_harness.h
+++ b/tests/gateway/gateway_harness.h
@@ -38,6 +38,9 @@
     kScripted
   } mode = Mode::kServe;
   std::vector<ExchangePtr> exchanges;  ///< Of its calls; in kScripted the test responds to them.
+  /// A refusal that a kept connection brings a second time, where the response to the next call is
+  /// due; only if `GatewayHarness::second_responses` is set.
+  std::optional<HttpResponse> late_refusal;
 };
 
 class FakeServingPermission : public ServingPermission {
@@ -202,6 +205,7 @@
   std::uint64_t list_version = 0;
   bool list_readable = true;
   Duration list_delay{};                               ///< How long the platform takes to respond.
+  bool second_responses = false;  ///< Whether replicas send some refusals a second time, late.
   std::function<void(const FakeReplica&)> on_arrival;  ///< Runs when a replica receives a call.
   std::vector<std::unique_ptr<GatewayPlane>> planes;
   GatewayPlane* first_plane = nullptr;
@@ -254,12 +258,17 @@
       if (on_arrival) {
         on_arrival(replica);
       }
+      SendLateRefusal(replica, exchange);
     }
     switch (replica.mode) {
       case FakeReplica::Mode::kNoResponse:
         return;
       case FakeReplica::Mode::kRefuse:
-        exchange->Answer({probe ? 200 : 503, LoadHeaders(replica), ""});
+        if (probe) {
+          exchange->Answer({200, LoadHeaders(replica), ""});
+        } else {
+          Refuse(replica, exchange, 503);
+        }
         return;
       case FakeReplica::Mode::kFail:
         exchange->Answer({probe ? 200 : 500, {}, ""});
@@ -275,9 +284,30 @@
     }
   }
 
+  void Refuse(FakeReplica& replica, const ExchangePtr& exchange, int status) {
+    HttpResponse refusal{status, LoadHeaders(replica), ""};
+    refusal.headers.emplace_back("X-Call-Id", replica.received.back());
+    replica.late_refusal = refusal;
+    exchange->Answer(std::move(refusal));
+  }
+
+  /// Sends the refusal of the previous call as the response to this one, which the replica goes on
+  /// to handle, if the call may be on the same connection.
+  void SendLateRefusal(FakeReplica& replica, const ExchangePtr& exchange) {
+    if (!second_responses || !replica.late_refusal || exchange->request.new_connection ||
+        world.RandomBelow(2) == 0) {
+      return;
+    }
+    exchange->reused = true;
+    const Duration delay = milliseconds(world.RandomBelow(20));
+    environment->ScheduleAfter(delay, [exchange, late = *std::exchange(replica.late_refusal, {})] {
+      exchange->Answer(late);
+    });
+  }
+
   void RunCall(FakeReplica& replica, const ExchangePtr& exchange, const std::string& call_id) {
     if (replica.running >= replica.entry.capacity()) {
-      exchange->Answer({429, LoadHeaders(replica), ""});
+      Refuse(replica, exchange, 429);
       return;
     }
     ++replica.running;
