--- a/tests/cloverbankd/daemon_process.h
+++ b/tests/cloverbankd/daemon_process.h
@@ -42,12 +42,22 @@
   return "[" + list + "]";
 }
 
-/// A process with the roles coordinator, queue and backup. The destructor kills it.
+/// Settings in which the machines of a test differ from those of other tests.
+struct DaemonSettings {
+  std::string roles = R"(["coordinator", "queue", "backup"])";  ///< A TOML list.
+  std::string tables;  ///< TOML tables that are added to the settings.
+};
+
+/// A process with the roles coordinator, queue and backup, unless its settings name others. The
+/// destructor kills it.
 class DaemonProcess {
  public:
   /// @param number from 1; also the last part of the machine's address.
-  DaemonProcess(std::filesystem::path folder, int number)
-      : folder_(std::move(folder)), number_(number), address_(MachineAddress(number)) {
+  DaemonProcess(std::filesystem::path folder, int number, DaemonSettings settings = {})
+      : folder_(std::move(folder)),
+        number_(number),
+        settings_(std::move(settings)),
+        address_(MachineAddress(number)) {
     WriteSettings();
   }
   ~DaemonProcess() {
@@ -88,6 +98,12 @@
     return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
   }
 
+  /// @return whether the process has not ended.
+  bool IsRunning() const { return waitpid(pid_, nullptr, WNOHANG) == 0; }
+
+  HttpOutcome Send(std::uint16_t port, HttpRequest request) {
+    return http_.Call({address_, port}, std::move(request), seconds(5));
+  }
   HttpOutcome Call(const std::string& method, const std::string& path, std::string body = {}) {
     return http_.Call({address_, kClientPort}, MakeRequest(method, path, std::move(body)),
                       seconds(2));
@@ -120,14 +136,16 @@
   void WriteSettings() const {
     std::ofstream file(SettingsFile());
     file << "[node]\nname = \"m" << number_ << "\"\nzone = \"zone-" << number_ << "\"\n"
-         << "roles = [\"coordinator\", \"queue\", \"backup\"]\n"
+         << "roles = " << settings_.roles << "\n"
          << "data_folder = \"" << (folder_ / ("data" + std::to_string(number_))).string() << "\"\n"
          << "[listen]\naddress = \"" << address_ << "\"\nclient_port = " << kClientPort
-         << "\npeer_port = 7401\n[seeds]\naddresses = " << SeedList() << "\n";
+         << "\npeer_port = 7401\n[seeds]\naddresses = " << SeedList() << "\n"
+         << settings_.tables;
   }
 
   std::filesystem::path folder_;
   int number_;
+  DaemonSettings settings_;
   std::string address_;
   pid_t pid_ = 0;
   BlockingHttp http_;
--- a/tests/gateway/forwarding_test.cc
+++ b/tests/gateway/forwarding_test.cc
@@ -140,6 +140,21 @@
   EXPECT_GT(sends["r1"], 1);
 }
 
+TEST_F(ForwardingTest, ResponsesThatAreNotUtf8AreForwardedOrAnsweredWithAnError) {
+  const HttpHeaders echo = ForwardHarness::EchoHeaders("c1");
+  const std::vector<HttpResponse> responses = {{500, echo, "\xff"},
+                                               {400, echo, "\xff"},
+                                               {200, {{"X-Call-Id", "\xff"}}, "\xff"},
+                                               {200, echo, "id: \xff\ndata: \xff"}};
+  for (std::size_t index = 0; index < responses.size(); ++index) {
+    const auto client = harness.Forward("/once/x", "c1");
+    ASSERT_EQ(harness.received_calls.size(), index + 1);
+    harness.Respond(index, responses[index]);
+    EXPECT_EQ(client->answers, 1) << index;
+    EXPECT_GE(client->status, 400) << index;
+  }
+}
+
 TEST_F(ForwardingTest, DoesNotRetryAfterBytesWereSent) {
   const auto client = harness.Forward("/once/x", "c1");
   harness.received_calls[0]->End(HttpOutcomeKind::kUnknown, "reset");
--- a/tests/gateway/gateway_harness.h
+++ b/tests/gateway/gateway_harness.h
@@ -204,7 +204,7 @@
   std::map<std::string, FakeReplica> replicas;
   std::uint64_t list_version = 0;
   bool list_readable = true;
-  Duration list_delay{};                               ///< How long the platform takes to respond.
+  Duration list_delay{};          ///< How long the platform takes to respond.
   bool second_responses = false;  ///< Whether replicas send some refusals a second time, late.
   std::function<void(const FakeReplica&)> on_arrival;  ///< Runs when a replica receives a call.
   std::vector<std::unique_ptr<GatewayPlane>> planes;
--- a/tests/gateway/live_call_test.cc
+++ b/tests/gateway/live_call_test.cc
@@ -125,6 +125,22 @@
   }
 }
 
+TEST_F(LiveCallTest, ErrorBodiesThatAreNotUtf8GetAnError) {
+  FakeReplica& replica = harness.AddReplica("m1", "a", 4);
+  replica.mode = Mode::kScripted;
+  harness.StartWarm();
+  const std::vector<std::string> bodies = {"\xff", "{\"error\":{\"message\":\"\xff\"}}"};
+  for (std::size_t index = 0; index < bodies.size(); ++index) {
+    const auto client = harness.Call("once");
+    harness.world.RunFor(milliseconds(10));
+    ASSERT_EQ(replica.exchanges.size(), index + 1);
+    replica.exchanges[index]->Answer({500, {}, bodies[index]});
+    harness.world.RunFor(seconds(1));
+    EXPECT_EQ(client->answers, 1);
+    EXPECT_GE(client->status, 500);
+  }
+}
+
 TEST_F(LiveCallTest, SendsNothingAfterReportingNotRun) {
   FakeReplica& only = harness.AddReplica("m1", "a", 1);
   only.mode = Mode::kRefuse;
