--- a/src/gateway/live_call.cc
+++ b/src/gateway/live_call.cc
@@ -74,7 +74,7 @@
 
 LiveCall::LiveCall(const CallContext& context, std::shared_ptr<HttpResponder> responder,
                    Options options, IdempotencyCache& cache, FinishedHandler on_finished)
-    : ClientCall(context, std::move(responder), std::move(on_finished)),
+    : LiveCallBase(context, std::move(responder), std::move(on_finished)),
       options_(std::move(options)),
       idempotency_cache_(cache) {}
 
--- a/src/gateway/live_call.h
+++ b/src/gateway/live_call.h
@@ -10,7 +10,7 @@
 #include "calls/call_runner.h"
 #include "calls/idempotency_cache.h"
 #include "calls/json_exchange.h"
-#include "gateway/client_call.h"
+#include "gateway/live_call_base.h"
 #include "net/http_types.h"
 
 namespace cloverbank {
@@ -21,7 +21,7 @@
 /// @return the cache entry of a finished call. @param answer its response, if it succeeded.
 CachedResponse ToCachedResponse(const CallResult& result, const proto::CallAnswer& answer);
 
-class LiveCall final : public ClientCall {
+class LiveCall final : public LiveCallBase {
  public:
   struct Options {
     bool stream = false;
@@ -35,7 +35,7 @@
   void Start(CallSpec spec, proto::CallRequest body);
 
  private:
-  // ClientCall
+  // LiveCallBase
   void OnDone(const CallResult& result) override;
   void OnClientDisconnected() override;
 
--- a/src/gateway/client_call.cc
+++ b/src/gateway/live_call_base.cc
@@ -1,19 +1,19 @@
-#include "gateway/client_call.h"
+#include "gateway/live_call_base.h"
 
 #include <utility>
 
 namespace cloverbank {
 
-ClientCall::ClientCall(const CallContext& context, std::shared_ptr<HttpResponder> responder,
-                       FinishedHandler on_finished)
+LiveCallBase::LiveCallBase(const CallContext& context, std::shared_ptr<HttpResponder> responder,
+                           FinishedHandler on_finished)
     : context_(context),
       responder_(std::move(responder)),
       on_finished_(std::move(on_finished)),
       started_at_(context.attempt.environment.Now()) {}
 
-void ClientCall::Run(CallSpec spec) {
+void LiveCallBase::Run(CallSpec spec) {
   route_ = spec.route;
-  const std::weak_ptr<ClientCall> weak = weak_from_this();
+  const std::weak_ptr<LiveCallBase> weak = weak_from_this();
   responder_->OnDisconnect([weak] {
     if (const auto self = weak.lock()) {
       self->HandleDisconnect();
@@ -28,7 +28,7 @@
   runner_->Start();
 }
 
-void ClientCall::StartStream(int status, HttpHeaders headers) {
+void LiveCallBase::StartStream(int status, HttpHeaders headers) {
   stream_started_ = true;
   const Duration waited = environment().Now() - started_at_;
   environment().metrics().ObserveSeconds("gateway_first_chunk_seconds",
@@ -36,7 +36,7 @@
   responder_->StartStream(status, std::move(headers));
 }
 
-void ClientCall::WriteChunk(std::string bytes, std::function<void()> more) {
+void LiveCallBase::WriteChunk(std::string bytes, std::function<void()> more) {
   responder_->WriteChunk(std::move(bytes),
                          [weak = weak_from_this(), more = std::move(more)](bool alive) {
                            const auto self = weak.lock();
@@ -51,7 +51,7 @@
                          });
 }
 
-void ClientCall::HandleDisconnect() {
+void LiveCallBase::HandleDisconnect() {
   if (client_disconnected_ || runner_ == nullptr) {
     return;
   }
@@ -60,7 +60,7 @@
   OnClientDisconnected();
 }
 
-void ClientCall::RecordOutcome(const std::string& outcome) {
+void LiveCallBase::RecordOutcome(const std::string& outcome) {
   const Duration elapsed = environment().Now() - started_at_;
   Metrics& metrics = environment().metrics();
   metrics.Increment("gateway_calls_total", {{"route", route_}, {"outcome", outcome}});
@@ -68,7 +68,7 @@
                          {{"route", route_}});
 }
 
-void ClientCall::Finish() {
+void LiveCallBase::Finish() {
   runner_ = nullptr;
   if (const FinishedHandler on_finished = std::exchange(on_finished_, nullptr)) {
     on_finished();
--- a/src/gateway/client_call.h
+++ b/src/gateway/live_call_base.h
@@ -13,18 +13,18 @@
 
 namespace cloverbank {
 
-class ClientCall : public std::enable_shared_from_this<ClientCall> {
+class LiveCallBase : public std::enable_shared_from_this<LiveCallBase> {
  public:
   /// Runs once, when `Finish` is called: after the response was sent or the client disconnected.
   using FinishedHandler = std::function<void()>;
 
-  ClientCall(const ClientCall&) = delete;
-  ClientCall& operator=(const ClientCall&) = delete;
+  LiveCallBase(const LiveCallBase&) = delete;
+  LiveCallBase& operator=(const LiveCallBase&) = delete;
 
  protected:
-  ClientCall(const CallContext& context, std::shared_ptr<HttpResponder> responder,
-             FinishedHandler on_finished);
-  virtual ~ClientCall() = default;
+  LiveCallBase(const CallContext& context, std::shared_ptr<HttpResponder> responder,
+               FinishedHandler on_finished);
+  virtual ~LiveCallBase() = default;
 
   /// Runs when the call has ended; its client may have disconnected before.
   virtual void OnDone(const CallResult& result) = 0;
--- a/src/gateway/live_forward.h
+++ b/src/gateway/live_forward.h
@@ -9,7 +9,7 @@
 
 #include "calls/call_runner.h"
 #include "calls/forward_exchange.h"
-#include "gateway/client_call.h"
+#include "gateway/live_call_base.h"
 #include "gateway/response_timing.h"
 #include "net/http_types.h"
 
@@ -19,11 +19,11 @@
 /// have a default for it if the request was not executed.
 void SendRefusal(HttpResponder& responder, int http_status, const proto::CallError& error);
 
-class LiveForward final : public ClientCall, public ForwardSink {
+class LiveForward final : public LiveCallBase, public ForwardSink {
  public:
   LiveForward(const CallContext& context, std::shared_ptr<HttpResponder> responder,
               FinishedHandler on_finished)
-      : ClientCall(context, std::move(responder), std::move(on_finished)) {}
+      : LiveCallBase(context, std::move(responder), std::move(on_finished)) {}
 
   /// Starts the call. @param spec without its exchange, which is made from `call`.
   void Start(CallSpec spec, ForwardCall call, const ReplicaHeaderNames& names);
@@ -34,7 +34,7 @@
   void OnEvent(StreamEvent event, std::function<void()> more) override;
 
  private:
-  // ClientCall
+  // LiveCallBase
   void OnDone(const CallResult& result) override;
   void OnClientDisconnected() override;
 
