--- a/tests/cloverbankd/foreign_bytes_test.cc
+++ b/tests/cloverbankd/foreign_bytes_test.cc
@@ -36,7 +36,7 @@
  protected:
   static void SetUpTestSuite() {
     std::string pattern = std::filesystem::temp_directory_path() / "foreign-bytes-XXXXXX";
-    folder_ = mkdtemp(pattern.data());
+    folder = mkdtemp(pattern.data());
     for (int number = 1; number <= kMachines; ++number) {
       const std::string address = MachineAddress(number);
       const auto endpoint = [&](std::uint16_t port) {
@@ -47,14 +47,14 @@
       settings.tables = "[front]\ncalls = " + endpoint(kCallsPort) +
                         "ready = " + endpoint(kReadyPort) + "control = " + endpoint(kControlPort) +
                         "[platform]\nadapter = true\nreplica_list = " + endpoint(kReadyPort);
-      machines_.push_back(std::make_unique<DaemonProcess>(folder_, number, settings));
-      machines_.back()->Start();
+      machines.push_back(std::make_unique<DaemonProcess>(folder, number, settings));
+      machines.back()->Start();
     }
     PutConfiguration();
   }
   static void TearDownTestSuite() {
-    machines_.clear();
-    std::filesystem::remove_all(folder_);
+    machines.clear();
+    std::filesystem::remove_all(folder);
   }
 
   /// Sends the first configuration until it is acknowledged.
@@ -66,14 +66,14 @@
     put.body = kConfiguration;
     int status = 0;
     for (int attempt = 0; attempt < 400 && status != kSuccess; ++attempt) {
-      status = machines_[0]->Send(kControlPort, put).response.status;
+      status = machines[0]->Send(kControlPort, put).response.status;
       std::this_thread::sleep_for(milliseconds(50));
     }
-    ASSERT_EQ(status, kSuccess) << machines_[0]->ReadLog();
+    ASSERT_EQ(status, kSuccess) << machines[0]->ReadLog();
   }
 
-  inline static std::filesystem::path folder_;
-  inline static std::vector<std::unique_ptr<DaemonProcess>> machines_;
+  inline static std::filesystem::path folder;
+  inline static std::vector<std::unique_ptr<DaemonProcess>> machines;
 };
 
 TEST_P(ForeignBytesTest, GetAnErrorAndLeaveTheProcessRunning) {
@@ -84,7 +84,7 @@
   request.headers = foreign.headers;
   request.headers.emplace_back("Host", kHost);
   request.body = foreign.body;
-  DaemonProcess& machine = *machines_[0];
+  DaemonProcess& machine = *machines[0];
   const HttpOutcome outcome = machine.Send(foreign.port, std::move(request));
   EXPECT_EQ(outcome.kind, HttpOutcomeKind::kAnswered) << outcome.reason;
   EXPECT_GE(outcome.response.status, 400);
