Close the connection of a JSON call that receives another call's response

What callers saw: calls of the JSON interface that failed one after the other, each with the response of the one before. Change: both compare the id in the head, and close the connection. ServiceAttempt reads its response as it comes, within maximum_response_bytes; a deadline that ends a response in progress no longer counts against the replica, as for streams.

--- a/src/calls/service_attempt.cc
+++ b/src/calls/service_attempt.cc
@@ -3,6 +3,7 @@
 #include "base/logging.h"
 #include "calls/attempt_session.h"
 #include "calls/call_attempt.h"
+#include "calls/response_origin.h"
 #include "json/json.h"
 #include "net/http_status.h"
 
@@ -10,6 +11,7 @@
 namespace {
 
 constexpr std::string_view kServePath = "/serve";
+constexpr Duration kNoIdleLimit{};
 
 /// An attempt at a plain service: one JSON request and one complete response.
 class ServiceAttempt final : public CallAttempt,
@@ -30,9 +32,23 @@
       const auto self = weak.lock();
       return self != nullptr && self->session_.CanSend();
     };
-    call_ = context_.client.Call(
-        request_.endpoint, std::move(http), remaining,
-        [self = shared_from_this()](const HttpOutcome& outcome) { self->OnOutcome(outcome); });
+    HttpStreamCallbacks callbacks;
+    callbacks.on_head = [weak](int status, const HttpHeaders& headers) {
+      if (const auto self = weak.lock()) {
+        self->OnHead(status, headers);
+      }
+    };
+    callbacks.on_bytes = [weak](const std::string& bytes, const std::function<void()>& more) {
+      if (const auto self = weak.lock()) {
+        self->OnBytes(bytes, more);
+      }
+    };
+    // `on_end` keeps the attempt alive until the HTTP call has ended.
+    callbacks.on_end = [self = shared_from_this()](const HttpOutcome& outcome) {
+      self->OnEnd(outcome);
+    };
+    call_ = context_.client.Stream(request_.endpoint, std::move(http), remaining, kNoIdleLimit,
+                                   std::move(callbacks));
   }
 
   CancelResult Cancel() override {
@@ -48,40 +64,72 @@
   }
 
  private:
-  void OnOutcome(const HttpOutcome& outcome) {
+  void OnHead(int status, const HttpHeaders& headers) {
+    if (session_.done()) {
+      return;
+    }
+    status_ = status;
+    echoed_id_ = FindHeader(headers, kCallIdHeader);
+    context_.pool.OnResponseHead(request_.use, headers, session_.Elapsed());
+    const bool foreign =
+        FindResponseOrigin(echoed_id_, request_.body.call_id()) == ResponseOrigin::kOtherCall;
+    if (foreign) {
+      Abort("other_call");
+    }
+  }
+
+  void OnBytes(const std::string& bytes, const std::function<void()>& more) {
+    if (session_.done()) {
+      return;
+    }
+    body_ += bytes;
+    if (body_.size() > context_.options.maximum_response_bytes) {
+      Abort("too_large");
+      return;
+    }
+    more();
+  }
+
+  void OnEnd(const HttpOutcome& outcome) {
     if (session_.done()) {
       return;
     }
     if (outcome.kind != HttpOutcomeKind::kAnswered) {
-      Finish(session_.ClassifyIncomplete(outcome, false));
+      Finish(session_.ClassifyIncomplete(outcome, status_ != 0));
       return;
     }
-    context_.pool.OnResponseHead(request_.use, outcome.response.headers, session_.Elapsed());
-    if (outcome.response.status != kHttpOk) {
-      const std::string_view echoed = FindHeader(outcome.response.headers, kCallIdHeader);
-      Finish(session_.ClassifyError({outcome.response.status, std::string(echoed),
-                                     outcome.response.body, call_->connection_reused()},
+    if (status_ != kHttpOk) {
+      Finish(session_.ClassifyError({status_, echoed_id_, body_, call_->connection_reused()},
                                     request_.body.call_id()));
       return;
     }
-    Finish(ParseResponse(outcome.response.body));
+    Finish(ParseResponse());
   }
 
   /// Accepts a complete response only if its call id is that of this call.
-  FailureClassification ParseResponse(const std::string& body) const {
+  FailureClassification ParseResponse() const {
     FailureClassification classification;
     const bool readable =
-        FromJson(body, &classification.result.answer, UnknownFields::kIgnore).ok();
+        FromJson(body_, &classification.result.answer, UnknownFields::kIgnore).ok();
     if (readable && classification.result.answer.call_id() == request_.body.call_id()) {
       classification.result.end = AttemptEnd::kComplete;
       classification.health = CallOutcome::kSuccess;
       return classification;
     }
-    const std::string_view fault = readable ? "other_call" : "malformed";
+    return DescribeFault(readable ? "other_call" : "malformed");
+  }
+
+  /// Ends the attempt and closes its connection, which may bring further foreign responses.
+  void Abort(std::string_view fault) {
+    call_->Cancel();
+    Finish(DescribeFault(fault));
+  }
+
+  FailureClassification DescribeFault(std::string_view fault) const {
     context_.environment.metrics().Increment("gateway_response_faults_total", {{"fault", fault}});
     Log(LogLevel::kWarning, "response_discarded",
         {{"call_id", request_.body.call_id()}, {"replica", request_.use.id}, {"fault", fault}});
-    classification.result.answer.Clear();
+    FailureClassification classification;
     classification.result.end = AttemptEnd::kUnknown;
     classification.result.error.set_code("response_broken");
     classification.result.error.set_message(
@@ -101,6 +149,9 @@
   JsonAttemptCallbacks callbacks_;
   AttemptSession session_;
   std::shared_ptr<HttpCall> call_;
+  int status_ = 0;         ///< 0 until the head was received.
+  std::string echoed_id_;  ///< The call id in the head; empty if it has none.
+  std::string body_;
 };
 
 }  // namespace
--- a/src/calls/stream_attempt.cc
+++ b/src/calls/stream_attempt.cc
@@ -5,6 +5,7 @@
 #include "calls/attempt_session.h"
 #include "calls/call_attempt.h"
 #include "calls/line_reader.h"
+#include "calls/response_origin.h"
 #include "calls/stream_check.h"
 #include "json/json.h"
 #include "net/http_status.h"
@@ -74,6 +75,11 @@
     status_ = status;
     echoed_id_ = FindHeader(headers, kCallIdHeader);
     context_.pool.OnResponseHead(request_.use, headers, session_.Elapsed());
+    const ResponseOrigin origin = FindResponseOrigin(echoed_id_, request_.body.call_id());
+    if (origin == ResponseOrigin::kOtherCall) {
+      check_.RecordOtherCall();
+      AbortResponse();
+    }
   }
 
   void OnBytes(const std::string& bytes, std::function<void()> more) {
--- a/src/calls/stream_check.h
+++ b/src/calls/stream_check.h
@@ -45,6 +45,8 @@
   bool OnBodyEnd();
   /// Something other than a chunk was received.
   void RecordMalformed() { Fail(StreamFault::kMalformed); }
+  /// The head of the response names another call.
+  void RecordOtherCall() { Fail(StreamFault::kOtherCall); }
 
   /// The first fault, if any.
   StreamFault fault() const { return fault_; }
--- a/tests/gateway/live_call_test.cc
+++ b/tests/gateway/live_call_test.cc
@@ -141,6 +141,23 @@
   }
 }
 
+TEST_F(LiveCallTest, AForeignResponseClosesItsConnection) {
+  FakeReplica& model = harness.AddReplica("m1", "a", 4);
+  FakeReplica& service = harness.AddReplica("s1", "a", 4, proto::BACKEND_KIND_SERVICE);
+  model.mode = Mode::kScripted;
+  service.mode = Mode::kScripted;
+  harness.StartWarm();
+  for (const auto& [route, replica] : {std::pair("once", &model), std::pair("unlock", &service)}) {
+    const auto client = harness.Call(route);
+    harness.world.RunFor(milliseconds(10));
+    ASSERT_EQ(replica->exchanges.size(), 1U);
+    replica->exchanges[0]->Head(503, {{"X-Call-Id", "another"}});
+    harness.world.RunFor(milliseconds(10));
+    EXPECT_TRUE(replica->exchanges[0]->cancelled) << route;
+    EXPECT_EQ(client->status, 504) << route;
+  }
+}
+
 TEST_F(LiveCallTest, SendsNothingAfterReportingNotRun) {
   FakeReplica& only = harness.AddReplica("m1", "a", 1);
   only.mode = Mode::kRefuse;
