--- a/tests/scripts/check_evidence_test.py
+++ b/tests/scripts/check_evidence_test.py
@@ -47,6 +47,10 @@
         found = self.problems("Hunts: no rule broken (journal aaaaaaaa,\njournal cccccccc).\n")
         self.assertEqual(found, ["docs/page.md:1: journal cccccccc: the run did not finish"])
 
+    def test_reports_a_checkout_without_pages(self):
+        with tempfile.TemporaryDirectory() as folder:
+            self.assertEqual(len(load_script("check-evidence").check(pathlib.Path(folder))), 1)
+
     def test_reports_a_missing_entry(self):
         self.assertEqual(len(self.problems("See journal dddddddd.\n")), 1)
         self.assertEqual(len(self.problems("See journal 20260101T00.\n")), 0, "not the name of an entry")
