Emit no token at the end of a cancelled prefill of an emulated replica

Cause: ModelReplica::Cancel dropped the call that was prefilled, and the end of that step was then taken for the end of a decode step, so every running call got a token early (docs/ROADMAP.md, possible faults). Change: the kind of the step decides what its end does.

--- a/src/emulation/model_replica.cc
+++ b/src/emulation/model_replica.cc
@@ -173,11 +173,21 @@
 }
 
 void ModelReplica::FinishStep(std::vector<EmittedChunk>* chunks) {
-  if (prefilling_) {
+  if (last_step_was_prefill_) {
+    FinishPrefill();
+  } else {
+    FinishDecodeStep(chunks);
+  }
+}
+
+void ModelReplica::FinishPrefill() {
+  if (prefilling_) {  // Else the call was cancelled meanwhile.
     decoding_.push_back(std::move(*prefilling_));
     prefilling_.reset();
-    return;
   }
+}
+
+void ModelReplica::FinishDecodeStep(std::vector<EmittedChunk>* chunks) {
   for (auto call = decoding_.begin(); call != decoding_.end();) {
     EmittedChunk emitted;
     emitted.call_key = call->call_key;
--- a/src/emulation/model_replica.h
+++ b/src/emulation/model_replica.h
@@ -86,6 +86,9 @@
   void BeginNextStep(TimePoint now);
   bool BeginPrefill(TimePoint now);
   void FinishStep(std::vector<EmittedChunk>* chunks);
+  void FinishPrefill();
+  /// Emits one token of each running call.
+  void FinishDecodeStep(std::vector<EmittedChunk>* chunks);
   /// @return the KV cache tokens that the call needs: its prompt, its answer and its shared prefix.
   std::uint32_t RequiredKvTokens(const proto::CallRequest& request) const;
   /// Marks the prefix as most recently used, adding it if it is not cached.
--- a/tests/emulation/model_replica_test.cc
+++ b/tests/emulation/model_replica_test.cc
@@ -47,6 +47,17 @@
   EXPECT_EQ(replica.Start(kLoaded, "c", Request("c", 9999)), StartOutcome::kTooLarge);
 }
 
+TEST(ModelReplicaTest, ACancelledPrefillGivesNoTokenToRunningCalls) {
+  ModelReplica replica(TestBehaviour(), 4, "r", kStart);
+  ASSERT_EQ(replica.Start(kLoaded, "a", Request("first", 5)), StartOutcome::kAccepted);
+  (void)replica.Advance(*replica.NextEvent());  // The prefill of "a".
+  (void)replica.Start(*replica.NextEvent(), "b", Request("second", 3));
+  EXPECT_EQ(replica.Advance(*replica.NextEvent()).size(), 1U);  // A decode step.
+  replica.Cancel("b");                                          // While its prefill runs.
+  EXPECT_TRUE(replica.Advance(*replica.NextEvent()).empty());
+  EXPECT_EQ(replica.Advance(*replica.NextEvent()).size(), 1U);
+}
+
 TEST(ModelReplicaTest, StreamsCompleteConcurrentAnswers) {
   ModelReplica replica(TestBehaviour(), 4, "r", kStart);
   ASSERT_EQ(replica.Start(kLoaded, "a", Request("first", 5)), StartOutcome::kAccepted);
