Refuse a deployment file whose boolean has another type

Cause: TableReader::Boolean read a text or number as false without a word (docs/ROADMAP.md, possible faults). Evidence: ABooleanOfAnotherTypeIsAProblem failed before (the file was accepted).

--- a/src/deployment/deployment.cc
+++ b/src/deployment/deployment.cc
@@ -52,7 +52,14 @@
     const auto count = std::chrono::duration_cast<milliseconds>(fallback).count();
     return milliseconds(Number(key, static_cast<std::uint32_t>(count)));
   }
-  bool Boolean(std::string_view key) { return table_[key].value_or(false); }
+  /// @return false if the table has no such key.
+  bool Boolean(std::string_view key) {
+    const auto* boolean = table_[key].as_boolean();
+    if (boolean == nullptr && table_.contains(key)) {
+      AddProblem(key, "true or false");
+    }
+    return boolean != nullptr && boolean->get();
+  }
   std::vector<std::string> Texts(std::string_view key) {
     std::vector<std::string> texts;
     if (const auto* array = table_[key].as_array()) {
--- a/tests/deployment/deployment_test.cc
+++ b/tests/deployment/deployment_test.cc
@@ -40,6 +40,23 @@
   EXPECT_EQ(deployment->BehaviourOf("other").decode_step, BackendBehaviour{}.decode_step);
 }
 
+TEST(DeploymentTest, ABooleanOfAnotherTypeIsAProblem) {
+  const auto deployment = ParseDeployment(R"([deployment]
+name = "small"
+platform_list = "127.0.9.1:9000"
+emulator_admin = "127.0.9.1:9001"
+[[machine]]
+name = "front"
+address = "127.0.1.1"
+zone = "a"
+roles = ["gateway", "backup"]
+spare_backup = "true"
+)",
+                                          "fleet.toml");
+  ASSERT_FALSE(deployment.ok());
+  EXPECT_THAT(deployment.status().message(), HasSubstr("spare_backup: expected true or false"));
+}
+
 TEST(DeploymentTest, ErrorListsEveryProblem) {
   const auto deployment = ParseDeployment(R"([deployment]
 name = "small"
