Leave IPv6 addresses as they are when a deployment moves to another network

Cause: MoveToNetwork took the rest of the address after the second dot and threw where there is none (docs/ROADMAP.md, possible faults). Evidence: MoveToNetworkLeavesIpv6AddressesUnchanged failed before with std::out_of_range; test_deployment 4 passed.

--- a/src/deployment/deployment.cc
+++ b/src/deployment/deployment.cc
@@ -240,7 +240,9 @@
   const auto move = [&network](std::string* address) {
     const auto first_dot = address->find('.');
     const auto second_dot = address->find('.', first_dot + 1);
-    *address = network + address->substr(second_dot);
+    if (first_dot != std::string::npos && second_dot != std::string::npos) {
+      *address = network + address->substr(second_dot);
+    }
   };
   move(&deployment->platform_list.host);
   move(&deployment->emulator_admin.host);
--- a/src/deployment/deployment.h
+++ b/src/deployment/deployment.h
@@ -71,8 +71,8 @@
 Result<Deployment> ParseDeployment(std::string_view toml, const std::string& file_name);
 /// Reads the file at `path` and parses it as `ParseDeployment` does.
 Result<Deployment> LoadDeployment(const std::string& path);
-/// Replaces the first two numbers of every IP address by `network` (such as "127.20"), so that the
-/// same deployment can run several times on one machine.
+/// Replaces the first two numbers of every IPv4 address by `network` (such as "127.20"), so that
+/// the same deployment can run several times on one machine. Other addresses stay as they are.
 void MoveToNetwork(const std::string& network, Deployment* deployment);
 /// @return the text of a fleet.toml that parses to the same deployment.
 std::string PrintDeployment(const Deployment& deployment);
--- a/tests/deployment/deployment_test.cc
+++ b/tests/deployment/deployment_test.cc
@@ -57,6 +57,15 @@
   EXPECT_THAT(deployment.status().message(), HasSubstr("spare_backup: expected true or false"));
 }
 
+TEST(DeploymentTest, MoveToNetworkLeavesIpv6AddressesUnchanged) {
+  Deployment deployment;
+  deployment.platform_list = {"::1", 9000};
+  deployment.emulator_admin = {"127.0.9.1", 9001};
+  MoveToNetwork("127.44", &deployment);
+  EXPECT_EQ(deployment.platform_list.host, "::1");
+  EXPECT_EQ(deployment.emulator_admin.host, "127.44.9.1");
+}
+
 TEST(DeploymentTest, ErrorListsEveryProblem) {
   const auto deployment = ParseDeployment(R"([deployment]
 name = "small"
