Show that a retiring backup may count as emptied too early (red)

What operators would see: GET /retire/NODE/get says completed while the machine still holds replicas.

--- a/tests/leader/backup_sweeper_test.cc
+++ b/tests/leader/backup_sweeper_test.cc
@@ -53,5 +53,28 @@
   EXPECT_EQ(sweeper.FindReplicaCount(backup), 0U);
 }
 
+TEST_F(BackupSweeperTest, ACountFromBeforeTheRetirementDoesNotCount) {
+  BackupSweeper sweeper(seconds(5), seconds(1), seconds(3));
+  EXPECT_THAT(sweeper.StartDueSweeps(control.state, TimePoint(seconds(100))),
+              testing::Contains(backup));
+  sweeper.HandleReplicaList(backup, proto::ListSegmentsResponse());  // Still empty.
+  proto::ControlCommand retire;
+  retire.mutable_retire_machine()->set_machine("s1");
+  control.Apply(retire);
+  (void)sweeper.StartDueSweeps(control.state, TimePoint(seconds(101)));
+  EXPECT_EQ(sweeper.FindReplicaCount(backup), std::nullopt);
+}
+
+TEST_F(BackupSweeperTest, ASweepThatBeganBeforeTheRetirementDoesNotCount) {
+  BackupSweeper sweeper(seconds(5), seconds(1), seconds(3));
+  (void)sweeper.StartDueSweeps(control.state, TimePoint(seconds(100)));
+  proto::ControlCommand retire;
+  retire.mutable_retire_machine()->set_machine("s1");
+  control.Apply(retire);
+  sweeper.HandleReplicaList(backup, proto::ListSegmentsResponse());
+  (void)sweeper.StartDueSweeps(control.state, TimePoint(seconds(101)));
+  EXPECT_EQ(sweeper.FindReplicaCount(backup), std::nullopt);
+}
+
 }  // namespace
 }  // namespace cloverbank
