--- a/tests/gateway/live_call_test.cc
+++ b/tests/gateway/live_call_test.cc
@@ -254,7 +254,7 @@
   std::vector<std::uint32_t> maximum_by_second;
   for (int second = 0; second < 12; ++second) {
     cold.max_running = 0;
-    for (int step = 0; step < 50; ++step) {  // 120 calls per second over all gateways.
+    for (int step = 0; step < 50; ++step) {  // 100 calls per second over all gateways.
       for (std::size_t turn = 0; turn < 2; ++turn) {
         const std::size_t gateway = harness.world.RandomBelow(harness.planes.size());
         harness.planes[gateway]->router.Post("/v1/call/ask", "{}");
