--- a/review/standins.py
+++ b/review/standins.py
@@ -432,14 +432,20 @@
         print(f"could not run: {error}")
         sys.exit(EXIT_NOT_RUN)
     deployment.record.write("start", trouble=int(trouble()))
+
+    async def play():
+        try:
+            return await asyncio.wait_for(main(deployment), 110)
+        finally:
+            deployment.end()
+            await asyncio.sleep(0.2)  # The connections of the ended processes close.
+
     try:
-        breaches = asyncio.run(asyncio.wait_for(main(deployment), 110))
+        breaches = asyncio.run(play())
     except (CannotRun, OSError, asyncio.TimeoutError) as error:
         deployment.record.write("could_not_run", error=repr(error))
         print(f"could not run: {error!r}")
         sys.exit(EXIT_NOT_RUN)
-    finally:
-        deployment.end()
     for breach in breaches:
         deployment.record.write("BROKEN", what=breach)
         print("BROKEN:", breach)
