--- a/review/standins.py
+++ b/review/standins.py
@@ -465,6 +465,8 @@
 def run_case(main, **options):
     """Runs `main(deployment)`, which returns the breaches, and exits as the review's cases do."""
     case_folder = pathlib.Path(sys.argv[1]).resolve()
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, lambda *_: sys.exit(EXIT_NOT_RUN))  # `play` ends what was started.
     try:
         deployment = Deployment(case_folder, **options)
     except (CannotRun, OSError) as error:
