Try suspect replicas with single batch items, so that lost answers do not end batch work

Cause: one lost answer makes a replica suspect at a gateway. Only a call or a probe ends that state; batch work counted a suspect replica as no room, probes are off on the platform, and without live calls nothing else calls it.

Change: a suspect replica gets one batch item at a time, 100 ms times the gateway's turn after the last bad sign. Each gateway of a zone has another turn. A success makes it healthy, a second time-out ejects it, and ejection ends by time. Live calls are unchanged.

--- a/src/replicas/gateway_quota.cc
+++ b/src/replicas/gateway_quota.cc
@@ -14,13 +14,17 @@
 
 }  // namespace
 
-bool GatewayQuota::IsSelected(std::string_view replica_id, std::uint32_t selected_count) const {
+std::uint32_t GatewayQuota::TurnFor(std::string_view replica_id) const {
   // The first selected gateway is at a fixed fraction of the ring of gateways, not at a fixed
   // index, so that few selections change when a gateway joins or leaves.
   constexpr double kHashRange = 18446744073709551616.0;  // 2^64.
   const double fraction = static_cast<double>(Checksum(replica_id)) / kHashRange;
   const auto first = static_cast<std::uint32_t>(fraction * count);
-  return (index + count - std::min(first, count - 1)) % count < selected_count;
+  return (index + count - std::min(first, count - 1)) % count;
+}
+
+bool GatewayQuota::IsSelected(std::string_view replica_id, std::uint32_t selected_count) const {
+  return TurnFor(replica_id) < selected_count;
 }
 
 std::uint32_t GatewayQuota::SlotsFor(std::string_view replica_id, std::string_view replica_zone,
--- a/src/replicas/gateway_quota.h
+++ b/src/replicas/gateway_quota.h
@@ -22,6 +22,9 @@
   /// another zone. The quotas of all gateways of the zone add up to `slots`.
   std::uint32_t SlotsFor(std::string_view replica_id, std::string_view replica_zone,
                          std::uint32_t slots) const;
+  /// @return this gateway's turn at the replica, below `count`; each gateway of the zone has
+  /// another one, and those with a quota of slots have the first turns.
+  std::uint32_t TurnFor(std::string_view replica_id) const;
   /// @param per_second calls per second that the replica accepts from all gateways.
   /// @return this gateway's quota of the rate, in calls per second; 0 if only other gateways have a
   /// quota of this replica. If every gateway spaces its starts evenly, all of them together start
--- a/src/replicas/replica_health.cc
+++ b/src/replicas/replica_health.cc
@@ -103,6 +103,9 @@
     case CallOutcome::kCancelled:
       break;
   }
+  if (state->condition == ReplicaCondition::kSuspect) {
+    state->suspected_at = now;
+  }
 }
 
 void ReplicaHealth::OnBytesReceived(const std::string& id, TimePoint now) {
@@ -205,6 +208,12 @@
   return state == nullptr ? ReplicaCondition::kUnproven : state->condition;
 }
 
+bool ReplicaHealth::IsSuspectTrialDue(const std::string& id, Duration wait, TimePoint now) const {
+  const ReplicaState* state = Find(id);
+  return state != nullptr && state->condition == ReplicaCondition::kSuspect &&
+         state->in_flight == 0 && now - state->suspected_at >= wait;
+}
+
 std::uint32_t ReplicaHealth::GetLimit(const std::string& id, std::uint32_t capacity,
                                       TimePoint now) const {
   const ReplicaState* state = Find(id);
@@ -296,6 +305,7 @@
     Eject(state, now);
   } else if (proven) {
     state.condition = ReplicaCondition::kSuspect;
+    state.suspected_at = now;
   }
 }
 
--- a/src/replicas/replica_health.h
+++ b/src/replicas/replica_health.h
@@ -5,10 +5,10 @@
 ///
 /// States of a replica:
 ///
-///     kUnproven --good probe--> kHealthy <--good probe-- kSuspect <--one timeout-- kHealthy
-///     any --hard evidence, or enough soft evidence--> kEjected
-///     kEjected --ejection time over and a good probe--> kTrial --one good call--> kHealthy
-///     kTrial --a bad call--> kEjected, for longer
+///     kUnproven --good probe--> kHealthy <--good probe or call-- kSuspect <--one timeout--
+///     kHealthy any --hard evidence, or enough soft evidence--> kEjected kEjected --ejection time
+///     over and a good probe--> kTrial --one good call--> kHealthy kTrial --a bad call--> kEjected,
+///     for longer
 ///
 /// Hard evidence (repeated timeouts or refused connections) always ejects a replica. Soft evidence
 /// (failed or slow responses) ejects it only while no more than `maximum_ejected_percent` of the
@@ -98,6 +98,10 @@
   bool IsStalled(const std::string& id, TimePoint now) const;
   Usability GetUsability(const std::string& id, TimePoint now) const;
   ReplicaCondition GetCondition(const std::string& id) const;
+  /// Whether a suspect replica may get one batch item as a trial: no call is in flight there, and
+  /// `wait` has passed since the last call of this gateway showed it as suspect. Without it a
+  /// replica that serves batch work alone would stay suspect, since only a call ends that state.
+  bool IsSuspectTrialDue(const std::string& id, Duration wait, TimePoint now) const;
   /// @param capacity calls that the replica runs concurrently.
   /// @return the current limit of concurrent calls of all gateways together; 0 for an unknown
   /// replica.
@@ -121,6 +125,7 @@
     Duration latency{};            ///< Moving average.
     bool seen_serving = false;     ///< Observed serving a call since it became healthy.
     TimePoint slow_start_began{};  ///< When it was first observed serving a call.
+    TimePoint suspected_at{};      ///< When a call or probe last left the replica suspect.
     TimePoint ejected_until{};
     TimePoint healthy_since{};
     TimePoint ejections_decayed_at{};  ///< When it became healthy, or `ejections` last dropped.
--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -16,6 +16,8 @@
 constexpr std::uint32_t kOtherZoneRank = 4;  // After the gateway's zone and region, busy or not.
 constexpr std::uint32_t kLastResortRankPenalty = 5;  // Added to the rank of a last resort.
 constexpr Duration kLastResortCostPenalty = seconds(10);
+/// Between the turns of two gateways of a zone to try a suspect replica with one batch item.
+constexpr Duration kSuspectTrialInterval = milliseconds(100);
 
 /// A replica with its rendezvous weight for one key.
 struct WeightedReplica {
@@ -276,8 +278,7 @@
     for (const ReplicaRecord* replica : directory_.Ready(kind, backend)) {
       const proto::Zone* zone = FindZone(configuration, replica->zone);
       const bool open = zone != nullptr && zone->state() == proto::ZONE_STATE_OPEN;
-      const bool healthy = health_.GetUsability(replica->id, now) == Usability::kYes;
-      slots += open && healthy ? BatchSlotsAt(*replica, configuration, now) : 0;
+      slots += open ? BatchSlotsAt(*replica, configuration, now) : 0;
     }
   }
   return slots;
@@ -286,6 +287,27 @@
 std::uint32_t Router::BatchSlotsAt(const ReplicaRecord& replica,
                                    const proto::RoutingConfiguration& configuration,
                                    TimePoint now) const {
+  switch (health_.GetUsability(replica.id, now)) {
+    case Usability::kNo:
+      return 0;
+    case Usability::kLastResort:
+      return IsSuspectTrialDue(replica, now)
+                 ? std::min(1U, BatchSlotsByLoad(replica, configuration, now))
+                 : 0;
+    case Usability::kYes:
+      return BatchSlotsByLoad(replica, configuration, now);
+  }
+  return 0;
+}
+
+bool Router::IsSuspectTrialDue(const ReplicaRecord& replica, TimePoint now) const {
+  const std::int64_t turn = quota_.TurnFor(replica.id);
+  return health_.IsSuspectTrialDue(replica.id, kSuspectTrialInterval * (turn + 1), now);
+}
+
+std::uint32_t Router::BatchSlotsByLoad(const ReplicaRecord& replica,
+                                       const proto::RoutingConfiguration& configuration,
+                                       TimePoint now) const {
   const auto found = loads_.find(replica.id);
   if (!options_.load_reported) {
     const bool refusing = found != loads_.end() && found->second.IsRefusing(now);
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -152,9 +152,16 @@
                                     RoutingFailure* failure) const;
   Candidate MakeCandidate(const ReplicaRecord& replica, const RoutingQuery& query,
                           TimePoint now) const;
-  /// @return how many more batch items may start at the replica now.
+  /// @return how many more batch items may start at the replica now. A replica of last resort gets
+  /// none, apart from one at a time as a trial.
   std::uint32_t BatchSlotsAt(const ReplicaRecord& replica,
                              const proto::RoutingConfiguration& configuration, TimePoint now) const;
+  /// @return the same by load and quota alone, whatever the replica's health.
+  std::uint32_t BatchSlotsByLoad(const ReplicaRecord& replica,
+                                 const proto::RoutingConfiguration& configuration,
+                                 TimePoint now) const;
+  /// Whether it is this gateway's turn to try a suspect replica with one batch item.
+  bool IsSuspectTrialDue(const ReplicaRecord& replica, TimePoint now) const;
   /// Ranks by distance and load: replicas that are not busy in this gateway's zone, then in its
   /// region; then busy ones in the same order; then those of all other zones. Replicas of last
   /// resort rank after all others.
