Bind accepted work to what its client sent, not to the name of its route

Cause: waiting calls, calls between two tries and granted items kept the name of their route and looked it up in the newest configuration, without comparing host and prefix.

Change: work keeps a RouteReference (host and path, or the name that a client of /v1 sent), in calls, in the log and in grants; src/routes resolves it. New proto fields only; batches of older builds get a derived reference. Two copies of a case-insensitive comparison and three of a search by name became one.

--- a/src/batch_work/batch_validation.cc
+++ b/src/batch_work/batch_validation.cc
@@ -5,6 +5,8 @@
 #include <unordered_map>
 #include <utility>
 
+#include "routes/route_match.h"
+
 namespace cloverbank {
 namespace {
 
@@ -99,11 +101,6 @@
 
 }  // namespace
 
-const proto::Route* FindRouteNamed(const proto::RoutingConfiguration& configuration,
-                                   const std::string& name) {
-  return FindNamed(configuration.routes(), name);
-}
-
 std::vector<std::string> FindBatchProblems(const proto::SubmitBatch& batch,
                                            const proto::RoutingConfiguration& configuration) {
   ProblemList problems;
--- a/src/batch_work/batch_validation.h
+++ b/src/batch_work/batch_validation.h
@@ -17,10 +17,6 @@
 /// Largest size in bytes of a custom id, tenant or idempotency key.
 inline constexpr std::size_t kMaximumBatchNameBytes = 256;
 
-/// @return the route of that name, or nullptr.
-const proto::Route* FindRouteNamed(const proto::RoutingConfiguration& configuration,
-                                   const std::string& name);
-
 /// @return all problems, each with its field ("items[3].custom_id: ..."); empty if there is none. A
 /// list of more than 100 is truncated and ends with the number of further problems.
 std::vector<std::string> FindBatchProblems(const proto::SubmitBatch& batch,
--- a/src/batch_work/batch_worker.cc
+++ b/src/batch_work/batch_worker.cc
@@ -5,7 +5,7 @@
 #include <string>
 #include <utility>
 
-#include "batch_work/batch_validation.h"
+#include "routes/route_reference.h"
 #include "runtime/typed_peer.h"
 
 namespace cloverbank {
@@ -101,8 +101,7 @@
   const StartConditions conditions = CurrentConditions();
   StartRefusal refusal = work_items_.CanStart(lease, conditions);
   if (refusal == StartRefusal::kNone) {
-    const proto::Route* route =
-        FindRouteNamed(agent_.configuration(), work_items_.FindGrant(lease)->route());
+    const proto::Route* route = work_items_.FindRoute(lease, agent_.configuration());
     std::uint32_t& slots = (*free)[route->backend()];
     if (slots > 0) {
       --slots;
@@ -128,10 +127,10 @@
       route.deadline_ms() > 0 && route.backend_kind() != proto::BACKEND_KIND_HTTP;
   const Duration deadline = route_sets_deadline ? Duration(milliseconds(route.deadline_ms()))
                                                 : options_.default_item_deadline;
-  work_items_.RecordRunning(lease);
+  work_items_.RecordRunning(lease, route.backend());
   environment_.metrics().Increment("batch_items_started_total");
   calls_[lease] = caller_.RunBatchItem(
-      granted_route, MakeCallRequest(grant), deadline,
+      {granted_route, ReferenceOf(grant), MakeCallRequest(grant), deadline},
       [this, lease, token = lifetime_.token()] { return !token.expired() && CanDispatch(lease); },
       lifetime_.Wrap([this, lease, backend = route.backend()](const BackendOutcome& outcome) {
         FinishItem(lease, backend, outcome);
@@ -163,13 +162,7 @@
 }
 
 BatchCapacity BatchWorker::FreeCapacity() const {
-  std::map<std::string, std::uint32_t> not_dispatched;
-  for (const auto& [route_name, count] : work_items_.NotDispatchedByRoute()) {
-    const proto::Route* route = FindRouteNamed(agent_.configuration(), route_name);
-    if (route != nullptr) {
-      not_dispatched[route->backend()] += count;
-    }
-  }
+  std::map<std::string, std::uint32_t> not_dispatched = work_items_.NotDispatchedByBackend();
   BatchCapacity free;
   for (const proto::Route& route : agent_.configuration().routes()) {
     if (IsPaused(route.backend())) {
@@ -202,8 +195,7 @@
 BatchCapacity BatchWorker::UnclaimedCapacity() const {
   BatchCapacity free = FreeCapacity();
   for (const WorkLeaseId lease : work_items_.Waiting()) {
-    const proto::Route* route =
-        FindRouteNamed(agent_.configuration(), work_items_.FindGrant(lease)->route());
+    const proto::Route* route = work_items_.FindRoute(lease, agent_.configuration());
     if (route != nullptr && free[route->backend()] > 0) {
       --free[route->backend()];
     }
--- a/src/batch_work/work_item_table.cc
+++ b/src/batch_work/work_item_table.cc
@@ -4,7 +4,7 @@
 #include <set>
 #include <utility>
 
-#include "batch_work/batch_validation.h"
+#include "routes/route_reference.h"
 
 namespace cloverbank {
 namespace {
@@ -43,7 +43,7 @@
   if (conditions.configuration->batch().paused()) {
     return StartRefusal::kPaused;
   }
-  const proto::Route* route = FindRouteNamed(*conditions.configuration, item->grant.route());
+  const proto::Route* route = FindRoute(lease, *conditions.configuration);
   if (route == nullptr) {
     return StartRefusal::kNoRoute;
   }
@@ -51,10 +51,11 @@
   return no_longer_idempotent ? StartRefusal::kMustNotRepeat : StartRefusal::kNone;
 }
 
-void WorkItemTable::RecordRunning(WorkLeaseId lease) {
+void WorkItemTable::RecordRunning(WorkLeaseId lease, const std::string& backend) {
   Item* item = Find(lease);
   if (item != nullptr && item->phase == Phase::kWaiting) {
     item->phase = Phase::kRunning;
+    item->backend = backend;
   }
 }
 
@@ -154,11 +155,17 @@
   return item == nullptr ? nullptr : &item->grant;
 }
 
-std::map<std::string, std::uint32_t> WorkItemTable::NotDispatchedByRoute() const {
+const proto::Route* WorkItemTable::FindRoute(
+    WorkLeaseId lease, const proto::RoutingConfiguration& configuration) const {
+  const Item* item = Find(lease);
+  return item == nullptr ? nullptr : ResolveBatchRoute(configuration, ReferenceOf(item->grant));
+}
+
+std::map<std::string, std::uint32_t> WorkItemTable::NotDispatchedByBackend() const {
   std::map<std::string, std::uint32_t> counts;
   for (const auto& [lease, item] : items_) {
     if (item.phase == Phase::kRunning) {
-      ++counts[item.grant.route()];
+      ++counts[item.backend];
     }
   }
   return counts;
--- a/src/batch_work/work_item_table.h
+++ b/src/batch_work/work_item_table.h
@@ -72,8 +72,8 @@
   /// @return kNone if the item of `lease` may start now, else the reason why not. Evaluated again
   /// immediately before its request is sent.
   StartRefusal CanStart(WorkLeaseId lease, const StartConditions& conditions) const;
-  /// Records that the item's call was passed to the `BackendCaller`.
-  void RecordRunning(WorkLeaseId lease);
+  /// Records that the item's call to `backend` was passed to the `BackendCaller`.
+  void RecordRunning(WorkLeaseId lease, const std::string& backend);
   /// Records that from now on the item's request may have been sent.
   void RecordDispatched(WorkLeaseId lease);
   /// Ends an item that was not started: as failed if the refusal is final, else as not run.
@@ -95,8 +95,12 @@
   TimePoint ArrivedAt(WorkLeaseId lease) const;
   /// @return nullptr if the lease is not known.
   const proto::WorkGrant* FindGrant(WorkLeaseId lease) const;
-  /// @return the number of running items whose request was not dispatched, by route name.
-  std::map<std::string, std::uint32_t> NotDispatchedByRoute() const;
+  /// @return the route of the item of `lease` by `configuration`; nullptr if the lease is not known
+  /// or there is no such route.
+  const proto::Route* FindRoute(WorkLeaseId lease,
+                                const proto::RoutingConfiguration& configuration) const;
+  /// @return the number of running items whose request was not dispatched, by back end.
+  std::map<std::string, std::uint32_t> NotDispatchedByBackend() const;
 
   /// Finds the owner of a partition; an invalid id while there is none.
   using OwnerLookup = std::function<NodeId(PartitionId)>;
@@ -125,8 +129,9 @@
   struct Item {
     proto::WorkGrant grant;
     NodeId gateway;
-    TimePoint start_by;  ///< When the start window ends.
-    TimePoint arrived;   ///< When this gateway received the grant.
+    TimePoint start_by;   ///< When the start window ends.
+    TimePoint arrived;    ///< When this gateway received the grant.
+    std::string backend;  ///< To which the item's call was passed.
     Phase phase = Phase::kWaiting;
     bool lease_ended = false;
     proto::WorkReport report;  ///< Complete from kDone on.
--- a/src/batches/batch_store.cc
+++ b/src/batches/batch_store.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "batches/list_cursor.h"
+#include "routes/route_reference.h"
 
 namespace cloverbank {
 namespace {
@@ -112,6 +113,10 @@
     unaccepted_.erase(logged_items);
   }
   batch->items.shrink_to_fit();
+  batch->route = batch->accepted.has_route_reference()
+                     ? batch->accepted.route_reference()
+                     : DeriveReference(batch->accepted.tenant(), batch->accepted.route(),
+                                       batch->items.empty() ? nullptr : batch->items.data());
   batch->phases.assign(batch->items.size(), ItemPhase::kWaiting);
   for (const proto::BatchItem& item : batch->items) {
     batch->open_tokens += item.tokens();
--- a/src/batches/stored_batch.h
+++ b/src/batches/stored_batch.h
@@ -27,6 +27,7 @@
 
 struct StoredBatch {
   proto::BatchAccepted accepted;
+  proto::RouteReference route;  ///< By which the batch's route is found in each configuration.
   /// Sequence of its BatchAccepted entry: its position in its tenant's list.
   PartitionSequence position;
   std::vector<proto::BatchItem> items;
--- a/src/calls/backend_caller.h
+++ b/src/calls/backend_caller.h
@@ -12,6 +12,7 @@
 
 #include "base/status.h"
 #include "base/time.h"
+#include "proto/common.pb.h"
 #include "proto/configuration.pb.h"
 #include "proto/live.pb.h"
 
@@ -41,6 +42,14 @@
   virtual void Cancel() = 0;
 };
 
+/// One batch item to run.
+struct BatchItemCall {
+  proto::Route route;               ///< By the current configuration.
+  proto::RouteReference reference;  ///< By which the route is found again before each attempt.
+  proto::CallRequest request;
+  Duration deadline{};  ///< Time for the whole call, retries included, from now.
+};
+
 class BackendCaller {
  public:
   virtual ~BackendCaller() = default;
@@ -49,17 +58,14 @@
   /// live calls and the configured reserve.
   virtual std::uint32_t FreeBatchSlots(const std::string& backend) const = 0;
 
-  /// Runs one batch item at a replica of `route.backend()`. A call of a non-idempotent route is
+  /// Runs one batch item at a replica of its route. A call of a non-idempotent route is
   /// never retried once bytes of it were sent, unless the replica refused it before running it.
-  /// @param deadline time for the whole call, retries included, from now.
   /// @param can_start evaluated before each attempt, and again immediately before its request is
   /// sent. Once it returns false nothing more is sent; the call ends with EXECUTED_NO if no earlier
   /// attempt may have run.
   /// @param done runs exactly once, after this function has returned, unless the call is cancelled.
   /// @return the running call; destroying the handle does not cancel it.
-  virtual std::shared_ptr<BackendCall> RunBatchItem(const proto::Route& route,
-                                                    const proto::CallRequest& request,
-                                                    Duration deadline,
+  virtual std::shared_ptr<BackendCall> RunBatchItem(const BatchItemCall& item,
                                                     std::function<bool()> can_start,
                                                     std::function<void(BackendOutcome)> done) = 0;
 };
--- a/src/calls/call_failure.cc
+++ b/src/calls/call_failure.cc
@@ -22,6 +22,9 @@
     case CallFailure::kUnknownRoute:
       return {"unknown_route", "the configuration no longer has the route of this call",
               Duration::zero()};
+    case CallFailure::kBatchRoute:
+      return {"batch_route", "by the configuration this request is a batch now; send it again",
+              kShortRetryAfter};
     case CallFailure::kStartWithdrawn:
       return {"start_withdrawn",
               "this batch item may no longer start, e.g. because its work lease ended",
--- a/src/calls/call_failure.h
+++ b/src/calls/call_failure.h
@@ -13,7 +13,8 @@
   kDeadlineReached,
   kLeaseExpired,    ///< The gateway has no valid node lease, so it must not forward calls.
   kNoReplicaList,   ///< The gateway has not read the list of replicas yet.
-  kUnknownRoute,    ///< The configuration no longer has the route.
+  kUnknownRoute,    ///< The configuration no longer has a route for the call.
+  kBatchRoute,      ///< By the configuration the request of a live call is now a batch.
   kStartWithdrawn,  ///< A batch item may no longer start, e.g. because its work lease ended.
   kNoCapacity,      ///< No replica has capacity for batch work.
 };
--- a/src/calls/call_runner.cc
+++ b/src/calls/call_runner.cc
@@ -5,7 +5,7 @@
 
 #include "base/logging.h"
 #include "net/http_status.h"
-#include "routing/route_match.h"
+#include "routes/route_match.h"
 
 namespace cloverbank {
 namespace {
@@ -81,8 +81,14 @@
   }
 }
 
+const proto::Route* CallRunner::FindRoute() const {
+  const proto::RoutingConfiguration& configuration = context_.permission.configuration();
+  return spec_.work == WorkKind::kBatch ? ResolveBatchRoute(configuration, spec_.route)
+                                        : ResolveRoute(configuration, spec_.route);
+}
+
 CallRunner::TrySendResult CallRunner::TrySend() {
-  const proto::Route* route = FindRoute(context_.permission.configuration(), spec_.route);
+  const proto::Route* route = FindRoute();
   if (const std::optional<CallFailure> failure = CheckPreconditions(route)) {
     FinishWith(*failure);
     return TrySendResult::kEnded;
@@ -120,12 +126,19 @@
   if (route == nullptr) {
     return CallFailure::kUnknownRoute;
   }
+  if (IsBatchOnly(*route)) {
+    return CallFailure::kBatchRoute;
+  }
   if (spec_.can_start && !spec_.can_start()) {
     return CallFailure::kStartWithdrawn;
   }
   return std::nullopt;
 }
 
+bool CallRunner::IsBatchOnly(const proto::Route& route) const {
+  return spec_.work == WorkKind::kLive && IsByPath(spec_.route) && route.accepts_batches();
+}
+
 RoutingQuery CallRunner::MakeRoutingQuery(const proto::Route& route) const {
   RoutingQuery query;
   query.configuration = &context_.permission.configuration();
@@ -188,11 +201,11 @@
 }
 
 bool CallRunner::CanSendNow(const ReplicaUse& use) const {
-  const proto::Route* route = FindRoute(context_.permission.configuration(), spec_.route);
+  const proto::Route* route = FindRoute();
   const bool in_time = context_.attempt.environment.Now() < spec_.deadline;
   const bool permitted = !spec_.can_start || spec_.can_start();
   return !done_ && in_time && permitted && context_.permission.IsValid() && route != nullptr &&
-         context_.attempt.pool.CanSend(use, *route);
+         !IsBatchOnly(*route) && context_.attempt.pool.CanSend(use, *route);
 }
 
 void CallRunner::WaitInQueue() {
@@ -347,7 +360,7 @@
 }
 
 bool CallRunner::IsRepeatableNow() const {
-  const proto::Route* route = FindRoute(context_.permission.configuration(), spec_.route);
+  const proto::Route* route = FindRoute();
   return route_idempotent_ && route != nullptr && IsRepeatable(*route);
 }
 
--- a/src/calls/call_runner.h
+++ b/src/calls/call_runner.h
@@ -19,12 +19,15 @@
 #include "calls/call_failure.h"
 #include "calls/retry_policy.h"
 #include "calls/serving_permission.h"
+#include "routes/route_reference.h"
 
 namespace cloverbank {
 
 struct CallSpec {
-  std::string route;    ///< Name; looked up in the configuration again before each attempt.
-  std::string backend;  ///< That of the route when the call was admitted.
+  /// What the client sent to pick the route; resolved again before each attempt.
+  proto::RouteReference route;
+  std::string route_name;  ///< When the call was admitted; for logs and metrics only.
+  std::string backend;     ///< That of the route when the call was admitted.
   proto::Priority priority = proto::PRIORITY_STANDARD;
   bool idempotent = false;  ///< Whether the route was idempotent when the call was admitted.
   /// Maximum number of replicas that may run the call; 0: the gateway's default.
@@ -89,9 +92,13 @@
   /// Sends the call, or queues it if there is no capacity or other calls of its back end wait.
   void TrySendOrWait();
   TrySendResult TrySend();
+  /// @return the route of the call by the current configuration, or nullptr.
+  const proto::Route* FindRoute() const;
   /// @param route nullptr if the configuration no longer has it.
   /// @return why the call must end instead of being sent; nothing if it may be sent.
   std::optional<CallFailure> CheckPreconditions(const proto::Route* route) const;
+  /// Whether the route accepts batches and this is a live call that it would match by its path.
+  bool IsBatchOnly(const proto::Route& route) const;
   RoutingQuery MakeRoutingQuery(const proto::Route& route) const;
   void Send(const ReplicaRecord& replica, const proto::Route& route);
   AttemptRequest MakeAttemptRequest(const ReplicaRecord& replica, const proto::Route& route);
--- a/src/calls/forward_attempt.cc
+++ b/src/calls/forward_attempt.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/ascii.h"
 #include "base/logging.h"
 #include "calls/backend_caller.h"
 #include "net/http_headers.h"
--- a/src/calls/replica_pool.cc
+++ b/src/calls/replica_pool.cc
@@ -4,7 +4,7 @@
 #include <utility>
 
 #include "base/logging.h"
-#include "routing/route_match.h"
+#include "routes/route_match.h"
 
 namespace cloverbank {
 namespace {
--- a/src/calls/slow_start_quota.cc
+++ b/src/calls/slow_start_quota.cc
@@ -2,7 +2,7 @@
 
 #include <limits>
 
-#include "routing/route_match.h"
+#include "routes/route_match.h"
 
 namespace cloverbank {
 namespace {
--- a/src/gateway/batch_api.cc
+++ b/src/gateway/batch_api.cc
@@ -8,6 +8,8 @@
 #include "control_client/batch_partitions.h"
 #include "control_client/overload_rejection.h"
 #include "gateway/http_query.h"
+#include "routes/route_match.h"
+#include "routes/route_reference.h"
 
 namespace cloverbank {
 namespace {
@@ -174,6 +176,7 @@
   }
   submit.set_partition_id(PartitionForTenant(batch.tenant(), agent_.partition_count()).value());
   submit.set_idempotent(FindRouteNamed(agent_.configuration(), batch.route())->idempotent());
+  *submit.mutable_route_reference() = ReferenceByName(batch.route());
   owners_.Call<proto::SubmitBatchResponse>(
       "queue.SubmitBatch", submit, kChangeDeadline,
       [responder](const Result<proto::SubmitBatchResponse>& result) {
--- a/src/gateway/batch_service.cc
+++ b/src/gateway/batch_service.cc
@@ -4,6 +4,7 @@
 
 #include "base/logging.h"
 #include "control_client/batch_partitions.h"
+#include "routes/route_reference.h"
 
 namespace cloverbank {
 namespace {
@@ -91,6 +92,7 @@
   proto::SubmitBatchRequest request;
   request.set_partition_id(FindPartition(submission.host, submission.batch_id));
   request.set_idempotent(true);
+  *request.mutable_route_reference() = ReferenceByPath(submission.host, submission.path);
   request.set_wait_ms(static_cast<std::uint32_t>(route.target_ms() * kSubmissionWaitRatio));
   proto::SubmitBatch& batch = *request.mutable_batch();
   batch.set_tenant(submission.host);
--- a/src/gateway/batch_service.h
+++ b/src/gateway/batch_service.h
@@ -25,6 +25,7 @@
 /// A batch that a client submits.
 struct BatchSubmission {
   std::string host;
+  std::string path;      ///< Of the submission, without the query.
   std::string batch_id;  ///< Chosen by the client; a submission with the same id is the same batch.
   std::vector<proto::BatchItem> items;
 };
--- a/src/gateway/forwarding_service.cc
+++ b/src/gateway/forwarding_service.cc
@@ -6,7 +6,8 @@
 #include "gateway/admission_response.h"
 #include "gateway/live_forward.h"
 #include "net/http_status.h"
-#include "routing/route_match.h"
+#include "routes/route_match.h"
+#include "routes/route_reference.h"
 
 namespace cloverbank {
 namespace {
@@ -126,7 +127,8 @@
     timeout = std::min(timeout, *call.timeout);
   }
   CallSpec spec;
-  spec.route = route.name();
+  spec.route = ReferenceByPath(call.host, call.path);
+  spec.route_name = route.name();
   spec.backend = route.backend();
   spec.priority = route.priority();
   spec.idempotent = route.idempotent();
--- a/src/gateway/live_call_base.cc
+++ b/src/gateway/live_call_base.cc
@@ -12,7 +12,7 @@
       started_at_(context.attempt.environment.Now()) {}
 
 void LiveCallBase::Run(CallSpec spec) {
-  route_ = spec.route;
+  route_ = spec.route_name;
   const std::weak_ptr<LiveCallBase> weak = weak_from_this();
   responder_->OnDisconnect([weak] {
     if (const auto self = weak.lock()) {
--- a/src/gateway/live_call_handler.cc
+++ b/src/gateway/live_call_handler.cc
@@ -10,6 +10,8 @@
 #include "calls/http_json.h"
 #include "gateway/admission_response.h"
 #include "net/http_status.h"
+#include "routes/route_match.h"
+#include "routes/route_reference.h"
 
 namespace cloverbank {
 namespace {
@@ -141,7 +143,7 @@
     return nullptr;
   }
   const std::string_view name = PathSegment(request.path, kRouteSegment);
-  const proto::Route* route = FindRoute(context_.permission.configuration(), name);
+  const proto::Route* route = FindRouteNamed(context_.permission.configuration(), name);
   if (route == nullptr) {
     Refuse(responder, kHttpNotFound, "unknown_route",
            "there is no route \"" + std::string(name) + "\"", Duration::zero());
@@ -175,7 +177,8 @@
     timeout = *headers.deadline;
   }
   CallSpec spec;
-  spec.route = route.name();
+  spec.route = ReferenceByName(route.name());
+  spec.route_name = route.name();
   spec.backend = route.backend();
   spec.priority = route.priority();
   spec.idempotent = route.idempotent();
@@ -190,7 +193,7 @@
   body.set_call_id(call_id);
   auto call = std::make_shared<LiveCall>(
       context_, responder, std::move(options), idempotency_cache_,
-      [this, call_id, name = spec.route] { OnCallFinished(call_id, name); });
+      [this, call_id, name = spec.route_name] { OnCallFinished(call_id, name); });
   calls_.emplace(call_id, call);
   call->Start(std::move(spec), std::move(body));
 }
--- a/src/gateway/replica_backend_caller.cc
+++ b/src/gateway/replica_backend_caller.cc
@@ -20,9 +20,9 @@
 }
 
 /// The batch worker's handle of a running item. Destroying the handle does not cancel the item.
-class BatchItemCall final : public BackendCall {
+class RunningItem final : public BackendCall {
  public:
-  explicit BatchItemCall(std::function<void()> cancel) : cancel_(std::move(cancel)) {}
+  explicit RunningItem(std::function<void()> cancel) : cancel_(std::move(cancel)) {}
   void Cancel() override {
     if (const auto cancel = std::exchange(cancel_, nullptr)) {
       cancel();
@@ -40,24 +40,26 @@
 }
 
 std::shared_ptr<BackendCall> ReplicaBackendCaller::RunBatchItem(
-    const proto::Route& route, const proto::CallRequest& request, Duration deadline,
-    std::function<bool()> can_start, std::function<void(BackendOutcome)> done) {
+    const BatchItemCall& item, std::function<bool()> can_start,
+    std::function<void(BackendOutcome)> done) {
+  const proto::Route& route = item.route;
   CallSpec spec;
-  spec.route = route.name();
+  spec.route = item.reference;
+  spec.route_name = route.name();
   spec.backend = route.backend();
   spec.priority = proto::PRIORITY_BATCH;
   spec.idempotent = route.idempotent();
   spec.maximum_attempts = route.attempts();
-  spec.deadline = context_.attempt.environment.Now() + deadline;
+  spec.deadline = context_.attempt.environment.Now() + item.deadline;
   spec.wait_until = spec.deadline;
   spec.work = WorkKind::kBatch;
   spec.can_start = [this, backend = route.backend(), can_start = std::move(can_start)] {
     return CanStartBatches(backend) && can_start();
   };
-  ItemExchange item =
-      request.has_forwarded() ? MakeForwardExchange(route, request) : MakeJsonExchange(request);
-  spec.exchange = std::move(item.exchange);
-  return Run(std::move(spec), std::move(item.read_outcome), std::move(done));
+  ItemExchange exchange = item.request.has_forwarded() ? MakeForwardExchange(route, item.request)
+                                                       : MakeJsonExchange(item.request);
+  spec.exchange = std::move(exchange.exchange);
+  return Run(std::move(spec), std::move(exchange.read_outcome), std::move(done));
 }
 
 ReplicaBackendCaller::ItemExchange ReplicaBackendCaller::MakeJsonExchange(
@@ -111,7 +113,7 @@
   const auto runner = std::make_shared<CallRunner>(context_, std::move(spec), finish);
   running_.emplace(id, runner);
   runner->Start();
-  return std::make_shared<BatchItemCall>([this, id, alive = std::weak_ptr<bool>(alive_)] {
+  return std::make_shared<RunningItem>([this, id, alive = std::weak_ptr<bool>(alive_)] {
     if (!alive.expired()) {
       running_.erase(id);  // The runner's destructor cancels the call.
     }
--- a/src/gateway/replica_backend_caller.h
+++ b/src/gateway/replica_backend_caller.h
@@ -21,8 +21,7 @@
       : context_(context), names_(names) {}
 
   std::uint32_t FreeBatchSlots(const std::string& backend) const override;
-  std::shared_ptr<BackendCall> RunBatchItem(const proto::Route& route,
-                                            const proto::CallRequest& request, Duration deadline,
+  std::shared_ptr<BackendCall> RunBatchItem(const BatchItemCall& item,
                                             std::function<bool()> can_start,
                                             std::function<void(BackendOutcome)> done) override;
 
--- a/src/net/http_headers.cc
+++ b/src/net/http_headers.cc
@@ -6,6 +6,8 @@
 #include <string>
 #include <vector>
 
+#include "base/ascii.h"
+
 namespace cloverbank {
 namespace {
 
@@ -47,13 +49,6 @@
 
 }  // namespace
 
-bool EqualIgnoringCase(std::string_view left, std::string_view right) {
-  return std::equal(left.begin(), left.end(), right.begin(), right.end(),
-                    [](unsigned char one, unsigned char other) {
-                      return std::tolower(one) == std::tolower(other);
-                    });
-}
-
 HttpHeaders EndToEndHeaders(const HttpHeaders& headers,
                             std::initializer_list<std::string_view> additional_names) {
   std::vector<std::string_view> excluded = NamesInConnectionHeaders(headers);
--- a/src/net/http_headers.h
+++ b/src/net/http_headers.h
@@ -11,9 +11,6 @@
 
 namespace cloverbank {
 
-/// @return whether two header names or hosts are equal, ignoring case.
-bool EqualIgnoringCase(std::string_view left, std::string_view right);
-
 /// @return `headers` without the hop-by-hop headers, Content-Length, those that "Connection" lists,
 /// and `additional_names` (in any case).
 HttpHeaders EndToEndHeaders(const HttpHeaders& headers,
--- a/src/net/http_types.cc
+++ b/src/net/http_types.cc
@@ -1,21 +1,8 @@
 #include "net/http_types.h"
 
-#include <algorithm>
-#include <cctype>
+#include "base/ascii.h"
 
 namespace cloverbank {
-namespace {
-
-bool EqualIgnoringCase(std::string_view left, std::string_view right) {
-  return std::equal(left.begin(), left.end(), right.begin(), right.end(),
-                    [](char first, char second) {
-                      return std::tolower(static_cast<unsigned char>(first)) ==
-                             std::tolower(static_cast<unsigned char>(second));
-                    });
-}
-
-}  // namespace
-
 std::string_view FindHeader(const HttpHeaders& headers, std::string_view name) {
   for (const auto& [key, value] : headers) {
     if (EqualIgnoringCase(key, name)) {
--- a/src/queue/batch_intake.cc
+++ b/src/queue/batch_intake.cc
@@ -201,6 +201,9 @@
   accepted.set_item_count(static_cast<std::uint64_t>(submission->batch.items_size()));
   accepted.set_request_checksum(checksum);
   accepted.set_idempotent(request.idempotent());
+  if (request.has_route_reference()) {
+    *accepted.mutable_route_reference() = std::move(*request.mutable_route_reference());
+  }
   submission->reservation.tokens = SumTokens(submission->batch);
   submission->reservation.max_wait = milliseconds(request.wait_ms());
   partition->ReserveItems(accepted.tenant(), accepted.item_count());
--- a/src/routes/route_match.cc
+++ b/src/routes/route_match.cc
@@ -1,10 +1,19 @@
-#include "routing/route_match.h"
+#include "routes/route_match.h"
 
 #include <algorithm>
 
-#include "net/http_headers.h"
+#include "base/ascii.h"
 
 namespace cloverbank {
+
+const proto::Route* FindRouteNamed(const proto::RoutingConfiguration& configuration,
+                                   std::string_view name) {
+  const auto found =
+      std::find_if(configuration.routes().begin(), configuration.routes().end(),
+                   [name](const proto::Route& route) { return route.name() == name; });
+  return found == configuration.routes().end() ? nullptr : &*found;
+}
+
 const proto::Route* MatchRoute(const proto::RoutingConfiguration& configuration,
                                std::string_view host, std::string_view path) {
   const proto::Route* best = nullptr;
--- a/src/routes/route_match.h
+++ b/src/routes/route_match.h
@@ -11,6 +11,10 @@
 
 namespace cloverbank {
 
+/// @return the route of that name, or nullptr.
+const proto::Route* FindRouteNamed(const proto::RoutingConfiguration& configuration,
+                                   std::string_view name);
+
 /// @return the HTTP route of `host` with the longest path prefix of `path`, or nullptr if there is
 /// none. The comparison of hosts ignores case.
 const proto::Route* MatchRoute(const proto::RoutingConfiguration& configuration,
--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -57,11 +57,6 @@
   return "none";
 }
 
-const proto::Route* FindRoute(const proto::RoutingConfiguration& configuration,
-                              std::string_view name) {
-  return FindByName(configuration.routes(), name);
-}
-
 const proto::Zone* FindZone(const proto::RoutingConfiguration& configuration,
                             std::string_view name) {
   return FindByName(configuration.zones(), name);
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -85,8 +85,6 @@
 };
 
 /// @return the object of that name, or nullptr. The configuration's lists must be sorted by name.
-const proto::Route* FindRoute(const proto::RoutingConfiguration& configuration,
-                              std::string_view name);
 const proto::Zone* FindZone(const proto::RoutingConfiguration& configuration,
                             std::string_view name);
 const proto::Tenant* FindTenant(const proto::RoutingConfiguration& configuration,
--- a/src/work_dispatch/work_granter.cc
+++ b/src/work_dispatch/work_granter.cc
@@ -228,6 +228,7 @@
   grant.set_item_index(item.index);
   *grant.mutable_item() = batch->items[item.index];
   grant.set_route(batch->accepted.route());
+  *grant.mutable_route_reference() = batch->route;
   grant.set_idempotent(batch->accepted.idempotent());
   grant.set_failed_runs(queue_->FailedRuns(item));
   // The gateway counts the start window from when it sent the request, which was before the request
--- a/tests/batch_work/batch_worker_fixture.h
+++ b/tests/batch_work/batch_worker_fixture.h
@@ -8,6 +8,7 @@
 
 #include "batch_work/batch_worker.h"
 #include "control_client/fake_control.h"
+#include "routes/route_reference.h"
 
 namespace cloverbank {
 
@@ -29,13 +30,12 @@
 
   std::uint32_t FreeBatchSlots(const std::string& /*backend*/) const override { return slots; }
 
-  std::shared_ptr<BackendCall> RunBatchItem(const proto::Route& route,
-                                            const proto::CallRequest& request,
-                                            Duration /*deadline*/, std::function<bool()> can_start,
+  std::shared_ptr<BackendCall> RunBatchItem(const BatchItemCall& item,
+                                            std::function<bool()> can_start,
                                             std::function<void(BackendOutcome)> done) override {
     auto run = std::make_shared<Run>();
-    run->route = route;
-    run->request = request;
+    run->route = item.route;
+    run->request = item.request;
     run->can_start = std::move(can_start);
     run->done = std::move(done);
     runs.push_back(run);
@@ -200,6 +200,20 @@
     change.mutable_set_route()->set_idempotent(idempotent);
     AddChange(change);
   }
+  /// Adds or replaces a batch route of the host "shop.example".
+  void SetHttpRoute(const std::string& name, const std::string& prefix,
+                    const std::string& backend) {
+    proto::ConfigurationChange change;
+    proto::Route& route = *change.mutable_set_route();
+    route.set_name(name);
+    route.set_backend_kind(proto::BACKEND_KIND_HTTP);
+    route.set_host("shop.example");
+    route.set_path_prefix(prefix);
+    route.set_backend(backend);
+    route.set_idempotent(true);
+    route.set_accepts_batches(true);
+    AddChange(change);
+  }
   void SetPaused(bool paused) {
     proto::ConfigurationChange change;
     change.mutable_set_batch()->set_paused(paused);
--- a/tests/batch_work/batch_worker_test.cc
+++ b/tests/batch_work/batch_worker_test.cc
@@ -205,5 +205,18 @@
   }
 }
 
+// Guards against running an item by another route that has the name of its own (review/5), and
+// against not running one whose route has another name (review/6, review/7).
+TEST_F(BatchWorkerTest, FindsTheRouteOfAnItemByWhatItsClientSent) {
+  SetHttpRoute("r-1", "/notes/", "notes");
+  SetHttpRoute("r-2", "/audit/", "tokens");
+  Start();
+  AddWork(1, "r-1");  // The name of the route when the batch was accepted.
+  *q1.work.back().mutable_route_reference() = ReferenceByPath("shop.example", "/audit/b");
+  q1.work.back().set_idempotent(true);
+  ASSERT_TRUE(WaitUntilRunning(1));
+  EXPECT_EQ(gateway->backend.runs[0]->route.backend(), "tokens");
+}
+
 }  // namespace
 }  // namespace cloverbank
--- a/tests/calls/event_stream_test.cc
+++ b/tests/calls/event_stream_test.cc
@@ -3,7 +3,7 @@
 #include <gtest/gtest.h>
 
 #include "net/http_headers.h"
-#include "routing/route_match.h"
+#include "routes/route_match.h"
 
 namespace cloverbank {
 namespace {
--- a/tests/gateway/batch_call_test.cc
+++ b/tests/gateway/batch_call_test.cc
@@ -20,7 +20,7 @@
     proto::CallRequest request;
     request.set_call_id("item-" + std::to_string(started_++));
     return harness.batch->RunBatchItem(
-        harness.permission.stored.routes(0), request, seconds(5), [can_start] { return can_start; },
+        harness.MakeItem(0, request, seconds(5)), [can_start] { return can_start; },
         [this](const BackendOutcome& outcome) { outcomes_.push_back(outcome); });
   }
 
@@ -134,7 +134,7 @@
         proto::CallRequest request;
         request.set_call_id("item-" + std::to_string(started_++));
         plane->batch->RunBatchItem(
-            harness.permission.stored.routes(0), request, seconds(5), [] { return true; },
+            harness.MakeItem(0, request, seconds(5)), [] { return true; },
             [](const BackendOutcome&) {});
       }
     }
--- a/tests/gateway/forwarding_test.cc
+++ b/tests/gateway/forwarding_test.cc
@@ -239,6 +239,56 @@
   EXPECT_EQ(client->status, 503);
 }
 
+/// Calls that wait, because others use all slots of both replicas.
+class WaitingCallTest : public ForwardingTest {
+ protected:
+  WaitingCallTest() {
+    constexpr int kSlots = 16;
+    for (int call = 0; call < kSlots; ++call) {
+      busy_.push_back(
+          harness.Forward("/once/" + std::to_string(call), "busy-" + std::to_string(call)));
+    }
+    waiting_ = harness.Forward("/safe/x", "waiting");
+    EXPECT_EQ(harness.received_calls.size(), static_cast<std::size_t>(kSlots));
+    EXPECT_EQ(waiting_->answers, 0);
+  }
+  proto::Route& SafeRoute() { return *harness.permission.stored.mutable_routes(1); }
+  /// Ends the oldest call, so that a slot is free.
+  void FreeASlot() {
+    harness.Respond(0, {200, ForwardHarness::EchoHeaders("busy-0"), "id: 1\ndata: d\n\n"});
+    harness.world.RunFor(milliseconds(100));
+  }
+
+  std::vector<std::shared_ptr<FakeResponder>> busy_;
+  std::shared_ptr<FakeResponder> waiting_;
+};
+
+// Guards against a waiting call running at the service of another route that got its route's name
+// (review/5).
+TEST_F(WaitingCallTest, DoesNotFollowTheNameOfItsRoute) {
+  SafeRoute().set_path_prefix("/mail/");
+  FreeASlot();
+  EXPECT_EQ(harness.received_calls.size(), busy_.size());
+  EXPECT_EQ(waiting_->status, 404);
+}
+
+// Guards against a waiting call being refused with 404 because its route got another name.
+TEST_F(WaitingCallTest, FollowsItsRouteToAnotherName) {
+  SafeRoute().set_name("safe-2");
+  FreeASlot();
+  ASSERT_EQ(harness.received_calls.size(), busy_.size() + 1);
+  harness.Respond(busy_.size(), {200, ForwardHarness::EchoHeaders("waiting"), "blob"});
+  EXPECT_EQ(waiting_->status, 200);
+}
+
+// Guards against forwarding a call whose path belongs to a batch route by now.
+TEST_F(WaitingCallTest, IsRefusedWhenItsPathTakesBatches) {
+  SafeRoute().set_accepts_batches(true);
+  FreeASlot();
+  EXPECT_EQ(harness.received_calls.size(), busy_.size());
+  EXPECT_EQ(waiting_->status, 503);
+}
+
 TEST_F(ForwardingTest, QueuesCallsUntilTheFirstConfiguration) {
   harness.permission.stored.set_label(0);
   const auto client = harness.Forward("/safe/x", "c1");
@@ -310,7 +360,7 @@
   BackendOutcome outcome;
   bool done = false;
   const auto call = harness.batch->RunBatchItem(
-      harness.permission.stored.routes(2), request, seconds(5), [&] { return can_start; },
+      harness.MakeItem(2, request, seconds(5)), [&] { return can_start; },
       [&](BackendOutcome result) {
         outcome = std::move(result);
         done = true;
@@ -332,7 +382,7 @@
   request.mutable_forwarded()->set_target("/tale/item");
   BackendOutcome outcome;
   const auto call = harness.batch->RunBatchItem(
-      harness.permission.stored.routes(2), request, seconds(5), [] { return true; },
+      harness.MakeItem(2, request, seconds(5)), [] { return true; },
       [&](BackendOutcome result) { outcome = std::move(result); });
   harness.world.RunFor(milliseconds(50));
   ASSERT_EQ(harness.received_calls.size(), 1U);
@@ -351,7 +401,7 @@
   request.mutable_forwarded()->set_target("/tale/item");
   BackendOutcome outcome;
   const auto call = harness.batch->RunBatchItem(
-      harness.permission.stored.routes(2), request, seconds(3), [] { return true; },
+      harness.MakeItem(2, request, seconds(3)), [] { return true; },
       [&](BackendOutcome result) { outcome = std::move(result); });
   harness.world.RunFor(milliseconds(50));
   harness.Respond(0, {500, ForwardHarness::EchoHeaders("item"), ""});
--- a/tests/gateway/gateway_harness.h
+++ b/tests/gateway/gateway_harness.h
@@ -15,6 +15,7 @@
 #include "gateway/replica_backend_caller.h"
 #include "json/json.h"
 #include "replicas/fake_http.h"
+#include "routes/route_reference.h"
 #include "simulation/simulated_world.h"
 
 namespace cloverbank {
@@ -121,6 +122,12 @@
     return *route;
   }
 
+  /// @return an item of a batch whose client named route number `route`.
+  BatchItemCall MakeItem(int route, const proto::CallRequest& request, Duration deadline) const {
+    const proto::Route& named = permission.stored.routes(route);
+    return {named, ReferenceByName(named.name()), request, deadline};
+  }
+
   FakeReplica& AddReplica(const std::string& id, const std::string& zone, std::uint32_t capacity,
                           proto::BackendKind kind = proto::BACKEND_KIND_MODEL) {
     FakeReplica& replica = replicas[id];
