Keep waiting items of a renamed route, and end those of a removed one

Cause: the queue put items of an unknown route name under a back end without a name, for which no gateway asks; the code that ended items of a removed route ran at a gateway, after a grant.

Change: the queue finds the route by what the client sent. The owner of the partition logs the items of a batch as failed once its configuration has lacked a usable route for 5 s; items at a gateway keep their result.

--- a/src/work_dispatch/work_dispatcher.cc
+++ b/src/work_dispatch/work_dispatcher.cc
@@ -16,7 +16,7 @@
 
 WorkDispatcher::WorkDispatcher(Environment& environment, NodeAgent& agent)
     : environment_(environment),
-      queue_(std::make_shared<WorkQueue>(agent)),
+      queue_(std::make_shared<WorkQueue>(environment, agent)),
       leases_(std::make_shared<WorkLeases>(FirstLeaseId(agent.node_id()))),
       unknown_items_(std::make_shared<UnknownItems>()),
       canceller_(std::make_shared<BatchCanceller>(environment, queue_, leases_, unknown_items_)),
@@ -88,6 +88,7 @@
 void WorkDispatcher::Tick() {
   report_handler_->EndExpiredLeases();
   report_handler_->LogUnknown();
+  report_handler_->FinishUnroutable();
   canceller_->CompleteDue();
 }
 
--- a/src/work_dispatch/work_dispatcher.h
+++ b/src/work_dispatch/work_dispatcher.h
@@ -56,8 +56,8 @@
   void OnConfiguration();
   /// Ends dispatch: pending AcquireWork requests fail with kUnavailable.
   void Shutdown();
-  /// Ends expired leases, finishes unknown items and completes cancellations. Call it a few times a
-  /// second.
+  /// Ends expired leases, finishes unknown items and items whose route has ended, and completes
+  /// cancellations. Call it a few times a second.
   void Tick();
 
   /// @return the number of current leases.
--- a/src/work_dispatch/work_queue.cc
+++ b/src/work_dispatch/work_queue.cc
@@ -3,6 +3,8 @@
 #include <string_view>
 #include <utility>
 
+#include "routes/route_reference.h"
+
 namespace cloverbank {
 
 void WorkQueue::AddPartition(const std::shared_ptr<OwnedPartition>& partition) {
@@ -34,17 +36,12 @@
   return batch == nullptr || item.index >= batch->items.size() ? nullptr : batch;
 }
 
-const proto::Route* WorkQueue::FindRoute(const std::string& name) const {
-  for (const proto::Route& route : agent_.configuration().routes()) {
-    if (route.name() == name) {
-      return &route;
-    }
-  }
-  return nullptr;
+const proto::Route* WorkQueue::FindRoute(const StoredBatch& batch) const {
+  return ResolveBatchRoute(agent_.configuration(), batch.route);
 }
 
-std::string WorkQueue::FindBackend(const std::string& route_name) const {
-  const proto::Route* route = FindRoute(route_name);
+std::string WorkQueue::FindBackend(const StoredBatch& batch) const {
+  const proto::Route* route = FindRoute(batch);
   return route == nullptr ? "" : route->backend();
 }
 
@@ -54,10 +51,11 @@
       [&](std::uint32_t index) { return std::string_view{batch.items[index].prefix_key()}; },
       [&](std::uint32_t index) { return batch.phases[index] == ItemPhase::kWaiting; });
   const BatchKey key{partition.id(), batch.accepted.batch_id()};
-  const QueuedBatchId queued = queue_.AddBatch(
-      batch.accepted.tenant(), FindBackend(batch.accepted.route()), std::move(items));
+  const QueuedBatchId queued =
+      queue_.AddBatch(batch.accepted.tenant(), FindBackend(batch), std::move(items));
   queued_ids_[key] = queued;
   batch_keys_[queued] = key;
+  UpdateRoutability(key, batch);
 }
 
 void WorkQueue::Dequeue(const BatchKey& batch) {
@@ -68,6 +66,7 @@
   queue_.RemoveBatch(queued->second);
   batch_keys_.erase(queued->second);
   queued_ids_.erase(queued);
+  unroutable_since_.erase(batch);
 }
 
 std::vector<WorkItemKey> WorkQueue::Pick(const std::string& backend, std::size_t limit) {
@@ -98,9 +97,47 @@
   for (const auto& [key, queued] : queued_ids_) {
     const StoredBatch* batch = FindBatch({key.partition, key.batch_id, 0});
     if (batch != nullptr) {
-      queue_.SetBackend(queued, FindBackend(batch->accepted.route()));
+      queue_.SetBackend(queued, FindBackend(*batch));
+      UpdateRoutability(key, *batch);
+    }
+  }
+}
+
+std::string WorkQueue::ExplainUnroutable(const StoredBatch& batch) const {
+  if (agent_.configuration().version() == 0) {
+    return "";  // This node has not received a configuration yet.
+  }
+  const proto::Route* route = FindRoute(batch);
+  if (route == nullptr) {
+    return "not run: the route of the batch, " + batch.accepted.route() +
+           " when the batch was accepted, has ended";
+  }
+  if (batch.accepted.idempotent() && !route->idempotent()) {
+    return "not run: route " + route->name() +
+           " has become non-idempotent since the batch was accepted; submit the item again";
+  }
+  return "";
+}
+
+void WorkQueue::UpdateRoutability(const BatchKey& key, const StoredBatch& batch) {
+  if (ExplainUnroutable(batch).empty()) {
+    unroutable_since_.erase(key);
+  } else {
+    unroutable_since_.emplace(key, environment_.Now());
+  }
+}
+
+std::vector<BatchKey> WorkQueue::FindUnroutable(Duration duration) const {
+  std::vector<BatchKey> batches;
+  if (!agent_.HasValidLease()) {
+    return batches;  // The configuration of this node may be out of date.
+  }
+  for (const auto& [key, since] : unroutable_since_) {
+    if (environment_.Now() - since >= duration) {
+      batches.push_back(key);
     }
   }
+  return batches;
 }
 
 }  // namespace cloverbank
--- a/src/work_dispatch/work_queue.h
+++ b/src/work_dispatch/work_queue.h
@@ -13,6 +13,7 @@
 
 #include "batches/owned_partition.h"
 #include "control_client/node_agent.h"
+#include "runtime/environment.h"
 #include "scheduler/fair_queue.h"
 #include "work_dispatch/work_leases.h"
 
@@ -20,7 +21,8 @@
 
 class WorkQueue {
  public:
-  explicit WorkQueue(NodeAgent& agent) : agent_(agent) {}
+  WorkQueue(const Environment& environment, NodeAgent& agent)
+      : environment_(environment), agent_(agent) {}
 
   /// Adds the partition, without queueing items of its batches.
   void AddPartition(const std::shared_ptr<OwnedPartition>& partition);
@@ -31,8 +33,8 @@
   std::shared_ptr<OwnedPartition> FindPartition(PartitionId partition) const;
   /// @return the item's batch; nullptr if its partition is not owned or there is no such item.
   const StoredBatch* FindBatch(const WorkItemKey& item) const;
-  /// @return the route of that name in the current configuration, or nullptr.
-  const proto::Route* FindRoute(const std::string& name) const;
+  /// @return the batch's route by the current configuration, or nullptr.
+  const proto::Route* FindRoute(const StoredBatch& batch) const;
 
   /// Queues the batch's items that have neither a result nor an ItemStarted entry.
   void Enqueue(const OwnedPartition& partition, const StoredBatch& batch);
@@ -53,12 +55,24 @@
   /// Applies the tenants' weights and the routes' backends of the current configuration.
   void OnConfiguration();
 
+  /// @return the batches in the queue whose items have been unable to run by the configuration for
+  /// at least `duration`.
+  std::vector<BatchKey> FindUnroutable(Duration duration) const;
+  /// @return why the batch's items cannot run by the current configuration; empty if they can.
+  std::string ExplainUnroutable(const StoredBatch& batch) const;
+
  private:
-  /// @return the backend of the route, or "" if there is no such route.
-  std::string FindBackend(const std::string& route) const;
+  /// @return the backend of the batch's route, or "" if there is no such route.
+  std::string FindBackend(const StoredBatch& batch) const;
+
+  /// Records whether the batch's items can run by the current configuration.
+  void UpdateRoutability(const BatchKey& key, const StoredBatch& batch);
 
+  const Environment& environment_;
   NodeAgent& agent_;
   FairQueue queue_;
+  /// Batches whose items cannot run by the configuration, and since when this node has known that.
+  std::map<BatchKey, TimePoint> unroutable_since_;
   std::map<PartitionId, std::shared_ptr<OwnedPartition>> partitions_;
   std::map<BatchKey, QueuedBatchId> queued_ids_;
   std::map<QueuedBatchId, BatchKey> batch_keys_;
--- a/src/work_dispatch/work_report_handler.cc
+++ b/src/work_dispatch/work_report_handler.cc
@@ -17,8 +17,11 @@
 /// Largest size in bytes of one result, output and error together. A larger one could not be
 /// logged.
 constexpr std::size_t kMaxResultBytes = 512U << 10U;
-/// Largest number of unknown items whose outcome is being logged at the same time.
-constexpr std::size_t kMaxUnknownBeingLogged = 1000;
+/// Largest number of results that this node itself gives and logs at the same time.
+constexpr std::size_t kMaxOwnResultsBeingLogged = 1000;
+/// How long the configuration must have lacked the route of a batch before its items end. A route
+/// that operators remove and put back within this time keeps its items.
+constexpr Duration kEndedRouteGrace = seconds(5);
 
 /// @return the items of these ItemFinished entries.
 std::vector<WorkItemKey> FinishedItems(PartitionId partition,
@@ -214,7 +217,7 @@
 }
 
 void WorkReportHandler::RecordLateResult(const StoredBatch& batch) const {
-  const proto::Route* route = queue_->FindRoute(batch.accepted.route());
+  const proto::Route* route = queue_->FindRoute(batch);
   if (route == nullptr || route->batch_target_ms() == 0 || batch.cancelled) {
     return;
   }
@@ -255,29 +258,65 @@
 void WorkReportHandler::LogUnknown() {
   std::map<PartitionId, std::vector<proto::LogEntry>> results;
   for (const WorkItemKey& item : unknown_items_->items()) {
-    if (unknown_being_logged_.size() >= kMaxUnknownBeingLogged) {
+    if (own_results_being_logged_.size() >= kMaxOwnResultsBeingLogged) {
       break;
     }
-    if (unknown_being_logged_.insert(item).second) {
+    if (own_results_being_logged_.insert(item).second) {
       results[item.partition].push_back(MakeItemFinished(item, proto::ITEM_OUTCOME_UNKNOWN));
     }
   }
   for (auto& [id, entries] : results) {
-    const std::vector<WorkItemKey> items = FinishedItems(id, entries);
-    queue_->FindPartition(id)->AppendEntries(
-        std::move(entries), [weak = weak_from_this(), id = id, items](const Status& status) {
-          if (const auto self = weak.lock()) {
-            self->HandleUnknownLogged(id, items, status);
-          }
-        });
+    LogOwnResults(id, std::move(entries));
   }
 }
 
-void WorkReportHandler::HandleUnknownLogged(PartitionId partition,
-                                            const std::vector<WorkItemKey>& items,
-                                            const Status& status) {
+void WorkReportHandler::FinishUnroutable() {
+  for (const BatchKey& key : queue_->FindUnroutable(kEndedRouteGrace)) {
+    const StoredBatch* batch = queue_->FindBatch({key.partition, key.batch_id, 0});
+    if (batch != nullptr && !batch->cancelled) {
+      FinishUnroutable(key, *batch);
+    }
+  }
+}
+
+void WorkReportHandler::FinishUnroutable(const BatchKey& key, const StoredBatch& batch) {
+  const std::string reason = queue_->ExplainUnroutable(batch);
+  std::vector<proto::LogEntry> entries;
+  for (std::uint32_t index = 0; index < batch.items.size(); ++index) {
+    const WorkItemKey item{key.partition, key.batch_id, index};
+    const bool held = leases_->Find(item) != nullptr || unknown_items_->items().contains(item);
+    const bool ends = batch.phases[index] != ItemPhase::kFinished && !held &&
+                      own_results_being_logged_.size() < kMaxOwnResultsBeingLogged;
+    if (ends && own_results_being_logged_.insert(item).second) {
+      proto::LogEntry& entry =
+          entries.emplace_back(MakeItemFinished(item, proto::ITEM_OUTCOME_FAILED));
+      entry.mutable_item_finished()->set_error(reason);
+    }
+  }
+  if (entries.empty()) {
+    return;
+  }
+  Log(LogLevel::kInfo, "batch_route_ended",
+      {{"batch", key.batch_id}, {"items", entries.size()}, {"reason", reason}});
+  environment_.metrics().Increment("queue_items_without_route_total", {}, entries.size());
+  LogOwnResults(key.partition, std::move(entries));
+}
+
+void WorkReportHandler::LogOwnResults(PartitionId partition, std::vector<proto::LogEntry> entries) {
+  const std::vector<WorkItemKey> items = FinishedItems(partition, entries);
+  queue_->FindPartition(partition)->AppendEntries(
+      std::move(entries), [weak = weak_from_this(), partition, items](const Status& status) {
+        if (const auto self = weak.lock()) {
+          self->HandleOwnResultsLogged(partition, items, status);
+        }
+      });
+}
+
+void WorkReportHandler::HandleOwnResultsLogged(PartitionId partition,
+                                               const std::vector<WorkItemKey>& items,
+                                               const Status& status) {
   for (const WorkItemKey& item : items) {
-    unknown_being_logged_.erase(item);
+    own_results_being_logged_.erase(item);
   }
   HandleResultsLogged(partition, items, status);
 }
--- a/src/work_dispatch/work_report_handler.h
+++ b/src/work_dispatch/work_report_handler.h
@@ -1,8 +1,8 @@
 #pragma once
 /// @file
 /// Handles the ReportWork requests of gateways: renews leases, logs results, and returns items that
-/// did not run to the queue. Also ends expired leases, and finishes items as unknown when no
-/// gateway can report their outcome any more.
+/// did not run to the queue. Also ends expired leases, and finishes items itself: as unknown when
+/// no gateway can report their outcome any more, as failed when their route has ended.
 ///
 /// Threads: the owner's event loop only. Created by `std::make_shared`.
 
@@ -48,6 +48,9 @@
   void EndExpiredLeases();
   /// Logs the outcome of unknown items. Call it at each tick.
   void LogUnknown();
+  /// Logs as failed the items that no gateway holds and that can't run any more, because their
+  /// route ended some time ago. Call it at each tick.
+  void FinishUnroutable();
 
  private:
   /// A ReportWork request whose results are being logged.
@@ -72,8 +75,11 @@
   void HandleResultsLogged(PartitionId partition, const std::vector<WorkItemKey>& items,
                            const Status& status);
   void HandleResultLogged(const WorkItemKey& item);
-  void HandleUnknownLogged(PartitionId partition, const std::vector<WorkItemKey>& items,
-                           const Status& status);
+  /// Logs results that this node itself gives to items in `own_results_being_logged_`.
+  void LogOwnResults(PartitionId partition, std::vector<proto::LogEntry> entries);
+  void HandleOwnResultsLogged(PartitionId partition, const std::vector<WorkItemKey>& items,
+                              const Status& status);
+  void FinishUnroutable(const BatchKey& key, const StoredBatch& batch);
   static void Answer(const PendingReportPtr& pending);
   /// Counts and logs a result that became durable after the target time of its batch.
   void RecordLateResult(const StoredBatch& batch) const;
@@ -86,7 +92,8 @@
   std::shared_ptr<UnknownItems> unknown_items_;
   std::shared_ptr<WorkGranter> granter_;
   std::shared_ptr<BatchCanceller> canceller_;
-  std::set<WorkItemKey> unknown_being_logged_;
+  /// Items whose result this node itself is logging: unknown ones and those without a route.
+  std::set<WorkItemKey> own_results_being_logged_;
 };
 
 }  // namespace cloverbank
