Return items whose route a gateway does not know, and leave their end to the owner

Cause: 'no route' and 'must not repeat' were final refusals at a gateway, whose configuration may be a version behind or ahead of the owner's.

Change: a gateway waits up to 300 ms for another version, then returns the item as not run. BatchWorkerTest.FailsItemsOfChangedOrRemovedRoutes... demanded the fault; its place is taken by ReturnsItemsOfChangedOrRemovedRoutes..., which still demands that nothing runs, and by the owner's BatchRouteTest, which demands that such items end as failed.

--- a/src/batch_work/batch_worker.cc
+++ b/src/batch_work/batch_worker.cc
@@ -108,14 +108,16 @@
       StartItem(lease, *route);
       return;
     }
-    if (conditions.now - work_items_.ArrivedAt(lease) < options_.grant_wait) {
-      return;
-    }
     refusal = StartRefusal::kNoCapacity;
   }
+  const bool may_start_later =
+      refusal == StartRefusal::kNoCapacity || DependsOnConfiguration(refusal);
+  if (may_start_later && conditions.now - work_items_.ArrivedAt(lease) < options_.grant_wait) {
+    return;
+  }
   environment_.metrics().Increment("batch_item_not_started_total",
                                    {{"reason", StartRefusalName(refusal)}});
-  work_items_.Refuse(lease, refusal);
+  work_items_.ReturnUnstarted(lease);
 }
 
 void BatchWorker::StartItem(WorkLeaseId lease, const proto::Route& route) {
--- a/src/batch_work/batch_worker.h
+++ b/src/batch_work/batch_worker.h
@@ -32,8 +32,8 @@
   Duration acquire_timeout = seconds(6);
   Duration report_deadline = milliseconds(1500);  ///< Of a ReportWork call.
   Duration retry_delay = milliseconds(200);       ///< After a call that failed.
-  /// How long a granted item waits for capacity before the worker returns it. Returning it costs
-  /// its queue node a write and another grant.
+  /// How long a granted item waits for capacity or a route before the worker returns it. Returning
+  /// it costs its queue node a write and another grant.
   Duration grant_wait = milliseconds(300);
   Duration default_item_deadline = seconds(60);  ///< For routes that set none, and HTTP backends.
 };
@@ -62,7 +62,7 @@
   /// Starts waiting items, sends reports that are due, and requests work.
   void Tick();
   void StartWaitingItems();
-  /// Starts the item, ends it unstarted, or leaves it waiting. A start takes a slot from `free`.
+  /// Starts the item, returns it unstarted, or leaves it waiting. A start takes a slot from `free`.
   void StartOrRefuse(WorkLeaseId lease, BatchCapacity* free);
   void StartItem(WorkLeaseId lease, const proto::Route& route);
   /// @return whether the item's request may be sent now; if so, it is recorded as dispatched.
--- a/src/batch_work/start_refusal.cc
+++ b/src/batch_work/start_refusal.cc
@@ -24,16 +24,8 @@
   return "none";
 }
 
-bool IsFinal(StartRefusal refusal) {
+bool DependsOnConfiguration(StartRefusal refusal) {
   return refusal == StartRefusal::kNoRoute || refusal == StartRefusal::kMustNotRepeat;
 }
 
-std::string ExplainFinalRefusal(StartRefusal refusal, const std::string& route) {
-  if (refusal == StartRefusal::kNoRoute) {
-    return "not run: route " + route + " was removed after the batch was accepted";
-  }
-  return "not run: route " + route +
-         " has become non-idempotent since the batch was accepted; submit the item again";
-}
-
 }  // namespace cloverbank
--- a/src/batch_work/start_refusal.h
+++ b/src/batch_work/start_refusal.h
@@ -1,9 +1,9 @@
 #pragma once
 /// @file
-/// Why a batch item may not start now, and which of these reasons are final. Pure.
+/// Why a batch item may not start at this gateway now. None of the reasons is final: whether an
+/// item can never run is decided by the owner of its partition. Pure.
 
 #include <cstdint>
-#include <string>
 #include <string_view>
 
 namespace cloverbank {
@@ -16,15 +16,16 @@
   kNoCapacity,     ///< Live calls use the capacity.
   kPaused,         ///< Operators paused batch work.
   kLeaseEnded,     ///< The queue node ended the lease.
-  kNoRoute,        ///< The configuration no longer has the route, so the item cannot run.
-  kMustNotRepeat,  ///< Accepted as idempotent, but the route no longer is, so the item cannot run.
+  kNoRoute,        ///< This gateway's configuration has no route for the item.
+  kMustNotRepeat,  ///< Accepted as idempotent, but by this gateway's configuration the route is
+                   ///< not.
 };
 /// @return the stable snake_case name, for metrics.
 std::string_view StartRefusalName(StartRefusal refusal);
 
-/// @return whether the item could not start at any other gateway or at a later time either.
-bool IsFinal(StartRefusal refusal);
-/// @return the error text that the client gets as the item's result after a final refusal.
-std::string ExplainFinalRefusal(StartRefusal refusal, const std::string& route);
+/// Whether the gateway waits for another configuration before it returns the item to its queue
+/// node. The gateway may be a version behind or ahead of the node, so the refusal says nothing
+/// final.
+bool DependsOnConfiguration(StartRefusal refusal);
 
 }  // namespace cloverbank
--- a/src/batch_work/work_item_table.cc
+++ b/src/batch_work/work_item_table.cc
@@ -66,14 +66,9 @@
   }
 }
 
-void WorkItemTable::Refuse(WorkLeaseId lease, StartRefusal refusal) {
+void WorkItemTable::ReturnUnstarted(WorkLeaseId lease) {
   Item* item = Find(lease);
-  if (item == nullptr || item->phase != Phase::kWaiting) {
-    return;
-  }
-  if (IsFinal(refusal)) {
-    CompleteFailed(*item, ExplainFinalRefusal(refusal, item->grant.route()));
-  } else {
+  if (item != nullptr && item->phase == Phase::kWaiting) {
     CompleteNotRun(*item, "");
   }
 }
@@ -117,7 +112,7 @@
   }
   item->lease_ended = true;
   if (item->phase == Phase::kWaiting) {
-    Refuse(lease, StartRefusal::kLeaseEnded);
+    ReturnUnstarted(lease);
     return EndedLeaseAction::kNothing;
   }
   return item->phase == Phase::kDispatched ? EndedLeaseAction::kContinue
--- a/src/batch_work/work_item_table.h
+++ b/src/batch_work/work_item_table.h
@@ -76,8 +76,8 @@
   void RecordRunning(WorkLeaseId lease, const std::string& backend);
   /// Records that from now on the item's request may have been sent.
   void RecordDispatched(WorkLeaseId lease);
-  /// Ends an item that was not started: as failed if the refusal is final, else as not run.
-  void Refuse(WorkLeaseId lease, StartRefusal refusal);
+  /// Ends an item that was not started as not run, so that its queue node may grant it again.
+  void ReturnUnstarted(WorkLeaseId lease);
   /// Records the end of the item's call.
   /// @param keep_if_not_run whether an item that certainly did not run waits here for another
   /// attempt instead of being returned to its queue node.
