Recognize a resent batch by what its client sent

Cause: the checksum of a submission covered the limit and the route's name, which gateways fill in from the configuration of that moment.

Change: the checksum covers what the client sent, in a new field of the record. Records of older builds are compared with the stored items.

--- a/src/queue/batch_intake.cc
+++ b/src/queue/batch_intake.cc
@@ -6,6 +6,7 @@
 #include <unordered_set>
 
 #include "base/checksum.h"
+#include "batches/submission_identity.h"
 
 namespace cloverbank {
 namespace {
@@ -105,14 +106,15 @@
 }
 
 bool BatchIntake::JoinEarlierSubmission(OwnedPartition& partition, const SubmissionKey& key,
-                                        std::uint64_t checksum, Reply& reply) {
+                                        const proto::SubmitBatchRequest& request,
+                                        std::uint64_t content_checksum, Reply& reply) {
   const std::string& idempotency_key = key.idempotency_key;
   if (idempotency_key.empty()) {
     return false;
   }
   const auto pending = pending_.find(key);
   if (pending != pending_.end()) {
-    if (pending->second->accepted.request_checksum() == checksum) {
+    if (IsResend(request, content_checksum, pending->second->accepted)) {
       pending->second->replies.push_back(std::move(reply));
     } else {
       reply(MakeKeyReusedStatus(idempotency_key));
@@ -123,7 +125,7 @@
   if (earlier == nullptr) {
     return false;
   }
-  if (earlier->accepted.request_checksum() != checksum) {
+  if (!IsResend(request, content_checksum, *earlier)) {
     reply(MakeKeyReusedStatus(idempotency_key));
     return true;
   }
@@ -137,16 +139,16 @@
 void BatchIntake::Submit(const std::shared_ptr<OwnedPartition>& partition,
                          proto::SubmitBatchRequest request, Reply reply) {
   const proto::SubmitBatch& batch = request.batch();
-  const std::uint64_t checksum = Checksum(batch.SerializeAsString());
+  const std::uint64_t content_checksum = ContentChecksum(request);
   const SubmissionKey key{partition->id(), batch.tenant(), batch.idempotency_key()};
-  if (JoinEarlierSubmission(*partition, key, checksum, reply)) {
+  if (JoinEarlierSubmission(*partition, key, request, content_checksum, reply)) {
     return;
   }
   if (Status status = CheckAcceptable(*partition, batch); !status.ok()) {
     reply(std::move(status));
     return;
   }
-  const SubmissionPtr submission = StartSubmission(partition, std::move(request), checksum);
+  const SubmissionPtr submission = StartSubmission(partition, std::move(request), content_checksum);
   submission->replies.push_back(std::move(reply));
   if (!key.idempotency_key.empty()) {
     pending_[key] = submission;
@@ -188,7 +190,7 @@
 
 BatchIntake::SubmissionPtr BatchIntake::StartSubmission(
     const std::shared_ptr<OwnedPartition>& partition, proto::SubmitBatchRequest request,
-    std::uint64_t checksum) {
+    std::uint64_t content_checksum) {
   auto submission = std::make_shared<Submission>();
   submission->partition = partition;
   submission->batch = std::move(*request.mutable_batch());
@@ -199,7 +201,8 @@
   accepted.set_idempotency_key(submission->batch.idempotency_key());
   accepted.set_route(submission->batch.route());
   accepted.set_item_count(static_cast<std::uint64_t>(submission->batch.items_size()));
-  accepted.set_request_checksum(checksum);
+  accepted.set_request_checksum(Checksum(submission->batch.SerializeAsString()));
+  accepted.set_content_checksum(content_checksum);
   accepted.set_idempotent(request.idempotent());
   if (request.has_route_reference()) {
     *accepted.mutable_route_reference() = std::move(*request.mutable_route_reference());
--- a/src/queue/batch_intake.h
+++ b/src/queue/batch_intake.h
@@ -84,10 +84,11 @@
   /// Answers a resent submission, or adds its reply to the submission that is still being logged.
   /// @return false if there is no earlier submission with this key; `reply` is then unchanged.
   bool JoinEarlierSubmission(OwnedPartition& partition, const SubmissionKey& key,
-                             std::uint64_t checksum, Reply& reply);
+                             const proto::SubmitBatchRequest& request,
+                             std::uint64_t content_checksum, Reply& reply);
   /// Creates the submission and reserves its items within the tenant's limit.
   SubmissionPtr StartSubmission(const std::shared_ptr<OwnedPartition>& partition,
-                                proto::SubmitBatchRequest request, std::uint64_t checksum);
+                                proto::SubmitBatchRequest request, std::uint64_t content_checksum);
   std::string MakeBatchId(const OwnedPartition& partition);
   /// Reserves the batch's tokens at the route's quota owner, then logs the batch.
   void ReserveTokensAndLog(const SubmissionPtr& submission);
--- /dev/null
+++ b/tests/queue/batch_resend_test.cc
@@ -0,0 +1,146 @@
+/// @file
+/// Resends of accepted batches: a client that repeats its request gets its batch again, whatever
+/// operators changed in between.
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include "batches/submission_identity.h"
+#include "queue/queue_world.h"
+#include "routes/route_reference.h"
+
+namespace cloverbank {
+namespace {
+
+constexpr std::uint64_t kLimit = 1'400'000;
+
+/// A batch of the host "shop.example", as a gateway of the platform's interface submits it.
+proto::SubmitBatchRequest MakeAuditBatch(int items) {
+  proto::SubmitBatchRequest request;
+  request.set_idempotent(true);
+  *request.mutable_route_reference() = ReferenceByPath("shop.example", "/audit/7c41");
+  proto::SubmitBatch& batch = *request.mutable_batch();
+  batch.set_tenant("shop.example");
+  batch.set_batch_id("7c41");
+  batch.set_idempotency_key("7c41");
+  batch.set_route("describe");
+  for (int index = 0; index < items; ++index) {
+    proto::BatchItem& item = *batch.add_items();
+    item.set_custom_id("item" + std::to_string(index));
+    item.set_tokens(100);
+    item.set_prefix_key("prefix");
+    item.mutable_forwarded()->set_target("/audit/" + std::to_string(index));
+    proto::HttpField* header = item.mutable_forwarded()->add_headers();
+    header->set_name("Host");
+    header->set_value("shop.example");
+  }
+  return request;
+}
+
+class BatchResendTest : public testing::Test {
+ protected:
+  BatchResendTest() : world_(23) {
+    world_.AddQueue("q1");
+    world_.AssignPartition("q1");
+  }
+  void ExpectResent(const proto::SubmitBatchRequest& request) {
+    const auto response = world_.Submit("q1", request);
+    ASSERT_TRUE(response.ok()) << response.status().ToString();
+    EXPECT_TRUE(response->resent());
+  }
+
+  QueueWorld world_;
+  proto::SubmitBatchRequest request_ = MakeAuditBatch(3);
+};
+
+// Guards against refusing an accepted batch that comes again after a change of its route's limit
+// (review/8).
+TEST_F(BatchResendTest, GetsTheAcceptedBatchAfterAChangeOfTheLimit) {
+  ASSERT_THAT(world_.Submit("q1", request_), IsOk());
+  for (const std::uint64_t limit : {kLimit, std::uint64_t{1}, std::uint64_t{0}}) {
+    request_.mutable_batch()->set_open_token_limit(limit);
+    ExpectResent(request_);
+  }
+}
+
+TEST_F(BatchResendTest, GetsTheAcceptedBatchAfterItsRouteIsRenamed) {
+  ASSERT_THAT(world_.Submit("q1", request_), IsOk());
+  request_.mutable_batch()->set_route("r-9");
+  ExpectResent(request_);
+}
+
+// Guards against telling a gateway's own reading of an item's headers from what the client sent.
+TEST_F(BatchResendTest, IgnoresWhatGatewaysDeriveFromTheItems) {
+  ASSERT_THAT(world_.Submit("q1", request_), IsOk());
+  request_.mutable_batch()->mutable_items(0)->set_prefix_key("other");
+  request_.mutable_batch()->mutable_items(0)->set_shared_tokens(7);
+  ExpectResent(request_);
+}
+
+// Guards against refusing the resend from a gateway of an older build, which sends no reference.
+TEST_F(BatchResendTest, GetsTheAcceptedBatchFromAnOlderGateway) {
+  ASSERT_THAT(world_.Submit("q1", request_), IsOk());
+  request_.clear_route_reference();
+  request_.mutable_batch()->set_open_token_limit(kLimit);
+  ExpectResent(request_);
+}
+
+TEST_F(BatchResendTest, IsRefusedWithOtherContent) {
+  ASSERT_THAT(world_.Submit("q1", request_), IsOk());
+  auto other = request_;
+  other.mutable_batch()->mutable_items(0)->mutable_forwarded()->set_body("other");
+  EXPECT_THAT(world_.Submit("q1", other), FailsWith(StatusCode::kConflict));
+  other = request_;
+  other.mutable_batch()->mutable_items(1)->set_tokens(101);
+  EXPECT_THAT(world_.Submit("q1", other), FailsWith(StatusCode::kConflict));
+  other = request_;
+  other.mutable_route_reference()->set_path("/audit/other");
+  EXPECT_THAT(world_.Submit("q1", other), FailsWith(StatusCode::kConflict));
+  EXPECT_THAT(world_.Submit("q1", MakeAuditBatch(4)), FailsWith(StatusCode::kConflict));
+}
+
+// A client of /v1 names the route itself, so another name is another request.
+TEST_F(BatchResendTest, IsRefusedWithAnotherNameOfItsRoute) {
+  auto named = QueueWorld::MakeBatch("key", 2);
+  *named.mutable_route_reference() = ReferenceByName("describe");
+  ASSERT_THAT(world_.Submit("q1", named), IsOk());
+  named.mutable_batch()->set_route("unlock");
+  *named.mutable_route_reference() = ReferenceByName("unlock");
+  EXPECT_THAT(world_.Submit("q1", named), FailsWith(StatusCode::kConflict));
+}
+
+/// A batch that a build without content checksums accepted.
+class OlderBatchResendTest : public testing::Test {
+ protected:
+  OlderBatchResendTest() {
+    batch_.accepted.set_tenant("shop.example");
+    batch_.accepted.set_route("describe");
+    batch_.accepted.set_request_checksum(1);  // Holds a limit that nobody knows any more.
+    batch_.items.assign(request_.batch().items().begin(), request_.batch().items().end());
+    batch_.route = DeriveReference("shop.example", "describe", batch_.items.data());
+  }
+  bool IsResendOfBatch() const { return IsResend(request_, ContentChecksum(request_), batch_); }
+
+  proto::SubmitBatchRequest request_ = MakeAuditBatch(3);
+  StoredBatch batch_;
+};
+
+// Guards against refusing the resend of a batch that was accepted before an upgrade.
+TEST_F(OlderBatchResendTest, IsRecognizedByTheStoredItems) {
+  EXPECT_TRUE(IsResendOfBatch());
+  request_.mutable_batch()->set_open_token_limit(kLimit);
+  request_.mutable_batch()->set_route("r-9");
+  EXPECT_TRUE(IsResendOfBatch());
+  batch_.items[1].clear_forwarded();  // It has its result.
+  EXPECT_TRUE(IsResendOfBatch());
+}
+
+TEST_F(OlderBatchResendTest, IsRefusedWithOtherItems) {
+  request_.mutable_batch()->mutable_items(0)->mutable_forwarded()->set_body("other");
+  EXPECT_FALSE(IsResendOfBatch());
+  request_ = MakeAuditBatch(2);
+  EXPECT_FALSE(IsResendOfBatch());
+}
+
+}  // namespace
+}  // namespace cloverbank
