Let batch work of a split route run at each of its back ends

Cause: the batch path asked for Route.backend alone, which for a split route is the first entry of the split, whatever its weight.

Change: a batch waits at all back ends of its route with a weight above 0; a gateway offers the free slots of all and chooses among those with room by weight. FairQueue knows several back ends of a batch.

--- a/src/batch_work/batch_worker.cc
+++ b/src/batch_work/batch_worker.cc
@@ -5,6 +5,7 @@
 #include <string>
 #include <utility>
 
+#include "routes/route_match.h"
 #include "routes/route_reference.h"
 #include "runtime/typed_peer.h"
 
@@ -102,10 +103,10 @@
   StartRefusal refusal = work_items_.CanStart(lease, conditions);
   if (refusal == StartRefusal::kNone) {
     const proto::Route* route = work_items_.FindRoute(lease, agent_.configuration());
-    std::uint32_t& slots = (*free)[route->backend()];
-    if (slots > 0) {
-      --slots;
-      StartItem(lease, *route);
+    const std::string backend = ChooseFreeBackend(*route, *free);
+    if (!backend.empty()) {
+      --(*free)[backend];
+      StartItem(lease, *route, backend);
       return;
     }
     refusal = StartRefusal::kNoCapacity;
@@ -120,7 +121,19 @@
   work_items_.ReturnUnstarted(lease);
 }
 
-void BatchWorker::StartItem(WorkLeaseId lease, const proto::Route& route) {
+std::string BatchWorker::ChooseFreeBackend(const proto::Route& route,
+                                           const BatchCapacity& free) const {
+  std::vector<proto::WeightedBackend> backends = BackendsOf(route);
+  std::erase_if(backends, [&free](const proto::WeightedBackend& weighted) {
+    const auto slots = free.find(weighted.backend());
+    return slots == free.end() || slots->second == 0;
+  });
+  return backends.size() == 1 ? backends.front().backend()
+                              : ChooseBackend(backends, environment_.Random());
+}
+
+void BatchWorker::StartItem(WorkLeaseId lease, const proto::Route& route,
+                            const std::string& backend) {
   const proto::WorkGrant& grant = *work_items_.FindGrant(lease);
   proto::Route granted_route = route;
   // The stricter of the two: CanStart refuses the item if only the grant is idempotent.
@@ -129,12 +142,12 @@
       route.deadline_ms() > 0 && route.backend_kind() != proto::BACKEND_KIND_HTTP;
   const Duration deadline = route_sets_deadline ? Duration(milliseconds(route.deadline_ms()))
                                                 : options_.default_item_deadline;
-  work_items_.RecordRunning(lease, route.backend());
+  work_items_.RecordRunning(lease, backend);
   environment_.metrics().Increment("batch_items_started_total");
   calls_[lease] = caller_.RunBatchItem(
-      {granted_route, ReferenceOf(grant), MakeCallRequest(grant), deadline},
+      {granted_route, backend, ReferenceOf(grant), MakeCallRequest(grant), deadline},
       [this, lease, token = lifetime_.token()] { return !token.expired() && CanDispatch(lease); },
-      lifetime_.Wrap([this, lease, backend = route.backend()](const BackendOutcome& outcome) {
+      lifetime_.Wrap([this, lease, backend](const BackendOutcome& outcome) {
         FinishItem(lease, backend, outcome);
       }));
 }
@@ -167,12 +180,12 @@
   std::map<std::string, std::uint32_t> not_dispatched = work_items_.NotDispatchedByBackend();
   BatchCapacity free;
   for (const proto::Route& route : agent_.configuration().routes()) {
-    if (IsPaused(route.backend())) {
-      free[route.backend()] = 0;
-    }
-    if (!free.contains(route.backend())) {
-      const std::uint32_t slots = caller_.FreeBatchSlots(route.backend());
-      free[route.backend()] = slots - std::min(slots, not_dispatched[route.backend()]);
+    for (const proto::WeightedBackend& weighted : BackendsOf(route)) {
+      const std::string& backend = weighted.backend();
+      if (!free.contains(backend)) {
+        const std::uint32_t slots = IsPaused(backend) ? 0 : caller_.FreeBatchSlots(backend);
+        free[backend] = slots - std::min(slots, not_dispatched[backend]);
+      }
     }
   }
   return free;
@@ -198,8 +211,9 @@
   BatchCapacity free = FreeCapacity();
   for (const WorkLeaseId lease : work_items_.Waiting()) {
     const proto::Route* route = work_items_.FindRoute(lease, agent_.configuration());
-    if (route != nullptr && free[route->backend()] > 0) {
-      --free[route->backend()];
+    const std::string backend = route == nullptr ? "" : ChooseFreeBackend(*route, free);
+    if (!backend.empty()) {
+      --free[backend];
     }
   }
   return free;
--- a/src/batch_work/batch_worker.h
+++ b/src/batch_work/batch_worker.h
@@ -64,7 +64,10 @@
   void StartWaitingItems();
   /// Starts the item, returns it unstarted, or leaves it waiting. A start takes a slot from `free`.
   void StartOrRefuse(WorkLeaseId lease, BatchCapacity* free);
-  void StartItem(WorkLeaseId lease, const proto::Route& route);
+  void StartItem(WorkLeaseId lease, const proto::Route& route, const std::string& backend);
+  /// @return one of the route's back ends with free slots, chosen by weight; empty if there is
+  /// none.
+  std::string ChooseFreeBackend(const proto::Route& route, const BatchCapacity& free) const;
   /// @return whether the item's request may be sent now; if so, it is recorded as dispatched.
   bool CanDispatch(WorkLeaseId lease);
   /// Handles the end of the item's call to `backend`.
--- a/src/calls/backend_caller.h
+++ b/src/calls/backend_caller.h
@@ -45,6 +45,7 @@
 /// One batch item to run.
 struct BatchItemCall {
   proto::Route route;               ///< By the current configuration.
+  std::string backend;              ///< One of the route's, at which a slot is free.
   proto::RouteReference reference;  ///< By which the route is found again before each attempt.
   proto::CallRequest request;
   Duration deadline{};  ///< Time for the whole call, retries included, from now.
--- a/src/calls/call_runner.cc
+++ b/src/calls/call_runner.cc
@@ -75,6 +75,9 @@
   if (done_) {
     return;
   }
+  if (const proto::Route* route = FindRoute()) {
+    ChooseBackendOf(*route);
+  }
   const bool other_calls_wait = context_.queue.Waiting(spec_.backend) > 0;
   if (other_calls_wait || TrySend() == TrySendResult::kNoCapacity) {
     WaitInQueue();
@@ -87,13 +90,20 @@
                                         : ResolveRoute(configuration, spec_.route);
 }
 
+void CallRunner::ChooseBackendOf(const proto::Route& route) {
+  const bool stays = spec_.work == WorkKind::kBatch && AllowsBackend(route, spec_.backend);
+  if (!stays) {
+    spec_.backend = ChooseBackend(route, split_random_);
+  }
+}
+
 CallRunner::TrySendResult CallRunner::TrySend() {
   const proto::Route* route = FindRoute();
   if (const std::optional<CallFailure> failure = CheckPreconditions(route)) {
     FinishWith(*failure);
     return TrySendResult::kEnded;
   }
-  spec_.backend = ChooseBackend(*route, split_random_);
+  ChooseBackendOf(*route);
   if (!context_.attempt.pool.list_usable()) {
     // The list is stale because the process was frozen; a new one is being read.
     return TrySendResult::kNoCapacity;
--- a/src/calls/call_runner.h
+++ b/src/calls/call_runner.h
@@ -27,7 +27,9 @@
   /// What the client sent to pick the route; resolved again before each attempt.
   proto::RouteReference route;
   std::string route_name;  ///< When the call was admitted; for logs and metrics only.
-  std::string backend;     ///< That of the route when the call was admitted.
+  /// Of a batch item: the back end at which it takes a slot. The runner chooses that of a live
+  /// call.
+  std::string backend;
   proto::Priority priority = proto::PRIORITY_STANDARD;
   bool idempotent = false;  ///< Whether the route was idempotent when the call was admitted.
   /// Maximum number of replicas that may run the call; 0: the gateway's default.
@@ -92,6 +94,9 @@
   /// Sends the call, or queues it if there is no capacity or other calls of its back end wait.
   void TrySendOrWait();
   TrySendResult TrySend();
+  /// Sets the back end of the call to one that the route allows. A batch item stays at its own as
+  /// long as the route allows that.
+  void ChooseBackendOf(const proto::Route& route);
   /// @return the route of the call by the current configuration, or nullptr.
   const proto::Route* FindRoute() const;
   /// @param route nullptr if the configuration no longer has it.
--- a/src/gateway/forwarding_service.cc
+++ b/src/gateway/forwarding_service.cc
@@ -129,7 +129,6 @@
   CallSpec spec;
   spec.route = ReferenceByPath(call.host, call.path);
   spec.route_name = route.name();
-  spec.backend = route.backend();
   spec.priority = route.priority();
   spec.idempotent = route.idempotent();
   spec.maximum_attempts = route.attempts();
--- a/src/gateway/live_call_handler.cc
+++ b/src/gateway/live_call_handler.cc
@@ -179,7 +179,6 @@
   CallSpec spec;
   spec.route = ReferenceByName(route.name());
   spec.route_name = route.name();
-  spec.backend = route.backend();
   spec.priority = route.priority();
   spec.idempotent = route.idempotent();
   spec.deadline = now + timeout;
--- a/src/gateway/replica_backend_caller.cc
+++ b/src/gateway/replica_backend_caller.cc
@@ -46,14 +46,14 @@
   CallSpec spec;
   spec.route = item.reference;
   spec.route_name = route.name();
-  spec.backend = route.backend();
+  spec.backend = item.backend;
   spec.priority = proto::PRIORITY_BATCH;
   spec.idempotent = route.idempotent();
   spec.maximum_attempts = route.attempts();
   spec.deadline = context_.attempt.environment.Now() + item.deadline;
   spec.wait_until = spec.deadline;
   spec.work = WorkKind::kBatch;
-  spec.can_start = [this, backend = route.backend(), can_start = std::move(can_start)] {
+  spec.can_start = [this, backend = item.backend, can_start = std::move(can_start)] {
     return CanStartBatches(backend) && can_start();
   };
   ItemExchange exchange = item.request.has_forwarded() ? MakeForwardExchange(route, item.request)
--- a/src/routes/route_match.cc
+++ b/src/routes/route_match.cc
@@ -29,32 +29,46 @@
   return best;
 }
 
-std::string ChooseBackend(const proto::Route& route, std::uint64_t random) {
-  std::uint64_t total = 0;
+std::vector<proto::WeightedBackend> BackendsOf(const proto::Route& route) {
+  std::vector<proto::WeightedBackend> backends;
   for (const proto::WeightedBackend& weighted : route.split()) {
-    total += weighted.weight();
+    if (weighted.weight() > 0) {
+      backends.push_back(weighted);
+    }
   }
-  if (total == 0) {
-    return route.backend();
+  if (route.split().empty()) {
+    proto::WeightedBackend& single = backends.emplace_back();
+    single.set_backend(route.backend());
+    single.set_weight(1);
   }
-  std::uint64_t offset = random % total;
-  for (const proto::WeightedBackend& weighted : route.split()) {
+  return backends;
+}
+
+std::string ChooseBackend(const std::vector<proto::WeightedBackend>& backends,
+                          std::uint64_t random) {
+  std::uint64_t total = 0;
+  for (const proto::WeightedBackend& weighted : backends) {
+    total += weighted.weight();
+  }
+  std::uint64_t offset = total == 0 ? 0 : random % total;
+  for (const proto::WeightedBackend& weighted : backends) {
     if (offset < weighted.weight()) {
       return weighted.backend();
     }
     offset -= weighted.weight();
   }
-  return route.backend();
+  return "";
+}
+
+std::string ChooseBackend(const proto::Route& route, std::uint64_t random) {
+  return ChooseBackend(BackendsOf(route), random);
 }
 
 bool AllowsBackend(const proto::Route& route, std::string_view backend) {
-  if (route.split().empty()) {
-    return route.backend() == backend;
-  }
-  return std::any_of(route.split().begin(), route.split().end(),
-                     [backend](const proto::WeightedBackend& weighted) {
-                       return weighted.weight() > 0 && weighted.backend() == backend;
-                     });
+  const std::vector<proto::WeightedBackend> backends = BackendsOf(route);
+  return std::any_of(
+      backends.begin(), backends.end(),
+      [backend](const proto::WeightedBackend& weighted) { return weighted.backend() == backend; });
 }
 
 const proto::Backend* FindBackend(const proto::RoutingConfiguration& configuration,
--- a/src/routes/route_match.h
+++ b/src/routes/route_match.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "proto/configuration.pb.h"
 
@@ -20,10 +21,17 @@
 const proto::Route* MatchRoute(const proto::RoutingConfiguration& configuration,
                                std::string_view host, std::string_view path);
 
-/// Chooses a back end of the route's split with a probability proportional to its weight.
+/// @return the back ends that get calls of the route: those of its split with a weight above 0, or
+/// its single back end with the weight 1. `Route::backend` of a split route says nothing.
+std::vector<proto::WeightedBackend> BackendsOf(const proto::Route& route);
+
+/// Chooses one of the back ends with a probability proportional to its weight.
 /// @param random a random number; the same number selects the same back end while the weights are
 /// unchanged.
-/// @return the name of the back end; the route's single back end if no weight is set.
+/// @return the name of the back end; empty if there is none.
+std::string ChooseBackend(const std::vector<proto::WeightedBackend>& backends,
+                          std::uint64_t random);
+/// The same among the back ends of the route.
 std::string ChooseBackend(const proto::Route& route, std::uint64_t random);
 
 /// Whether the route can send calls to `backend`: as its single back end, or with a weight above 0.
--- a/src/scheduler/fair_queue.cc
+++ b/src/scheduler/fair_queue.cc
@@ -68,12 +68,12 @@
   return found == weights_.end() ? 1 : found->second;
 }
 
-QueuedBatchId FairQueue::AddBatch(const std::string& tenant, const std::string& backend,
+QueuedBatchId FairQueue::AddBatch(const std::string& tenant, std::vector<std::string> backends,
                                   std::vector<OrderedItem> items) {
   last_id_ = last_id_.Next();
   Batch& batch = batches_[last_id_];
   batch.tenant = tenant;
-  batch.backend = backend;
+  batch.backends = std::move(backends);
   batch.items = std::move(items);
   waiting_count_ += batch.waiting();
   if (batch.waiting() > 0) {
@@ -106,13 +106,13 @@
   }
 }
 
-void FairQueue::SetBackend(QueuedBatchId id, const std::string& backend) {
+void FairQueue::SetBackends(QueuedBatchId id, std::vector<std::string> backends) {
   const auto found = batches_.find(id);
-  if (found == batches_.end() || found->second.backend == backend) {
+  if (found == batches_.end() || found->second.backends == backends) {
     return;
   }
   Deactivate(id, found->second);
-  found->second.backend = backend;
+  found->second.backends = std::move(backends);
   if (found->second.waiting() > 0) {
     Activate(id, found->second);
   }
@@ -124,20 +124,30 @@
 }
 
 void FairQueue::Activate(QueuedBatchId id, Batch& batch) {
-  BackendQueue& backend = backends_[batch.backend];
-  TenantQueue& tenant = backend.tenants[batch.tenant];
-  if (tenant.batches.empty()) {
-    // A tenant that was idle starts at the present virtual time, so it cannot claim the service
-    // that it did not use meanwhile.
-    tenant.pass = std::max(tenant.pass, backend.virtual_time);
-    backend.order.insert({tenant.pass, batch.tenant});
-  }
-  batch.pass = std::max(batch.pass, tenant.virtual_time);
-  tenant.batches.insert({batch.pass, id});
+  for (const std::string& name : batch.backends) {
+    BackendQueue& backend = backends_[name];
+    TenantQueue& tenant = backend.tenants[batch.tenant];
+    if (tenant.batches.empty()) {
+      // A tenant that was idle starts at the present virtual time, so it cannot claim the service
+      // that it did not use meanwhile.
+      tenant.pass = std::max(tenant.pass, backend.virtual_time);
+      backend.order.insert({tenant.pass, batch.tenant});
+    }
+    batch.pass = std::max(batch.pass, tenant.virtual_time);
+  }
+  for (const std::string& name : batch.backends) {
+    backends_[name].tenants[batch.tenant].batches.insert({batch.pass, id});
+  }
 }
 
 void FairQueue::Deactivate(QueuedBatchId id, const Batch& batch) {
-  const auto backend = backends_.find(batch.backend);
+  for (const std::string& backend : batch.backends) {
+    DeactivateAt(backend, id, batch);
+  }
+}
+
+void FairQueue::DeactivateAt(const std::string& name, QueuedBatchId id, const Batch& batch) {
+  const auto backend = backends_.find(name);
   if (backend == backends_.end()) {
     return;
   }
--- a/src/scheduler/fair_queue.h
+++ b/src/scheduler/fair_queue.h
@@ -58,20 +58,20 @@
   void SetTenantWeight(const std::string& tenant, std::uint32_t weight);
 
   /// Adds a batch.
-  /// @param backend the model or service that runs the batch.
+  /// @param backends the models or services that may run its items, without repetition.
   /// @param items its waiting items in the order in which they should run, see `GroupByPrefix`.
-  QueuedBatchId AddBatch(const std::string& tenant, const std::string& backend,
+  QueuedBatchId AddBatch(const std::string& tenant, std::vector<std::string> backends,
                          std::vector<OrderedItem> items);
   /// Removes the batch and its waiting items; ignores unknown ids.
   void RemoveBatch(QueuedBatchId batch);
   /// Queues again an item that was picked before, ahead of the items of its batch that were never
   /// picked; ignores unknown batches.
   void ReturnItem(QueuedBatchId batch, std::uint32_t index);
-  /// Moves the batch to another backend, after a change of its route; ignores unknown batches.
-  void SetBackend(QueuedBatchId batch, const std::string& backend);
+  /// Moves the batch to other backends, after a change of its route; ignores unknown batches.
+  void SetBackends(QueuedBatchId batch, std::vector<std::string> backends);
 
-  /// Removes up to `limit` waiting items of `backend` and charges them to their tenants and
-  /// batches.
+  /// Removes up to `limit` waiting items that `backend` may run and charges them to their tenants
+  /// and batches.
   /// @return the items, the one to run first at the front.
   std::vector<PickedItem> Pick(const std::string& backend, std::size_t limit);
 
@@ -87,7 +87,7 @@
 
   struct Batch {
     std::string tenant;
-    std::string backend;
+    std::vector<std::string> backends;
     std::vector<OrderedItem> items;
     std::size_t next = 0;                ///< Position in `items` of the first one never picked.
     std::deque<std::uint32_t> returned;  ///< Indexes of the items of `ReturnItem`.
@@ -119,10 +119,11 @@
     std::set<RankedTenant> order;  ///< Tenants with waiting items.
   };
 
-  /// Adds a batch with waiting items to the queue of its tenant and backend.
+  /// Adds a batch with waiting items to the queues of its tenant at its backends.
   void Activate(QueuedBatchId id, Batch& batch);
-  /// Removes the batch from the queue of its tenant and backend, if it is there.
+  /// Removes the batch from the queues of its tenant at its backends, if it is there.
   void Deactivate(QueuedBatchId id, const Batch& batch);
+  void DeactivateAt(const std::string& backend, QueuedBatchId id, const Batch& batch);
   /// Moves the next items of the batch to `picked`, at most `limit`: returned items if there are
   /// any, else items of one prefix group. Requires that an item waits. @return their number.
   std::size_t PopRun(QueuedBatchId id, Batch& batch, std::size_t limit,
--- a/src/work_dispatch/work_queue.cc
+++ b/src/work_dispatch/work_queue.cc
@@ -1,8 +1,10 @@
 #include "work_dispatch/work_queue.h"
 
+#include <algorithm>
 #include <string_view>
 #include <utility>
 
+#include "routes/route_match.h"
 #include "routes/route_reference.h"
 
 namespace cloverbank {
@@ -40,9 +42,16 @@
   return ResolveBatchRoute(agent_.configuration(), batch.route);
 }
 
-std::string WorkQueue::FindBackend(const StoredBatch& batch) const {
-  const proto::Route* route = FindRoute(batch);
-  return route == nullptr ? "" : route->backend();
+std::vector<std::string> WorkQueue::FindBackends(const StoredBatch& batch) const {
+  std::vector<std::string> backends;
+  if (const proto::Route* route = FindRoute(batch)) {
+    for (const proto::WeightedBackend& weighted : BackendsOf(*route)) {
+      backends.push_back(weighted.backend());
+    }
+  }
+  std::sort(backends.begin(), backends.end());
+  backends.erase(std::unique(backends.begin(), backends.end()), backends.end());
+  return backends;
 }
 
 void WorkQueue::Enqueue(const OwnedPartition& partition, const StoredBatch& batch) {
@@ -52,7 +61,7 @@
       [&](std::uint32_t index) { return batch.phases[index] == ItemPhase::kWaiting; });
   const BatchKey key{partition.id(), batch.accepted.batch_id()};
   const QueuedBatchId queued =
-      queue_.AddBatch(batch.accepted.tenant(), FindBackend(batch), std::move(items));
+      queue_.AddBatch(batch.accepted.tenant(), FindBackends(batch), std::move(items));
   queued_ids_[key] = queued;
   batch_keys_[queued] = key;
   UpdateRoutability(key, batch);
@@ -97,7 +106,7 @@
   for (const auto& [key, queued] : queued_ids_) {
     const StoredBatch* batch = FindBatch({key.partition, key.batch_id, 0});
     if (batch != nullptr) {
-      queue_.SetBackend(queued, FindBackend(*batch));
+      queue_.SetBackends(queued, FindBackends(*batch));
       UpdateRoutability(key, *batch);
     }
   }
--- a/src/work_dispatch/work_queue.h
+++ b/src/work_dispatch/work_queue.h
@@ -62,8 +62,8 @@
   std::string ExplainUnroutable(const StoredBatch& batch) const;
 
  private:
-  /// @return the backend of the batch's route, or "" if there is no such route.
-  std::string FindBackend(const StoredBatch& batch) const;
+  /// @return the back ends of the batch's route; none if there is no such route.
+  std::vector<std::string> FindBackends(const StoredBatch& batch) const;
 
   /// Records whether the batch's items can run by the current configuration.
   void UpdateRoutability(const BatchKey& key, const StoredBatch& batch);
--- a/tests/batch_work/batch_worker_fixture.h
+++ b/tests/batch_work/batch_worker_fixture.h
@@ -19,6 +19,7 @@
   struct Run : BackendCall {
     void Cancel() override { cancelled = true; }
     proto::Route route;
+    std::string backend;
     proto::CallRequest request;
     std::function<bool()> can_start;
     std::function<void(BackendOutcome)> done;
@@ -28,13 +29,17 @@
 
   explicit FakeBackend(Environment& environment) : environment_(environment) {}
 
-  std::uint32_t FreeBatchSlots(const std::string& /*backend*/) const override { return slots; }
+  std::uint32_t FreeBatchSlots(const std::string& backend) const override {
+    const auto found = slots_by_backend.find(backend);
+    return found == slots_by_backend.end() ? slots : found->second;
+  }
 
   std::shared_ptr<BackendCall> RunBatchItem(const BatchItemCall& item,
                                             std::function<bool()> can_start,
                                             std::function<void(BackendOutcome)> done) override {
     auto run = std::make_shared<Run>();
     run->route = item.route;
+    run->backend = item.backend;
     run->request = item.request;
     run->can_start = std::move(can_start);
     run->done = std::move(done);
@@ -44,6 +49,7 @@
   }
 
   std::uint32_t slots = 4;
+  std::map<std::string, std::uint32_t> slots_by_backend;  ///< In place of `slots`.
   Duration connect = milliseconds(5);
   Duration run_time = milliseconds(100);
   BackendOutcome outcome;  ///< Of every run that is sent.
--- a/tests/batch_work/batch_worker_test.cc
+++ b/tests/batch_work/batch_worker_test.cc
@@ -244,5 +244,27 @@
   EXPECT_EQ(Disposition(q1, 1), proto::WORK_DISPOSITION_NOT_RUN);
 }
 
+// Guards against batch work of a split route running only where the first part of the split has
+// room (review/2).
+TEST_F(BatchWorkerTest, RunsItemsOfASplitRouteWhereRoomIs) {
+  SetHttpRoute("r-1", "/audit/", "canary");
+  proto::Route& route = *control.changes.back().mutable_set_route();
+  for (const auto& [backend, weight] : {std::pair{"canary", 0U}, {"full", 90U}, {"free", 10U}}) {
+    proto::WeightedBackend* weighted = route.add_split();
+    weighted->set_backend(backend);
+    weighted->set_weight(weight);
+  }
+  Start();
+  gateway->backend.slots_by_backend = {{"full", 0}};
+  for (std::uint64_t lease = 1; lease <= 3; ++lease) {
+    AddWork(lease, "r-1");
+    q1.work.back().set_idempotent(true);
+  }
+  ASSERT_TRUE(WaitUntilRunning(3));
+  for (const auto& run : gateway->backend.runs) {
+    EXPECT_EQ(run->backend, "free");
+  }
+}
+
 }  // namespace
 }  // namespace cloverbank
--- a/tests/gateway/gateway_harness.h
+++ b/tests/gateway/gateway_harness.h
@@ -125,7 +125,7 @@
   /// @return an item of a batch whose client named route number `route`.
   BatchItemCall MakeItem(int route, const proto::CallRequest& request, Duration deadline) const {
     const proto::Route& named = permission.stored.routes(route);
-    return {named, ReferenceByName(named.name()), request, deadline};
+    return {named, named.backend(), ReferenceByName(named.name()), request, deadline};
   }
 
   FakeReplica& AddReplica(const std::string& id, const std::string& zone, std::uint32_t capacity,
--- a/tests/queue/batch_route_test.cc
+++ b/tests/queue/batch_route_test.cc
@@ -159,6 +159,20 @@
   EXPECT_EQ(world_.Results("q1", id), (std::vector<std::string>{"0:2:"}));
 }
 
+// Guards against items waiting for the first part of a split alone, whatever its weight (review/2).
+TEST_F(BatchRouteTest, ItemsOfASplitRouteAreGrantedForEachOfItsParts) {
+  proto::Route& route = FindRoute("r-1");
+  route.set_backend("canary");
+  for (const auto& [backend, weight] : {std::pair{"canary", 0U}, {"other", 50U}, {"model", 50U}}) {
+    proto::WeightedBackend* weighted = route.add_split();
+    weighted->set_backend(backend);
+    weighted->set_weight(weight);
+  }
+  world_.PublishConfiguration();
+  AcceptAudit("key", 3);
+  EXPECT_EQ(world_.Acquire("q1", 5).size(), 3U);
+}
+
 class BatchRouteRecoveryTest : public BatchRouteTest {
  protected:
   BatchRouteRecoveryTest() { world_.AddQueue("q2"); }
--- a/tests/scheduler/fair_queue_test.cc
+++ b/tests/scheduler/fair_queue_test.cc
@@ -32,8 +32,8 @@
 TEST(FairQueueTest, SharesByWeightRegardlessOfBacklog) {
   FairQueue queue;
   queue.SetTenantWeight("heavy", 3);
-  const QueuedBatchId large = queue.AddBatch("light", "model", SamePrefixItems(420'000));
-  const QueuedBatchId small = queue.AddBatch("heavy", "model", SamePrefixItems(3'000));
+  const QueuedBatchId large = queue.AddBatch("light", {"model"}, SamePrefixItems(420'000));
+  const QueuedBatchId small = queue.AddBatch("heavy", {"model"}, SamePrefixItems(3'000));
   std::map<QueuedBatchId, int> served;
   for (int i = 0; i < 400; ++i) {
     for (const PickedItem& item : queue.Pick("model", 1)) {
@@ -46,9 +46,9 @@
 
 TEST(FairQueueTest, SharesEquallyAmongBatchesOfATenant) {
   FairQueue queue;
-  const QueuedBatchId first = queue.AddBatch("tenant", "model", SamePrefixItems(1000));
+  const QueuedBatchId first = queue.AddBatch("tenant", {"model"}, SamePrefixItems(1000));
   std::ignore = queue.Pick("model", 500);
-  const QueuedBatchId second = queue.AddBatch("tenant", "model", SamePrefixItems(1000));
+  const QueuedBatchId second = queue.AddBatch("tenant", {"model"}, SamePrefixItems(1000));
   std::map<QueuedBatchId, int> served;
   for (const PickedItem& item : queue.Pick("model", 160)) {
     ++served[item.batch];
@@ -59,9 +59,9 @@
 
 TEST(FairQueueTest, LateTenantGetsNoMoreThanItsShare) {
   FairQueue queue;
-  queue.AddBatch("busy", "model", SamePrefixItems(10'000));
+  queue.AddBatch("busy", {"model"}, SamePrefixItems(10'000));
   std::ignore = queue.Pick("model", 5'000);
-  const QueuedBatchId late = queue.AddBatch("late", "model", SamePrefixItems(10'000));
+  const QueuedBatchId late = queue.AddBatch("late", {"model"}, SamePrefixItems(10'000));
   int late_served = 0;
   for (const PickedItem& item : queue.Pick("model", 160)) {
     late_served += item.batch == late ? 1 : 0;
@@ -71,7 +71,7 @@
 
 TEST(FairQueueTest, PicksEachItemOnceAndReturnedItemsFirst) {
   FairQueue queue;
-  const QueuedBatchId batch = queue.AddBatch("tenant", "model", SamePrefixItems(20));
+  const QueuedBatchId batch = queue.AddBatch("tenant", {"model"}, SamePrefixItems(20));
   std::set<std::uint32_t> seen;
   for (const PickedItem& item : queue.Pick("model", 15)) {
     EXPECT_TRUE(seen.insert(item.index).second);
@@ -93,8 +93,8 @@
     return std::string_view(index % 2 == 0 ? "even" : "odd");
   };
   const auto always = [](std::uint32_t) { return true; };
-  queue.AddBatch("one", "model", GroupByPrefix(8, prefix_of, always));
-  queue.AddBatch("two", "model", GroupByPrefix(8, prefix_of, always));
+  queue.AddBatch("one", {"model"}, GroupByPrefix(8, prefix_of, always));
+  queue.AddBatch("two", {"model"}, GroupByPrefix(8, prefix_of, always));
   const auto picked = queue.Pick("model", 16);
   ASSERT_EQ(picked.size(), 16U);
   for (std::size_t i = 0; i < 16; i += 4) {
@@ -107,14 +107,36 @@
 
 TEST(FairQueueTest, RemovedAndMovedBatchesAreNotPicked) {
   FairQueue queue;
-  const QueuedBatchId removed = queue.AddBatch("tenant", "model", SamePrefixItems(5));
-  const QueuedBatchId moved = queue.AddBatch("tenant", "model", SamePrefixItems(5));
+  const QueuedBatchId removed = queue.AddBatch("tenant", {"model"}, SamePrefixItems(5));
+  const QueuedBatchId moved = queue.AddBatch("tenant", {"model"}, SamePrefixItems(5));
   queue.RemoveBatch(removed);
-  queue.SetBackend(moved, "other");
+  queue.SetBackends(moved, {"other"});
   EXPECT_TRUE(queue.Pick("model", 10).empty());
   EXPECT_EQ(queue.Pick("other", 10).size(), 5U);
   EXPECT_EQ(queue.waiting_count(), 0U);
 }
 
+// Guards against a batch of a split route waiting at one of its backends alone (review/2).
+TEST(FairQueueTest, ABatchOfSeveralBackendsIsPickedOnceForAnyOfThem) {
+  FairQueue queue;
+  const QueuedBatchId split = queue.AddBatch("tenant", {"one", "two"}, SamePrefixItems(3));
+  const QueuedBatchId single = queue.AddBatch("tenant", {"two"}, SamePrefixItems(2));
+  EXPECT_EQ(queue.Pick("one", 1).size(), 1U);
+  std::map<QueuedBatchId, int> served;
+  for (const PickedItem& item : queue.Pick("two", 10)) {
+    ++served[item.batch];
+  }
+  EXPECT_EQ(served[split], 2);
+  EXPECT_EQ(served[single], 2);
+  EXPECT_FALSE(queue.HasWaiting("one"));
+  EXPECT_FALSE(queue.HasWaiting("two"));
+  queue.ReturnItem(split, 0);
+  EXPECT_TRUE(queue.HasWaiting("one"));
+  queue.SetBackends(split, {"two"});
+  EXPECT_FALSE(queue.HasWaiting("one"));
+  EXPECT_EQ(queue.Pick("two", 10).size(), 1U);
+  EXPECT_EQ(queue.waiting_count(), 0U);
+}
+
 }  // namespace
 }  // namespace cloverbank
