--- a/src/coordinator/remaining_drain_work.cc
+++ b/src/coordinator/remaining_drain_work.cc
@@ -19,7 +19,9 @@
     work.live = true;
     work.partitions += state.partitions().CountAssigned(id);
     if (server.role() == proto::ROLE_BACKUP) {
-      const std::optional<std::size_t> replicas = sweeper.FindReplicaCount(id);
+      const bool retiring = server.state() == proto::SERVER_STATE_RETIRING;
+      const std::optional<std::size_t> replicas =
+          retiring ? sweeper.FindReplicaCountOfRetiring(id) : sweeper.FindReplicaCount(id);
       work.unknown = work.unknown || !replicas.has_value();
       work.replicas += replicas.value_or(0);
     }
--- a/src/leader/backup_sweeper.cc
+++ b/src/leader/backup_sweeper.cc
@@ -26,22 +26,31 @@
   for (const proto::Server* backup : state.servers().FindLiveServers(proto::ROLE_BACKUP)) {
     const NodeId id(backup->node_id());
     Sweep& sweep = sweeps_[id];
+    RecordRetirement(backup->state() == proto::SERVER_STATE_RETIRING, now, &sweep);
     if (!sweep.in_flight && now >= sweep.next_start) {
-      Start(backup->state() == proto::SERVER_STATE_RETIRING, now, &sweep);
+      Start(now, &sweep);
       due.push_back(id);
     }
   }
   return due;
 }
 
-void BackupSweeper::Start(bool retiring, TimePoint now, Sweep* sweep) const {
-  if (retiring) {
-    sweep->retiring_since = sweep->retiring_since.value_or(now);
-    sweep->is_settled = now - *sweep->retiring_since >= settling_time_;
-  } else {
+void BackupSweeper::RecordRetirement(bool retiring, TimePoint now, Sweep* sweep) {
+  if (!retiring) {
     sweep->retiring_since.reset();
-    sweep->is_settled = true;
+    return;
   }
+  if (!sweep->retiring_since) {
+    sweep->retiring_since = now;
+    sweep->counts = false;
+    sweep->replicas.reset();
+    sweep->next_start = now;
+  }
+}
+
+void BackupSweeper::Start(TimePoint now, Sweep* sweep) const {
+  const bool retiring = sweep->retiring_since.has_value();
+  sweep->counts = !retiring || now - *sweep->retiring_since >= settling_time_;
   sweep->in_flight = true;
   sweep->next_start = now + (retiring ? retiring_interval_ : interval_);
 }
@@ -51,7 +60,7 @@
   if (sweep != sweeps_.end()) {
     sweep->second.in_flight = false;
     sweep->second.replicas.reset();
-    if (sweep->second.is_settled) {
+    if (sweep->second.counts) {
       sweep->second.replicas = static_cast<std::size_t>(replicas.replicas_size());
     }
   }
@@ -69,4 +78,10 @@
   return sweep == sweeps_.end() ? std::nullopt : sweep->second.replicas;
 }
 
+std::optional<std::size_t> BackupSweeper::FindReplicaCountOfRetiring(NodeId backup) const {
+  const auto sweep = sweeps_.find(backup);
+  const bool seen_retiring = sweep != sweeps_.end() && sweep->second.retiring_since.has_value();
+  return seen_retiring ? sweep->second.replicas : std::nullopt;
+}
+
 }  // namespace cloverbank
--- a/src/leader/backup_sweeper.h
+++ b/src/leader/backup_sweeper.h
@@ -43,21 +43,27 @@
   /// Ends the sweep of `backup`, whose call failed. The last count of replicas stays.
   void HandleFailure(NodeId backup);
   /// @return number of replicas on the backup at its last successful sweep; no value before the
-  /// first, nor if the backup was already retiring and that sweep began before the settling time
-  /// was over.
+  /// first, nor if the backup was seen retiring and that sweep began before the settling time was
+  /// over.
   std::optional<std::size_t> FindReplicaCount(NodeId backup) const;
+  /// @return the same for a backup that is being retired by now; no value unless the sweep began
+  /// after the backup was seen retiring and had settled.
+  std::optional<std::size_t> FindReplicaCountOfRetiring(NodeId backup) const;
 
  private:
   struct Sweep {
     bool in_flight = false;
     TimePoint next_start;
     std::optional<TimePoint> retiring_since;  ///< When this leader first saw it retiring.
-    bool is_settled = true;  ///< Whether the last sweep began after the settling time.
+    bool counts = true;                       ///< Whether the result of the sweep in flight counts.
     std::optional<std::size_t> replicas;
   };
 
+  /// Records whether the backup is being retired. When its retirement begins, counts from before
+  /// are forgotten, the one in flight included, and the next sweep is due at once.
+  static void RecordRetirement(bool retiring, TimePoint now, Sweep* sweep);
   /// Marks `sweep` as in flight from `now` and sets when the next one is due.
-  void Start(bool retiring, TimePoint now, Sweep* sweep) const;
+  void Start(TimePoint now, Sweep* sweep) const;
 
   Duration interval_;
   Duration retiring_interval_;
--- a/tests/leader/backup_sweeper_test.cc
+++ b/tests/leader/backup_sweeper_test.cc
@@ -76,5 +76,27 @@
   EXPECT_EQ(sweeper.FindReplicaCount(backup), std::nullopt);
 }
 
+// Guards against an answer from before the question: the retirement is asked for before the next
+// sweep is scheduled (review/1).
+TEST_F(BackupSweeperTest, ARetirementThatIsNotSeenYetHasNoCount) {
+  BackupSweeper sweeper(seconds(5), seconds(1), seconds(3));
+  (void)sweeper.StartDueSweeps(control.state, TimePoint(seconds(100)));
+  sweeper.HandleReplicaList(backup, proto::ListSegmentsResponse());  // Still empty.
+  EXPECT_EQ(sweeper.FindReplicaCount(backup), 0U);
+  EXPECT_EQ(sweeper.FindReplicaCountOfRetiring(backup), std::nullopt);
+}
+
+// Guards against the retirement waiting for the end of a long interval between sweeps.
+TEST_F(BackupSweeperTest, ARetiringBackupIsListedAtOnce) {
+  BackupSweeper sweeper(seconds(5), seconds(1), seconds(3));
+  (void)sweeper.StartDueSweeps(control.state, TimePoint(seconds(100)));
+  sweeper.HandleReplicaList(backup, proto::ListSegmentsResponse());
+  proto::ControlCommand retire;
+  retire.mutable_retire_machine()->set_machine("s1");
+  control.Apply(retire);
+  EXPECT_THAT(sweeper.StartDueSweeps(control.state, TimePoint(seconds(101))),
+              testing::Contains(backup));
+}
+
 }  // namespace
 }  // namespace cloverbank
