--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -328,9 +328,10 @@
     TimePoint now) const {
   const auto found = loads_.find(replica.id);
   const std::uint32_t own = found == loads_.end() ? 0 : found->second.own();
-  const std::uint32_t all = replica.capacity *
-                            BatchCapacityPercent(configuration, kUnreportedBatchCapacityPercent) /
-                            kPercent;
+  // At least 1, otherwise batches would never run on replicas that take one call at a time.
+  const std::uint32_t all = std::max(
+      1U, replica.capacity * BatchCapacityPercent(configuration, kUnreportedBatchCapacityPercent) /
+              kPercent);
   BatchCapacityLimit limit;
   limit.bound = std::min(quota_.SlotsFor(replica.id, replica.zone, all),
                          health_.GetLimit(replica.id, replica.capacity, now));
--- a/tests/routing/batch_liveness_test.cc
+++ b/tests/routing/batch_liveness_test.cc
@@ -178,6 +178,12 @@
   EXPECT_EQ(started, kGateways);
 }
 
+// Guards against 90 % of one slot being rounded to none (KNOWN-RED 15).
+TEST_F(BatchLivenessTest, AReplicaWithOneSlotRunsItems) {
+  SetUpZone(3, 2, 1);
+  EXPECT_EQ(FreeSlotsOfZone(), 2U);
+}
+
 class BatchLivenessSeedTest : public BatchLivenessTest,
                               public ::testing::WithParamInterface<std::uint64_t> {};
 
