Count open tokens by the prefix of the route, not by its name

Change: a gateway sends the prefix of the route as the quota key; the record keeps it, so reservations, counts and releases use the same key. Batches of older builds count under their name and, for a prefix, by their path. While gateways of both builds run, each has the limit for itself.

Seen before the change (the name as the key): both new tests of TokenLimitTest fail, after it they pass.

--- a/src/batches/batch_store.cc
+++ b/src/batches/batch_store.cc
@@ -16,6 +16,11 @@
   return requested == 0 ? kDefaultPageEntries : std::min(requested, kMaxPageEntries);
 }
 
+/// Whether the batch has a path but, from an older build, no quota key.
+bool CountsByPath(const StoredBatch& batch) {
+  return batch.accepted.quota_key().empty() && IsByPath(batch.route);
+}
+
 /// @param position the result's position in the list, from 1.
 proto::ItemResult MakeListedResult(const StoredBatch& batch, const StoredResult& result,
                                    std::uint64_t position) {
@@ -131,7 +136,10 @@
     tenant.by_key.emplace(batch->accepted.idempotency_key(), batch.get());
   }
   tenant.open_items += batch->items.size();
-  tenant.open_tokens[batch->accepted.route()] += batch->open_tokens;
+  tenant.open_tokens[batch->quota_key()] += batch->open_tokens;
+  if (CountsByPath(*batch)) {
+    tenant.open_tokens_by_path[batch->route.path()] += batch->open_tokens;
+  }
   open_items_ += batch->items.size();
   by_id_.emplace(batch->accepted.batch_id(), batch.get());
   const PartitionSequence position = batch->position;
@@ -200,7 +208,11 @@
 void BatchStore::ReleaseTokens(StoredBatch& batch, std::uint64_t tokens) {
   const std::uint64_t released = std::min(batch.open_tokens, tokens);
   batch.open_tokens -= released;
-  tenants_[batch.accepted.tenant()].open_tokens[batch.accepted.route()] -= released;
+  Tenant& tenant = tenants_[batch.accepted.tenant()];
+  tenant.open_tokens[batch.quota_key()] -= released;
+  if (CountsByPath(batch)) {
+    tenant.open_tokens_by_path[batch.route.path()] -= released;
+  }
 }
 
 void BatchStore::ApplyCancelled(const proto::BatchCancelled& cancelled) {
@@ -323,13 +335,19 @@
 }
 
 std::uint64_t BatchStore::CountOpenTokens(const std::string& tenant,
-                                          const std::string& route) const {
+                                          const std::string& quota_key) const {
   const auto found = tenants_.find(tenant);
   if (found == tenants_.end()) {
     return 0;
   }
-  const auto tokens = found->second.open_tokens.find(route);
-  return tokens == found->second.open_tokens.end() ? 0 : tokens->second;
+  const auto counted = found->second.open_tokens.find(quota_key);
+  std::uint64_t tokens = counted == found->second.open_tokens.end() ? 0 : counted->second;
+  if (quota_key.starts_with('/')) {
+    for (const auto& [path, open] : found->second.open_tokens_by_path) {
+      tokens += path.starts_with(quota_key) ? open : 0;
+    }
+  }
+  return tokens;
 }
 
 Result<proto::BatchItem> BatchStore::FindOpenItem(const std::string& batch_id,
--- a/src/batches/batch_store.h
+++ b/src/batches/batch_store.h
@@ -56,9 +56,10 @@
   /// @return the number of items without a result, of one tenant or (`open_items`) of all.
   std::uint64_t CountOpenItems(const std::string& tenant) const;
   std::uint64_t open_items() const { return open_items_; }
-  /// @return the tokens of the tenant's items on one route that have no result. Items of cancelled
-  /// batches do not count.
-  std::uint64_t CountOpenTokens(const std::string& tenant, const std::string& route) const;
+  /// @return the tokens of the tenant's items under one quota key that have no result. Items of
+  /// cancelled batches do not count. A path prefix as the key also counts the batches without a
+  /// quota key, from older builds, whose path it begins.
+  std::uint64_t CountOpenTokens(const std::string& tenant, const std::string& quota_key) const;
   /// @return the item of the batch with this custom id; kNotFound if there is none without a
   /// result.
   Result<proto::BatchItem> FindOpenItem(const std::string& batch_id,
@@ -77,7 +78,9 @@
     std::map<PartitionSequence, StoredBatch*> by_position;
     std::unordered_map<std::string, StoredBatch*> by_key;
     std::uint64_t open_items = 0;
-    std::unordered_map<std::string, std::uint64_t> open_tokens;  ///< By route.
+    std::unordered_map<std::string, std::uint64_t> open_tokens;  ///< By quota key.
+    /// The same tokens of batches from older builds, by the path of the batch.
+    std::unordered_map<std::string, std::uint64_t> open_tokens_by_path;
   };
 
   Status ApplyPayload(proto::LogEntry& entry);
--- a/src/batches/stored_batch.h
+++ b/src/batches/stored_batch.h
@@ -44,6 +44,10 @@
 
   bool AllFinished() const { return results.size() == items.size(); }
   std::uint64_t open_items() const { return items.size() - results.size(); }
+  /// @return the key under which its tokens count against the limit of its route.
+  const std::string& quota_key() const {
+    return accepted.quota_key().empty() ? accepted.route() : accepted.quota_key();
+  }
   proto::BatchState state() const;
   proto::BatchStatus ToStatus() const;
 };
--- a/src/gateway/batch_service.cc
+++ b/src/gateway/batch_service.cc
@@ -93,6 +93,7 @@
   request.set_partition_id(FindPartition(submission.host, submission.batch_id));
   request.set_idempotent(true);
   *request.mutable_route_reference() = ReferenceByPath(submission.host, submission.path);
+  request.set_quota_key(route.path_prefix());
   request.set_wait_ms(static_cast<std::uint32_t>(route.target_ms() * kSubmissionWaitRatio));
   proto::SubmitBatch& batch = *request.mutable_batch();
   batch.set_tenant(submission.host);
--- a/src/queue/batch_intake.cc
+++ b/src/queue/batch_intake.cc
@@ -183,7 +183,8 @@
     return;
   }
   submission->tokens_reserved = true;
-  submission->partition->ReserveTokens(submission->accepted.tenant(), submission->accepted.route(),
+  submission->partition->ReserveTokens(submission->accepted.tenant(),
+                                       submission->reservation.quota_key,
                                        submission->reservation.tokens);
   LogNextEntries(submission);
 }
@@ -203,10 +204,13 @@
   accepted.set_item_count(static_cast<std::uint64_t>(submission->batch.items_size()));
   accepted.set_request_checksum(Checksum(submission->batch.SerializeAsString()));
   accepted.set_content_checksum(content_checksum);
+  accepted.set_quota_key(request.quota_key());
   accepted.set_idempotent(request.idempotent());
   if (request.has_route_reference()) {
     *accepted.mutable_route_reference() = std::move(*request.mutable_route_reference());
   }
+  submission->reservation.quota_key =
+      request.quota_key().empty() ? accepted.route() : request.quota_key();
   submission->reservation.tokens = SumTokens(submission->batch);
   submission->reservation.max_wait = milliseconds(request.wait_ms());
   partition->ReserveItems(accepted.tenant(), accepted.item_count());
@@ -294,7 +298,8 @@
   const proto::BatchAccepted& accepted = submission->accepted;
   partition.ReleaseItems(accepted.tenant(), accepted.item_count());
   if (submission->tokens_reserved) {
-    partition.ReleaseTokens(accepted.tenant(), accepted.route(), submission->reservation.tokens);
+    partition.ReleaseTokens(accepted.tenant(), submission->reservation.quota_key,
+                            submission->reservation.tokens);
   }
   const auto pending =
       pending_.find({partition.id(), accepted.tenant(), accepted.idempotency_key()});
--- a/src/token_quota/token_reserver.cc
+++ b/src/token_quota/token_reserver.cc
@@ -37,7 +37,7 @@
   const std::uint64_t sequence = next_sequence_++;
   Pending& pending = pending_[sequence];
   const std::string& name = batch.batch_id().empty() ? batch.idempotency_key() : batch.batch_id();
-  pending = {{partition, batch.tenant(), batch.route()},
+  pending = {{partition, batch.tenant(), reservation.quota_key},
              name,
              reservation.tokens,
              std::make_shared<Done>(std::move(done))};
--- a/src/token_quota/token_reserver.h
+++ b/src/token_quota/token_reserver.h
@@ -23,6 +23,7 @@
 
 /// The tokens that a batch needs within its route's limit.
 struct TokenReservation {
+  std::string quota_key;     ///< Of the batch's route.
   std::uint64_t tokens = 0;  ///< Of all items of the batch.
   Duration max_wait{};       ///< Maximum wait for capacity.
 };
--- a/tests/queue/token_limit_test.cc
+++ b/tests/queue/token_limit_test.cc
@@ -9,6 +9,7 @@
 #include "control_client/batch_partitions.h"
 #include "control_client/overload_rejection.h"
 #include "queue/queue_world.h"
+#include "routes/route_reference.h"
 
 namespace cloverbank {
 namespace {
@@ -99,6 +100,32 @@
   EXPECT_THAT(Submit(2, "b", 5), IsOk());
 }
 
+// Guards against a new name of the route opening its whole limit again.
+TEST_F(TokenLimitTest, TheLimitHoldsAcrossARenameOfTheRoute) {
+  auto first = MakeBatch(0, "first", 6, kLimit);
+  first.set_quota_key("/audit/");
+  ASSERT_THAT(world_.Submit(NodeName(0), first), IsOk());
+  auto second = MakeBatch(1, "second", 5, kLimit);
+  second.mutable_batch()->set_route("renamed");
+  second.set_quota_key("/audit/");
+  EXPECT_THAT(world_.Submit(NodeName(1), second), FailsWith(StatusCode::kResourceExhausted));
+  FinishAll(0);
+  world_.world.RunFor(seconds(1));
+  EXPECT_THAT(world_.Submit(NodeName(1), second), IsOk());
+}
+
+// Guards against batches that an older build accepted falling out of the count after an upgrade.
+TEST_F(TokenLimitTest, CountsBatchesWithoutAQuotaKeyByTheirPath) {
+  auto older = MakeBatch(0, "older", 6, kLimit);
+  *older.mutable_route_reference() = ReferenceByPath("studio", "/audit/older");
+  ASSERT_THAT(world_.Submit(NodeName(0), older), IsOk());
+  auto newer = MakeBatch(1, "newer", 5, kLimit);
+  newer.set_quota_key("/audit/");
+  EXPECT_THAT(world_.Submit(NodeName(1), newer), FailsWith(StatusCode::kResourceExhausted));
+  newer.set_quota_key("/other/");
+  EXPECT_THAT(world_.Submit(NodeName(1), newer), IsOk());
+}
+
 TEST_F(TokenLimitTest, RejectedBatchUsesNoCapacity) {
   EXPECT_THAT(Submit(0, "a", 6), IsOk());
   EXPECT_THAT(Submit(1, "b", 5), FailsWith(StatusCode::kResourceExhausted));
