Show a batch to its own tenant only, and refuse an id that is in use

Cause: the store and the requests of gateways name a batch by its id alone.

Change: requests about a batch name the tenant; a submission with the id of another batch gets 409, since the log names batches by id alone.

Seen before the change (its two checks switched off): the new test fails, after it it passes.

--- a/src/gateway/batch_service.cc
+++ b/src/gateway/batch_service.cc
@@ -129,6 +129,7 @@
   proto::ListResultsRequest request;
   request.set_partition_id(FindPartition(host, batch_id));
   request.set_batch_id(batch_id);
+  request.set_tenant(host);
   request.set_cursor(FormatCursor(position));
   request.set_limit(kMaximumPageSize);
   owners_.Call<proto::ListResultsResponse>(
@@ -151,6 +152,7 @@
   proto::GetItemRequest request;
   request.set_partition_id(FindPartition(host, batch_id));
   request.set_batch_id(batch_id);
+  request.set_tenant(host);
   request.set_custom_id(item_id);
   owners_.Call<proto::GetItemResponse>(
       "queue.GetItem", request, kReadDeadline,
@@ -172,6 +174,7 @@
   proto::CancelBatchRequest request;
   request.set_partition_id(FindPartition(host, batch_id));
   request.set_batch_id(batch_id);
+  request.set_tenant(host);
   owners_.Call<proto::CancelBatchResponse>(
       "queue.CancelBatch", request, kChangeDeadline,
       [done = std::move(done)](Result<proto::CancelBatchResponse> result) {
--- a/src/queue/batch_intake.cc
+++ b/src/queue/batch_intake.cc
@@ -1,5 +1,6 @@
 #include "queue/batch_intake.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <string_view>
@@ -136,6 +137,16 @@
   return true;
 }
 
+bool BatchIntake::IsIdInUse(const OwnedPartition& partition, const std::string& batch_id) const {
+  if (batch_id.empty()) {
+    return false;
+  }
+  const bool pending = std::any_of(pending_.begin(), pending_.end(), [&](const auto& entry) {
+    return entry.first.partition == partition.id() && entry.second->accepted.batch_id() == batch_id;
+  });
+  return pending || partition.store().Find(batch_id) != nullptr;
+}
+
 void BatchIntake::Submit(const std::shared_ptr<OwnedPartition>& partition,
                          proto::SubmitBatchRequest request, Reply reply) {
   const proto::SubmitBatch& batch = request.batch();
@@ -144,6 +155,11 @@
   if (JoinEarlierSubmission(*partition, key, request, content_checksum, reply)) {
     return;
   }
+  if (IsIdInUse(*partition, batch.batch_id())) {
+    reply(Status(StatusCode::kConflict,
+                 "batch id \"" + batch.batch_id() + "\" was used for another batch"));
+    return;
+  }
   if (Status status = CheckAcceptable(*partition, batch); !status.ok()) {
     reply(std::move(status));
     return;
--- a/src/queue/batch_intake.h
+++ b/src/queue/batch_intake.h
@@ -44,7 +44,8 @@
   /// Accepts the batch, or rejects it. `reply` runs before `Submit` returns or later. After any of
   /// these errors the batch is certainly not accepted:
   /// - kInvalidArgument: the batch is malformed;
-  /// - kConflict: the idempotency key was used for another batch, or the quota owner is unavailable
+  /// - kConflict: the id or idempotency key was used for another batch, or the quota owner is
+  /// unavailable
   ///   (detail `kQuotaOwnerUnavailableDetail`);
   /// - kResourceExhausted: the tenant's or the route's limit would be exceeded;
   /// - kUnavailable: the log accepts no entries now.
@@ -86,6 +87,8 @@
   bool JoinEarlierSubmission(OwnedPartition& partition, const SubmissionKey& key,
                              const proto::SubmitBatchRequest& request,
                              std::uint64_t content_checksum, Reply& reply);
+  /// Whether another batch of the partition has this id, which its client chose.
+  bool IsIdInUse(const OwnedPartition& partition, const std::string& batch_id) const;
   /// Creates the submission and reserves its items within the tenant's limit.
   SubmissionPtr StartSubmission(const std::shared_ptr<OwnedPartition>& partition,
                                 proto::SubmitBatchRequest request, std::uint64_t content_checksum);
--- a/tests/queue/batch_resend_test.cc
+++ b/tests/queue/batch_resend_test.cc
@@ -109,6 +109,36 @@
   EXPECT_THAT(world_.Submit("q1", named), FailsWith(StatusCode::kConflict));
 }
 
+// Guards against a client getting the data of another one that chose the same batch id, and against
+// accepting a batch whose entries the store then drops (KNOWN-RED 15).
+TEST_F(BatchResendTest, TheIdOfAnotherTenantsBatchShowsNothingOfIt) {
+  ASSERT_THAT(world_.Submit("q1", request_), IsOk());
+  auto other = request_;
+  other.mutable_batch()->set_tenant("other.example");
+  other.mutable_route_reference()->set_host("other.example");
+  EXPECT_THAT(world_.Submit("q1", other), FailsWith(StatusCode::kConflict));
+
+  proto::ListResultsRequest list;
+  list.set_batch_id("7c41");
+  list.set_tenant("other.example");
+  EXPECT_THAT(world_.Call<proto::ListResultsResponse>("q1", "queue.ListResults", list),
+              FailsWith(StatusCode::kNotFound));
+  proto::GetItemRequest item;
+  item.set_batch_id("7c41");
+  item.set_custom_id("item0");
+  item.set_tenant("other.example");
+  EXPECT_THAT(world_.Call<proto::GetItemResponse>("q1", "queue.GetItem", item),
+              FailsWith(StatusCode::kNotFound));
+  proto::CancelBatchRequest cancel;
+  cancel.set_batch_id("7c41");
+  cancel.set_tenant("other.example");
+  EXPECT_THAT(world_.Call<proto::CancelBatchResponse>("q1", "queue.CancelBatch", cancel),
+              FailsWith(StatusCode::kNotFound));
+
+  list.set_tenant("shop.example");
+  EXPECT_THAT(world_.Call<proto::ListResultsResponse>("q1", "queue.ListResults", list), IsOk());
+}
+
 /// A batch that a build without content checksums accepted.
 class OlderBatchResendTest : public testing::Test {
  protected:
