Try suspect replicas later while another replica of the back end is sound

Change: the trial waits 5 s longer while the gateway has a sound replica of the same back end. Without one it comes as before, so batch work goes on.

--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -18,6 +18,9 @@
 constexpr Duration kLastResortCostPenalty = seconds(10);
 /// Between the turns of two gateways of a zone to try a suspect replica with one batch item.
 constexpr Duration kSuspectTrialInterval = milliseconds(100);
+/// Added while the gateway has another replica for batch work, so that items do not wait at
+/// replicas that have just gone dark.
+constexpr Duration kSuspectTrialDelay = seconds(5);
 
 /// A replica with its rendezvous weight for one key.
 struct WeightedReplica {
@@ -297,7 +300,17 @@
 
 bool Router::IsSuspectTrialDue(const ReplicaRecord& replica, TimePoint now) const {
   const std::int64_t turn = quota_.TurnFor(replica.id);
-  return health_.IsSuspectTrialDue(replica.id, kSuspectTrialInterval * (turn + 1), now);
+  const Duration wait = kSuspectTrialInterval * (turn + 1);
+  return health_.IsSuspectTrialDue(
+      replica.id, HasSoundPeer(replica, now) ? wait + kSuspectTrialDelay : wait, now);
+}
+
+bool Router::HasSoundPeer(const ReplicaRecord& replica, TimePoint now) const {
+  const auto& ready = directory_.Ready(replica.kind, replica.backend);
+  return std::any_of(ready.begin(), ready.end(), [&](const ReplicaRecord* other) {
+    return quota_.SlotsFor(other->id, other->zone, std::max(1U, other->capacity)) > 0 &&
+           health_.GetUsability(other->id, now) == Usability::kYes;
+  });
 }
 
 std::uint32_t Router::BatchSlotsByLoad(const ReplicaRecord& replica,
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -158,8 +158,11 @@
   std::uint32_t BatchSlotsByLoad(const ReplicaRecord& replica,
                                  const proto::RoutingConfiguration& configuration,
                                  TimePoint now) const;
-  /// Whether it is this gateway's turn to try a suspect replica with one batch item.
+  /// Whether it is this gateway's turn to try a suspect replica with one batch item. The wait is
+  /// longer while the gateway has a sound replica of the same back end.
   bool IsSuspectTrialDue(const ReplicaRecord& replica, TimePoint now) const;
+  /// Whether this gateway has a quota of a replica of the same back end that is not suspect.
+  bool HasSoundPeer(const ReplicaRecord& replica, TimePoint now) const;
   /// Ranks by distance and load: replicas that are not busy in this gateway's zone, then in its
   /// region; then busy ones in the same order; then those of all other zones. Replicas of last
   /// resort rank after all others.
--- a/tests/routing/batch_liveness_test.cc
+++ b/tests/routing/batch_liveness_test.cc
@@ -155,6 +155,18 @@
   EXPECT_EQ(ChooseForBatch(gateway), nullptr);
 }
 
+// Guards against items waiting at replicas that have just gone dark while others are sound.
+TEST_F(BatchLivenessTest, ASuspectReplicaIsTriedLaterWhileAnotherOneIsSound) {
+  SetUpZone(1, 2);
+  GatewayView& gateway = *gateways_.front();
+  const std::uint32_t all = FreeSlots(gateway);
+  gateway.RunCall(ids_[0], CallOutcome::kNoResponse, now_);
+  now_ += seconds(4);
+  EXPECT_EQ(FreeSlots(gateway), all / 2);
+  now_ += seconds(2);
+  EXPECT_EQ(FreeSlots(gateway), all / 2 + 1) << "the state ends without live calls, too";
+}
+
 // Guards against all gateways of a zone trying a suspect replica at the same moment.
 TEST_F(BatchLivenessTest, GatewaysOfAZoneTakeTurnsAtASuspectReplica) {
   constexpr std::uint32_t kGateways = 12;
