Accept a batch whose id a client of another host has chosen

Cause: records of the log and the store name a batch by its id alone, which a client chose; it is unique for its host only.

Change: the owner stores such a batch under an id of its own, as it does for /v1, and keeps the client's id in the new field BatchAccepted.client_batch_id. Requests about a batch with a tenant find it by the id that this tenant's client knows. One tenant's second batch under one id still gets 409.

--- a/src/batches/batch_store.cc
+++ b/src/batches/batch_store.cc
@@ -135,6 +135,9 @@
   if (!batch->accepted.idempotency_key().empty()) {
     tenant.by_key.emplace(batch->accepted.idempotency_key(), batch.get());
   }
+  if (!batch->accepted.client_batch_id().empty()) {
+    tenant.by_client_id.emplace(batch->accepted.client_batch_id(), batch.get());
+  }
   tenant.open_items += batch->items.size();
   tenant.open_tokens[batch->quota_key()] += batch->open_tokens;
   if (CountsByPath(*batch)) {
@@ -247,6 +250,7 @@
   open_items_ -= batch->open_items();
   tenant.open_items -= batch->open_items();
   tenant.by_key.erase(batch->accepted.idempotency_key());
+  tenant.by_client_id.erase(batch->accepted.client_batch_id());
   tenant.by_position.erase(batch->position);
   if (tenant.by_position.empty()) {
     tenants_.erase(found);
@@ -267,6 +271,20 @@
   return found == by_id_.end() ? nullptr : found->second;
 }
 
+const StoredBatch* BatchStore::FindOfTenant(const std::string& tenant,
+                                            const std::string& id) const {
+  const StoredBatch* batch = Find(id);
+  if (tenant.empty() || (batch != nullptr && batch->accepted.tenant() == tenant)) {
+    return batch;
+  }
+  const auto found = tenants_.find(tenant);
+  if (found == tenants_.end()) {
+    return nullptr;
+  }
+  const auto named = found->second.by_client_id.find(id);
+  return named == found->second.by_client_id.end() ? nullptr : named->second;
+}
+
 const StoredBatch* BatchStore::FindByKey(const std::string& tenant,
                                          const std::string& idempotency_key) const {
   const auto found = tenants_.find(tenant);
--- a/src/batches/batch_store.h
+++ b/src/batches/batch_store.h
@@ -39,6 +39,8 @@
 
   /// @return nullptr if there is no such batch.
   const StoredBatch* Find(const std::string& batch_id) const;
+  /// @return the batch that the tenant's client knows by `id`, or nullptr. An empty tenant: `Find`.
+  const StoredBatch* FindOfTenant(const std::string& tenant, const std::string& id) const;
   /// @return the batch that was accepted under this idempotency key, or nullptr.
   const StoredBatch* FindByKey(const std::string& tenant, const std::string& idempotency_key) const;
 
@@ -77,6 +79,8 @@
   struct Tenant {
     std::map<PartitionSequence, StoredBatch*> by_position;
     std::unordered_map<std::string, StoredBatch*> by_key;
+    /// Batches whose id is not the one that their client chose, by the latter.
+    std::unordered_map<std::string, StoredBatch*> by_client_id;
     std::uint64_t open_items = 0;
     std::unordered_map<std::string, std::uint64_t> open_tokens;  ///< By quota key.
     /// The same tokens of batches from older builds, by the path of the batch.
--- a/src/queue/batch_intake.cc
+++ b/src/queue/batch_intake.cc
@@ -138,15 +138,24 @@
 }
 
 bool BatchIntake::IsIdInUse(const OwnedPartition& partition, const std::string& batch_id) const {
-  if (batch_id.empty()) {
-    return false;
-  }
   const bool pending = std::any_of(pending_.begin(), pending_.end(), [&](const auto& entry) {
     return entry.first.partition == partition.id() && entry.second->accepted.batch_id() == batch_id;
   });
   return pending || partition.store().Find(batch_id) != nullptr;
 }
 
+bool BatchIntake::HasUsedId(const OwnedPartition& partition,
+                            const proto::SubmitBatch& batch) const {
+  if (batch.batch_id().empty()) {
+    return false;
+  }
+  const bool pending = std::any_of(pending_.begin(), pending_.end(), [&](const auto& entry) {
+    return entry.first.partition == partition.id() && entry.first.tenant == batch.tenant() &&
+           entry.second->batch.batch_id() == batch.batch_id();
+  });
+  return pending || partition.store().FindOfTenant(batch.tenant(), batch.batch_id()) != nullptr;
+}
+
 void BatchIntake::Submit(const std::shared_ptr<OwnedPartition>& partition,
                          proto::SubmitBatchRequest request, Reply reply) {
   const proto::SubmitBatch& batch = request.batch();
@@ -155,7 +164,7 @@
   if (JoinEarlierSubmission(*partition, key, request, content_checksum, reply)) {
     return;
   }
-  if (IsIdInUse(*partition, batch.batch_id())) {
+  if (HasUsedId(*partition, batch)) {
     reply(Status(StatusCode::kConflict,
                  "batch id \"" + batch.batch_id() + "\" was used for another batch"));
     return;
@@ -212,8 +221,7 @@
   submission->partition = partition;
   submission->batch = std::move(*request.mutable_batch());
   proto::BatchAccepted& accepted = submission->accepted;
-  const std::string& requested_id = submission->batch.batch_id();
-  accepted.set_batch_id(requested_id.empty() ? MakeBatchId(*partition) : requested_id);
+  SetBatchId(*partition, submission->batch.batch_id(), &accepted);
   accepted.set_tenant(submission->batch.tenant());
   accepted.set_idempotency_key(submission->batch.idempotency_key());
   accepted.set_route(submission->batch.route());
@@ -233,6 +241,16 @@
   return submission;
 }
 
+void BatchIntake::SetBatchId(const OwnedPartition& partition, const std::string& requested_id,
+                             proto::BatchAccepted* accepted) {
+  if (!requested_id.empty() && !IsIdInUse(partition, requested_id)) {
+    accepted->set_batch_id(requested_id);
+    return;
+  }
+  accepted->set_batch_id(MakeBatchId(partition));
+  accepted->set_client_batch_id(requested_id);
+}
+
 std::string BatchIntake::MakeBatchId(const OwnedPartition& partition) {
   std::array<char, 16> digits{};
   const auto end =
--- a/src/queue/batch_intake.h
+++ b/src/queue/batch_intake.h
@@ -87,8 +87,14 @@
   bool JoinEarlierSubmission(OwnedPartition& partition, const SubmissionKey& key,
                              const proto::SubmitBatchRequest& request,
                              std::uint64_t content_checksum, Reply& reply);
-  /// Whether another batch of the partition has this id, which its client chose.
+  /// Whether a batch of the partition has this id, whatever its tenant.
   bool IsIdInUse(const OwnedPartition& partition, const std::string& batch_id) const;
+  /// Whether the tenant has chosen the id of `batch` for another batch before.
+  bool HasUsedId(const OwnedPartition& partition, const proto::SubmitBatch& batch) const;
+  /// Sets the id under which the batch is stored: the one that the client requested, unless it
+  /// requested none or a batch of another tenant has it.
+  void SetBatchId(const OwnedPartition& partition, const std::string& requested_id,
+                  proto::BatchAccepted* accepted);
   /// Creates the submission and reserves its items within the tenant's limit.
   SubmissionPtr StartSubmission(const std::shared_ptr<OwnedPartition>& partition,
                                 proto::SubmitBatchRequest request, std::uint64_t content_checksum);
--- a/src/queue/batch_request_handler.cc
+++ b/src/queue/batch_request_handler.cc
@@ -9,14 +9,6 @@
   return {StatusCode::kNotFound, "there is no batch \"" + batch_id + "\""};
 }
 
-/// Whether the request names a tenant and the batch belongs to another one.
-template <typename Request>
-bool IsOfAnotherTenant(const BatchStore& store, const Request& request) {
-  const StoredBatch* batch = store.Find(request.batch_id());
-  return batch != nullptr && !request.tenant().empty() &&
-         batch->accepted.tenant() != request.tenant();
-}
-
 /// Replies with the result of `read` on the partition's store, or with the error of
 /// `PartitionOwnership::Require` if this node may not answer for the partition.
 template <typename Response, typename Read>
@@ -30,17 +22,19 @@
   reply(read((*partition)->store()));
 }
 
-/// The same for a request about one batch, which must not be another tenant's.
+/// The same for a request about one batch, which must not be another tenant's. `read` gets the
+/// store and the id that the batch has there.
 template <typename Response, typename Request, typename Read>
 void AnswerAboutBatch(const PartitionOwnership& ownership, const Request& request,
                       const BatchRequestHandler::Reply<Response>& reply, const Read& read) {
-  AnswerFromStore(ownership, request.partition_id(), reply,
-                  [&](const BatchStore& store) -> Result<Response> {
-                    if (IsOfAnotherTenant(store, request)) {
-                      return MakeNoBatchStatus(request.batch_id());
-                    }
-                    return read(store);
-                  });
+  AnswerFromStore(
+      ownership, request.partition_id(), reply, [&](const BatchStore& store) -> Result<Response> {
+        const StoredBatch* batch = store.FindOfTenant(request.tenant(), request.batch_id());
+        if (batch == nullptr) {
+          return MakeNoBatchStatus(request.batch_id());
+        }
+        return read(store, batch->accepted.batch_id());
+      });
 }
 
 }  // namespace
@@ -62,15 +56,10 @@
 void BatchRequestHandler::Get(const proto::GetBatchRequest& request,
                               const Reply<proto::GetBatchResponse>& reply) {
   AnswerAboutBatch(
-      ownership_, request, reply, [&](const BatchStore& store) -> Result<proto::GetBatchResponse> {
-        const StoredBatch* batch = store.Find(request.batch_id());
-        if (batch == nullptr) {
-          return Status(StatusCode::kNotFound, "there is no batch \"" + request.batch_id() +
-                                                   "\" in partition " +
-                                                   std::to_string(request.partition_id()));
-        }
+      ownership_, request, reply,
+      [](const BatchStore& store, const std::string& batch_id) -> Result<proto::GetBatchResponse> {
         proto::GetBatchResponse response;
-        *response.mutable_status() = batch->ToStatus();
+        *response.mutable_status() = store.Find(batch_id)->ToStatus();
         return response;
       });
 }
@@ -93,9 +82,9 @@
 void BatchRequestHandler::ListResults(const proto::ListResultsRequest& request,
                                       const Reply<proto::ListResultsResponse>& reply) {
   AnswerAboutBatch(ownership_, request, reply,
-                   [&](const BatchStore& store) -> Result<proto::ListResultsResponse> {
-                     auto list =
-                         store.ListResults(request.batch_id(), request.cursor(), request.limit());
+                   [&](const BatchStore& store,
+                       const std::string& batch_id) -> Result<proto::ListResultsResponse> {
+                     auto list = store.ListResults(batch_id, request.cursor(), request.limit());
                      if (!list.ok()) {
                        return list.status();
                      }
@@ -107,16 +96,17 @@
 
 void BatchRequestHandler::GetItem(const proto::GetItemRequest& request,
                                   const Reply<proto::GetItemResponse>& reply) {
-  AnswerAboutBatch(ownership_, request, reply,
-                   [&](const BatchStore& store) -> Result<proto::GetItemResponse> {
-                     auto item = store.FindOpenItem(request.batch_id(), request.custom_id());
-                     if (!item.ok()) {
-                       return item.status();
-                     }
-                     proto::GetItemResponse response;
-                     *response.mutable_item() = std::move(*item);
-                     return response;
-                   });
+  AnswerAboutBatch(
+      ownership_, request, reply,
+      [&](const BatchStore& store, const std::string& batch_id) -> Result<proto::GetItemResponse> {
+        auto item = store.FindOpenItem(batch_id, request.custom_id());
+        if (!item.ok()) {
+          return item.status();
+        }
+        proto::GetItemResponse response;
+        *response.mutable_item() = std::move(*item);
+        return response;
+      });
 }
 
 void BatchRequestHandler::Cancel(const proto::CancelBatchRequest& request,
@@ -126,11 +116,13 @@
     reply(partition.status());
     return;
   }
-  if (IsOfAnotherTenant((*partition)->store(), request)) {
+  const StoredBatch* batch =
+      (*partition)->store().FindOfTenant(request.tenant(), request.batch_id());
+  if (batch == nullptr) {
     reply(MakeNoBatchStatus(request.batch_id()));
     return;
   }
-  dispatcher_.Cancel(*partition, request.batch_id(), reply);
+  dispatcher_.Cancel(*partition, batch->accepted.batch_id(), reply);
 }
 
 }  // namespace cloverbank
