Let gateways of other zones run batch items in a zone without gateways

Cause: the batch capacity of a replica is divided among the gateways of its own zone, so such replicas are in no gateway's quota.

Change: the leader tells each gateway its rank for the zones without gateways that it serves: those of its region, and those of regions without any. A gateway divides the slots of their replicas by it. The rate of calls to replicas that warm up stays with the gateways of their zone.

Seen before (each part switched off): GatewayQuotaTest, BatchLivenessTest and both tests of ZonesWithoutGatewayTest fail, after it they pass.

--- a/src/control_client/fleet_view.h
+++ b/src/control_client/fleet_view.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <string>
 
 #include "base/ids.h"
 #include "proto/coordinator.pb.h"
@@ -21,11 +22,18 @@
   const proto::Server* OwnerOf(PartitionId partition) const;
 };
 
-/// Rank of a gateway among the live gateways of its zone, as of the last heartbeat
-/// response.
-struct GatewayRank {
+/// Rank of a gateway among the live gateways that serve the replicas of a zone.
+struct ZoneRank {
   std::uint32_t index = 0;  ///< From 0 to `count` - 1.
   std::uint32_t count = 1;
+  bool operator==(const ZoneRank&) const = default;
+};
+
+/// The zones whose replicas a gateway serves, as of the last heartbeat response.
+struct GatewayRank {
+  ZoneRank own_zone;
+  /// By name; zones that have no live gateway.
+  std::map<std::string, ZoneRank> zones_without_gateway = {};
   bool operator==(const GatewayRank&) const = default;
 };
 
--- a/src/control_client/node_agent.cc
+++ b/src/control_client/node_agent.cc
@@ -122,7 +122,9 @@
   return state_->context.session.partition_count();
 }
 
-GatewayRank NodeAgent::gateway_rank() const { return state_->context.session.gateway_rank(); }
+const GatewayRank& NodeAgent::gateway_rank() const {
+  return state_->context.session.gateway_rank();
+}
 
 const std::vector<Endpoint>& NodeAgent::neighbours() const {
   return state_->context.session.neighbours();
--- a/src/control_client/node_agent.h
+++ b/src/control_client/node_agent.h
@@ -50,9 +50,9 @@
   const std::string& zone() const;
   /// @return the number of partitions of the fleet; 0 until the node is registered.
   std::uint32_t partition_count() const;
-  /// @return the rank of this gateway in its zone. The gateways of a zone divide zone-wide rates
-  /// and capacities among them by it.
-  GatewayRank gateway_rank() const;
+  /// @return the ranks of this gateway in its zone and in those without gateways. The gateways that
+  /// serve a zone divide zone-wide rates and capacities among them by it.
+  const GatewayRank& gateway_rank() const;
   /// @return the peer endpoints of a bounded number of other gateways in this zone.
   const std::vector<Endpoint>& neighbours() const;
   /// @return the gateways from which to request the list of replicas, in the order in which to try
@@ -77,7 +77,7 @@
   void OnConfiguration(std::function<void()> observer);
   /// Runs `observer` after each update of the fleet view to a newer version.
   void OnFleet(std::function<void()> observer);
-  /// Runs `observer` after the rank of this gateway in its zone has changed.
+  /// Runs `observer` after `gateway_rank` has changed.
   void OnGatewayRank(std::function<void()> observer);
   /// Runs `observer` after each registration, when the node id has become valid: the first one, and
   /// one after each fence.
--- a/src/control_client/node_session.cc
+++ b/src/control_client/node_session.cc
@@ -72,7 +72,12 @@
   if (response.zone_gateway_count() == 0) {
     return false;
   }
-  const GatewayRank rank{response.zone_gateway_index(), response.zone_gateway_count()};
+  GatewayRank rank{{response.zone_gateway_index(), response.zone_gateway_count()}, {}};
+  for (const proto::ZoneRank& zone : response.zones_without_gateway()) {
+    if (zone.gateway_index() < zone.gateway_count()) {
+      rank.zones_without_gateway[zone.zone()] = {zone.gateway_index(), zone.gateway_count()};
+    }
+  }
   return std::exchange(gateway_rank_, rank) != rank;
 }
 
--- a/src/control_client/node_session.h
+++ b/src/control_client/node_session.h
@@ -51,7 +51,7 @@
   NodeId previous_node_id() const { return previous_node_id_; }
   Incarnation incarnation() const { return incarnation_; }
   std::uint32_t partition_count() const { return partition_count_; }
-  GatewayRank gateway_rank() const { return gateway_rank_; }
+  const GatewayRank& gateway_rank() const { return gateway_rank_; }
   const std::vector<Endpoint>& neighbours() const { return neighbours_; }
   /// @return nullopt until the first heartbeat is answered.
   const std::optional<std::vector<ListSource>>& list_sources() const { return list_sources_; }
--- a/src/coordinator/gateway_neighbours.cc
+++ b/src/coordinator/gateway_neighbours.cc
@@ -1,7 +1,9 @@
 #include "coordinator/gateway_neighbours.h"
 
 #include <algorithm>
+#include <map>
 #include <set>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -22,6 +24,47 @@
   return in_zone;
 }
 
+/// @return the gateways in zones of that region.
+Gateways FilterByRegion(const Gateways& gateways, const std::map<std::string, proto::Zone>& zones,
+                        const std::string& region) {
+  Gateways in_region = gateways;
+  std::erase_if(in_region, [&](const proto::Server* gateway) {
+    const auto zone = zones.find(gateway->zone());
+    return zone == zones.end() || zone->second.region() != region;
+  });
+  return in_region;
+}
+
+std::size_t RankOf(const Gateways& gateways, const proto::Server* gateway) {
+  return static_cast<std::size_t>(std::find(gateways.begin(), gateways.end(), gateway) -
+                                  gateways.begin());
+}
+
+/// Adds the rank of `self` for each configured zone without gateways that it serves: zones of its
+/// region, and those of regions that have no gateway at all.
+void AddZonesWithoutGateway(const Gateways& all, const proto::Server* self,
+                            const std::map<std::string, proto::Zone>& zones,
+                            proto::HeartbeatResponse* response) {
+  std::set<std::string_view> zones_with_gateway;
+  for (const proto::Server* gateway : all) {
+    zones_with_gateway.insert(gateway->zone());
+  }
+  for (const auto& [name, zone] : zones) {
+    if (zones_with_gateway.contains(name)) {
+      continue;
+    }
+    Gateways serving = FilterByRegion(all, zones, zone.region());
+    serving = serving.empty() ? all : serving;
+    const std::size_t rank = RankOf(serving, self);
+    if (rank < serving.size()) {
+      proto::ZoneRank& served = *response->add_zones_without_gateway();
+      served.set_zone(name);
+      served.set_gateway_count(static_cast<std::uint32_t>(serving.size()));
+      served.set_gateway_index(static_cast<std::uint32_t>(rank));
+    }
+  }
+}
+
 /// Adds the gateways that follow the one at `rank` in the ring of node ids, so that among many
 /// gateways each has a limited number of neighbours and is a neighbour of as many.
 void AddNeighbours(const Gateways& zone_gateways, std::size_t rank,
@@ -68,10 +111,10 @@
   }
   const Gateways all = state.servers().FindLiveServers(proto::ROLE_GATEWAY);
   const Gateways zone_gateways = FilterByZone(all, self->zone());
-  const auto rank = static_cast<std::size_t>(
-      std::find(zone_gateways.begin(), zone_gateways.end(), self) - zone_gateways.begin());
+  const std::size_t rank = RankOf(zone_gateways, self);
   response->set_zone_gateway_count(static_cast<std::uint32_t>(zone_gateways.size()));
   response->set_zone_gateway_index(static_cast<std::uint32_t>(rank));
+  AddZonesWithoutGateway(all, self, state.configuration().objects().zones, response);
   AddNeighbours(zone_gateways, rank, response);
   AddListSources(zone_gateways, rank, response);
   if (rank == 0) {
--- a/src/coordinator/gateway_neighbours.h
+++ b/src/coordinator/gateway_neighbours.h
@@ -10,7 +10,8 @@
 namespace cloverbank {
 
 /// Adds to `response` the number of gateways in the zone of gateway `node`, its index among them by
-/// node id, its neighbours and its list sources. Does nothing if `node` is not a live gateway.
+/// node id, its rank for each zone without gateways that it serves too, its neighbours and its list
+/// sources. Does nothing if `node` is not a live gateway.
 void AddGatewayNeighbours(const ControlState& state, NodeId node,
                           proto::HeartbeatResponse* response);
 
--- a/src/gateway/gateway_service.cc
+++ b/src/gateway/gateway_service.cc
@@ -99,8 +99,8 @@
   ~State() { environment.CancelTimer(cleanup_timer); }
 
   void UpdateRank() {
-    const GatewayRank rank = agent.gateway_rank();
-    pool.SetQuota({options.zone, rank.index, rank.count});
+    const GatewayRank& rank = agent.gateway_rank();
+    pool.SetQuota({options.zone, rank.own_zone, rank.zones_without_gateway});
   }
 
   void RemoveIdleLimits() {
--- a/src/replicas/gateway_quota.cc
+++ b/src/replicas/gateway_quota.cc
@@ -12,27 +12,39 @@
 /// at most 1.5 times its rate in any second.
 constexpr double kMinimumRate = 2;
 
-}  // namespace
-
-std::uint32_t GatewayQuota::TurnFor(std::string_view replica_id) const {
+/// @return the turn at the replica, below `rank.count`, of the gateway with this rank.
+std::uint32_t TurnAt(const ZoneRank& rank, std::string_view replica_id) {
   // The first selected gateway is at a fixed fraction of the ring of gateways, not at a fixed
   // index, so that few selections change when a gateway joins or leaves.
   constexpr double kHashRange = 18446744073709551616.0;  // 2^64.
   const double fraction = static_cast<double>(Checksum(replica_id)) / kHashRange;
-  const auto first = static_cast<std::uint32_t>(fraction * count);
-  return (index + count - std::min(first, count - 1)) % count;
+  const auto first = static_cast<std::uint32_t>(fraction * rank.count);
+  return (rank.index + rank.count - std::min(first, rank.count - 1)) % rank.count;
+}
+
+}  // namespace
+
+std::optional<ZoneRank> GatewayQuota::RankAt(std::string_view replica_zone) const {
+  if (replica_zone == zone) {
+    return rank;
+  }
+  const auto served = zones_without_gateway.find(std::string(replica_zone));
+  return served == zones_without_gateway.end() ? std::nullopt : std::optional(served->second);
 }
 
-bool GatewayQuota::IsSelected(std::string_view replica_id, std::uint32_t selected_count) const {
-  return TurnFor(replica_id) < selected_count;
+std::uint32_t GatewayQuota::TurnFor(std::string_view replica_id,
+                                    std::string_view replica_zone) const {
+  return TurnAt(RankAt(replica_zone).value_or(rank), replica_id);
 }
 
 std::uint32_t GatewayQuota::SlotsFor(std::string_view replica_id, std::string_view replica_zone,
                                      std::uint32_t slots) const {
-  if (replica_zone != zone) {
+  const std::optional<ZoneRank> served = RankAt(replica_zone);
+  if (!served) {
     return 0;
   }
-  return slots / count + (IsSelected(replica_id, slots % count) ? 1 : 0);
+  const bool gets_one_more = TurnAt(*served, replica_id) < slots % served->count;
+  return slots / served->count + (gets_one_more ? 1 : 0);
 }
 
 double GatewayQuota::RateFor(std::string_view replica_id, std::string_view replica_zone,
@@ -42,8 +54,8 @@
   }
   const auto maximum_selected =
       static_cast<std::uint32_t>(std::max(1.0, std::floor(per_second / kMinimumRate)));
-  const std::uint32_t selected_count = std::min(count, maximum_selected);
-  return IsSelected(replica_id, selected_count) ? per_second / selected_count : 0;
+  const std::uint32_t selected_count = std::min(rank.count, maximum_selected);
+  return TurnAt(rank, replica_id) < selected_count ? per_second / selected_count : 0;
 }
 
 }  // namespace cloverbank
--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -299,7 +299,7 @@
 }
 
 bool Router::IsSuspectTrialDue(const ReplicaRecord& replica, TimePoint now) const {
-  const std::int64_t turn = quota_.TurnFor(replica.id);
+  const std::int64_t turn = quota_.TurnFor(replica.id, replica.zone);
   const Duration wait = kSuspectTrialInterval * (turn + 1);
   return health_.IsSuspectTrialDue(
       replica.id, HasSoundPeer(replica, now) ? wait + kSuspectTrialDelay : wait, now);
--- a/tests/coordinator/coordinator_service_test.cc
+++ b/tests/coordinator/coordinator_service_test.cc
@@ -71,6 +71,60 @@
   EXPECT_EQ(remote("g7"), firsts) << "at most three";
 }
 
+/// Gateways in some of the zones "a", "b" and "c" of region "south" and "d" of region "north".
+class ZonesWithoutGatewayTest : public CoordinatorServiceTest {
+ protected:
+  void SetUp() override {
+    auto transaction = MakeTransaction("zones", state().configuration().version().value());
+    for (const std::string name : {"a", "b", "c", "d"}) {
+      proto::Zone& zone = *transaction.add_changes()->mutable_set_zone();
+      zone.set_name(name);
+      zone.set_state(proto::ZONE_STATE_OPEN);
+      zone.set_region(name == "d" ? "north" : "south");
+    }
+    const auto result = Submit(transaction);
+    ASSERT_TRUE(result.ok()) << result.status().ToString();
+    ASSERT_EQ(result->result().problems_size(), 0) << result->result().problems(0);
+  }
+  /// @return the gateway's ranks as "zone:index/count".
+  std::vector<std::string> Ranks(const std::string& gateway) {
+    std::vector<std::string> ranks;
+    for (const proto::ZoneRank& rank : nodes[gateway]->zones_without_gateway) {
+      ranks.push_back(rank.zone() + ":" + std::to_string(rank.gateway_index()) + "/" +
+                      std::to_string(rank.gateway_count()));
+    }
+    return ranks;
+  }
+};
+
+// Guards against batch items that never run, since no gateway has a quota of the replicas of a zone
+// without gateways (KNOWN-RED 15).
+TEST_F(ZonesWithoutGatewayTest, GatewaysOfTheRegionServeThem) {
+  Add(proto::ROLE_GATEWAY, "g1", "a");
+  Add(proto::ROLE_GATEWAY, "g2", "b");
+  Add(proto::ROLE_GATEWAY, "g3", "d");
+  world.RunFor(seconds(2));
+  const std::vector<std::string> first = Ranks("g1");
+  const std::vector<std::string> second = Ranks("g2");
+  ASSERT_EQ(first.size(), 1U);
+  ASSERT_EQ(second.size(), 1U);
+  EXPECT_EQ(first.front().substr(0, 2), "c:");
+  EXPECT_NE(first, second) << "each has another rank";
+  EXPECT_EQ(first.front().back(), '2');
+  EXPECT_TRUE(Ranks("g3").empty()) << "the region of zone c has gateways of its own";
+
+  Add(proto::ROLE_GATEWAY, "g4", "c");
+  world.RunFor(seconds(2));
+  EXPECT_TRUE(Ranks("g1").empty()) << "a zone with a gateway is served by it alone";
+  EXPECT_TRUE(Ranks("g4").empty());
+}
+
+TEST_F(ZonesWithoutGatewayTest, AllGatewaysServeARegionWithoutAny) {
+  Add(proto::ROLE_GATEWAY, "g1", "a");
+  world.RunFor(seconds(2));
+  EXPECT_EQ(Ranks("g1"), (std::vector<std::string>{"b:0/1", "c:0/1", "d:0/1"}));
+}
+
 TEST_F(CoordinatorServiceTest, AcknowledgesOnceAllGatewaysConfirm) {
   Add(proto::ROLE_GATEWAY, "g1");
   Add(proto::ROLE_GATEWAY, "g2");
--- a/tests/coordinator/test_node.h
+++ b/tests/coordinator/test_node.h
@@ -50,6 +50,7 @@
   std::uint64_t fleet_version = 0;
   std::vector<proto::Endpoint> list_sources;  ///< For a gateway, from the last heartbeat.
   std::vector<proto::Endpoint> remote_list_sources;
+  std::vector<proto::ZoneRank> zones_without_gateway;
   bool confirms_versions = true;  ///< Whether heartbeats report the newest version.
   bool finishes_replays = true;   ///< Of a queue node: whether it reports replays as done.
   int fenced_count = 0;           ///< How many heartbeats were refused with kFenced.
@@ -129,6 +130,8 @@
     list_sources.assign(response.list_sources().begin(), response.list_sources().end());
     remote_list_sources.assign(response.remote_list_sources().begin(),
                                response.remote_list_sources().end());
+    zones_without_gateway.assign(response.zones_without_gateway().begin(),
+                                 response.zones_without_gateway().end());
     lease_end = std::max(lease_end, sent + milliseconds(response.lease_ms()));
   }
 
--- a/tests/replicas/gateway_quota_test.cc
+++ b/tests/replicas/gateway_quota_test.cc
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <cmath>
 #include <string>
 #include <vector>
@@ -19,7 +20,7 @@
 std::vector<GatewayQuota> QuotasOfZone(const std::string& zone, std::uint32_t count) {
   std::vector<GatewayQuota> quotas;
   for (std::uint32_t index = 0; index < count; ++index) {
-    quotas.push_back({zone, index, count});
+    quotas.push_back({zone, {index, count}, {}});
   }
   return quotas;
 }
@@ -47,11 +48,29 @@
 }
 
 TEST(GatewayQuotaTest, HasNoQuotaOfReplicasInOtherZones) {
-  const GatewayQuota quota{"a", 0, kFew};
+  const GatewayQuota quota{"a", {0, kFew}, {}};
   EXPECT_EQ(quota.SlotsFor("r", "b", 10), 0U);
   EXPECT_EQ(quota.RateFor("r", "b", 30), 0);
 }
 
+// Guards against replicas whose zone has no gateway being in no gateway's quota: batch items would
+// never run there (KNOWN-RED 15).
+TEST(GatewayQuotaTest, GatewaysOfOtherZonesDivideTheSlotsOfAZoneWithoutGateways) {
+  constexpr std::uint32_t kSlots = 10;
+  for (const std::uint32_t count : {1U, kFew, kMany}) {
+    std::uint32_t sum = 0;
+    std::vector<bool> turns(count, false);
+    for (std::uint32_t index = 0; index < count; ++index) {
+      const GatewayQuota quota{index % 2 == 0 ? "a" : "b", {0, 1}, {{"c", {index, count}}}};
+      sum += quota.SlotsFor("r", "c", kSlots);
+      turns[quota.TurnFor("r", "c")] = true;
+      EXPECT_EQ(quota.SlotsFor("r", "d", kSlots), 0U) << "another zone";
+    }
+    EXPECT_EQ(sum, kSlots) << count << " gateways";
+    EXPECT_EQ(std::count(turns.begin(), turns.end(), true), count) << "each has a turn of its own";
+  }
+}
+
 TEST(GatewayQuotaTest, RateQuotasAddUpToTheRate) {
   for (const std::uint32_t count : {1U, kFew, 12U, kMany}) {
     for (const double rate : {1.0, 13.0, 31.0}) {
@@ -120,7 +139,7 @@
   const std::uint32_t remaining = GetParam() - GetParam() / 3;
   gateways_.resize(remaining);
   for (std::uint32_t index = 0; index < remaining; ++index) {
-    const double rate = GatewayQuota{"a", index, remaining}.RateFor("r", "a", kPerSecond);
+    const double rate = GatewayQuota{"a", {index, remaining}, {}}.RateFor("r", "a", kPerSecond);
     gateways_[index].ChangeRates([rate](const std::string&) { return rate; }, milliseconds(1500),
                                  now_);
     RunFor(milliseconds(700) / remaining);
--- a/tests/routing/batch_liveness_test.cc
+++ b/tests/routing/batch_liveness_test.cc
@@ -85,7 +85,7 @@
     ASSERT_TRUE(directory_.Apply(list).ok());
     for (std::uint32_t index = 0; index < gateways; ++index) {
       gateways_.push_back(std::make_unique<GatewayView>(directory_));
-      gateways_.back()->router.SetQuota({"a", index, gateways});
+      gateways_.back()->router.SetQuota({"a", {index, gateways}, {}});
       for (const std::string& id : ids_) {
         gateways_.back()->health.Reset(id, "model", Duration::zero());
       }
@@ -196,6 +196,19 @@
   EXPECT_EQ(FreeSlotsOfZone(), 2U);
 }
 
+// Guards against items that never run where the only zone with replicas has no gateway (KNOWN-RED
+// 15).
+TEST_F(BatchLivenessTest, ReplicasOfAZoneWithoutGatewaysRunItems) {
+  SetUpZone(1, 2);
+  GatewayView& gateway = *gateways_.front();
+  const std::uint32_t all = FreeSlots(gateway);
+  gateway.router.SetQuota({"b", {0, 1}, {}});
+  EXPECT_EQ(FreeSlots(gateway), 0U) << "the gateways of the zone use its replicas";
+  gateway.router.SetQuota({"b", {0, 1}, {{"a", {0, 1}}}});
+  EXPECT_EQ(FreeSlots(gateway), all);
+  EXPECT_NE(ChooseForBatch(gateway), nullptr);
+}
+
 class BatchLivenessSeedTest : public BatchLivenessTest,
                               public ::testing::WithParamInterface<std::uint64_t> {};
 
