--- a/src/replicas/replica_health.h
+++ b/src/replicas/replica_health.h
@@ -5,10 +5,11 @@
 ///
 /// States of a replica:
 ///
-///     kUnproven --good probe--> kHealthy <--good probe or call-- kSuspect <--one timeout--
-///     kHealthy any --hard evidence, or enough soft evidence--> kEjected kEjected --ejection time
-///     over and a good probe--> kTrial --one good call--> kHealthy kTrial --a bad call--> kEjected,
-///     for longer
+///     kUnproven --good probe--> kHealthy
+///     kHealthy --one timeout--> kSuspect --good probe or call--> kHealthy
+///     any --hard evidence, or enough soft evidence--> kEjected
+///     kEjected --ejection time over and a good probe--> kTrial --one good call--> kHealthy
+///     kTrial --a bad call--> kEjected, for longer
 ///
 /// Hard evidence (repeated timeouts or refused connections) always ejects a replica. Soft evidence
 /// (failed or slow responses) ejects it only while no more than `maximum_ejected_percent` of the
