Answer the resend of an accepted batch whose route was removed

Cause: a gateway looks for the route before it asks the owner of the partition.

Change: a gateway without a route for the submission asks the owner for the accepted batch, by the new call queue.FindSubmission, which accepts nothing. It refuses as before if the owner has none, and with 503 if the owner does not answer.

Seen before (each part switched off): BatchApiTest and ForwardingTest fail, after it they pass.

--- a/src/batch_work/batch_validation.cc
+++ b/src/batch_work/batch_validation.cc
@@ -69,7 +69,6 @@
 
 void CheckTenant(const std::string& tenant, const proto::RoutingConfiguration& configuration,
                  ProblemList& problems) {
-  CheckName("tenant", tenant, problems);
   const bool known =
       configuration.tenants().empty() || FindNamed(configuration.tenants(), tenant) != nullptr;
   if (!known) {
@@ -101,9 +100,18 @@
 
 }  // namespace
 
+std::vector<std::string> FindContentProblems(const proto::SubmitBatch& batch) {
+  ProblemList problems;
+  CheckName("tenant", batch.tenant(), problems);
+  CheckName("idempotency_key", batch.idempotency_key(), problems);
+  CheckItems(batch, problems);
+  return problems.Take();
+}
+
 std::vector<std::string> FindBatchProblems(const proto::SubmitBatch& batch,
                                            const proto::RoutingConfiguration& configuration) {
   ProblemList problems;
+  CheckName("tenant", batch.tenant(), problems);
   CheckTenant(batch.tenant(), configuration, problems);
   CheckName("idempotency_key", batch.idempotency_key(), problems);
   CheckRoute(batch.route(), configuration, problems);
--- a/src/batch_work/batch_validation.h
+++ b/src/batch_work/batch_validation.h
@@ -17,6 +17,10 @@
 /// Largest size in bytes of a custom id, tenant or idempotency key.
 inline constexpr std::size_t kMaximumBatchNameBytes = 256;
 
+/// @return the problems of the submission itself, whatever the configuration, as a list like that
+/// of `FindBatchProblems`.
+std::vector<std::string> FindContentProblems(const proto::SubmitBatch& batch);
+
 /// @return all problems, each with its field ("items[3].custom_id: ..."); empty if there is none. A
 /// list of more than 100 is truncated and ends with the number of further problems.
 std::vector<std::string> FindBatchProblems(const proto::SubmitBatch& batch,
--- a/src/gateway/batch_api.cc
+++ b/src/gateway/batch_api.cc
@@ -8,6 +8,7 @@
 #include "control_client/batch_partitions.h"
 #include "control_client/overload_rejection.h"
 #include "gateway/http_query.h"
+#include "net/http_status.h"
 #include "routes/route_match.h"
 #include "routes/route_reference.h"
 
@@ -169,14 +170,13 @@
     return;
   }
   const std::vector<std::string> problems = FindBatchProblems(batch, agent_.configuration());
+  submit.set_partition_id(PartitionForTenant(batch.tenant(), agent_.partition_count()).value());
+  *submit.mutable_route_reference() = ReferenceByName(batch.route());
   if (!problems.empty()) {
-    environment_.metrics().Increment("batch_request_refused_total", {{"reason", "invalid"}});
-    SendProblems(*responder, problems);
+    AnswerResendOrRefuse(submit, problems, responder);
     return;
   }
-  submit.set_partition_id(PartitionForTenant(batch.tenant(), agent_.partition_count()).value());
   submit.set_idempotent(FindRouteNamed(agent_.configuration(), batch.route())->idempotent());
-  *submit.mutable_route_reference() = ReferenceByName(batch.route());
   owners_.Call<proto::SubmitBatchResponse>(
       "queue.SubmitBatch", submit, kChangeDeadline,
       [responder](const Result<proto::SubmitBatchResponse>& result) {
@@ -190,6 +190,31 @@
       });
 }
 
+void BatchApi::AnswerResendOrRefuse(const proto::SubmitBatchRequest& submit,
+                                    const std::vector<std::string>& problems,
+                                    const Responder& responder) {
+  const auto refuse = [this, problems, responder] {
+    environment_.metrics().Increment("batch_request_refused_total", {{"reason", "invalid"}});
+    SendProblems(*responder, problems);
+  };
+  if (!FindContentProblems(submit.batch()).empty()) {
+    refuse();
+    return;
+  }
+  owners_.Call<proto::SubmitBatchResponse>(
+      "queue.FindSubmission", submit, kReadDeadline,
+      [responder, refuse](const Result<proto::SubmitBatchResponse>& result) {
+        const StatusCode code = result.status().code();
+        if (result.ok()) {
+          SendJson(*responder, kHttpOk, result->status());
+        } else if (code == StatusCode::kNotFound || code == StatusCode::kConflict) {
+          refuse();
+        } else {
+          SendReadFailure(*responder, Status(StatusCode::kUnavailable, result.status().message()));
+        }
+      });
+}
+
 void BatchApi::List(const HttpRequest& request, const Responder& responder) {
   if (!CheckServing(*responder)) {
     return;
--- a/src/gateway/batch_api.h
+++ b/src/gateway/batch_api.h
@@ -33,6 +33,10 @@
   using Responder = std::shared_ptr<HttpResponder>;
 
   void Submit(const HttpRequest& request, const Responder& responder);
+  /// Answers a submission that the configuration does not allow as the resend of an accepted batch,
+  /// or refuses it with its problems.
+  void AnswerResendOrRefuse(const proto::SubmitBatchRequest& submit,
+                            const std::vector<std::string>& problems, const Responder& responder);
   void List(const HttpRequest& request, const Responder& responder);
   void Get(const HttpRequest& request, const Responder& responder);
   void ListResults(const HttpRequest& request, const Responder& responder);
--- a/src/gateway/batch_service.cc
+++ b/src/gateway/batch_service.cc
@@ -83,27 +83,32 @@
   return PartitionForNamedBatch(host, batch_id, agent_.partition_count()).value();
 }
 
-void BatchService::Submit(const proto::Route& route, BatchSubmission submission,
-                          Done<proto::BatchStatus> done) {
-  if (Status serving = CheckServing(); !serving.ok()) {
-    done(std::move(serving));
-    return;
-  }
+proto::SubmitBatchRequest BatchService::MakeRequest(BatchSubmission submission) const {
   proto::SubmitBatchRequest request;
   request.set_partition_id(FindPartition(submission.host, submission.batch_id));
   request.set_idempotent(true);
   *request.mutable_route_reference() = ReferenceByPath(submission.host, submission.path);
-  request.set_quota_key(route.path_prefix());
-  request.set_wait_ms(static_cast<std::uint32_t>(route.target_ms() * kSubmissionWaitRatio));
   proto::SubmitBatch& batch = *request.mutable_batch();
   batch.set_tenant(submission.host);
-  batch.set_route(route.name());
   batch.set_batch_id(submission.batch_id);
   batch.set_idempotency_key(submission.batch_id);
-  batch.set_open_token_limit(route.batch_open_tokens());
   for (proto::BatchItem& item : submission.items) {
     *batch.add_items() = std::move(item);
   }
+  return request;
+}
+
+void BatchService::Submit(const proto::Route& route, BatchSubmission submission,
+                          Done<proto::BatchStatus> done) {
+  if (Status serving = CheckServing(); !serving.ok()) {
+    done(std::move(serving));
+    return;
+  }
+  proto::SubmitBatchRequest request = MakeRequest(std::move(submission));
+  request.set_quota_key(route.path_prefix());
+  request.set_wait_ms(static_cast<std::uint32_t>(route.target_ms() * kSubmissionWaitRatio));
+  request.mutable_batch()->set_route(route.name());
+  request.mutable_batch()->set_open_token_limit(route.batch_open_tokens());
   owners_.Call<proto::SubmitBatchResponse>(
       "queue.SubmitBatch", request, kChangeDeadline,
       [this, sent_at = environment_.Now(), route_name = route.name(), target = route.target_ms(),
@@ -120,6 +125,24 @@
       });
 }
 
+void BatchService::FindAccepted(BatchSubmission submission, Done<proto::BatchStatus> done) {
+  if (Status serving = CheckServing(); !serving.ok()) {
+    done(std::move(serving));
+    return;
+  }
+  owners_.Call<proto::SubmitBatchResponse>(
+      "queue.FindSubmission", MakeRequest(std::move(submission)), kReadDeadline,
+      [done = std::move(done)](Result<proto::SubmitBatchResponse> result) {
+        if (result.ok()) {
+          done(std::move(*result->mutable_status()));
+        } else if (result.status().code() == StatusCode::kConflict) {
+          done(Status(StatusCode::kNotFound, "the accepted batch of this id has other content"));
+        } else {
+          done(result.status());
+        }
+      });
+}
+
 void BatchService::Read(const std::string& host, const std::string& batch_id,
                         std::uint64_t position, Done<BatchResults> done) {
   if (Status serving = CheckServing(); !serving.ok()) {
--- a/src/gateway/batch_service.h
+++ b/src/gateway/batch_service.h
@@ -56,6 +56,9 @@
   /// kResourceExhausted: too many open tokens; kUnavailable: not accepted; kUnknownOutcome: may
   /// have been accepted; kInvalidArgument and kConflict: the queue node refused it.
   void Submit(const proto::Route& route, BatchSubmission submission, Done<proto::BatchStatus> done);
+  /// Finds the accepted batch that the submission repeats, for submissions whose path has no route
+  /// any more. kNotFound only if there certainly is none.
+  void FindAccepted(BatchSubmission submission, Done<proto::BatchStatus> done);
   /// Reads results from `position` (counted from 0) on. kNotFound only if there certainly is no
   /// such batch.
   void Read(const std::string& host, const std::string& batch_id, std::uint64_t position,
@@ -71,6 +74,8 @@
   /// kUnavailable.
   Status CheckServing() const;
   std::uint64_t FindPartition(std::string_view host, std::string_view batch_id) const;
+  /// @return the request with what the client sent alone.
+  proto::SubmitBatchRequest MakeRequest(BatchSubmission submission) const;
 
   Environment& environment_;
   NodeAgent& agent_;
--- a/src/gateway/forwarding_service.cc
+++ b/src/gateway/forwarding_service.cc
@@ -83,8 +83,7 @@
 void ForwardingService::Admit(IncomingCall call, const Responder& responder) {
   const proto::Route* route = FindRouteFor(call.host, call.path);
   if (route == nullptr) {
-    Refuse(*responder, kHttpNotFound, "unknown_route", "no route matches this host and path",
-           Duration::zero());
+    RefuseUnknownRoute(call, responder);
     return;
   }
   if (route->accepts_batches() && call.on_batch_route) {
@@ -109,6 +108,18 @@
   StartCall(std::move(call), responder, *route);
 }
 
+void ForwardingService::RefuseUnknownRoute(const IncomingCall& call, const Responder& responder) {
+  const auto refuse = [this, responder] {
+    Refuse(*responder, kHttpNotFound, "unknown_route", "no route matches this host and path",
+           Duration::zero());
+  };
+  if (call.on_unknown_route) {
+    call.on_unknown_route(refuse);
+  } else {
+    refuse();
+  }
+}
+
 void ForwardingService::StartCall(IncomingCall call, const Responder& responder,
                                   const proto::Route& route) {
   CallSpec spec = MakeSpec(route, call);
--- a/src/gateway/forwarding_service.h
+++ b/src/gateway/forwarding_service.h
@@ -49,6 +49,7 @@
   void WaitForConfiguration(IncomingCall call, const Responder& responder);
   void RefuseWithoutConfiguration(HttpResponder& responder);
   void Admit(IncomingCall call, const Responder& responder);
+  void RefuseUnknownRoute(const IncomingCall& call, const Responder& responder);
   void StartCall(IncomingCall call, const Responder& responder, const proto::Route& route);
   CallSpec MakeSpec(const proto::Route& route, const IncomingCall& call) const;
   /// Sends an error of a request that was not executed. @param retry_after zero: the default of
--- a/src/gateway/incoming_call.h
+++ b/src/gateway/incoming_call.h
@@ -24,6 +24,9 @@
   proto::ForwardedRequest request;
   /// Runs instead of the call if its route accepts batches; if unset, such a call is refused.
   std::function<void(const proto::Route&)> on_batch_route;
+  /// Runs if no route matches, in place of the refusal, which is its argument; if unset, the call
+  /// is refused at once.
+  std::function<void(std::function<void()> refuse)> on_unknown_route;
 };
 
 }  // namespace cloverbank
--- a/src/queue/batch_intake.cc
+++ b/src/queue/batch_intake.cc
@@ -106,7 +106,7 @@
   return log_.Accepting();
 }
 
-bool BatchIntake::JoinEarlierSubmission(OwnedPartition& partition, const SubmissionKey& key,
+bool BatchIntake::JoinEarlierSubmission(const OwnedPartition& partition, const SubmissionKey& key,
                                         const proto::SubmitBatchRequest& request,
                                         std::uint64_t content_checksum, Reply& reply) {
   const std::string& idempotency_key = key.idempotency_key;
@@ -185,6 +185,15 @@
   }
 }
 
+void BatchIntake::FindSubmission(OwnedPartition& partition,
+                                 const proto::SubmitBatchRequest& request, Reply reply) {
+  const proto::SubmitBatch& batch = request.batch();
+  const SubmissionKey key{partition.id(), batch.tenant(), batch.idempotency_key()};
+  if (!JoinEarlierSubmission(partition, key, request, ContentChecksum(request), reply)) {
+    reply(Status(StatusCode::kNotFound, "no such batch was accepted"));
+  }
+}
+
 void BatchIntake::ReserveTokensAndLog(const SubmissionPtr& submission) {
   reserve_tokens_(
       submission->partition->id(), submission->batch, submission->reservation,
--- a/src/queue/batch_intake.h
+++ b/src/queue/batch_intake.h
@@ -54,6 +54,10 @@
   /// may not be accepted.
   void Submit(const std::shared_ptr<OwnedPartition>& partition, proto::SubmitBatchRequest request,
               Reply reply);
+  /// Answers the resend of an accepted batch, or of one that is being logged, as `Submit` does.
+  /// Accepts nothing: kNotFound if there is no such submission.
+  void FindSubmission(OwnedPartition& partition, const proto::SubmitBatchRequest& request,
+                      Reply reply);
 
  private:
   /// The same for a submission and its resends.
@@ -84,7 +88,7 @@
   Status CheckItemLimit(const OwnedPartition& partition, const proto::SubmitBatch& batch) const;
   /// Answers a resent submission, or adds its reply to the submission that is still being logged.
   /// @return false if there is no earlier submission with this key; `reply` is then unchanged.
-  bool JoinEarlierSubmission(OwnedPartition& partition, const SubmissionKey& key,
+  bool JoinEarlierSubmission(const OwnedPartition& partition, const SubmissionKey& key,
                              const proto::SubmitBatchRequest& request,
                              std::uint64_t content_checksum, Reply& reply);
   /// Whether a batch of the partition has this id, whatever its tenant.
--- a/src/queue/batch_request_handler.cc
+++ b/src/queue/batch_request_handler.cc
@@ -53,6 +53,16 @@
   intake_.Submit(*partition, request, reply);
 }
 
+void BatchRequestHandler::FindSubmission(const proto::SubmitBatchRequest& request,
+                                         const Reply<proto::SubmitBatchResponse>& reply) {
+  const auto partition = ownership_.Require(request.partition_id());
+  if (!partition.ok()) {
+    reply(partition.status());
+    return;
+  }
+  intake_.FindSubmission(**partition, request, reply);
+}
+
 void BatchRequestHandler::Get(const proto::GetBatchRequest& request,
                               const Reply<proto::GetBatchResponse>& reply) {
   AnswerAboutBatch(
--- a/src/queue/batch_request_handler.h
+++ b/src/queue/batch_request_handler.h
@@ -26,6 +26,9 @@
   /// Other errors: those of `BatchIntake::Submit`.
   void Submit(const proto::SubmitBatchRequest& request,
               const Reply<proto::SubmitBatchResponse>& reply);
+  /// Other errors: those of `BatchIntake::FindSubmission`.
+  void FindSubmission(const proto::SubmitBatchRequest& request,
+                      const Reply<proto::SubmitBatchResponse>& reply);
   /// Fails with kNotFound if the partition has no such batch.
   void Get(const proto::GetBatchRequest& request, const Reply<proto::GetBatchResponse>& reply);
   /// Other errors: those of `BatchStore::ListBatches`.
--- a/src/queue/queue_service.cc
+++ b/src/queue/queue_service.cc
@@ -87,6 +87,7 @@
 void QueueService::ServeBatches() {
   const auto batch_request_handler = &QueueNodeIncarnation::batch_request_handler;
   Serve("queue.SubmitBatch", batch_request_handler, &BatchRequestHandler::Submit);
+  Serve("queue.FindSubmission", batch_request_handler, &BatchRequestHandler::FindSubmission);
   Serve("queue.GetBatch", batch_request_handler, &BatchRequestHandler::Get);
   Serve("queue.ListBatches", batch_request_handler, &BatchRequestHandler::ListBatches);
   Serve("queue.ListResults", batch_request_handler, &BatchRequestHandler::ListResults);
--- a/tests/gateway/batch_api_test.cc
+++ b/tests/gateway/batch_api_test.cc
@@ -20,6 +20,7 @@
   Status refusal;       ///< If not OK, the response to every request.
   bool silent = false;  ///< Executes requests but never responds.
   bool resent = false;
+  Status find_result = Status(StatusCode::kNotFound, "no such batch");  ///< Of FindSubmission.
 };
 
 class FakeOwnerNode {
@@ -32,6 +33,18 @@
           response->mutable_status()->set_batch_id("0-1f");
           response->set_resent(owner_.resent);
         });
+    ServePeer<proto::SubmitBatchRequest, proto::SubmitBatchResponse>(
+        environment_, "queue.FindSubmission",
+        [this](const auto& /*request*/, const auto& /*from*/, auto reply) {
+          if (!owner_.find_result.ok()) {
+            reply(owner_.find_result);
+            return;
+          }
+          proto::SubmitBatchResponse response;
+          response.mutable_status()->set_batch_id("0-1f");
+          response.set_resent(true);
+          reply(response);
+        });
     Serve<proto::CancelBatchRequest, proto::CancelBatchResponse>(
         "queue.CancelBatch", [this](const auto& request, auto* response) {
           owner_.cancelled.push_back(request.batch_id());
@@ -194,6 +207,23 @@
   EXPECT_TRUE(q1.submissions.empty());
 }
 
+// Guards against refusing an accepted batch that comes again after its route was removed (KNOWN-RED
+// 15).
+TEST_F(BatchApiTest, AnswersTheResendOfABatchWhoseRouteIsGone) {
+  const std::string body = R"({"tenant": "depot", "idempotency_key": "k1", "route": "removed",
+      "items": [{"custom_id": "a", "prompt": "p"}]})";
+  EXPECT_EQ(Finish(Submit(body))->response.status, 422) << "it was never accepted";
+  q1.find_result = Status(StatusCode::kConflict, "accepted with other content");
+  EXPECT_EQ(Finish(Submit(body))->response.status, 422);
+  q1.find_result = Status(StatusCode::kResourceExhausted, "overloaded");
+  EXPECT_EQ(Finish(Submit(body))->response.status, 503) << "not known whether it was accepted";
+  q1.find_result = Status::Ok();
+  const auto resent = Finish(Submit(body));
+  EXPECT_EQ(resent->response.status, 200);
+  EXPECT_EQ(resent->Body<proto::BatchStatus>().batch_id(), "0-1f");
+  EXPECT_TRUE(q1.submissions.empty()) << "nothing may be accepted without a route";
+}
+
 TEST_F(BatchApiTest, WaitsForAPartitionOwner) {
   SetOwner(0);
   const auto answer = Submit();
--- a/tests/gateway/forwarding_test.cc
+++ b/tests/gateway/forwarding_test.cc
@@ -46,6 +46,23 @@
   EXPECT_TRUE(harness.received_calls.empty());
 }
 
+// Guards against refusing the resend of an accepted batch whose route was removed (KNOWN-RED 15).
+TEST_F(ForwardingTest, AsksBeforeItRefusesAPathWithoutARoute) {
+  IncomingCall call;
+  call.host = "shop.example";
+  call.path = "/nowhere/x";
+  std::function<void()> refuse;
+  call.on_unknown_route = [&refuse](std::function<void()> received) {
+    refuse = std::move(received);
+  };
+  const auto responder = std::make_shared<FakeResponder>();
+  harness.service->Handle(std::move(call), responder);
+  ASSERT_NE(refuse, nullptr);
+  EXPECT_EQ(responder->status, 0) << "not answered yet";
+  refuse();
+  EXPECT_EQ(responder->status, 404);
+}
+
 TEST_F(ForwardingTest, RejectsAResponseToAnotherCall) {
   const auto client = harness.Forward("/once/x", "c1");
   harness.Respond(0, {200, ForwardHarness::EchoHeaders("another"), ForwardHarness::Event(0)});
--- a/tests/queue/batch_resend_test.cc
+++ b/tests/queue/batch_resend_test.cc
@@ -109,6 +109,24 @@
   EXPECT_THAT(world_.Submit("q1", named), FailsWith(StatusCode::kConflict));
 }
 
+// Guards against refusing an accepted batch that comes again after its route was removed: a gateway
+// then asks for it without a route (KNOWN-RED 15).
+TEST_F(BatchResendTest, IsFoundWithoutARoute) {
+  request_.mutable_batch()->clear_route();
+  const auto find = [this](const proto::SubmitBatchRequest& request) {
+    return world_.Call<proto::SubmitBatchResponse>("q1", "queue.FindSubmission", request);
+  };
+  EXPECT_THAT(find(request_), FailsWith(StatusCode::kNotFound));
+  EXPECT_THAT(find(request_), FailsWith(StatusCode::kNotFound)) << "nothing is accepted by it";
+  ASSERT_THAT(world_.Submit("q1", MakeAuditBatch(3)), IsOk());
+  const auto found = find(request_);
+  ASSERT_THAT(found, IsOk());
+  EXPECT_TRUE(found->resent());
+  EXPECT_EQ(found->status().batch_id(), "7c41");
+  request_.mutable_batch()->mutable_items(0)->mutable_forwarded()->set_body("other");
+  EXPECT_THAT(find(request_), FailsWith(StatusCode::kConflict));
+}
+
 /// Batches of two hosts whose clients chose the same id, in one partition.
 class SharedBatchIdTest : public BatchResendTest {
  protected:
