--- a/src/batch_work/batch_worker.cc
+++ b/src/batch_work/batch_worker.cc
@@ -250,25 +250,38 @@
   CallPeer<proto::AcquireWorkResponse>(
       environment_, PeerEndpointFor(server), "queue.AcquireWork", request,
       plan.long_poll_time + options_.acquire_timeout,
-      lifetime_.Wrap([this, sent, node = plan.node, gateway = agent_.node_id()](
+      lifetime_.Wrap([this, sent, plan, gateway = agent_.node_id()](
                          const Result<proto::AcquireWorkResponse>& result) {
-        OnAcquired(node, gateway, sent, result);
+        OnAcquired(plan, gateway, sent, result);
       }));
 }
 
-void BatchWorker::OnAcquired(NodeId node, NodeId gateway, TimePoint sent,
+void BatchWorker::OnAcquired(const AcquirePlan& plan, NodeId gateway, TimePoint sent,
                              const Result<proto::AcquireWorkResponse>& result) {
   if (!result.ok()) {
-    acquire_planner_.RecordFailure(node, environment_.Now() + options_.retry_delay);
-    RecordQueueNodeFailure(environment_, agent_, "AcquireWork", node, result.status());
+    acquire_planner_.RecordFailure(plan, environment_.Now() + options_.retry_delay);
+    RecordQueueNodeFailure(environment_, agent_, "AcquireWork", plan.node, result.status());
     return;
   }
-  acquire_planner_.RecordResponse(node, static_cast<std::size_t>(result->grants_size()),
-                                  environment_.Now());
+  acquire_planner_.RecordResponse(plan, BackendsOfGrants(*result), environment_.Now());
   HandleGrants(*result, gateway, sent);
   RequestTick();
 }
 
+std::set<std::string> BatchWorker::BackendsOfGrants(
+    const proto::AcquireWorkResponse& response) const {
+  std::set<std::string> backends;
+  for (const proto::WorkGrant& grant : response.grants()) {
+    const proto::Route* route = ResolveBatchRoute(agent_.configuration(), ReferenceOf(grant));
+    if (route != nullptr) {
+      for (const proto::WeightedBackend& weighted : BackendsOf(*route)) {
+        backends.insert(weighted.backend());
+      }
+    }
+  }
+  return backends;
+}
+
 void BatchWorker::HandleGrants(const proto::AcquireWorkResponse& response, NodeId gateway,
                                TimePoint sent) {
   for (const proto::WorkGrant& grant : response.grants()) {
--- a/src/batch_work/batch_worker.h
+++ b/src/batch_work/batch_worker.h
@@ -9,6 +9,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -75,8 +76,10 @@
   bool ShouldAcquire() const;
   void Acquire();
   void AcquireWork(const AcquirePlan& plan, const proto::Server& server);
-  void OnAcquired(NodeId node, NodeId gateway, TimePoint sent,
+  void OnAcquired(const AcquirePlan& plan, NodeId gateway, TimePoint sent,
                   const Result<proto::AcquireWorkResponse>& result);
+  /// @return the back ends of the routes of the granted items.
+  std::set<std::string> BackendsOfGrants(const proto::AcquireWorkResponse& response) const;
   void HandleGrants(const proto::AcquireWorkResponse& response, NodeId gateway, TimePoint sent);
   /// Handles a lease that its queue node ended; cancels the item's call if it is not dispatched.
   void EndLease(WorkLeaseId lease);
