--- a/tests/scripts/soak_changes_test.py
+++ b/tests/scripts/soak_changes_test.py
@@ -83,6 +83,28 @@
         asyncio.run(SOAK.wait_for_the_end(self.world, self.clients, 0.1))
         self.assertEqual(self.world.figures["failed_LOST"], 1)
 
+    def send_again(self, status):
+        async def submit(_):
+            return status
+        self.clients.submit = submit
+        asyncio.run(self.clients.send_again(self.batch))
+
+    def test_refuses_to_turn_an_accepted_batch_away(self):
+        self.send_again(202)
+        self.assertEqual(self.world.failures, [])
+        self.send_again(404)
+        self.assertEqual(self.world.figures["failed_LOST"], 1)
+
+    def test_refuses_to_turn_an_accepted_batch_away_after_its_route_was_removed(self):
+        self.world.history = make_world({"a": SOAK.batch_route("/audit/", "tokens")}, {}).history
+        self.send_again(404)
+        self.assertEqual(self.world.figures["failed_LOST"], 1)
+
+    def test_lets_live_calls_take_the_path_of_a_batch(self):
+        self.world.history = make_world({"a": SOAK.live_route("/audit/", "saves")}).history
+        self.send_again(404)
+        self.assertEqual(self.world.failures, [])
+
     def test_refuses_runs_of_a_batch_that_was_refused(self):
         self.batch.statuses = [429, 503]
         SOAK.check_refused(self.world)
