--- a/src/queue/batch_request_handler.cc
+++ b/src/queue/batch_request_handler.cc
@@ -9,17 +9,25 @@
   return {StatusCode::kNotFound, "there is no batch \"" + batch_id + "\""};
 }
 
-/// Replies with the result of `read` on the partition's store, or with the error of
-/// `PartitionOwnership::Require` if this node may not answer for the partition.
-template <typename Response, typename Read>
-void AnswerFromStore(const PartitionOwnership& ownership, std::uint64_t partition_id,
-                     const BatchRequestHandler::Reply<Response>& reply, const Read& read) {
+/// Runs `handle` with the partition, or replies with the error of `PartitionOwnership::Require` if
+/// this node may not answer for it.
+template <typename Response, typename Handle>
+void WithPartition(const PartitionOwnership& ownership, std::uint64_t partition_id,
+                   const BatchRequestHandler::Reply<Response>& reply, const Handle& handle) {
   const auto partition = ownership.Require(partition_id);
-  if (!partition.ok()) {
+  if (partition.ok()) {
+    handle(*partition);
+  } else {
     reply(partition.status());
-    return;
   }
-  reply(read((*partition)->store()));
+}
+
+/// Replies with the result of `read` on the partition's store; see `WithPartition`.
+template <typename Response, typename Read>
+void AnswerFromStore(const PartitionOwnership& ownership, std::uint64_t partition_id,
+                     const BatchRequestHandler::Reply<Response>& reply, const Read& read) {
+  WithPartition(ownership, partition_id, reply,
+                [&](const auto& partition) { reply(read(partition->store())); });
 }
 
 /// The same for a request about one batch, which must not be another tenant's. `read` gets the
@@ -45,22 +53,14 @@
 
 void BatchRequestHandler::Submit(const proto::SubmitBatchRequest& request,
                                  const Reply<proto::SubmitBatchResponse>& reply) {
-  const auto partition = ownership_.Require(request.partition_id());
-  if (!partition.ok()) {
-    reply(partition.status());
-    return;
-  }
-  intake_.Submit(*partition, request, reply);
+  WithPartition(ownership_, request.partition_id(), reply,
+                [&](const auto& partition) { intake_.Submit(partition, request, reply); });
 }
 
 void BatchRequestHandler::FindSubmission(const proto::SubmitBatchRequest& request,
                                          const Reply<proto::SubmitBatchResponse>& reply) {
-  const auto partition = ownership_.Require(request.partition_id());
-  if (!partition.ok()) {
-    reply(partition.status());
-    return;
-  }
-  intake_.FindSubmission(**partition, request, reply);
+  WithPartition(ownership_, request.partition_id(), reply,
+                [&](const auto& partition) { intake_.FindSubmission(*partition, request, reply); });
 }
 
 void BatchRequestHandler::Get(const proto::GetBatchRequest& request,
@@ -121,18 +121,15 @@
 
 void BatchRequestHandler::Cancel(const proto::CancelBatchRequest& request,
                                  const Reply<proto::CancelBatchResponse>& reply) {
-  const auto partition = ownership_.Require(request.partition_id());
-  if (!partition.ok()) {
-    reply(partition.status());
-    return;
-  }
-  const StoredBatch* batch =
-      (*partition)->store().FindOfTenant(request.tenant(), request.batch_id());
-  if (batch == nullptr) {
-    reply(MakeNoBatchStatus(request.batch_id()));
-    return;
-  }
-  dispatcher_.Cancel(*partition, batch->accepted.batch_id(), reply);
+  WithPartition(ownership_, request.partition_id(), reply, [&](const auto& partition) {
+    const StoredBatch* batch =
+        partition->store().FindOfTenant(request.tenant(), request.batch_id());
+    if (batch == nullptr) {
+      reply(MakeNoBatchStatus(request.batch_id()));
+    } else {
+      dispatcher_.Cancel(partition, batch->accepted.batch_id(), reply);
+    }
+  });
 }
 
 }  // namespace cloverbank
