Kill the owner of a batch that is half done, also on a busy machine

The demo submitted one batch, looked every 50 ms, then read the results and the status before the kill; meanwhile the whole batch had finished (leases of the gateways were lost for 0.5 to 0.9 s at that moment), so its precondition was missing. No fault of the daemons.

Change: the demo looks up the owner first, and submits up to 10 batches until one has some results but not all. The check is the same: the kill must come with fewer than all results listed.

--- a/apps/fleet/demo.h
+++ b/apps/fleet/demo.h
@@ -38,6 +38,13 @@
   bool Run(bool with_failures);
 
  private:
+  /// A batch of which some results are listed.
+  struct HalfDoneBatch {
+    std::string id;
+    std::string owner;  ///< Machine of the queue node that owns its partition.
+    std::vector<proto::ItemResult> results;
+  };
+
   bool StartFleet();
   bool ApplyFirstConfiguration();
   void LiveCalls();
@@ -63,6 +70,11 @@
                                           std::uint32_t deadline_ms, ApiError* error);
   std::uint64_t CurrentVersion();
   std::string Submit(const std::string& key, int items, std::uint32_t tokens);
+  /// Submits batches until one has some results, but not all.
+  /// @return the last one.
+  HalfDoneBatch SubmitHalfDoneBatch();
+  /// @return the machine of the queue node that owns the batch's partition.
+  std::string OwnerOf(const std::string& batch_id);
   bool WaitFinished(const std::string& batch_id, Duration limit, proto::BatchStatus* status);
   std::vector<proto::ItemResult> ResultsOf(const std::string& batch_id);
   void CheckResults(const std::string& batch_id, int items,
--- a/apps/fleet/demo_control.cc
+++ b/apps/fleet/demo_control.cc
@@ -16,6 +16,10 @@
 constexpr Duration kRecoveryLimit = seconds(12);
 constexpr Duration kBatchLimit = seconds(120);
 constexpr int kFailureBatchItems = 40;
+/// Results that are listed before a batch counts as half done.
+constexpr std::uint64_t kHalfDoneResults = 5;
+/// On a busy machine a whole batch may finish between two looks at it.
+constexpr int kHalfDoneAttempts = 10;
 constexpr std::uint32_t kFailureBatchTokens = 200;
 constexpr std::uint32_t kNewDeadline = 12000;
 
@@ -132,29 +136,50 @@
          leader + " is back and ready");
 }
 
-void Demo::KillBatchOwner() {
-  std::printf("== kill -9 the queue node that owns a half-done batch\n");
-  const std::string batch_id = Submit("demo-failure", kFailureBatchItems, kFailureBatchTokens);
+std::string Demo::OwnerOf(const std::string& batch_id) {
   ApiClient client = MakeClient(kRetryTime);
   ApiError error;
-  proto::BatchStatus progress;
-  const TimePoint wait_end = EventLoop::Now() + kBatchLimit;
-  do {
-    std::this_thread::sleep_for(milliseconds(50));
-    client.Call("GET", "/v1/batches/" + batch_id, {}, Repeat::kSafe, &progress, &error);
-  } while (progress.succeeded() < 5 && EventLoop::Now() < wait_end);
-  const std::vector<proto::ItemResult> before = ResultsOf(batch_id);
   proto::GetFleetStatusResponse status;
   client.Call("GET", "/v1/status", {}, Repeat::kSafe, &status, &error);
   const std::uint64_t partition = std::strtoull(batch_id.c_str(), nullptr, 10);
-  std::string owner;
   for (const proto::Partition& candidate : status.partitions()) {
     for (const proto::Server& server : status.servers()) {
       if (candidate.partition_id() == partition && server.node_id() == candidate.owner()) {
-        owner = server.machine();
+        return server.machine();
       }
     }
   }
+  return {};
+}
+
+Demo::HalfDoneBatch Demo::SubmitHalfDoneBatch() {
+  ApiClient client = MakeClient(kRetryTime);
+  ApiError error;
+  HalfDoneBatch batch;
+  for (int attempt = 1; attempt <= kHalfDoneAttempts; ++attempt) {
+    batch.id =
+        Submit("demo-failure-" + std::to_string(attempt), kFailureBatchItems, kFailureBatchTokens);
+    batch.owner = OwnerOf(batch.id);
+    proto::BatchStatus progress;
+    const TimePoint wait_end = EventLoop::Now() + kBatchLimit;
+    do {
+      std::this_thread::sleep_for(milliseconds(50));
+      client.Call("GET", "/v1/batches/" + batch.id, {}, Repeat::kSafe, &progress, &error);
+    } while (progress.succeeded() < kHalfDoneResults && EventLoop::Now() < wait_end);
+    batch.results = ResultsOf(batch.id);
+    if (batch.results.size() < kFailureBatchItems) {
+      break;
+    }
+  }
+  return batch;
+}
+
+void Demo::KillBatchOwner() {
+  std::printf("== kill -9 the queue node that owns a half-done batch\n");
+  const auto [batch_id, owner, before] = SubmitHalfDoneBatch();
+  ApiClient client = MakeClient(kRetryTime);
+  ApiError error;
+  proto::BatchStatus progress;
   const Status killed = fleet_.Kill(owner);
   const TimePoint begin = EventLoop::Now();
   Report(killed.ok() && before.size() < kFailureBatchItems,
