Keep the demo's first batch key as it was

Cause: numbered all keys of the batches whose owner is killed, so the text demo-failure was gone, which leaves the process as an idempotency key.

Change: the first key is demo-failure again, further ones get a number.

--- a/apps/fleet/demo_control.cc
+++ b/apps/fleet/demo_control.cc
@@ -157,8 +157,8 @@
   ApiError error;
   HalfDoneBatch batch;
   for (int attempt = 1; attempt <= kHalfDoneAttempts; ++attempt) {
-    batch.id =
-        Submit("demo-failure-" + std::to_string(attempt), kFailureBatchItems, kFailureBatchTokens);
+    const std::string suffix = attempt == 1 ? "" : "-" + std::to_string(attempt);
+    batch.id = Submit("demo-failure" + suffix, kFailureBatchItems, kFailureBatchTokens);
     batch.owner = OwnerOf(batch.id);
     proto::BatchStatus progress;
     const TimePoint wait_end = EventLoop::Now() + kBatchLimit;
