Log each call that is sent again, and find reads that contradict earlier ones

A call that is sent to a second replica now leaves a line call_sent_again (info) and a counter that say which proof permitted it and whether the call may repeat. A gateway remembers checksums of the results it has shown for 256 batches: a read that shows another result, an item at two positions or a result that is gone is an error line with both owners, and a counter. Owners count reads from beyond the end of a batch. No response depends on any of it.

--- a/src/calls/call_runner.cc
+++ b/src/calls/call_runner.cc
@@ -167,12 +167,34 @@
   const bool sent_before = !sent_to_.insert(replica.id).second;
   request.new_connection = sent_before || context_.attempt.pool.NeedsNewConnections(replica.id);
   attempted_.push_back(replica.id);
+  if (retry_.attempts() > 0) {
+    RecordSentAgain(request, IsRepeatable(route));
+  }
   route_idempotent_ = route.idempotent();
   retry_.OnAttempt();
   attempt_ = spec_.exchange->NewAttempt(context_.attempt, std::move(request), MakeExchangeEvents());
   attempt_->Start();
 }
 
+void CallRunner::RecordSentAgain(const AttemptRequest& request, bool repeatable) const {
+  const std::string_view may_repeat = repeatable ? "yes" : "no";
+  const std::string_view earlier_end = AttemptEndName(last_ended_.end);
+  context_.attempt.environment.metrics().Increment(
+      "gateway_calls_sent_again_total",
+      {{"repeatable", may_repeat}, {"earlier", earlier_end}, {"reason", last_ended_.reason}});
+  Log(LogLevel::kInfo, "call_sent_again",
+      {{"call_id", call_id()},
+       {"replica", request.use.id},
+       {"instance", request.use.instance_id},
+       {"earlier_replica", last_ended_.replica},
+       {"earlier", earlier_end},
+       {"reason", last_ended_.reason},
+       {"attempts", retry_.attempts()},
+       {"executed", proto::Executed_Name(retry_.executed())},
+       {"repeatable", may_repeat},
+       {"connection", request.new_connection ? "new" : "any"}});
+}
+
 AttemptRequest CallRunner::MakeAttemptRequest(const ReplicaRecord& replica,
                                               const proto::Route& route) {
   AttemptRequest request;
@@ -281,6 +303,7 @@
        {"error", result.error.message()},
        {"repeatable", repeatable ? "yes" : "no"},
        {"next", decision.action == RetryAction::kFinish ? "finish" : "retry"}});
+  last_ended_ = {attempted_.empty() ? "" : attempted_.back(), result.end, result.error.code()};
   RetryOrFinish(result, decision);
 }
 
--- a/src/calls/call_runner.h
+++ b/src/calls/call_runner.h
@@ -108,6 +108,8 @@
   void Send(const ReplicaRecord& replica, const proto::Route& route);
   AttemptRequest MakeAttemptRequest(const ReplicaRecord& replica, const proto::Route& route);
   ExchangeEvents MakeExchangeEvents();
+  /// Counts and logs that the call is sent again, with what the attempt before showed.
+  void RecordSentAgain(const AttemptRequest& request, bool repeatable) const;
   /// Evaluated immediately before the first byte of an attempt is sent.
   bool CanSendNow(const ReplicaUse& use) const;
   /// Puts a live call into the queue. A batch item does not wait: it ends with kNoCapacity.
@@ -140,6 +142,13 @@
   /// Ids of all replicas that the call was sent to.
   std::set<std::string> sent_to_;
   std::shared_ptr<CallAttempt> attempt_;
+  /// How the attempt before the current one ended.
+  struct EndedAttempt {
+    std::string replica;
+    AttemptEnd end = AttemptEnd::kUnknown;
+    std::string reason;
+  };
+  EndedAttempt last_ended_;
   WaitId wait_id_ = 0;
   TimerId timer_ = 0;
   /// Whether the route was idempotent when the current attempt was sent.
--- a/src/gateway/batch_service.cc
+++ b/src/gateway/batch_service.cc
@@ -155,17 +155,48 @@
   request.set_tenant(host);
   request.set_cursor(FormatCursor(position));
   request.set_limit(kMaximumPageSize);
+  WitnessedBatch batch{host, batch_id};
+  const std::uint64_t shown_before = witness_.CountShown(batch);
   owners_.Call<proto::ListResultsResponse>(
       "queue.ListResults", request, kReadDeadline,
-      [position, done = std::move(done)](Result<proto::ListResultsResponse> result) {
-        if (result.ok()) {
-          done(ToResults(position, std::move(*result->mutable_list())));
-        } else {
+      [this, position, batch = std::move(batch), shown_before,
+       done = std::move(done)](Result<proto::ListResultsResponse> result) {
+        if (!result.ok()) {
           done(result.status());
+          return;
         }
+        const std::uint64_t owner = result->owner_node_id();
+        BatchResults page = ToResults(position, std::move(*result->mutable_list()));
+        CheckAgainstEarlierReads(batch, owner, position, shown_before, page);
+        done(std::move(page));
       });
 }
 
+void BatchService::CheckAgainstEarlierReads(const WitnessedBatch& batch, std::uint64_t owner,
+                                            std::uint64_t position, std::uint64_t shown_before,
+                                            const BatchResults& page) {
+  ShownPage shown{position, owner, {}};
+  shown.results.reserve(page.results.size());
+  for (const BatchResult& result : page.results) {
+    shown.results.push_back({result.item_id, result.completed, result.text});
+  }
+  const std::optional<ResultContradiction> found = witness_.Record(batch, shown, shown_before);
+  if (!found) {
+    return;
+  }
+  const std::string_view kind = ContradictionKindName(found->kind);
+  environment_.metrics().Increment("gateway_batch_results_contradicted_total", {{"kind", kind}});
+  const std::uint64_t index = found->position - position;
+  Log(LogLevel::kError, "batch_results_contradicted",
+      {{"batch", batch.id},
+       {"kind", kind},
+       {"position", found->position},
+       {"earlier_position", found->earlier_position},
+       {"item", index < page.results.size() ? page.results[index].item_id : ""},
+       {"owner", owner},
+       {"earlier_owner", found->earlier_owner}});
+}
+
 void BatchService::ReadItem(const std::string& host, const std::string& batch_id,
                             const std::string& item_id, Done<proto::BatchItem> done) {
   if (Status serving = CheckServing(); !serving.ok()) {
--- a/src/gateway/batch_service.h
+++ b/src/gateway/batch_service.h
@@ -17,6 +17,7 @@
 #include "base/status.h"
 #include "control_client/node_agent.h"
 #include "gateway/batch_owner_client.h"
+#include "gateway/result_witness.h"
 #include "proto/batch.pb.h"
 #include "runtime/environment.h"
 
@@ -74,12 +75,18 @@
   /// kUnavailable.
   Status CheckServing() const;
   std::uint64_t FindPartition(std::string_view host, std::string_view batch_id) const;
+  /// Counts and logs a page that contradicts what this gateway has shown of the batch.
+  /// @param shown_before as for `ResultWitness::Record`.
+  void CheckAgainstEarlierReads(const WitnessedBatch& batch, std::uint64_t owner,
+                                std::uint64_t position, std::uint64_t shown_before,
+                                const BatchResults& page);
   /// @return the request with what the client sent alone.
   proto::SubmitBatchRequest MakeRequest(BatchSubmission submission) const;
 
   Environment& environment_;
   NodeAgent& agent_;
-  BatchOwnerClient owners_;
+  ResultWitness witness_;
+  BatchOwnerClient owners_;  ///< Its calls use the members above until it is destroyed.
 };
 
 }  // namespace cloverbank
--- a/src/queue/batch_request_handler.cc
+++ b/src/queue/batch_request_handler.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "batches/list_cursor.h"
+
 namespace cloverbank {
 namespace {
 
@@ -47,9 +49,14 @@
 
 }  // namespace
 
-BatchRequestHandler::BatchRequestHandler(const PartitionOwnership& ownership, BatchIntake& intake,
+BatchRequestHandler::BatchRequestHandler(Environment& environment, const NodeAgent& agent,
+                                         const PartitionOwnership& ownership, BatchIntake& intake,
                                          WorkDispatcher& dispatcher)
-    : ownership_(ownership), intake_(intake), dispatcher_(dispatcher) {}
+    : environment_(environment),
+      agent_(agent),
+      ownership_(ownership),
+      intake_(intake),
+      dispatcher_(dispatcher) {}
 
 void BatchRequestHandler::Submit(const proto::SubmitBatchRequest& request,
                                  const Reply<proto::SubmitBatchResponse>& reply) {
@@ -98,12 +105,21 @@
                      if (!list.ok()) {
                        return list.status();
                      }
+                     CountIfBeyondEnd(*store.Find(batch_id), request.cursor());
                      proto::ListResultsResponse response;
                      *response.mutable_list() = std::move(*list);
+                     response.set_owner_node_id(agent_.node_id().value());
                      return response;
                    });
 }
 
+void BatchRequestHandler::CountIfBeyondEnd(const StoredBatch& batch, const std::string& cursor) {
+  const Result<std::uint64_t> position = ParseCursor(cursor);
+  if (position.ok() && *position > batch.results.size()) {
+    environment_.metrics().Increment("queue_reads_beyond_end_total");
+  }
+}
+
 void BatchRequestHandler::GetItem(const proto::GetItemRequest& request,
                                   const Reply<proto::GetItemResponse>& reply) {
   AnswerAboutBatch(
--- a/src/queue/batch_request_handler.h
+++ b/src/queue/batch_request_handler.h
@@ -20,7 +20,8 @@
   template <typename Response>
   using Reply = std::function<void(Result<Response>)>;
 
-  BatchRequestHandler(const PartitionOwnership& ownership, BatchIntake& intake,
+  BatchRequestHandler(Environment& environment, const NodeAgent& agent,
+                      const PartitionOwnership& ownership, BatchIntake& intake,
                       WorkDispatcher& dispatcher);
 
   /// Other errors: those of `BatchIntake::Submit`.
@@ -44,6 +45,11 @@
               const Reply<proto::CancelBatchResponse>& reply);
 
  private:
+  /// Counts a read from a position after the batch's last result.
+  void CountIfBeyondEnd(const StoredBatch& batch, const std::string& cursor);
+
+  Environment& environment_;
+  const NodeAgent& agent_;
   const PartitionOwnership& ownership_;
   BatchIntake& intake_;
   WorkDispatcher& dispatcher_;
--- a/src/queue/queue_node_incarnation.cc
+++ b/src/queue/queue_node_incarnation.cc
@@ -20,7 +20,7 @@
       intake_(MakeIntake()),
       retention_(environment, agent, log_, ownership_,
                  {options.sweep_interval, options.default_retention}),
-      batch_request_handler_(ownership_, *intake_, *dispatcher_),
+      batch_request_handler_(environment, agent, ownership_, *intake_, *dispatcher_),
       work_request_handler_(ownership_, *dispatcher_),
       token_request_handler_(agent, ownership_, *quota_owner_, *reserver_) {}
 
