Check at each send that a call that may have run may still repeat

Whether a call may be sent again was decided when its attempt ended. The send follows later: after the back-off, after waiting for a slot (until the call's deadline), or after a refusal of the repetition. If the route stopped being repeatable meanwhile (another kind, not resumable any more, or a longer prefix with a route that must not repeat), the call ran a second time. Callers saw nothing but the second run's effect.

Class of fault: a decision that is not checked again when it is carried out. The runner now asks before each attempt, and once more immediately before the first byte: a call of which an attempt may have run is sent only by a route that may repeat it; else it ends with 504.

--- a/src/calls/call_failure.cc
+++ b/src/calls/call_failure.cc
@@ -25,6 +25,10 @@
     case CallFailure::kBatchRoute:
       return {"batch_route", "by the configuration this request is a batch now; send it again",
               kShortRetryAfter};
+    case CallFailure::kNotRepeatable:
+      return {"not_repeatable",
+              "the call may have run, and by the configuration it must not run again",
+              Duration::zero()};
     case CallFailure::kStartWithdrawn:
       return {"start_withdrawn",
               "this batch item may no longer start, e.g. because its work lease ended",
--- a/src/calls/call_failure.h
+++ b/src/calls/call_failure.h
@@ -15,6 +15,7 @@
   kNoReplicaList,   ///< The gateway has not read the list of replicas yet.
   kUnknownRoute,    ///< The configuration no longer has a route for the call.
   kBatchRoute,      ///< By the configuration the request of a live call is now a batch.
+  kNotRepeatable,   ///< The call may have run, and by the configuration it must not run again.
   kStartWithdrawn,  ///< A batch item may no longer start, e.g. because its work lease ended.
   kNoCapacity,      ///< No replica has capacity for batch work.
 };
--- a/src/calls/call_runner.cc
+++ b/src/calls/call_runner.cc
@@ -139,6 +139,9 @@
   if (IsBatchOnly(*route)) {
     return CallFailure::kBatchRoute;
   }
+  if (!MayRunNow(*route)) {
+    return CallFailure::kNotRepeatable;
+  }
   if (spec_.can_start && !spec_.can_start()) {
     return CallFailure::kStartWithdrawn;
   }
@@ -237,7 +240,7 @@
   const bool in_time = context_.attempt.environment.Now() < spec_.deadline;
   const bool permitted = !spec_.can_start || spec_.can_start();
   return !done_ && in_time && permitted && context_.permission.IsValid() && route != nullptr &&
-         !IsBatchOnly(*route) && context_.attempt.pool.CanSend(use, *route);
+         !IsBatchOnly(*route) && MayRunNow(*route) && context_.attempt.pool.CanSend(use, *route);
 }
 
 void CallRunner::WaitInQueue() {
@@ -392,6 +395,10 @@
   return spec_.idempotent && route.idempotent();
 }
 
+bool CallRunner::MayRunNow(const proto::Route& route) const {
+  return retry_.executed() == proto::EXECUTED_NO || IsRepeatable(route);
+}
+
 bool CallRunner::IsRepeatableNow() const {
   const proto::Route* route = FindRoute();
   return route_idempotent_ && route != nullptr && IsRepeatable(*route);
--- a/src/calls/call_runner.h
+++ b/src/calls/call_runner.h
@@ -126,6 +126,9 @@
   void Finish(CallResult result);
   /// Whether the call was idempotent when it was admitted and is so by `route`.
   bool IsRepeatable(const proto::Route& route) const;
+  /// Whether no attempt may have run the call yet, or it may run again by `route`. A route may stop
+  /// being idempotent while the call waits for its next attempt.
+  bool MayRunNow(const proto::Route& route) const;
   /// Whether the call is idempotent by three configurations: the one when it was admitted, the one
   /// when the current attempt was sent, and the current one.
   bool IsRepeatableNow() const;
--- a/tests/gateway/forwarding_test.cc
+++ b/tests/gateway/forwarding_test.cc
@@ -248,6 +248,33 @@
   EXPECT_EQ(once->status, 504);  // Its only response, sent at its deadline.
 }
 
+// Guards against a second run of a call whose route stopped being repeatable during the back-off.
+TEST_F(ForwardingTest, DoesNotRepeatARunCallWhoseRouteMustNotRepeatByNow) {
+  const auto client = harness.Forward("/safe/x", "c1");
+  ASSERT_EQ(harness.received_calls.size(), 1U);
+  harness.received_calls[0]->End(HttpOutcomeKind::kUnknown, "reset");
+  harness.permission.stored.mutable_routes(1)->set_idempotent(false);
+  harness.world.RunFor(seconds(1));
+  EXPECT_EQ(harness.received_calls.size(), 1U);
+  EXPECT_EQ(client->status, 504);
+}
+
+// Guards against a second run after a refusal of the repetition, once the route stopped being
+// repeatable.
+TEST_F(ForwardingTest, RefusedRepetitionIsNotSentAgainOnceTheRouteMustNotRepeat) {
+  const auto client = harness.Forward("/safe/x", "c1");
+  harness.received_calls[0]->End(HttpOutcomeKind::kUnknown, "reset");
+  harness.world.RunFor(seconds(1));
+  ASSERT_EQ(harness.received_calls.size(), 2U);
+  harness.permission.stored.mutable_routes(1)->set_idempotent(false);
+  HttpHeaders refusal = ForwardHarness::EchoHeaders("c1");
+  refusal.emplace_back("X-Not-Run", "1");
+  harness.Respond(1, {503, refusal, ""});
+  harness.world.RunFor(seconds(1));
+  EXPECT_EQ(harness.received_calls.size(), 2U);
+  EXPECT_EQ(client->status, 504);
+}
+
 TEST_F(ForwardingTest, SendsNothingToReplicasOfAFormerBackEnd) {
   harness.permission.stored.mutable_routes(1)->set_backend("elsewhere");
   const auto client = harness.Forward("/safe/x", "c1");
