Know by its address whether a call may meet a late answer to its own earlier send

Cause: a call returns to a replica that refused it on a new connection only, because a kept connection may bring a second copy of that refusal, with the same call id. The runner remembered replicas by id, but connections are pooled by address, and a replica that starts again keeps its address under another id. The call went to the new incarnation on the kept connection, the copy of the old 421 was taken as "not run", and a third replica got the call while the second ran it.

The runner remembers addresses now, as the pool does, so no later send of a call can be on a connection that carried an earlier one.

--- a/src/calls/call_attempt.h
+++ b/src/calls/call_attempt.h
@@ -27,8 +27,9 @@
   std::string backend;  ///< Name of the model or service.
   proto::BackendKind kind = proto::BACKEND_KIND_UNSPECIFIED;
   TimePoint deadline;
-  /// Whether to send on a new connection. A connection that carried an earlier attempt of the same
-  /// call may still bring a second response to that attempt, whose call id is the same.
+  /// Whether to send on a new connection. A connection to this address that carried an earlier
+  /// attempt of the same call may still bring a second response to that attempt, whose call id is
+  /// the same.
   bool new_connection = false;
   /// Whether the call could be retried at another replica if this attempt timed out now; empty
   /// means never.
--- a/src/calls/call_runner.cc
+++ b/src/calls/call_runner.cc
@@ -167,7 +167,7 @@
 
 void CallRunner::Send(const ReplicaRecord& replica, const proto::Route& route) {
   AttemptRequest request = MakeAttemptRequest(replica, route);
-  const bool sent_before = !sent_to_.insert(replica.id).second;
+  const bool sent_before = !sent_to_.insert(replica.endpoint).second;
   request.new_connection = sent_before || context_.attempt.pool.NeedsNewConnections(replica.id);
   attempted_.push_back(replica.id);
   if (retry_.attempts() > 0) {
--- a/src/calls/call_runner.h
+++ b/src/calls/call_runner.h
@@ -142,8 +142,9 @@
   const std::uint64_t split_random_;
   /// Ids of the replicas used since the last wait; excluded from the next choice.
   std::vector<std::string> attempted_;
-  /// Ids of all replicas that the call was sent to.
-  std::set<std::string> sent_to_;
+  /// Addresses of all replicas that the call was sent to. Connections are pooled by address, and a
+  /// replica that starts again keeps its address under another id.
+  std::set<Endpoint> sent_to_;
   std::shared_ptr<CallAttempt> attempt_;
   /// How the attempt before the current one ended.
   struct EndedAttempt {
--- a/tests/gateway/forwarding_test.cc
+++ b/tests/gateway/forwarding_test.cc
@@ -157,6 +157,28 @@
   EXPECT_GT(sends["r1"], 1);
 }
 
+// Guards against a late refusal of a send to the incarnation before, at the same address, being taken
+// for one of the send to the new incarnation.
+TEST_F(ForwardingTest, NextIncarnationAtAnAddressGetsARefusedCallOnANewConnection) {
+  const auto client = harness.Forward("/once/x", "c1");
+  std::map<std::string, int> sends;
+  for (std::size_t index = 0; index < 4; ++index) {
+    ASSERT_GT(harness.received_calls.size(), index);
+    const int earlier = sends[harness.receiving_replicas[index]]++;
+    EXPECT_EQ(harness.received_calls[index]->request.new_connection, earlier > 0) << index;
+    for (auto& [name, replica] : harness.replicas) {
+      const std::string incarnation = name + "." + std::to_string(index);
+      replica.entry.set_id(incarnation);
+      replica.entry.set_instance_id(incarnation);
+    }
+    ++harness.list_version;
+    harness.world.RunFor(milliseconds(600));
+    harness.Respond(index, {421, {{"X-Call-Id", "c1"}}, ""});
+    harness.world.RunFor(milliseconds(300));
+  }
+  EXPECT_GT(sends["r1"] + sends["r2"], 2);
+}
+
 TEST_F(ForwardingTest, ResponsesThatAreNotUtf8AreForwardedOrAnsweredWithAnError) {
   const HttpHeaders echo = ForwardHarness::EchoHeaders("c1");
   const std::vector<HttpResponse> responses = {{500, echo, "\xff"},
