Hold back a SIGHUP that comes while the daemon starts

Sent by hand 0, 2 and 5 ms after the start it ended the process 5 times of 5.

The daemon blocks SIGHUP first of all and lets it through when the handler stands, so that none is lost either.

--- a/apps/cloverbankd/main.cc
+++ b/apps/cloverbankd/main.cc
@@ -8,6 +8,7 @@
 
 #include "base/logging.h"
 #include "cloverbankd/daemon.h"
+#include "net/event_loop.h"
 #include "settings/settings.h"
 
 namespace cloverbank {
@@ -87,6 +88,7 @@
 }  // namespace cloverbank
 
 int main(int argc, char** argv) {
+  cloverbank::EventLoop::HoldReloadSignal();
   try {
     cloverbank::CommandLine line;
     if (const auto exit_code = cloverbank::ParseCommandLine(argc, argv, &line)) {
--- a/src/net/event_loop.cc
+++ b/src/net/event_loop.cc
@@ -29,6 +29,14 @@
   return descriptor;
 }
 
+/// @param how SIG_BLOCK or SIG_UNBLOCK.
+void SetReloadSignalMask(int how) {
+  sigset_t signals{};
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGHUP);
+  pthread_sigmask(how, &signals, nullptr);
+}
+
 }  // namespace
 
 struct EventLoop::State {
@@ -172,10 +180,13 @@
   state_->AwaitSignalOnce();
 }
 
+void EventLoop::HoldReloadSignal() { SetReloadSignalMask(SIG_BLOCK); }
+
 void EventLoop::OnReloadSignal(std::function<void()> action) {
   state_->on_reload_signal = std::move(action);
   state_->signals.add(SIGHUP);
   state_->AwaitSignalOnce();
+  SetReloadSignalMask(SIG_UNBLOCK);
 }
 
 boost::asio::io_context& EventLoop::io_context() { return state_->context; }
--- a/src/net/event_loop.h
+++ b/src/net/event_loop.h
@@ -41,7 +41,11 @@
   /// Runs `action(signal)` on the loop at each SIGTERM and SIGINT, instead of their default effect.
   void OnStopSignal(std::function<void(int signal)> action);
 
-  /// Runs `action` on the loop at each SIGHUP, instead of its default effect.
+  /// Holds back each SIGHUP to this process until `OnReloadSignal`, so that none ends a process
+  /// that is starting. To be called before the first thread is started.
+  static void HoldReloadSignal();
+  /// Runs `action` on the loop at each SIGHUP, also at one that was held back, instead of its
+  /// default effect.
   void OnReloadSignal(std::function<void()> action);
 
   /// Only for the other classes of net/.
--- a/tests/net/event_loop_test.cc
+++ b/tests/net/event_loop_test.cc
@@ -51,6 +51,20 @@
   poster.join();
 }
 
+// Guards against a SIGHUP ending a process that is starting.
+TEST(EventLoopTest, ReloadSignalThatCameWhileStartingRunsTheActionLater) {
+  EventLoop::HoldReloadSignal();
+  std::raise(SIGHUP);
+  EventLoop loop;
+  int reloads = 0;
+  loop.OnReloadSignal([&] {
+    ++reloads;
+    loop.Stop();
+  });
+  loop.Run();
+  EXPECT_EQ(reloads, 1);
+}
+
 TEST(EventLoopTest, StopSignalRunsRegisteredAction) {
   EventLoop loop;
   int received = 0;
