--- a/src/gateway/result_witness.cc
+++ b/src/gateway/result_witness.cc
@@ -41,11 +41,10 @@
     }
     ++position;
   }
-  const bool shown_position_is_empty = page.results.empty() && page.position < shown_before &&
-                                       page.position < known.size();
+  const bool shown_position_is_empty =
+      page.results.empty() && page.position < shown_before && page.position < known.size();
   if (!first && shown_position_is_empty) {
-    first = {ContradictionKind::kMissing, page.position, page.position,
-             known[page.position].owner};
+    first = {ContradictionKind::kMissing, page.position, page.position, known[page.position].owner};
   }
   return first;
 }
--- a/src/gateway/result_witness.h
+++ b/src/gateway/result_witness.h
@@ -18,7 +18,8 @@
 
 namespace cloverbank {
 
-/// Number of batches that a witness remembers; the one that was read longest ago is forgotten first.
+/// Number of batches that a witness remembers; the one that was read longest ago is forgotten
+/// first.
 inline constexpr std::size_t kDefaultWitnessedBatches = 256;
 
 enum class ContradictionKind : std::uint8_t {
--- a/tests/gateway/forwarding_test.cc
+++ b/tests/gateway/forwarding_test.cc
@@ -157,8 +157,8 @@
   EXPECT_GT(sends["r1"], 1);
 }
 
-// Guards against a late refusal of a send to the incarnation before, at the same address, being taken
-// for one of the send to the new incarnation.
+// Guards against a late refusal of a send to the incarnation before, at the same address, being
+// taken for one of the send to the new incarnation.
 TEST_F(ForwardingTest, NextIncarnationAtAnAddressGetsARefusedCallOnANewConnection) {
   const auto client = harness.Forward("/once/x", "c1");
   std::map<std::string, int> sends;
