Keep what the soaks share in one module

The HTTP messages, the platform's list, the processes and the kept connections stood in soak-live-calls and, in part again, in soak-changes; soak-batch-results would have been the third. scripts/soak_stand_ins.py has them once. No check and no draw changed.

--- a/tests/scripts/soak_live_calls_test.py
+++ b/tests/scripts/soak_live_calls_test.py
@@ -6,6 +6,7 @@
 from load_script import load_script
 
 SOAK = load_script("soak-live-calls")
+STAND_INS = load_script("soak_stand_ins.py")
 OPTIONS = types.SimpleNamespace(calm=False, second_responses=0.3, without_ids=False)
 CROSSED = {"crossings": 1}
 
@@ -59,7 +60,7 @@
     def test_fills_values_lists_and_sections(self):
         fields = {"node": "edge-1", "ports": [7, 8], "zones": {"a": "r", "b": "r"}, "disk": True, "none": None}
         template = '{{node|json}} {{ports.1}} [{{#zones}}"{{@}}={{.}}"{{,}}{{/zones}}]{{#disk}} disk{{/disk}}{{#none}} no{{/none}}'
-        self.assertEqual(SOAK.render(template, fields), '"edge-1" 8 ["a=r","b=r"] disk')
+        self.assertEqual(STAND_INS.render(template, fields), '"edge-1" 8 ["a=r","b=r"] disk')
 
 
 if __name__ == "__main__":
