--- a/scripts/soak_stand_ins.py
+++ b/scripts/soak_stand_ins.py
@@ -94,7 +94,9 @@
         self.address = f"{options.network}.1.{number + 1}"
         self.zone = ZONES[number % len(ZONES)]
         self.counts = number < COORDINATORS
-        self.program = str(pathlib.Path(options.build).resolve() / "bin/cloverbankd")
+        builds = [options.build, *options.other_build]
+        self.programs = [str(pathlib.Path(build).resolve() / "bin/cloverbankd") for build in builds]
+        self.starts = number
         self.folder = folder
         self.options = options
         self.process = None
@@ -109,7 +111,9 @@
         log = open(self.folder / f"{self.name}.log", "ab")
         self.expected_end = False
         self.started_at = time.monotonic()
-        self.process = subprocess.Popen([self.program], stdout=log, stderr=log, cwd=ROOT,
+        program = self.programs[self.starts % len(self.programs)]
+        self.starts += 1
+        self.process = subprocess.Popen([program], stdout=log, stderr=log, cwd=ROOT,
                                         env={**os.environ, "CLOVERBANK_CONFIG": str(settings)})
         log.close()
 
@@ -208,6 +212,18 @@
     return not waiting
 
 
+def add_common_arguments(parser, network):
+    """Adds the arguments that all soaks have. `network`: first two numbers of the loopback addresses."""
+    parser.add_argument("build")
+    parser.add_argument("--other-build", action="append", default=[], metavar="BUILD",
+                        help="a second build: machines and their restarts take the builds by turns")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--calm", action="store_true", help="no disturbances and no changes")
+    parser.add_argument("--log-level", default="warning", help="level of the processes' logs")
+    parser.add_argument("--network", default=network, help="first two numbers of the loopback addresses")
+    parser.add_argument("--keep", help="folder for settings, data and logs; kept after the run")
+
+
 class Store(Gateway):
     """One cloverbankd process on a store machine."""
 
