Say at warning that a coordinator group lacks voters, or a coordinator a group

raft_group_incomplete (warning) names the problem once it has lasted 4 s, and again every 10 s, with term, log and configuration index, the members and which of them answer, and what the search for a group met at each endpoint; raft_group_whole says that it is over. The gauges raft_voters, raft_responsive_voters and raft_learners show the same to a collector. The predicate IsActive is public now and is called IsResponsive, as elsewhere.

--- a/src/consensus/raft_core.h
+++ b/src/consensus/raft_core.h
@@ -115,6 +115,12 @@
   bool IsEmpty() const { return log_.configuration().members().empty(); }
   /// Whether the latest configuration in the log contains this member.
   bool IsMember() const;
+  /// Whether the member heard this leader less than the maximum election timeout ago and answered.
+  bool IsResponsive(TimePoint now, std::uint64_t member_id) const;
+  /// @return the number of voters that are responsive, this leader included.
+  std::size_t CountResponsiveVoters(TimePoint now) const;
+  /// @return the number of voters of a full group.
+  std::size_t wanted_voters() const { return options_.maximum_members; }
 
   RaftRole role() const { return role_; }
   std::uint64_t term() const { return metadata_.current_term(); }
@@ -246,8 +252,6 @@
   /// @return the configuration after the next step of a pending change; none if no step is due.
   std::optional<proto::RaftConfiguration> ComputeNextConfiguration(TimePoint now) const;
   bool HasActiveMajority(TimePoint now, const proto::RaftConfiguration& configuration) const;
-  /// Whether the member heard this leader less than the maximum election timeout ago and answered.
-  bool IsActive(TimePoint now, std::uint64_t member_id) const;
   /// Whether the member is active and has synced all committed entries.
   bool IsCaughtUp(TimePoint now, std::uint64_t member_id) const;
   bool CanChangeMembership() const;
--- a/src/consensus/raft_core_membership.cc
+++ b/src/consensus/raft_core_membership.cc
@@ -227,7 +227,7 @@
   }
 }
 
-bool RaftCore::IsActive(TimePoint now, std::uint64_t id) const {
+bool RaftCore::IsResponsive(TimePoint now, std::uint64_t id) const {
   if (id == member_id()) {
     return true;
   }
@@ -238,7 +238,15 @@
 
 bool RaftCore::IsCaughtUp(TimePoint now, std::uint64_t id) const {
   const auto peer = peers_.find(id);
-  return IsActive(now, id) && peer != peers_.end() && peer->second.match_index >= commit_index_;
+  return IsResponsive(now, id) && peer != peers_.end() && peer->second.match_index >= commit_index_;
+}
+
+std::size_t RaftCore::CountResponsiveVoters(TimePoint now) const {
+  const auto& members = configuration().members();
+  return static_cast<std::size_t>(
+      std::count_if(members.begin(), members.end(), [this, now](const proto::RaftMember& member) {
+        return !member.learner() && IsResponsive(now, member.member_id());
+      }));
 }
 
 bool RaftCore::HasActiveMajority(TimePoint now,
@@ -248,7 +256,7 @@
   for (const proto::RaftMember& member : configuration.members()) {
     if (!member.learner()) {
       ++voters;
-      active += IsActive(now, member.member_id()) ? 1 : 0;
+      active += IsResponsive(now, member.member_id()) ? 1 : 0;
     }
   }
   return active > voters / 2;
@@ -258,7 +266,7 @@
   for (const proto::RaftMember& member : configuration().members()) {
     const proto::RaftMember* replaced = FindMember(configuration(), member.replaces());
     const bool promotable = member.learner() && IsCaughtUp(now, member.member_id());
-    const bool replaced_is_inactive = replaced != nullptr && !IsActive(now, replaced->member_id());
+    const bool replaced_is_inactive = replaced != nullptr && !IsResponsive(now, replaced->member_id());
     if (replaced != nullptr && replaced->member_id() != member_id() &&
         (!member.learner() || (promotable && replaced_is_inactive))) {
       return RemoveMember(configuration(), replaced->member_id());
--- a/src/consensus/raft_core_transfer.cc
+++ b/src/consensus/raft_core_transfer.cc
@@ -17,7 +17,7 @@
   }
   std::uint64_t best_match = 0;
   for (const auto& [id, peer] : peers_) {
-    if (IsVoter(id) && IsActive(now, id) && peer.match_index >= best_match) {
+    if (IsVoter(id) && IsResponsive(now, id) && peer.match_index >= best_match) {
       best_match = peer.match_index;
       transfer_target_ = id;
     }
--- a/src/consensus/raft_formation_driver.cc
+++ b/src/consensus/raft_formation_driver.cc
@@ -174,6 +174,7 @@
   round_timer_ = context_.environment.ScheduleAfter(delay, [this] {
     round_timer_ = 0;
     UpdateOwnEndpoint();
+    monitor_.Review(/*spare=*/join_conflict_);
     if (context_.identity_durable && NeedsGroup()) {
       StartRound();
     }
@@ -212,6 +213,7 @@
 
 void RaftFormationDriver::HandleDiscoverResponse(Round& round, const Endpoint& from,
                                                  const Result<proto::DiscoverResponse>& response) {
+  monitor_.RecordDiscovery(from, response.status());
   if (response.ok()) {
     directory_.RecordMember(from, response->member_id());
     round.formation.responses[from] = *response;
--- a/src/consensus/raft_formation_driver.h
+++ b/src/consensus/raft_formation_driver.h
@@ -10,6 +10,7 @@
 #include <set>
 
 #include "consensus/raft_formation.h"
+#include "consensus/raft_group_monitor.h"
 #include "consensus/raft_node_context.h"
 
 namespace cloverbank {
@@ -17,7 +18,7 @@
 class RaftFormationDriver {
  public:
   /// @param context must outlive this object.
-  explicit RaftFormationDriver(RaftNodeContext& context) : context_(context) {}
+  explicit RaftFormationDriver(RaftNodeContext& context) : context_(context), monitor_(context) {}
   ~RaftFormationDriver() { Stop(); }
   RaftFormationDriver(const RaftFormationDriver&) = delete;
   RaftFormationDriver& operator=(const RaftFormationDriver&) = delete;
@@ -61,6 +62,7 @@
   void HandleJoinResponse(const Result<proto::JoinResponse>& response);
 
   RaftNodeContext& context_;
+  RaftGroupMonitor monitor_;
   TimerId round_timer_ = 0;
   MemberDirectory directory_;
   /// Endpoints of the members as other members last reported them. They are kept because no seed
