--- a/scripts/soak_stand_ins.py
+++ b/scripts/soak_stand_ins.py
@@ -289,3 +289,20 @@
         for _, writer in sum(self.idle.values(), []):
             writer.close()
         self.idle.clear()
+
+
+async def cancel_other_tasks():
+    """Ends what is left of the stand-ins' connections."""
+    tasks = asyncio.all_tasks() - {asyncio.current_task()}
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
+def report(world, most_failures):
+    """Prints the figures and the first failures of a run. Returns the exit code."""
+    print(f"seed {world.options.seed}: {json.dumps(dict(sorted(world.figures.items())))}")
+    for failure in world.failures[:most_failures]:
+        print("FAILED:", failure)
+    print(f"{len(world.failures)} failures")
+    return 1 if world.failures else 0
