Let a coordinator without a group ask whom its process knows as coordinators

Callers saw that control never came back after one lost disk (CONFIG, and results that don't come): no leader, though two of three machines ran.

Cause: a member with an empty disk looks for the group at its seeds, in its own log and at what members report. Its seeds may name no coordinator (three of ten edge machines are one), its log is empty, and so nobody reports. The node agents of the same process do find the leader, by a gateway's referral or because the leader tells them, so the machine looks healthy; but the group stands at two voters of three, and the next disk takes the majority. Class: what one part of a process learns of the membership is kept from the others.

The roles of a process now share one CoordinatorDirectory, and the member asks its candidates too.

--- a/apps/cloverbankd/backup_role.cc
+++ b/apps/cloverbankd/backup_role.cc
@@ -24,7 +24,7 @@
     if (!loaded.ok()) {
       return loaded;
     }
-    NodeAgentOptions options = MakeAgentOptions(context_.settings, proto::ROLE_BACKUP);
+    NodeAgentOptions options = MakeAgentOptions(context_, proto::ROLE_BACKUP);
     options.spare = context_.settings.spare_backup;
     options.disk_id = service_.disk_id();
     agent_ = std::make_unique<NodeAgent>(context_.environment, std::move(options));
--- a/apps/cloverbankd/coordinator_role.cc
+++ b/apps/cloverbankd/coordinator_role.cc
@@ -23,6 +23,9 @@
   options.election_timeout = context.settings.election_timeout;
   options.heartbeat_interval = context.settings.election_timeout / kHeartbeatsPerElectionTimeout;
   options.on_fatal = context.on_fatal;
+  options.known_coordinators = [directory = context.coordinators] {
+    return directory->ListCandidates();
+  };
   return options;
 }
 
--- a/apps/cloverbankd/daemon.cc
+++ b/apps/cloverbankd/daemon.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "base/logging.h"
+#include "cloverbankd/node_readiness.h"
 #include "cloverbankd/process_status.h"
 #include "cloverbankd/server_options.h"
 
@@ -125,6 +126,7 @@
                             {front_calls_.get(), front_ready_.get(), front_control_.get()},
                             [this] { return !stopping_; },
                             data_folder_.get(),
+                            MakeCoordinatorDirectory(settings_),
                             [this](const Status& status) { Fail(status); }};
   const std::vector<std::pair<bool, std::unique_ptr<Role> (*)(const RoleContext&)>> makers = {
       {settings_.roles.coordinator, &MakeCoordinatorRole},
--- a/apps/cloverbankd/gateway_role.cc
+++ b/apps/cloverbankd/gateway_role.cc
@@ -26,7 +26,7 @@
 class GatewayRole final : public Role {
  public:
   explicit GatewayRole(const RoleContext& context)
-      : agent_(context.environment, MakeAgentOptions(context.settings, proto::ROLE_GATEWAY)),
+      : agent_(context.environment, MakeAgentOptions(context, proto::ROLE_GATEWAY)),
         service_(context.environment, context.client, context.client_router, agent_,
                  MakeGatewayOptions(context.settings)),
         front_(context.front),
--- a/apps/cloverbankd/node_readiness.cc
+++ b/apps/cloverbankd/node_readiness.cc
@@ -1,18 +1,25 @@
 #include "cloverbankd/node_readiness.h"
 
+#include <utility>
+
 namespace cloverbank {
 
-NodeAgentOptions MakeAgentOptions(const Settings& settings, proto::Role role) {
-  NodeAgentOptions options;
-  options.role = role;
-  options.machine = settings.machine;
-  options.zone = settings.zone;
-  options.client_endpoint = settings.client;
-  options.coordinators = settings.seeds;
+std::shared_ptr<CoordinatorDirectory> MakeCoordinatorDirectory(const Settings& settings) {
+  std::vector<Endpoint> seeds = settings.seeds;
   if (settings.roles.coordinator) {
     // The seeds may no longer name this machine.
-    options.coordinators.push_back(settings.peer);
+    seeds.push_back(settings.peer);
   }
+  return std::make_shared<CoordinatorDirectory>(std::move(seeds));
+}
+
+NodeAgentOptions MakeAgentOptions(const RoleContext& context, proto::Role role) {
+  NodeAgentOptions options;
+  options.role = role;
+  options.machine = context.settings.machine;
+  options.zone = context.settings.zone;
+  options.client_endpoint = context.settings.client;
+  options.directory = context.coordinators;
   return options;
 }
 
--- a/apps/cloverbankd/queue_role.cc
+++ b/apps/cloverbankd/queue_role.cc
@@ -17,7 +17,7 @@
 class QueueRole final : public Role {
  public:
   explicit QueueRole(const RoleContext& context)
-      : agent_(context.environment, MakeAgentOptions(context.settings, proto::ROLE_QUEUE)),
+      : agent_(context.environment, MakeAgentOptions(context, proto::ROLE_QUEUE)),
         service_(context.environment, agent_, MakeQueueOptions(context.settings)) {}
 
   std::string_view name() const override { return "queue"; }
--- a/apps/cloverbankd/role.h
+++ b/apps/cloverbankd/role.h
@@ -11,6 +11,7 @@
 #include <string_view>
 
 #include "base/status.h"
+#include "control_client/coordinator_directory.h"
 #include "net/beast_http_server.h"
 #include "net/http_types.h"
 #include "runtime/environment.h"
@@ -29,6 +30,8 @@
   /// Whether the process accepts new clients: false from the start of a graceful shutdown.
   std::function<bool()> accepts_new_clients;
   DataFolder* data_folder;  ///< Null if the settings name none.
+  /// What the roles of this process know of the coordinators.
+  std::shared_ptr<CoordinatorDirectory> coordinators;
   /// Ends the process with an error; a role calls it when it cannot continue.
   std::function<void(const Status&)> on_fatal;
 };
--- a/src/consensus/raft_core_membership.cc
+++ b/src/consensus/raft_core_membership.cc
@@ -266,7 +266,8 @@
   for (const proto::RaftMember& member : configuration().members()) {
     const proto::RaftMember* replaced = FindMember(configuration(), member.replaces());
     const bool promotable = member.learner() && IsCaughtUp(now, member.member_id());
-    const bool replaced_is_inactive = replaced != nullptr && !IsResponsive(now, replaced->member_id());
+    const bool replaced_is_inactive =
+        replaced != nullptr && !IsResponsive(now, replaced->member_id());
     if (replaced != nullptr && replaced->member_id() != member_id() &&
         (!member.learner() || (promotable && replaced_is_inactive))) {
       return RemoveMember(configuration(), replaced->member_id());
--- a/src/consensus/raft_formation_driver.cc
+++ b/src/consensus/raft_formation_driver.cc
@@ -185,6 +185,11 @@
 std::set<Endpoint> RaftFormationDriver::FindDiscoverTargets() const {
   std::set<Endpoint> targets(context_.options.seeds.begin(), context_.options.seeds.end());
   targets.insert(reported_members_.begin(), reported_members_.end());
+  if (context_.options.known_coordinators) {
+    for (const Endpoint& coordinator : context_.options.known_coordinators()) {
+      targets.insert(coordinator);
+    }
+  }
   for (const LogMember& member : context_.Members()) {
     targets.insert(member.endpoint);
   }
--- a/src/consensus/raft_node_options.h
+++ b/src/consensus/raft_node_options.h
@@ -16,6 +16,9 @@
 struct RaftNodeOptions {
   /// Peer endpoints of the first members, the same list at each.
   std::vector<Endpoint> seeds;
+  /// @return endpoints that other parts of this process know as coordinators; may be empty. A
+  /// member asks them as well as the seeds, since none of the seeds may be a coordinator by now.
+  std::function<std::vector<Endpoint>()> known_coordinators;
   /// Whether seeds that are all empty may bootstrap a new group. True only on the first start of
   /// the system: later a member with an empty disk can only join.
   bool can_bootstrap = true;
--- a/src/control_client/node_context.cc
+++ b/src/control_client/node_context.cc
@@ -18,7 +18,9 @@
     : environment(node_environment),
       options(std::move(node_options)),
       session(GenerateIncarnation(node_environment)),
-      directory(std::make_shared<CoordinatorDirectory>(options.coordinators)) {}
+      directory(options.directory != nullptr
+                    ? options.directory
+                    : std::make_shared<CoordinatorDirectory>(options.coordinators)) {}
 
 void NodeContext::CallLeader(LeaderCallOptions call,
                              std::function<void(const LeaderReply&)> done) const {
--- a/tests/consensus/raft_cluster.h
+++ b/tests/consensus/raft_cluster.h
@@ -118,6 +118,8 @@
   /// Replaces the machine of `member`, which must be a seed, by one with an empty disk at `host`,
   /// also in the list of seeds. Members read the changed list when they next start.
   void ReplaceMachine(std::size_t member, const std::string& host);
+  /// @return the options of members that start from now on.
+  RaftNodeOptions& node_options() { return options_.node; }
   /// Lets time pass and checks the invariants after each event.
   void RunFor(Duration time);
   /// Like `RunFor`, up to `limit`. @return whether `condition` became true.
--- a/tests/consensus/raft_node_test.cc
+++ b/tests/consensus/raft_node_test.cc
@@ -49,6 +49,25 @@
   }
 };
 
+class RaftNodeReplacementTest : public RaftNodeTest {
+ protected:
+  RaftNodeReplacementTest() : RaftNodeTest(Options()) {}
+  static ClusterOptions Options() {
+    ClusterOptions options;
+    options.node.wanted_voters = 3;
+    options.node.replace_unresponsive_after = milliseconds(1500);
+    return options;
+  }
+  /// Starts members from now on with seeds at which nobody runs.
+  void NameNoMemberAsSeed() {
+    cluster.node_options().seeds = {{"10.0.8.1", 7401}, {"10.0.8.2", 7401}, {"10.0.8.3", 7401}};
+  }
+  void KnowMember(std::size_t member) {
+    const Endpoint endpoint = cluster.machine(member).endpoint();
+    cluster.node_options().known_coordinators = [endpoint] { return std::vector{endpoint}; };
+  }
+};
+
 TEST_F(RaftNodeTest, SeedsFormOneGroup) {
   FormGroup();
   ProposeAndWait(20);
@@ -105,6 +124,31 @@
   EXPECT_TRUE(record().failures.empty());
 }
 
+TEST_F(RaftNodeReplacementTest, NewMachineWhoseSeedsNameNoMemberBecomesAVoter) {
+  FormGroup();
+  ProposeAndWait(5);
+  cluster.ReplaceMachine(2, "10.0.0.9");
+  NameNoMemberAsSeed();
+  KnowMember(0);
+  cluster.machine(2).Start();
+  ASSERT_TRUE(cluster.RunUntil([this] { return cluster.IsComplete(); }, seconds(5)));
+  ProposeAndWait(1);
+  EXPECT_TRUE(record().failures.empty());
+}
+
+TEST_F(RaftNodeReplacementTest, EmptiedMemberWhoseSeedsNameNoMemberBecomesAVoter) {
+  FormGroup();
+  ProposeAndWait(5);
+  const std::size_t emptied = Follower();
+  cluster.machine(emptied).LoseDisk();
+  NameNoMemberAsSeed();
+  KnowMember(cluster.Leader());
+  cluster.machine(emptied).Start();
+  ASSERT_TRUE(cluster.RunUntil([this] { return cluster.IsComplete(); }, seconds(5)));
+  ProposeAndWait(1);
+  EXPECT_TRUE(record().failures.empty());
+}
+
 TEST_F(RaftNodeTest, MovedDiskKeepsItsMemberId) {
   FormGroup();
   ProposeAndWait(5);
