Drain a server until no further request can come, not until none runs

Callers may see a connection end without an answer around SIGTERM (LOST): the server was called drained once, when no response was in progress. A request whose body was still arriving then was answered by a process that no longer waited for the answer; and a request sent behind a stream whose head had said that the connection stays open was read and thrown away.

The drain now ends when no connection is left on which a request is awaited, received or answered; a connection that was said to stay open gets the idle grace after its response, and its next request an answer with Connection: close.

Both tests fail without the mend.

--- a/src/net/beast_http_server.h
+++ b/src/net/beast_http_server.h
@@ -72,9 +72,9 @@
   /// Makes the server close each connection after the response in progress or the next one. It
   /// still accepts connections.
   void EndConnections();
-  /// Stops accepting connections, lets responses in progress complete and closes idle connections
-  /// after `drain_idle_grace`. `idle` runs once on the loop, when that time has passed and no
-  /// response is in progress.
+  /// Stops accepting connections, answers the requests that are being received or answered, and
+  /// closes idle connections after `drain_idle_grace`. `idle` runs once on the loop, when that time
+  /// has passed and no further request can come.
   void Drain(std::function<void()> idle);
   /// @return the number of requests whose responses are not complete.
   std::size_t calls_in_progress() const;
--- a/src/net/server_connection.cc
+++ b/src/net/server_connection.cc
@@ -30,7 +30,13 @@
 }  // namespace
 
 void HttpServerShared::NotifyIfIdle() {
-  if (draining && drain_timer == 0 && calls_in_progress == 0 && on_idle) {
+  if (!draining || drain_timer != 0 || !on_idle) {
+    return;
+  }
+  const bool serving =
+      std::any_of(connections.begin(), connections.end(),
+                  [](const ServerConnection* connection) { return connection->ServesRequests(); });
+  if (!serving) {
     loop.Post(std::exchange(on_idle, nullptr));
   }
 }
--- a/src/net/server_connection.h
+++ b/src/net/server_connection.h
@@ -39,7 +39,7 @@
     return faults != nullptr && faults->IsBlocked(address);
   }
   /// Posts the callback of `Drain` if the grace time for idle connections has passed and no
-  /// response is in progress.
+  /// connection is left on which a request could still come, be read or be answered.
   void NotifyIfIdle();
 
   EventLoop& loop;
@@ -69,6 +69,10 @@
   void Close();
   /// Closes the connection if it is waiting for a request.
   void CloseIfIdle();
+  /// Whether a request is awaited, received or answered on this connection.
+  bool ServesRequests() const {
+    return state_ == State::kIdle || state_ == State::kReading || state_ == State::kResponding;
+  }
 
   // Called by the responder. `request_number` counts the requests of this connection; calls for
   // any request but the current one are ignored.
--- a/src/net/server_connection_answer.cc
+++ b/src/net/server_connection_answer.cc
@@ -173,7 +173,7 @@
 void ServerConnection::FinishResponse() {
   on_disconnect_ = nullptr;
   --shared_->calls_in_progress;
-  if (keep_alive_ && !shared_->draining) {
+  if (keep_alive_) {
     BecomeIdle();
   } else {
     Linger();
@@ -188,7 +188,8 @@
     return;
   }
   idle_position_ = shared_->idle.insert(shared_->idle.end(), this);
-  ArmTimer(shared_->options.idle_timeout);
+  // The response said that the connection stays open, so the next request may be on its way.
+  ArmTimer(shared_->draining ? shared_->options.drain_idle_grace : shared_->options.idle_timeout);
   if (!watching_) {
     WatchForBytes();
   }
--- a/tests/net/http_limits_test.cc
+++ b/tests/net/http_limits_test.cc
@@ -170,5 +170,64 @@
   EXPECT_TRUE(idle);
 }
 
+TEST_F(HttpLimitsTest, DrainAnswersARequestThatIsBeingReceived) {
+  RestartServer({.drain_idle_grace = milliseconds(20)});
+  server_->Handle("POST", "/", [](const HttpRequest& request, const ResponderPointer& responder) {
+    responder->Send({200, {}, request.body});
+  });
+  bool idle = false;
+  std::string answer;
+  std::thread caller([&] {
+    const auto raw = RawConnect(server_->endpoint());
+    raw->Send("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nfirst");
+    raw->ReadUntil("first");
+    raw->Send("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nbo");
+    std::this_thread::sleep_for(milliseconds(50));
+    loop_.Post([&] {
+      server_->Drain([&] {
+        idle = true;
+        loop_.Stop();
+      });
+    });
+    std::this_thread::sleep_for(milliseconds(100));
+    loop_.Post([&] { EXPECT_FALSE(idle); });
+    raw->Send("dy");
+    answer = raw->ReadUntil("body");
+  });
+  RunUntilStopped();
+  RestartServer({});  // Closes the connection, so that the caller ends in any case.
+  caller.join();
+  EXPECT_NE(answer.find("200 OK"), std::string::npos);
+  EXPECT_NE(answer.find("Connection: close"), std::string::npos);
+}
+
+TEST_F(HttpLimitsTest, DrainAnswersARequestBehindAResponseThatKeptTheConnection) {
+  RestartServer({.drain_idle_grace = milliseconds(20)});
+  ResponderPointer stream;
+  server_->Handle("GET", "/stream", [&](const HttpRequest&, const ResponderPointer& responder) {
+    stream = responder;
+    responder->StartStream(200, {});
+    server_->Drain([&] { loop_.Stop(); });
+    loop_.ScheduleAfter(milliseconds(60), [&] {
+      stream->FinishStream();
+      stream = nullptr;
+    });
+  });
+  server_->Handle("GET", "/next", [](const HttpRequest&, const ResponderPointer& responder) {
+    responder->Send({200, {}, "next"});
+  });
+  std::string answers;
+  std::thread caller([&] {
+    const auto raw = RawConnect(server_->endpoint());
+    raw->Send("GET /stream HTTP/1.1\r\nHost: x\r\n\r\nGET /next HTTP/1.1\r\nHost: x\r\n\r\n");
+    answers = raw->ReadUntil("");
+  });
+  RunUntilStopped();
+  RestartServer({});  // Closes the connection, so that the caller ends in any case.
+  caller.join();
+  EXPECT_NE(answers.find("Connection: close"), std::string::npos);
+  EXPECT_TRUE(answers.ends_with("next"));
+}
+
 }  // namespace
 }  // namespace cloverbank
