Let a second SIGTERM change nothing

Cause: Daemon::RequestStop ended the event loop at once when it was called again, with all calls under way.

Further stop signals are ignored now; the grace ends the process, and whoever cannot wait has SIGKILL.

--- a/apps/cloverbankd/daemon.cc
+++ b/apps/cloverbankd/daemon.cc
@@ -168,7 +168,6 @@
 
 void Daemon::RequestStop() {
   if (stopping_) {
-    loop_.Stop();
     return;
   }
   stopping_ = true;
--- a/apps/cloverbankd/daemon.h
+++ b/apps/cloverbankd/daemon.h
@@ -40,7 +40,8 @@
   /// exit code: 0 after a stop, 1 after a failure.
   int Run();
   /// Begins a graceful shutdown, as at SIGTERM: the roles accept no new work, and calls in flight
-  /// may end within the grace period. A second call stops the process at once.
+  /// may end within the grace period. Further calls change nothing: whoever cannot wait sends
+  /// SIGKILL.
   void RequestStop();
 
  private:
--- a/tests/cloverbankd/daemon_test.cc
+++ b/tests/cloverbankd/daemon_test.cc
@@ -3,6 +3,7 @@
 #include <memory>
 
 #include "cloverbankd/daemon_process.h"
+#include "support/raw_socket.h"
 
 namespace cloverbank {
 namespace {
@@ -62,6 +63,20 @@
   }
 }
 
+TEST_F(DaemonTest, SecondSigtermCutsNoRequest) {
+  StartAll();
+  const auto client = RawConnect({machines_[0]->address(), kClientPort});
+  client->Send("GET /health HTTP/1.1\r\n");
+  std::this_thread::sleep_for(milliseconds(100));
+  for (int signal = 0; signal < 3; ++signal) {
+    machines_[0]->Signal(SIGTERM);
+    std::this_thread::sleep_for(milliseconds(200));
+  }
+  client->Send("Host: x\r\n\r\n");
+  EXPECT_TRUE(client->ReadUntil("").starts_with("HTTP/1.1 200"));
+  EXPECT_EQ(machines_[0]->Wait(), 0) << machines_[0]->ReadLog();
+}
+
 TEST_F(DaemonTest, BecomesReadyAfterAllMachinesWereKilled) {
   StartAll();
   for (const auto& machine : machines_) {
