Refuse calls late in a stop that the process can't outlast, and answer the rest

Class: something is accepted with a time that its owner no longer has.

A stop has a schedule now. The control interface takes no orders after stop_admit_ms, since an order may take 4 s.

Three of the four new tests of StoppingGatewayTest and WaitingCallTest guard the refusal and the answers.

--- a/apps/cloverbankd/daemon.cc
+++ b/apps/cloverbankd/daemon.cc
@@ -171,20 +171,26 @@
     return;
   }
   stopping_ = true;
-  stop_deadline_ = EventLoop::Now() + settings_.stop_grace;
+  const TimePoint now = EventLoop::Now();
+  stop_deadline_ = now + settings_.stop_grace;
   for (const auto& role : roles_) {
-    role->Drain();
+    role->Drain({.admits_until = now + settings_.stop_admit, .ends_at = stop_deadline_});
   }
-  // The front interfaces accept new connections for `stop_linger`, until the platform sends new
-  // connections elsewhere.
-  servers_draining_ = CallerServers().size();
-  loop_.ScheduleAfter(settings_.stop_linger, [this] { DrainServers(); });
+  ScheduleServerDrains();
   StopWhenDrained();
 }
 
-void Daemon::DrainServers() {
-  for (BeastHttpServer* server : CallerServers()) {
-    server->Drain([this] { --servers_draining_; });
+void Daemon::ScheduleServerDrains() {
+  // The front interfaces accept new connections for `stop_linger`, until the platform sends new
+  // connections elsewhere. Operators try another node by themselves, and an order may take longer
+  // than is left after the linger.
+  const Duration control_linger = std::min(settings_.stop_admit, settings_.stop_linger);
+  const std::vector<BeastHttpServer*> servers = CallerServers();
+  servers_draining_ = servers.size();
+  for (BeastHttpServer* server : servers) {
+    const bool is_control = server == front_control_.get();
+    loop_.ScheduleAfter(is_control ? control_linger : settings_.stop_linger,
+                        [this, server] { server->Drain([this] { --servers_draining_; }); });
   }
 }
 
--- a/apps/cloverbankd/daemon.h
+++ b/apps/cloverbankd/daemon.h
@@ -51,7 +51,7 @@
   /// @return the existing servers for callers, those of the front interfaces first; without the
   /// peer server and the readiness server.
   std::vector<BeastHttpServer*> CallerServers() const;
-  void DrainServers();
+  void ScheduleServerDrains();
   void ReloadSettings();
   void Fail(const Status& status);
   void StopWhenDrained();
--- a/apps/cloverbankd/gateway_role.cc
+++ b/apps/cloverbankd/gateway_role.cc
@@ -62,8 +62,8 @@
     return service_.Ready(&reason) ? std::nullopt : std::optional(reason);
   }
 
-  void Drain() override {
-    service_.Drain();
+  void Drain(const StopSchedule& schedule) override {
+    service_.Drain(schedule);
     for (BeastHttpServer* server : {front_.calls, front_.control}) {
       if (server != nullptr) {
         server->EndConnections();
--- a/apps/cloverbankd/role.h
+++ b/apps/cloverbankd/role.h
@@ -12,6 +12,7 @@
 
 #include "base/status.h"
 #include "control_client/coordinator_directory.h"
+#include "gateway/stop_schedule.h"
 #include "net/beast_http_server.h"
 #include "net/http_types.h"
 #include "runtime/environment.h"
@@ -46,7 +47,7 @@
   /// @return why the role is not ready; nothing if it is ready.
   virtual std::optional<std::string> NotReadyReason() const = 0;
   /// Stops accepting new work; work in flight continues.
-  virtual void Drain() {}
+  virtual void Drain(const StopSchedule& /*schedule*/) {}
   /// @return whether all work that was in flight at `Drain` has ended.
   virtual bool Drained() const { return true; }
 };
--- a/src/calls/call_failure.cc
+++ b/src/calls/call_failure.cc
@@ -35,6 +35,9 @@
               Duration::zero()};
     case CallFailure::kNoCapacity:
       return {"no_room", "no replica has free capacity for batch work now", kShortRetryAfter};
+    case CallFailure::kStopping:
+      return {"gateway_stopping", "this gateway is stopping; try another gateway",
+              kShortRetryAfter};
   }
   return {};
 }
--- a/src/calls/call_failure.h
+++ b/src/calls/call_failure.h
@@ -18,6 +18,7 @@
   kNotRepeatable,   ///< The call may have run, and by the configuration it must not run again.
   kStartWithdrawn,  ///< A batch item may no longer start, e.g. because its work lease ended.
   kNoCapacity,      ///< No replica has capacity for batch work.
+  kStopping,        ///< The gateway is stopping, and the call cannot end before it does.
 };
 
 /// The error that the client gets.
--- a/src/calls/call_runner.cc
+++ b/src/calls/call_runner.cc
@@ -71,6 +71,16 @@
   return maybe_sent ? proto::EXECUTED_UNKNOWN : retry_.executed();
 }
 
+void CallRunner::EndWith(CallFailure failure) {
+  if (done_) {
+    return;
+  }
+  const proto::Executed executed = Cancel();
+  const CallFailureDetails details = DescribeCallFailure(failure);
+  CountAbandoned(details.code);
+  Finish(MakeFailedResult(executed, details.code, details.message, details.retry_after));
+}
+
 void CallRunner::TrySendOrWait() {
   if (done_) {
     return;
@@ -350,7 +360,8 @@
 void CallRunner::FinishWith(CallFailure failure) {
   const CallFailureDetails details = DescribeCallFailure(failure);
   CountAbandoned(details.code);
-  CallResult result = MakeFailedResult(details.code, details.message, details.retry_after);
+  CallResult result =
+      MakeFailedResult(retry_.executed(), details.code, details.message, details.retry_after);
   if (failure == CallFailure::kUnknownRoute && retry_.executed() == proto::EXECUTED_NO) {
     result.http_status = kHttpNotFound;
   }
@@ -359,7 +370,7 @@
 
 void CallRunner::FinishWith(std::string_view code, std::string_view message, Duration retry_after) {
   CountAbandoned(code);
-  Finish(MakeFailedResult(code, message, retry_after));
+  Finish(MakeFailedResult(retry_.executed(), code, message, retry_after));
 }
 
 void CallRunner::CountAbandoned(std::string_view code) {
@@ -367,10 +378,9 @@
                                                    {{"reason", code}});
 }
 
-CallResult CallRunner::MakeFailedResult(std::string_view code, std::string_view message,
-                                        Duration retry_after) const {
+CallResult CallRunner::MakeFailedResult(proto::Executed executed, std::string_view code,
+                                        std::string_view message, Duration retry_after) const {
   CallResult result;
-  const proto::Executed executed = retry_.executed();
   result.error.set_code(std::string(code));
   result.error.set_message(std::string(message));
   result.error.set_executed(executed);
--- a/src/calls/call_runner.h
+++ b/src/calls/call_runner.h
@@ -77,6 +77,8 @@
   /// afterwards.
   /// @return whether the call was executed so far, as far as is known.
   proto::Executed Cancel();
+  /// Ends the call with `failure`, wherever it is; `CallDone` learns whether it was executed.
+  void EndWith(CallFailure failure);
 
   // WaitingCallOwner
   ServeResult ServeFromQueue() override;
@@ -121,8 +123,8 @@
   void FinishWith(CallFailure failure);
   void FinishWith(std::string_view code, std::string_view message, Duration retry_after);
   void CountAbandoned(std::string_view code);
-  CallResult MakeFailedResult(std::string_view code, std::string_view message,
-                              Duration retry_after) const;
+  CallResult MakeFailedResult(proto::Executed executed, std::string_view code,
+                              std::string_view message, Duration retry_after) const;
   void Finish(CallResult result);
   /// Whether the call was idempotent when it was admitted and is so by `route`.
   bool IsRepeatable(const proto::Route& route) const;
--- a/src/gateway/forwarding_service.cc
+++ b/src/gateway/forwarding_service.cc
@@ -73,6 +73,22 @@
   }
 }
 
+void ForwardingService::EndUnansweredCalls() {
+  const auto running = calls_;  // A call that ends removes itself.
+  for (const auto& [number, call] : running) {
+    call->EndUnanswered();
+  }
+  for (const ConfigurationWaitQueue::Entry& waiting : wait_queue_.TakeAll()) {
+    RefuseWithoutConfiguration(*waiting.responder);
+  }
+}
+
+bool ForwardingService::MayOutlastProcess(const proto::Route& route,
+                                          const IncomingCall& call) const {
+  return stop_ && context_.attempt.environment.Now() >= stop_->admits_until &&
+         DeadlineOf(route, call) > stop_->LastAnswersAt();
+}
+
 void ForwardingService::RefuseWithoutConfiguration(HttpResponder& responder) {
   Refuse(responder, kHttpUnavailable, "no_configuration",
          "this gateway has no configuration or no valid lease from the coordinators; try another "
@@ -97,6 +113,12 @@
            "this route accepts batches; submit the batch again", kBatchRetryAfter);
     return;
   }
+  if (MayOutlastProcess(*route, call)) {
+    const CallFailureDetails details = DescribeCallFailure(CallFailure::kStopping);
+    Refuse(*responder, kHttpUnavailable, std::string(details.code), std::string(details.message),
+           details.retry_after);
+    return;
+  }
   const auto refusal =
       context_.queue.admission().Admit(*route, nullptr, context_.attempt.environment.Now());
   if (refusal) {
@@ -131,19 +153,23 @@
                  options_.replica_header_names);
 }
 
-CallSpec ForwardingService::MakeSpec(const proto::Route& route, const IncomingCall& call) const {
-  const TimePoint now = context_.attempt.environment.Now();
+TimePoint ForwardingService::DeadlineOf(const proto::Route& route, const IncomingCall& call) const {
   Duration timeout = milliseconds(route.deadline_ms());
   if (call.timeout) {
     timeout = std::min(timeout, *call.timeout);
   }
+  return context_.attempt.environment.Now() + timeout;
+}
+
+CallSpec ForwardingService::MakeSpec(const proto::Route& route, const IncomingCall& call) const {
+  const TimePoint now = context_.attempt.environment.Now();
   CallSpec spec;
   spec.route = ReferenceByPath(call.host, call.path);
   spec.route_name = route.name();
   spec.priority = route.priority();
   spec.idempotent = route.idempotent();
   spec.maximum_attempts = route.attempts();
-  spec.deadline = now + timeout;
+  spec.deadline = DeadlineOf(route, call);
   spec.wait_until = std::min(spec.deadline, now + options_.admission.longest_wait);
   return spec;
 }
--- a/src/gateway/forwarding_service.h
+++ b/src/gateway/forwarding_service.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -15,6 +16,7 @@
 #include "calls/gateway_options.h"
 #include "gateway/configuration_wait_queue.h"
 #include "gateway/incoming_call.h"
+#include "gateway/stop_schedule.h"
 #include "net/http_types.h"
 
 namespace cloverbank {
@@ -39,6 +41,11 @@
   /// @return the route of `host` and `path`, or nullptr.
   const proto::Route* FindRouteFor(std::string_view host, std::string_view path) const;
 
+  /// From `schedule.admits_until` on refuses calls that might not end before the process does.
+  void Drain(const StopSchedule& schedule) { stop_ = schedule; }
+  /// Gives every call an answer whose response has not begun, because the process is about to end.
+  void EndUnansweredCalls();
+
   std::size_t calls_in_flight() const { return calls_.size(); }
 
  private:
@@ -49,8 +56,12 @@
   void WaitForConfiguration(IncomingCall call, const Responder& responder);
   void RefuseWithoutConfiguration(HttpResponder& responder);
   void Admit(IncomingCall call, const Responder& responder);
+  /// Whether the process may end before a call that is admitted now.
+  bool MayOutlastProcess(const proto::Route& route, const IncomingCall& call) const;
   void RefuseUnknownRoute(const IncomingCall& call, const Responder& responder);
   void StartCall(IncomingCall call, const Responder& responder, const proto::Route& route);
+  /// @return when a call that is admitted now ends at the latest.
+  TimePoint DeadlineOf(const proto::Route& route, const IncomingCall& call) const;
   CallSpec MakeSpec(const proto::Route& route, const IncomingCall& call) const;
   /// Sends an error of a request that was not executed. @param retry_after zero: the default of
   /// `SendRefusal`.
@@ -63,6 +74,7 @@
   std::unordered_map<std::uint64_t, std::shared_ptr<LiveForward>> calls_;
   ConfigurationWaitQueue wait_queue_;
   std::uint64_t next_call_number_ = 1;
+  std::optional<StopSchedule> stop_;
 };
 
 }  // namespace cloverbank
--- a/src/gateway/gateway_service.cc
+++ b/src/gateway/gateway_service.cc
@@ -164,9 +164,19 @@
   state_->RemoveIdleLimits();
 }
 
-void GatewayService::Drain() {
+void GatewayService::Drain(const StopSchedule& schedule) {
   state_->draining = true;
   state_->live_calls.Drain();
+  state_->forwarding.Drain(schedule);
+  const Duration remaining = schedule.LastAnswersAt() - state_->environment.Now();
+  state_->environment.ScheduleAfter(
+      std::max(Duration::zero(), remaining),
+      [state = state_.get(), alive = std::weak_ptr<bool>(state_->alive)] {
+        if (!alive.expired()) {
+          state->forwarding.EndUnansweredCalls();
+          state->live_calls.EndUnansweredCalls();
+        }
+      });
   state_->batch_worker.Drain();
 }
 
--- a/src/gateway/gateway_service.h
+++ b/src/gateway/gateway_service.h
@@ -10,6 +10,7 @@
 #include "calls/backend_caller.h"
 #include "calls/gateway_options.h"
 #include "control_client/node_agent.h"
+#include "gateway/stop_schedule.h"
 #include "net/http_types.h"
 #include "runtime/environment.h"
 
@@ -29,8 +30,9 @@
 
   /// Starts to read the list of replicas, to probe them and to request batch work.
   void Start();
-  /// Refuses new calls and batch items while running ones continue, for a graceful stop.
-  void Drain();
+  /// Begins a graceful stop: refuses batch items and the calls that `schedule` rules out, while
+  /// running ones continue.
+  void Drain(const StopSchedule& schedule);
   /// @return whether `Drain` was called and every call and batch item has ended, with the results
   /// of the items reported.
   bool Drained() const;
--- a/src/gateway/live_call_base.cc
+++ b/src/gateway/live_call_base.cc
@@ -28,6 +28,13 @@
   runner_->Start();
 }
 
+void LiveCallBase::EndUnanswered() {
+  if (!stream_started_ && runner_ != nullptr) {
+    const std::shared_ptr<CallRunner> runner = runner_;
+    runner->EndWith(CallFailure::kStopping);
+  }
+}
+
 void LiveCallBase::StartStream(int status, HttpHeaders headers) {
   stream_started_ = true;
   const Duration waited = environment().Now() - started_at_;
--- a/src/gateway/live_call_base.h
+++ b/src/gateway/live_call_base.h
@@ -21,6 +21,10 @@
   LiveCallBase(const LiveCallBase&) = delete;
   LiveCallBase& operator=(const LiveCallBase&) = delete;
 
+  /// Ends the call if its response has not begun, because the process is about to end: the client
+  /// learns whether the call ran, instead of a closed connection.
+  void EndUnanswered();
+
  protected:
   LiveCallBase(const CallContext& context, std::shared_ptr<HttpResponder> responder,
                FinishedHandler on_finished);
--- a/src/gateway/live_call_handler.cc
+++ b/src/gateway/live_call_handler.cc
@@ -233,6 +233,13 @@
   SendError(responder, http_status, error);
 }
 
+void LiveCallHandler::EndUnansweredCalls() {
+  const auto running = calls_;  // A call that ends removes itself.
+  for (const auto& [id, call] : running) {
+    call->EndUnanswered();
+  }
+}
+
 std::string LiveCallHandler::NewCallId() {
   return ToHex(call_id_prefix_) + "-" + ToHex(next_call_number_++);
 }
--- a/src/gateway/live_call_handler.h
+++ b/src/gateway/live_call_handler.h
@@ -44,6 +44,8 @@
   void Register(HttpRouter& router);
   /// Refuses new calls from now on; running calls continue.
   void Drain() { draining_ = true; }
+  /// Gives every call an answer whose response has not begun, because the process is about to end.
+  void EndUnansweredCalls();
   std::size_t calls_in_flight() const { return calls_.size(); }
 
  private:
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -104,6 +104,7 @@
   settings->spare_backup = reader.Boolean("node.spare_backup").value_or(false);
   ReadZones(reader, settings);
   ReadDuration(reader, "node.stop_linger_ms", kStopDurationBounds, &settings->stop_linger);
+  ReadDuration(reader, "node.stop_admit_ms", kStopDurationBounds, &settings->stop_admit);
   ReadDuration(reader, "node.stop_grace_ms", kStopDurationBounds, &settings->stop_grace);
   if (settings->roles.coordinator || settings->roles.backup) {
     reader.RequireKey("node.data_folder", kFolderExpected);
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -36,6 +36,8 @@
   /// node.zones = ["zone=region", ...]: the region of each zone, if the platform provides it.
   std::map<std::string, std::string> zone_regions;
   Duration stop_linger{};                    ///< node.stop_linger_ms
+  /// node.stop_admit_ms: from then on a stopping process takes only calls that end before it does.
+  Duration stop_admit{};
   Duration stop_grace = milliseconds(5000);  ///< node.stop_grace_ms
   // [front]: interfaces of the platform adapter. An endpoint that is not set is not served.
   Endpoint front_calls;
--- a/tests/gateway/forwarding_test.cc
+++ b/tests/gateway/forwarding_test.cc
@@ -355,6 +355,55 @@
   EXPECT_EQ(waiting_->status, 503);
 }
 
+class StoppingGatewayTest : public ForwardingTest {
+ protected:
+  /// Begins a stop that admits every call until `admits` from now and ends the process at `ends`.
+  void Stop(Duration admits, Duration ends) {
+    const TimePoint now = harness.world.Now();
+    harness.service->Drain({.admits_until = now + admits, .ends_at = now + ends});
+  }
+};
+
+// Guards against a stream that is taken late in a stop and cut when the process ends (issue 51).
+TEST_F(StoppingGatewayTest, RefusesALateCallThatMayOutlastTheProcess) {
+  Stop(/*admits=*/seconds(2), /*ends=*/seconds(5));
+  const auto early = harness.Forward("/once/x", "c1");
+  EXPECT_EQ(harness.received_calls.size(), 1U);
+  EXPECT_EQ(early->answers, 0);
+  harness.world.RunFor(seconds(2));
+  const auto late = harness.Forward("/once/x", "c2");
+  EXPECT_EQ(late->status, 503);
+  EXPECT_NE(late->body.find("gateway_stopping"), std::string::npos);
+  EXPECT_FALSE(FindHeader(late->headers, "Retry-After").empty());
+  EXPECT_EQ(harness.received_calls.size(), 1U);
+}
+
+TEST_F(StoppingGatewayTest, TakesALateCallThatEndsBeforeTheProcess) {
+  harness.permission.stored.mutable_routes(1)->set_deadline_ms(1'000);
+  Stop(/*admits=*/seconds(0), /*ends=*/seconds(5));
+  const auto client = harness.Forward("/safe/x", "c1");
+  ASSERT_EQ(harness.received_calls.size(), 1U);
+  harness.Respond(0, {200, ForwardHarness::EchoHeaders("c1"), "blob"});
+  EXPECT_EQ(client->status, 200);
+}
+
+// Guards against connections that are closed without an answer when the process ends.
+TEST_F(StoppingGatewayTest, AnswersRunningCallsBeforeTheProcessEnds) {
+  const auto sent = harness.Forward("/once/x", "c1");
+  const auto streaming = harness.Forward("/once/y", "c2");
+  harness.received_calls[1]->Head(200, ForwardHarness::EchoHeaders("c2"));
+  harness.SendBytes(1, ForwardHarness::Event(0));
+  harness.service->EndUnansweredCalls();
+  EXPECT_EQ(sent->status, 504);
+  EXPECT_TRUE(harness.received_calls[0]->cancelled);
+  EXPECT_FALSE(harness.received_calls[1]->cancelled) << "its response has begun";
+}
+
+TEST_F(WaitingCallTest, IsAnsweredAsNotRunBeforeTheProcessEnds) {
+  harness.service->EndUnansweredCalls();
+  EXPECT_EQ(waiting_->status, 503);
+}
+
 TEST_F(ForwardingTest, QueuesCallsUntilTheFirstConfiguration) {
   harness.permission.stored.set_label(0);
   const auto client = harness.Forward("/safe/x", "c1");
--- a/tests/gateway/gateway_service_test.cc
+++ b/tests/gateway/gateway_service_test.cc
@@ -142,7 +142,8 @@
   ASSERT_EQ(Call(), 200);
   client_->connect_time = milliseconds(50);
   const auto running = router_.Post("/v1/call/unlock", "{}");
-  service_->Drain();
+  const TimePoint now = world_.Now();
+  service_->Drain({.admits_until = now, .ends_at = now + seconds(5)});
   EXPECT_EQ(ReasonNotReady(), "the gateway is stopping");
   EXPECT_FALSE(service_->Drained());
   EXPECT_EQ(Call(), 503);
--- a/tests/settings/configuration_page_test.cc
+++ b/tests/settings/configuration_page_test.cc
@@ -44,7 +44,7 @@
 
 TEST(ConfigurationPageTest, EveryDocumentedKeyIsKnown) {
   const std::set<std::string> keys = DocumentedKeys();
-  EXPECT_EQ(keys.size(), 35U);
+  EXPECT_EQ(keys.size(), 36U);
   for (const std::string& key : keys) {
     EXPECT_TRUE(IsKnown(key)) << key;
   }
