--- a/src/consensus/raft_group_monitor.cc
+++ b/src/consensus/raft_group_monitor.cc
@@ -78,8 +78,8 @@
   const std::size_t responsive =
       leads ? core.CountResponsiveVoters(context_.environment.Now()) : std::size_t{0};
   const std::vector<LogMember> members = context_.Members();
-  const auto learners =
-      std::count_if(members.begin(), members.end(), [](const LogMember& m) { return m.learner; });
+  const auto learners = std::count_if(members.begin(), members.end(),
+                                      [](const LogMember& member) { return member.learner; });
   Metrics& metrics = context_.environment.metrics();
   metrics.SetGauge("raft_voters",
                    static_cast<double>(members.size()) - static_cast<double>(learners));
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -35,7 +35,7 @@
   bool spare_backup = false;
   /// node.zones = ["zone=region", ...]: the region of each zone, if the platform provides it.
   std::map<std::string, std::string> zone_regions;
-  Duration stop_linger{};                    ///< node.stop_linger_ms
+  Duration stop_linger{};  ///< node.stop_linger_ms
   /// node.stop_admit_ms: from then on a stopping process takes only calls that end before it does.
   Duration stop_admit{};
   Duration stop_grace = milliseconds(5000);  ///< node.stop_grace_ms
