Say at warning which zone state a gateway uses, and from which version

Whether a gateway sends to a drained zone by an old configuration or by a newer one that opens it could not be told from the logs. zone_state_used names zone, state and version whenever the state that a gateway uses changes.

--- a/src/gateway/gateway_service.cc
+++ b/src/gateway/gateway_service.cc
@@ -14,6 +14,7 @@
 #include "gateway/operator_api.h"
 #include "gateway/replica_backend_caller.h"
 #include "gateway/status_api.h"
+#include "gateway/zone_state_log.h"
 #include "replicas/prefill_announcer.h"
 #include "replicas/shared_list_reader.h"
 
@@ -112,6 +113,7 @@
   NodeAgent& agent;
   GatewayOptions options;
   AgentServingPermission permission;
+  ZoneStateLog zone_state_log;
   ReplicaPool pool;
   CallQueue queue;
   RetryBudget retry_budget;
@@ -149,6 +151,7 @@
   });
   agent.OnConfiguration([state, alive] {
     if (!alive.expired()) {
+      state->zone_state_log.Record(state->agent.configuration());
       state->pool.OnConfiguration();
       state->forwarding.OnConfiguration();
       state->queue.ScheduleDispatch();
