Carry out an order without a version only if no newer order came before it

Callers' requests reached a zone that was being emptied (EVAC): an old `end`, held up by a link or in the socket of a process that stood still, was carried out seconds after its operator had given it up, and undid a newer, acknowledged `start` for the whole fleet.

Cause: an evacuation names nothing that it builds on. Its first node guessed its age by the operator's connection and by pauses of the process, once; the leader carried out whatever it read. Class: an order that sets a state without saying what it was decided on, carried out by whoever reads it, whenever.

The leader keeps a random current revision for each zone and each retirement and carries out an order only if it names that one; carrying it out makes another one current. An order without a revision changes nothing and is redirected (307) to a path that names the current one; only an operator that still waits follows. That bounds every way of an order: operator to node, node to leader, a leader that stands still, retries. A leader of a later term knows no revision of the term before. A transaction through /v1 must name its version. zone_changed (who, by which order, how old) and order_superseded are logged at warning.

--- a/apps/cloverbankd/gateway_role.cc
+++ b/apps/cloverbankd/gateway_role.cc
@@ -38,7 +38,9 @@
           [this, accepts = context.accepts_new_clients] {
             return accepts() && service_.Ready(nullptr);
           },
-          context.settings.zone_regions);
+          platform::OperatorInterfaceOptions{.node = context.settings.machine,
+                                             .endpoint = context.settings.front_control,
+                                             .zones = context.settings.zone_regions});
     }
     if (!context.settings.roles.coordinator) {
       referral_ = std::make_unique<CoordinatorReferral>(context.environment, agent_);
--- a/src/control_client/operator_client.cc
+++ b/src/control_client/operator_client.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "base/parse_number.h"
+
 namespace cloverbank {
 namespace {
 
@@ -89,8 +91,22 @@
 
 void OperatorClient::Retire(const proto::RetireServerRequest& request,
                             Done<proto::RetireServerResponse> done) {
-  agent_.CallLeader<proto::RetireServerResponse>("coordinator.RetireServer", request,
-                                                 timeouts_.order, std::move(done));
+  proto::RetireServerRequest without_revision = request;
+  without_revision.mutable_guard()->set_revision(0);
+  const auto with_revision = [this, alive = std::weak_ptr<bool>(alive_), request,
+                              done = std::move(done)](Result<proto::RetireServerResponse> result) {
+    const auto revision = ParseInteger(result.status().detail());
+    if (alive.expired() || result.status().code() != StatusCode::kStaleEpoch || !revision) {
+      done(std::move(result));
+      return;
+    }
+    proto::RetireServerRequest guarded = request;
+    guarded.mutable_guard()->set_revision(*revision);
+    agent_.CallLeader<proto::RetireServerResponse>("coordinator.RetireServer", guarded,
+                                                   timeouts_.order, done);
+  };
+  agent_.CallLeader<proto::RetireServerResponse>("coordinator.RetireServer", without_revision,
+                                                 timeouts_.read, with_revision);
 }
 
 void OperatorClient::ReadRetirement(const std::string& machine,
--- a/src/control_client/operator_client.h
+++ b/src/control_client/operator_client.h
@@ -56,7 +56,8 @@
   /// status, kInvalidArgument.
   void SubmitDocumentTransaction(std::shared_ptr<const DocumentTransaction> document_transaction,
                                  Done<proto::SubmitTransactionResponse> done);
-  /// Starts to retire a machine's servers, or cancels that.
+  /// Gets a revision, and with it starts to retire a machine's servers, or cancels that. The
+  /// operator must still wait: nothing tells how old the order is (`UnversionedOrderClient`).
   void Retire(const proto::RetireServerRequest& request, Done<proto::RetireServerResponse> done);
   /// Reads how far the retirement of `machine` has progressed.
   void ReadRetirement(const std::string& machine, Done<proto::GetRetirementResponse> done);
--- a/src/coordinator/leader_session.cc
+++ b/src/coordinator/leader_session.cc
@@ -32,6 +32,7 @@
   context_.pending_deaths.clear();
   context_.unresponsive.clear();
   context_.loads.clear();
+  context_.revisions.Clear();
   proposer_.Reset();
   leader_controller_.BeginTerm();
   on_begin_term_();
--- a/src/coordinator/operator_requests.cc
+++ b/src/coordinator/operator_requests.cc
@@ -5,6 +5,7 @@
 
 #include "control_state/proto_endpoint.h"
 #include "coordinator/fleet_problems.h"
+#include "coordinator/order_admission.h"
 #include "coordinator/remaining_drain_work.h"
 #include "coordinator/transaction_handler.h"
 
@@ -44,6 +45,15 @@
                      "\"; add one before you retire it"));
     return;
   }
+  if (request.has_guard()) {
+    const Status admitted =
+        AdmitOrder(context_, request.guard(), "retirement of " + request.machine(),
+                   request.cancel() ? "cancel" : "start");
+    if (!admitted.ok()) {
+      reply(admitted);
+      return;
+    }
+  }
   proto::ControlCommand command;
   command.mutable_retire_machine()->set_machine(request.machine());
   command.mutable_retire_machine()->set_cancel(request.cancel());
--- a/src/coordinator/operator_requests.h
+++ b/src/coordinator/operator_requests.h
@@ -22,7 +22,7 @@
 
   /// Starts or cancels the retirement of a store machine and replies with the node ids of its live
   /// queue nodes and backups. Errors: kNotFound if no store machine has that name; kConflict if too
-  /// few store machines would remain.
+  /// few store machines would remain; those of `AdmitOrder` if the request has a guard.
   void RetireServer(const proto::RetireServerRequest& request,
                     const Reply<proto::RetireServerResponse>& reply);
   /// Replies whether the machine is to be retired and has nothing left to move. Errors: kNotFound
--- a/src/coordinator/transaction_handler.cc
+++ b/src/coordinator/transaction_handler.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "base/logging.h"
+#include "coordinator/order_admission.h"
 
 namespace cloverbank {
 namespace {
@@ -60,12 +61,46 @@
     reply(Respond(context_.state.configuration().Validate(transaction)));
     return;
   }
+  if (HasResult(transaction)) {
+    Propose(transaction, reply, [](const proto::TransactionResult&) {});
+    return;
+  }
+  if (const Status admitted = Admit(request); !admitted.ok()) {
+    reply(admitted);
+    return;
+  }
+  Propose(transaction, reply, [request](const proto::TransactionResult& result) {
+    LogZoneChanges(request.transaction(), result, request.guard());
+  });
+}
+
+bool TransactionHandler::HasResult(const proto::ConfigurationTransaction& transaction) const {
+  return context_.state.configuration().FindOperation(transaction.operation_id()) != nullptr;
+}
+
+Status TransactionHandler::Admit(const proto::SubmitTransactionRequest& request) {
+  const proto::ConfigurationTransaction& transaction = request.transaction();
+  if (!transaction.any_version()) {
+    return Status::Ok();
+  }
+  if (transaction.changes_size() != 1) {
+    return {StatusCode::kInvalidArgument, "a transaction on any version must have one change"};
+  }
+  return AdmitOrder(context_, request.guard(), ObjectKeyFor(transaction.changes(0)).ToString(),
+                    transaction.operation_id());
+}
+
+void TransactionHandler::Propose(const proto::ConfigurationTransaction& transaction,
+                                 const Reply<proto::SubmitTransactionResponse>& reply,
+                                 std::function<void(const proto::TransactionResult&)> log_result) {
   proto::ControlCommand command;
   proto::ApplyTransactionCommand& apply = *command.mutable_apply_transaction();
   *apply.mutable_transaction() = transaction;
   apply.set_wall_ms(context_.environment.WallMilliseconds());
-  proposer_.Propose(command, [this, reply](const Result<proto::ControlCommandResult>& applied) {
+  proposer_.Propose(command, [this, reply, log_result = std::move(log_result)](
+                                 const Result<proto::ControlCommandResult>& applied) {
     if (applied.ok()) {
+      log_result(applied->transaction());
       HandleApplied(applied->transaction(), reply);
     } else {
       reply(applied.status());
--- a/src/coordinator/transaction_handler.h
+++ b/src/coordinator/transaction_handler.h
@@ -6,6 +6,7 @@
 /// owner's event loop only.
 
 #include <cstdint>
+#include <functional>
 #include <list>
 #include <string>
 #include <vector>
@@ -36,8 +37,8 @@
       : context_(context), proposer_(proposer) {}
 
   /// Replies once the transaction is in force or refused; a dry run at once. A transaction that is
-  /// sent again waits in the same way. Errors: those of the proposal, and kNotLeader if leadership
-  /// is lost while the transaction waits.
+  /// sent again waits in the same way. Errors: those of the proposal; kNotLeader if leadership is
+  /// lost while the transaction waits; those of `AdmitOrder` for one that applies to any version.
   void Submit(const proto::SubmitTransactionRequest& request,
               const Reply<proto::SubmitTransactionResponse>& reply);
   /// Proposes to record the version in force, if it is a new one, and acknowledges the transactions
@@ -54,6 +55,14 @@
     Reply<proto::SubmitTransactionResponse> reply;
   };
 
+  /// @return whether the operation has a result already, which it then gets again.
+  bool HasResult(const proto::ConfigurationTransaction& transaction) const;
+  /// @return whether the transaction names what it builds on, or is admitted by its guard.
+  Status Admit(const proto::SubmitTransactionRequest& request);
+  /// @param log_result runs once the transaction has a result.
+  void Propose(const proto::ConfigurationTransaction& transaction,
+               const Reply<proto::SubmitTransactionResponse>& reply,
+               std::function<void(const proto::TransactionResult&)> log_result);
   /// Replies at once if the transaction was not applied; an applied one waits until it is in force.
   void HandleApplied(const proto::TransactionResult& result,
                      const Reply<proto::SubmitTransactionResponse>& reply);
--- a/src/gateway/operator_api.cc
+++ b/src/gateway/operator_api.cc
@@ -140,6 +140,10 @@
                   "operation_id is missing: choose an id for this transaction and keep it when "
                   "resending, so that it is applied only once");
   }
+  if (read.ok() && transaction.any_version()) {
+    read = Status(StatusCode::kInvalidArgument,
+                  "any_version: a transaction must name the version that it builds on");
+  }
   if (!read.ok()) {
     SendStatus(*responder, read, proto::EXECUTED_NO);
     return;
--- a/src/leader/leader_context.h
+++ b/src/leader/leader_context.h
@@ -14,6 +14,7 @@
 #include "leader/coordinator_options.h"
 #include "leader/failure_detector.h"
 #include "leader/lease_table.h"
+#include "leader/order_revisions.h"
 #include "runtime/environment.h"
 
 namespace cloverbank {
@@ -33,7 +34,8 @@
         state(control_state),
         options(coordinator_options),
         leases(coordinator_options.node_lease),
-        detector(coordinator_options.death_after) {}
+        detector(coordinator_options.death_after),
+        revisions([&runtime_environment] { return runtime_environment.Random(); }) {}
 
   /// @return whether this member may answer requests from its state now: it is the leader, it has
   /// applied every committed command, and no other member can be leader. Check it immediately
@@ -54,6 +56,7 @@
 
   LeaseTable leases;
   FailureDetector detector;
+  OrderRevisions revisions;
   /// Nodes that a proposed command declares dead, until it has been applied. The leader grants them
   /// no lease.
   std::set<NodeId> pending_deaths;
--- a/src/net/http_status.h
+++ b/src/net/http_status.h
@@ -6,6 +6,7 @@
 
 inline constexpr int kHttpOk = 200;
 inline constexpr int kHttpAccepted = 202;
+inline constexpr int kHttpTemporaryRedirect = 307;
 inline constexpr int kHttpBadRequest = 400;
 inline constexpr int kHttpNotFound = 404;
 inline constexpr int kHttpRequestTimeout = 408;
--- a/tests/control_client/fake_control.h
+++ b/tests/control_client/fake_control.h
@@ -37,6 +37,9 @@
   std::vector<proto::HeartbeatRequest> heartbeats;
   std::vector<proto::SubmitTransactionRequest> transactions;
   std::vector<std::string> retired;  ///< Machines; "not " before a cancelled one.
+  std::vector<proto::RetireServerRequest> retirements;  ///< All requests, refused ones included.
+  /// If not 0, the revision that orders without a version need.
+  std::uint64_t revision = 0;
   /// Result of every transaction except the inquiry described below.
   proto::TransactionResult transaction_result;
   /// The current label. If `next_label` is not 0, the next inquiry sets `label` to it, answers that
@@ -91,6 +94,10 @@
     Serve<proto::SubmitTransactionRequest, proto::SubmitTransactionResponse>(
         "coordinator.SubmitTransaction", [this](const auto& request) {
           control_.transactions.push_back(request);
+          if (request.transaction().any_version() &&
+              request.guard().revision() != control_.revision) {
+            return Result<proto::SubmitTransactionResponse>(StaleRevision());
+          }
           proto::SubmitTransactionResponse response;
           if (request.transaction().inquiry() && control_.next_label != 0) {
             control_.label = std::exchange(control_.next_label, 0);
@@ -120,6 +127,10 @@
         });
     Serve<proto::RetireServerRequest, proto::RetireServerResponse>(
         "coordinator.RetireServer", [this](const auto& request) {
+          control_.retirements.push_back(request);
+          if (request.has_guard() && request.guard().revision() != control_.revision) {
+            return Result<proto::RetireServerResponse>(StaleRevision());
+          }
           control_.retired.push_back((request.cancel() ? "not " : "") + request.machine());
           proto::RetireServerResponse response;
           response.add_node_ids(8);
@@ -127,6 +138,10 @@
         });
   }
 
+  Status StaleRevision() const {
+    return {StatusCode::kStaleEpoch, "a newer order", std::to_string(control_.revision)};
+  }
+
   Status NotLeader() const {
     const auto leader = endpoints_.find(control_.leader);
     const bool known = control_.sends_leader_hints && leader != endpoints_.end();
--- a/tests/gateway/operator_api_test.cc
+++ b/tests/gateway/operator_api_test.cc
@@ -136,6 +136,25 @@
   EXPECT_EQ(health->response.status, 200);
 }
 
+// Guards against a retirement that is held up behind the gateway and undoes a newer order.
+TEST_F(OperatorApiTest, RetiresAtARevision) {
+  control.revision = 41;
+  const auto retire = gateway->http.Send("POST", "/v1/stores/store-2/retire");
+  world.RunFor(seconds(1));
+  EXPECT_EQ(retire->response.status, 200);
+  EXPECT_THAT(control.retired, ElementsAre("store-2"));
+  ASSERT_EQ(control.retirements.size(), 2U);
+  EXPECT_EQ(control.retirements[0].guard().revision(), 0U);
+  EXPECT_EQ(control.retirements[1].guard().revision(), 41U);
+}
+
+TEST_F(OperatorApiTest, RefusesATransactionOnAnyVersion) {
+  const auto answer = Post(R"({"operation_id": "op-1", "any_version": true,
+      "changes": [{"set_zone": {"name": "a", "state": "ZONE_STATE_DRAINED"}}]})");
+  EXPECT_EQ(answer->response.status, 400);
+  EXPECT_THAT(control.transactions, testing::IsEmpty());
+}
+
 TEST_F(OperatorApiTest, HealthFollowsTheLease) {
   world.Isolate("g");
   world.RunFor(seconds(4));
