--- a/tests/control_client/fake_control.h
+++ b/tests/control_client/fake_control.h
@@ -11,6 +11,7 @@
 #include <utility>
 #include <vector>
 
+#include "control_client/node_agent.h"
 #include "proto/coordinator.pb.h"
 #include "runtime/typed_peer.h"
 #include "simulation/simulated_world.h"
@@ -248,4 +249,22 @@
   return list;
 }
 
+/// Starts the fake coordinators and a gateway on the machine "g", and waits until it has a lease.
+/// @param Node has a member `agent`, a NodeAgent that it starts.
+/// @param node set at each start of the machine.
+template <typename Node>
+void StartGateway(SimulatedWorld& world, FakeControl& control, Node** node) {
+  NodeAgentOptions options;
+  options.role = proto::ROLE_GATEWAY;
+  options.coordinators = AddFakeCoordinators(world, control);
+  SimulatedMachine& machine = world.AddMachine("g", "10.0.0.1");
+  machine.SetProgram([node, options](Environment& environment, DataFolder&) {
+    auto created = std::make_shared<Node>(environment, options);
+    *node = created.get();
+    return created;
+  });
+  machine.Start();
+  world.RunUntil([node] { return (*node)->agent.HasValidLease(); }, seconds(5));
+}
+
 }  // namespace cloverbank
--- a/tests/control_client/operator_client_test.cc
+++ b/tests/control_client/operator_client_test.cc
@@ -27,17 +27,7 @@
  protected:
   OperatorClientTest() {
     control_.transaction_result.set_outcome(proto::TRANSACTION_OUTCOME_APPLIED);
-    NodeAgentOptions options;
-    options.role = proto::ROLE_GATEWAY;
-    options.coordinators = AddFakeCoordinators(world_, control_);
-    world_.AddMachine("g", "10.0.0.1")
-        .SetProgram([this, options](Environment& environment, DataFolder&) {
-          auto created = std::make_shared<OperatorNode>(environment, options);
-          node_ = created.get();
-          return created;
-        });
-    world_.machine("g").Start();
-    world_.RunUntil([this] { return node_->agent.HasValidLease(); }, seconds(5));
+    StartGateway(world_, control_, &node_);
   }
 
   /// Submits a transaction that is based on `kBaseLabel` and sets `kNewLabel`.
--- a/tests/control_client/unversioned_order_client_test.cc
+++ b/tests/control_client/unversioned_order_client_test.cc
@@ -25,17 +25,7 @@
   UnversionedOrderClientTest() {
     control_.transaction_result.set_outcome(proto::TRANSACTION_OUTCOME_APPLIED);
     control_.revision = 7;
-    NodeAgentOptions options;
-    options.role = proto::ROLE_GATEWAY;
-    options.coordinators = AddFakeCoordinators(world_, control_);
-    world_.AddMachine("g", "10.0.0.1")
-        .SetProgram([this, options](Environment& environment, DataFolder&) {
-          auto created = std::make_shared<OrderNode>(environment, options);
-          node_ = created.get();
-          return created;
-        });
-    world_.machine("g").Start();
-    world_.RunUntil([this] { return node_->agent.HasValidLease(); }, seconds(5));
+    StartGateway(world_, control_, &node_);
     world_.RunFor(seconds(1));
   }
   void Submit(std::uint64_t revision = 7) {
--- a/tests/gateway/operator_api_test.cc
+++ b/tests/gateway/operator_api_test.cc
@@ -27,19 +27,7 @@
 
 class OperatorApiTest : public testing::Test {
  protected:
-  OperatorApiTest() {
-    NodeAgentOptions options;
-    options.role = proto::ROLE_GATEWAY;
-    options.coordinators = AddFakeCoordinators(world, control);
-    world.AddMachine("g", "10.0.0.1")
-        .SetProgram([this, options](Environment& environment, DataFolder&) {
-          auto created = std::make_shared<OperatorGateway>(environment, options);
-          gateway = created.get();
-          return created;
-        });
-    world.machine("g").Start();
-    world.RunUntil([this] { return gateway->agent.HasValidLease(); }, seconds(5));
-  }
+  OperatorApiTest() { StartGateway(world, control, &gateway); }
 
   std::shared_ptr<RecordedResponse> Post(const std::string& body, Duration wait = seconds(11)) {
     auto answer = gateway->http.Send("POST", "/v1/config/transactions", body);
