Cancel the tasks of a soak until they have ended

Before Python 3.12, asyncio.wait_for drops a cancellation that comes together with its result; the client then goes on for an hour, and the soak waits for it.

--- a/scripts/soak_stand_ins.py
+++ b/scripts/soak_stand_ins.py
@@ -22,6 +22,7 @@
 COORDINATORS = 3
 READY_TIMEOUT_S = 30
 STARTING_S = 1.0
+CANCEL_AGAIN_S = 1.0
 
 
 def load_script(name):
@@ -293,9 +294,17 @@
 
 async def cancel_other_tasks():
     """Ends what is left of the stand-ins' connections."""
-    tasks = asyncio.all_tasks() - {asyncio.current_task()}
-    for task in tasks:
-        task.cancel()
+    await cancel_tasks(asyncio.all_tasks() - {asyncio.current_task()})
+
+
+async def cancel_tasks(tasks):
+    """Cancels tasks, again and again until all have ended: before Python 3.12 asyncio.wait_for drops a cancellation
+    that comes together with its result."""
+    waiting = set(tasks)
+    while waiting:
+        for task in waiting:
+            task.cancel()
+        _, waiting = await asyncio.wait(waiting, timeout=CANCEL_AGAIN_S)
     await asyncio.gather(*tasks, return_exceptions=True)
 
 
